--- /dev/null
+++ b/oriolestage/__init__.py
@@ -0,0 +1,1 @@
+"""A shared query tier between callers and many sharded targets."""
--- /dev/null
+++ b/oriolestage/core/_attempts.py
@@ -0,0 +1,120 @@
+"""Shard requests that this host sent to owners and has no outcome for."""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from oriolestage.core._messages import CancelAttempts, ShardReply
+from oriolestage.core._outcomes import MayHaveRun, NotRun, Reason
+from oriolestage.core._ownership import PeerPort
+from oriolestage.core._target_knowledge import TargetKnowledge
+from oriolestage.core._timers import Timers
+
+ReplyCallback = Callable[[ShardReply], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    owner: str
+    target: str
+    sent_at: float
+    callback: ReplyCallback
+
+
+class AttemptTable:
+    """Matches replies of owners to the requests they answer."""
+
+    def __init__(
+        self,
+        timers: Timers,
+        peers: PeerPort,
+        knowledge: TargetKnowledge,
+    ) -> None:
+        """Start without requests in flight."""
+        self._timers = timers
+        self._peers = peers
+        self._knowledge = knowledge
+        self._attempts: dict[int, _Attempt] = {}
+        self._number = 0
+        self._late_replies = 0
+
+    @property
+    def late_replies(self) -> int:
+        """Replies that came after their request was given up."""
+        return self._late_replies
+
+    def register(
+        self,
+        owner: str,
+        target: str,
+        callback: ReplyCallback,
+    ) -> int:
+        """Give a new request its number."""
+        self._number += 1
+        self._attempts[self._number] = _Attempt(
+            owner,
+            target,
+            self._timers.now,
+            callback,
+        )
+        self._knowledge.note_dispatch(target)
+        return self._number
+
+    def on_reply(self, reply: ShardReply) -> None:
+        """Hand a reply to whoever waits for it; drop late ones."""
+        attempt = self._attempts.pop(reply.attempt, None)
+        if attempt is None:
+            self._late_replies += 1
+            return
+        self._knowledge.note_end(attempt.target)
+        self._knowledge.note_versions(attempt.target, reply.versions)
+        attempt.callback(reply)
+
+    def sent_at(self, number: int) -> float:
+        """Give the time at which a request in flight was sent."""
+        return self._attempts[number].sent_at
+
+    def target_of(self, number: int) -> str:
+        """Give the target of a request in flight."""
+        return self._attempts[number].target
+
+    def owner_of(self, number: int) -> str:
+        """Give the owner that a request in flight was sent to."""
+        return self._attempts[number].owner
+
+    def cancel(self, numbers: Iterable[int]) -> None:
+        """Give up requests and tell their owners so."""
+        by_owner: dict[str, list[int]] = {}
+        for number in numbers:
+            attempt = self._attempts.pop(number, None)
+            if attempt is None:
+                continue
+            self._knowledge.note_end(attempt.target)
+            by_owner.setdefault(attempt.owner, []).append(number)
+        for owner, attempts in by_owner.items():
+            self._peers.send(
+                owner,
+                CancelAttempts(self._peers.me, tuple(attempts)),
+            )
+
+    def on_peer_lost(self, owner: str) -> None:
+        """End all requests at an owner whose connection broke."""
+        for number, attempt in tuple(self._attempts.items()):
+            if attempt.owner == owner:
+                outcome = MayHaveRun(
+                    Reason.PEER_LOST,
+                    'entry.wait',
+                    owner,
+                    retry_after_ms=100,
+                )
+                self.on_reply(ShardReply(number, outcome))
+
+    def on_not_sent(self, owner: str, numbers: Iterable[int]) -> None:
+        """End requests that never left this host."""
+        for number in numbers:
+            outcome = NotRun(
+                Reason.PEER_LOST,
+                'entry.connect',
+                owner,
+                retry_after_ms=100,
+            )
+            self.on_reply(ShardReply(number, outcome))
--- /dev/null
+++ b/oriolestage/core/_command_runner.py
@@ -0,0 +1,321 @@
+"""Runs requests that must not be repeated: one dispatch, on one target.
+
+With an idempotency key, the key's keeper first grants the right to run. A
+dispatch is tried elsewhere only after an outcome that shows that no target
+started the work.
+"""
+
+import dataclasses
+
+from oriolestage.core._attempts import AttemptTable
+from oriolestage.core._caller_request import CallerRequest
+from oriolestage.core._configuration import Route, Target
+from oriolestage.core._configuration_keeper import ConfigurationKeeper
+from oriolestage.core._crashes import CrashRegister
+from oriolestage.core._effects import AnswerCaller, Outbox
+from oriolestage.core._idempotency_keys import key_created_ms
+from oriolestage.core._key_keeper import slice_of_key
+from oriolestage.core._messages import (
+    ClaimReply,
+    ClaimRequest,
+    ClaimResult,
+    ShardBatch,
+    ShardEntry,
+    ShardReply,
+)
+from oriolestage.core._outcomes import (
+    Answered,
+    CallerOutcome,
+    CommandAnswer,
+    MayHaveRun,
+    NotRun,
+    Reason,
+)
+from oriolestage.core._ownership import OwnershipView, PeerPort
+from oriolestage.core._parameters import Parameters
+from oriolestage.core._rendezvous import rendezvous_owner
+from oriolestage.core._target_knowledge import TargetKnowledge
+from oriolestage.core._timers import Timers
+
+#: Time by which the entry answers ahead of the deadline, in seconds.
+ANSWER_MARGIN_S = 0.002
+#: Shortest wait before another dispatch, in seconds.
+REDISPATCH_FLOOR_S = 0.01
+#: Suggested wait when no target may take the work, in milliseconds.
+NO_TARGET_RETRY_MS = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class _Command:
+    request: CallerRequest
+    route: Route
+    service: str
+    deadline: float
+    #: Number of the claim, 0 for requests without a key.
+    claim: int = 0
+    granted: bool = False
+    attempt: int = 0
+    dispatches: int = 0
+    failure: NotRun | None = None
+    ended: bool = False
+
+
+class CommandRunner:
+    """Keeps all requests that run at most once and came in here."""
+
+    def __init__(
+        self,
+        parameters: Parameters,
+        outbox: Outbox,
+        timers: Timers,
+        keeper: ConfigurationKeeper,
+        ownership: OwnershipView,
+        peers: PeerPort,
+        crashes: CrashRegister,
+        knowledge: TargetKnowledge,
+        attempts: AttemptTable,
+    ) -> None:
+        """Start without requests."""
+        self._parameters = parameters
+        self._outbox = outbox
+        self._timers = timers
+        self._keeper = keeper
+        self._ownership = ownership
+        self._peers = peers
+        self._crashes = crashes
+        self._knowledge = knowledge
+        self._attempts = attempts
+        self._commands: dict[str, _Command] = {}
+        self._claims: dict[int, _Command] = {}
+        self._claim_keys: dict[int, str] = {}
+        self._claim_number = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that have no answer yet."""
+        return len(self._commands)
+
+    def start(self, request: CallerRequest, route: Route) -> None:
+        """Begin a request; its answer comes as an effect."""
+        timeout_ms = min(request.timeout_ms, route.timeout_ms)
+        deadline = self._timers.now + timeout_ms / 1000 - ANSWER_MARGIN_S
+        services = self._keeper.index.services_of(route.group)
+        placing = request.idempotency_key or str(request.fingerprint)
+        service = rendezvous_owner(placing, services)
+        command = _Command(request, route, service, deadline)
+        self._commands[request.request_id] = command
+        self._timers.call_at(deadline, lambda: self._on_deadline(command))
+        if request.idempotency_key:
+            self._claim(command)
+            return
+        command.granted = True
+        self._dispatch(command)
+
+    def cancel(self, request_id: str) -> None:
+        """Forget a caller that has gone; its work goes on if it started."""
+        command = self._commands.get(request_id)
+        if command is not None and not command.attempt:
+            self._end(command, self._not_run(command, Reason.CANCELLED))
+
+    # Claims.
+
+    def _claim(self, command: _Command) -> None:
+        self._claim_number += 1
+        command.claim = self._claim_number
+        key = command.request.idempotency_key
+        self._claims[command.claim] = command
+        self._claim_keys[command.claim] = key
+        left_s = command.deadline - self._timers.now
+        request = ClaimRequest(
+            sender=self._peers.me,
+            claim=command.claim,
+            key=key,
+            created_ms=key_created_ms(key) or 0,
+            fingerprint=command.request.fingerprint,
+            timeout_ms=max(1, int(left_s * 1000)),
+        )
+        if not self._peers.send(self._keeper_of(key), request):
+            self.on_claim_not_sent(command.claim)
+
+    def _keeper_of(self, key: str) -> str:
+        key_slice = slice_of_key(key, self._parameters.key_slices)
+        return self._ownership.keeper_of(key_slice)
+
+    def on_claim_reply(self, reply: ClaimReply) -> None:
+        """Run what was granted; pass on what is known already."""
+        command = self._claims.pop(reply.claim, None)
+        key = self._claim_keys.pop(reply.claim, '')
+        late = command is None or command.ended
+        if reply.granted and late and key:
+            # The grant came too late to be used; the key is free again.
+            outcome = NotRun(Reason.DEADLINE, 'entry.claim', self._peers.me)
+            self._report(key, outcome)
+        if command is None or command.ended:
+            return
+        if reply.granted:
+            command.granted = True
+            self._dispatch(command)
+            return
+        self._on_claim_refused(command, reply.outcome)
+
+    def _on_claim_refused(
+        self,
+        command: _Command,
+        outcome: CallerOutcome | None,
+    ) -> None:
+        if isinstance(outcome, NotRun) and outcome.reason is Reason.NOT_OWNER:
+            self._timers.call_after(
+                REDISPATCH_FLOOR_S,
+                lambda: self._claim_again(command),
+            )
+            return
+        if outcome is None:
+            outcome = self._not_run(command, Reason.STORE_UNAVAILABLE)
+        self._end(command, outcome)
+
+    def _claim_again(self, command: _Command) -> None:
+        if not command.ended:
+            self._claim(command)
+
+    def on_claim_not_sent(self, claim: int) -> None:
+        """Try again after a claim that never left this host."""
+        command = self._claims.pop(claim, None)
+        self._claim_keys.pop(claim, None)
+        if command is None or command.ended:
+            return
+        self._timers.call_after(
+            REDISPATCH_FLOOR_S,
+            lambda: self._claim_again(command),
+        )
+
+    def _report(self, key: str, outcome: CallerOutcome) -> None:
+        self._peers.send(
+            self._keeper_of(key),
+            ClaimResult(self._peers.me, key, outcome),
+        )
+
+    # Dispatch.
+
+    def _dispatch(self, command: _Command) -> None:
+        if command.ended:
+            return
+        candidates = self._keeper.index.serving_targets_of(command.service)
+        target = self._knowledge.choose(
+            candidates,
+            0,
+            self._timers.now,
+            frozenset(),
+        )
+        if target is not None:
+            self._send(command, target)
+            return
+        at = self._knowledge.available_at(candidates, 0)
+        if at >= command.deadline:
+            failure = command.failure
+            if failure is None:
+                failure = self._not_run(command, Reason.NO_TARGET)
+            self._end(command, failure)
+            return
+        self._dispatch_later(command, at - self._timers.now)
+
+    def _dispatch_later(self, command: _Command, delay_s: float) -> None:
+        self._timers.call_after(
+            max(REDISPATCH_FLOOR_S, delay_s),
+            lambda: self._dispatch(command),
+        )
+
+    def _send(self, command: _Command, target: Target) -> None:
+        owner = self._ownership.owner_of(target)
+        command.dispatches += 1
+        command.attempt = self._attempts.register(
+            owner,
+            target.name,
+            lambda reply: self._on_reply(command, target, reply),
+        )
+        request = command.request
+        left_s = command.deadline - self._timers.now
+        batch = ShardBatch(
+            sender=self._peers.me,
+            request_id=request.request_id,
+            caller=request.caller,
+            fingerprint=request.fingerprint,
+            route=request.route,
+            body=request.body,
+            version=0,
+            timeout_ms=max(1, int(left_s * 1000)),
+            idempotent=False,
+            entries=(ShardEntry(command.attempt, target.name),),
+            revision=self._keeper.revision,
+        )
+        if not self._peers.send(owner, batch):
+            self._attempts.on_not_sent(owner, (command.attempt,))
+
+    def _on_reply(
+        self,
+        command: _Command,
+        target: Target,
+        reply: ShardReply,
+    ) -> None:
+        command.attempt = 0
+        if command.ended:
+            return
+        match reply.outcome:
+            case Answered():
+                self._crashes.note_survived(command.request.fingerprint)
+                self._end(command, CommandAnswer(reply.outcome))
+            case NotRun():
+                self._on_not_run(command, target, reply.outcome)
+            case MayHaveRun():
+                if reply.outcome.reason is Reason.TARGET_LOST:
+                    self._crashes.note_loss(
+                        command.request.fingerprint,
+                        target.name,
+                    )
+                self._end(command, reply.outcome)
+
+    def _on_not_run(
+        self,
+        command: _Command,
+        target: Target,
+        refusal: NotRun,
+    ) -> None:
+        command.failure = refusal
+        final = refusal.reason is Reason.QUARANTINED
+        if final or command.dispatches >= self._parameters.attempts_per_shard:
+            self._end(command, refusal)
+            return
+        until = self._timers.now + refusal.retry_after_ms / 1000
+        self._knowledge.note_unavailable(target.name, until)
+        self._dispatch(command)
+
+    # Ending.
+
+    def _on_deadline(self, command: _Command) -> None:
+        if command.ended:
+            return
+        if command.attempt:
+            outcome: NotRun | MayHaveRun = MayHaveRun(
+                Reason.DEADLINE,
+                'entry.wait',
+                command.service,
+            )
+            self._attempts.cancel((command.attempt,))
+        else:
+            outcome = self._not_run(command, Reason.DEADLINE)
+        self._end(command, outcome)
+
+    def _end(self, command: _Command, outcome: CallerOutcome) -> None:
+        command.ended = True
+        request = command.request
+        self._commands.pop(request.request_id, None)
+        if command.granted and request.idempotency_key:
+            self._report(request.idempotency_key, outcome)
+        self._outbox.add(AnswerCaller(request.request_id, outcome))
+
+    def _not_run(self, command: _Command, reason: Reason) -> NotRun:
+        return NotRun(
+            reason,
+            'entry.dispatch',
+            command.service,
+            retry_after_ms=NO_TARGET_RETRY_MS,
+        )
--- /dev/null
+++ b/oriolestage/core/_configuration.py
@@ -0,0 +1,405 @@
+"""The configuration document and the changes that operators make to it.
+
+A document is immutable; :func:`apply_change` gives the next document or
+raises :class:`~oriolestage.core.ChangeRefusedError` with a reason an operator
+can act on. Nothing is ever half applied.
+"""
+
+import enum
+from collections.abc import Sequence
+from typing import Self
+
+import msgspec
+
+from oriolestage.core._errors import ChangeRefusedError
+
+#: Number of keys in the key space that a group of services divides.
+KEY_SPACE_SIZE = 65536
+#: Longest time a route may give its callers, in milliseconds.
+MAXIMUM_TIMEOUT_MS = 60_000
+#: Most slots or connections that a target may be declared with.
+MAXIMUM_TARGET_CAPACITY = 10_000
+
+
+class RouteKind(enum.Enum):
+    """Whether the requests of a route may be repeated."""
+
+    #: Idempotent; asks every service of the group.
+    QUERY = 'query'
+    #: Runs at most once, on one target of the group.
+    COMMAND = 'command'
+
+
+class AnswerPolicy(enum.Enum):
+    """What a query does when shards are slow."""
+
+    #: Wait for a whole answer until the deadline.
+    WHOLE = 'whole'
+    #: Answer at the latency target with what is there.
+    LATENCY = 'latency'
+
+
+class DataCentre(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A data centre in which targets run."""
+
+    name: str
+    region: str
+    #: False while operators have taken the data centre out.
+    accepting: bool = True
+
+
+class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One shard of a group, served by several targets."""
+
+    name: str
+    group: str
+    accepting: bool = True
+
+
+class Target(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One replica of a service."""
+
+    name: str
+    service: str
+    data_centre: str
+    #: Where it listens, as ``ip:port``.
+    address: str
+    #: Requests it works on at once when warm.
+    slots: int
+    #: Connections it accepts from all hosts together.
+    connections: int
+    accepting: bool = True
+
+
+class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A path from callers to a group of services."""
+
+    name: str
+    group: str
+    kind: RouteKind = RouteKind.QUERY
+    policy: AnswerPolicy = AnswerPolicy.WHOLE
+    #: Longest time a caller waits, in milliseconds.
+    timeout_ms: int = 1000
+    #: Latency target in milliseconds, for the latency policy.
+    answer_by_ms: int = 200
+
+
+class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The whole configuration at one revision."""
+
+    revision: int = 0
+    data_centres: tuple[DataCentre, ...] = ()
+    services: tuple[Service, ...] = ()
+    targets: tuple[Target, ...] = ()
+    routes: tuple[Route, ...] = ()
+
+    def at_revision(self, revision: int) -> Self:
+        """Give the same document numbered ``revision``."""
+        return msgspec.structs.replace(self, revision=revision)
+
+
+class SetDataCentreAccepting(msgspec.Struct, frozen=True, tag='data_centre'):
+    """Takes a data centre out of service or brings it back."""
+
+    name: str
+    accepting: bool
+    #: True when the operator accepts that coverage is lost.
+    confirmed: bool = False
+
+
+class SetServiceAccepting(msgspec.Struct, frozen=True, tag='service'):
+    """Takes a service out or brings it back."""
+
+    name: str
+    accepting: bool
+    confirmed: bool = False
+
+
+class SetTargetAccepting(msgspec.Struct, frozen=True, tag='target'):
+    """Takes a target out or brings it back."""
+
+    name: str
+    accepting: bool
+    confirmed: bool = False
+
+
+class SetTargetLimits(msgspec.Struct, frozen=True, tag='limits'):
+    """Changes the slots and connections of a target."""
+
+    name: str
+    slots: int
+    connections: int
+
+
+class PutRoute(msgspec.Struct, frozen=True, tag='route'):
+    """Adds a route, or replaces the route of the same name."""
+
+    route: Route
+
+
+class RemoveRoute(msgspec.Struct, frozen=True, tag='remove_route'):
+    """Removes a route."""
+
+    name: str
+
+
+class ReplaceDocument(msgspec.Struct, frozen=True, tag='document'):
+    """Replaces the whole document."""
+
+    document: Configuration
+
+
+Change = (
+    SetDataCentreAccepting
+    | SetServiceAccepting
+    | SetTargetAccepting
+    | SetTargetLimits
+    | PutRoute
+    | RemoveRoute
+    | ReplaceDocument
+)
+
+
+class RevisionRecord(msgspec.Struct, frozen=True):
+    """One entry of the configuration history, which is the audit trail."""
+
+    revision: int
+    change: Change
+    #: Who made the change.
+    operator: str
+    #: Identifies the command, so that a lost reply can be settled.
+    command_id: str
+    #: Wall-clock time in milliseconds since the epoch.
+    at_ms: int
+    #: What the change replaced, as short text.
+    before: str
+    #: What it put in place, as short text.
+    after: str
+
+
+def _find(entries: Sequence, kind: str, name: str):
+    for entry in entries:
+        if entry.name == name:
+            return entry
+    raise ChangeRefusedError(f'no {kind} named {name!r}')
+
+
+def _replaced(entries: Sequence, changed) -> tuple:
+    return tuple(
+        changed if entry.name == changed.name else entry for entry in entries
+    )
+
+
+def serving_targets(document: Configuration) -> tuple[Target, ...]:
+    """Give the targets that the document lets take work."""
+    open_centres = {
+        centre.name for centre in document.data_centres if centre.accepting
+    }
+    open_services = {
+        service.name for service in document.services if service.accepting
+    }
+    return tuple(
+        target
+        for target in document.targets
+        if target.accepting
+        and target.data_centre in open_centres
+        and target.service in open_services
+    )
+
+
+def _unserved_services(document: Configuration) -> frozenset[str]:
+    served = {target.service for target in serving_targets(document)}
+    return frozenset(
+        service.name
+        for service in document.services
+        if service.name not in served
+    )
+
+
+def _require_confirmation(
+    before: Configuration,
+    after: Configuration,
+    confirmed: bool,
+) -> None:
+    lost = _unserved_services(after) - _unserved_services(before)
+    if not lost or confirmed:
+        return
+    left = len(after.services) - len(_unserved_services(after))
+    raise ChangeRefusedError(
+        f'this leaves {len(lost)} services without a target '
+        f'({left} of {len(after.services)} would still be covered); '
+        'add "confirm" to do it all the same',
+    )
+
+
+def _with_accepting(document: Configuration, change: Change) -> Configuration:
+    match change:
+        case SetDataCentreAccepting(name=name, accepting=accepting):
+            centre = _find(document.data_centres, 'data centre', name)
+            changed = msgspec.structs.replace(centre, accepting=accepting)
+            centres = _replaced(document.data_centres, changed)
+            return msgspec.structs.replace(document, data_centres=centres)
+        case SetServiceAccepting(name=name, accepting=accepting):
+            service = _find(document.services, 'service', name)
+            changed = msgspec.structs.replace(service, accepting=accepting)
+            services = _replaced(document.services, changed)
+            return msgspec.structs.replace(document, services=services)
+        case SetTargetAccepting(name=name, accepting=accepting):
+            target = _find(document.targets, 'target', name)
+            changed = msgspec.structs.replace(target, accepting=accepting)
+            targets = _replaced(document.targets, changed)
+            return msgspec.structs.replace(document, targets=targets)
+    raise ChangeRefusedError(f'unknown change {change!r}')
+
+
+def _with_route(document: Configuration, route: Route) -> Configuration:
+    others = tuple(
+        entry for entry in document.routes if entry.name != route.name
+    )
+    return msgspec.structs.replace(document, routes=(*others, route))
+
+
+def _without_route(document: Configuration, name: str) -> Configuration:
+    _find(document.routes, 'route', name)
+    others = tuple(entry for entry in document.routes if entry.name != name)
+    return msgspec.structs.replace(document, routes=others)
+
+
+def _with_limits(
+    document: Configuration,
+    change: SetTargetLimits,
+) -> Configuration:
+    target = _find(document.targets, 'target', change.name)
+    changed = msgspec.structs.replace(
+        target,
+        slots=change.slots,
+        connections=change.connections,
+    )
+    targets = _replaced(document.targets, changed)
+    return msgspec.structs.replace(document, targets=targets)
+
+
+def apply_change(document: Configuration, change: Change) -> Configuration:
+    """Give the document after ``change``, numbered one higher.
+
+    Raises :class:`ChangeRefusedError` when the change is invalid.
+    """
+    match change:
+        case PutRoute(route=route):
+            changed = _with_route(document, route)
+        case RemoveRoute(name=name):
+            changed = _without_route(document, name)
+        case SetTargetLimits():
+            changed = _with_limits(document, change)
+        case ReplaceDocument(document=new_document):
+            changed = new_document
+        case _:
+            changed = _with_accepting(document, change)
+            _require_confirmation(document, changed, change.confirmed)
+    check_document(changed)
+    return changed.at_revision(document.revision + 1)
+
+
+def _check_names(kind: str, entries: Sequence) -> frozenset[str]:
+    names: set[str] = set()
+    for entry in entries:
+        if not entry.name:
+            raise ChangeRefusedError(f'a {kind} without a name')
+        if entry.name in names:
+            raise ChangeRefusedError(f'two {kind}s named {entry.name!r}')
+        names.add(entry.name)
+    return frozenset(names)
+
+
+def _check_target(
+    target: Target,
+    services: frozenset[str],
+    centres: frozenset[str],
+) -> None:
+    if target.service not in services:
+        raise ChangeRefusedError(
+            f'target {target.name!r} names service {target.service!r}, '
+            'which does not exist',
+        )
+    if target.data_centre not in centres:
+        raise ChangeRefusedError(
+            f'target {target.name!r} names data centre '
+            f'{target.data_centre!r}, which does not exist',
+        )
+    if not 1 <= target.slots <= MAXIMUM_TARGET_CAPACITY:
+        raise ChangeRefusedError(
+            f'target {target.name!r}: slots must be from 1 to '
+            f'{MAXIMUM_TARGET_CAPACITY}, not {target.slots}',
+        )
+    if not target.slots <= target.connections <= MAXIMUM_TARGET_CAPACITY:
+        raise ChangeRefusedError(
+            f'target {target.name!r}: connections must be from its slots '
+            f'({target.slots}) to {MAXIMUM_TARGET_CAPACITY}, '
+            f'not {target.connections}',
+        )
+
+
+def _check_route(route: Route, groups: frozenset[str]) -> None:
+    if route.group not in groups:
+        raise ChangeRefusedError(
+            f'route {route.name!r} leads to group {route.group!r}, '
+            'which has no service',
+        )
+    if not 1 <= route.timeout_ms <= MAXIMUM_TIMEOUT_MS:
+        raise ChangeRefusedError(
+            f'route {route.name!r}: timeout must be from 1 to '
+            f'{MAXIMUM_TIMEOUT_MS} ms, not {route.timeout_ms}',
+        )
+    if not 1 <= route.answer_by_ms <= MAXIMUM_TIMEOUT_MS:
+        raise ChangeRefusedError(
+            f'route {route.name!r}: answer_by must be from 1 to '
+            f'{MAXIMUM_TIMEOUT_MS} ms, not {route.answer_by_ms}',
+        )
+
+
+def check_document(document: Configuration) -> None:
+    """Raise :class:`ChangeRefusedError` unless the document is consistent."""
+    centres = _check_names('data centre', document.data_centres)
+    services = _check_names('service', document.services)
+    _check_names('target', document.targets)
+    _check_names('route', document.routes)
+    groups = frozenset(service.group for service in document.services)
+    for target in document.targets:
+        _check_target(target, services, centres)
+    for route in document.routes:
+        _check_route(route, groups)
+
+
+def describe_change(
+    document: Configuration,
+    changed: Configuration,
+    change: Change,
+) -> tuple[str, str]:
+    """Give the states before and after a change as short texts."""
+    return _describe(document, change), _describe(changed, change)
+
+
+def _describe(document: Configuration, change: Change) -> str:
+    match change:
+        case SetDataCentreAccepting(name=name):
+            return _accepting_text(_find(document.data_centres, '', name))
+        case SetServiceAccepting(name=name):
+            return _accepting_text(_find(document.services, '', name))
+        case SetTargetAccepting(name=name):
+            return _accepting_text(_find(document.targets, '', name))
+        case SetTargetLimits(name=name):
+            target = _find(document.targets, '', name)
+            return f'slots={target.slots} connections={target.connections}'
+        case PutRoute(route=Route(name=name)) | RemoveRoute(name=name):
+            for route in document.routes:
+                if route.name == name:
+                    return msgspec.json.encode(route).decode()
+            return 'absent'
+    return (
+        f'services={len(document.services)} targets={len(document.targets)} '
+        f'routes={len(document.routes)}'
+    )
+
+
+def _accepting_text(entry: DataCentre | Service | Target) -> str:
+    return 'in' if entry.accepting else 'out'
--- /dev/null
+++ b/oriolestage/core/_extra_load.py
@@ -0,0 +1,82 @@
+"""One budget for hedges and retries, and the delay before a hedge."""
+
+from hdrh.histogram import HdrHistogram
+
+from oriolestage.core._parameters import Parameters
+
+MICROS_PER_SECOND = 1_000_000
+#: Largest latency that the histogram holds, in microseconds.
+LARGEST_LATENCY_US = 60_000_000
+#: Percentile of a service's latency after which a hedge is sent.
+HEDGE_PERCENTILE = 95.0
+#: Answers between two computations of the hedge delay.
+REFRESH_INTERVAL = 64
+#: Hedge delay before enough answers were seen, in seconds.
+INITIAL_DELAY_S = 0.05
+#: Weight of the newest answer in the share of queued answers.
+PRESSURE_WEIGHT = 0.02
+#: Share of answers that had to queue above which hedging stops.
+PRESSURE_LIMIT = 0.3
+
+
+class ExtraLoadBudget:
+    """Lets extra shard requests be a fixed share of the needed ones."""
+
+    def __init__(self, parameters: Parameters) -> None:
+        """Start with a full burst."""
+        self._share = parameters.extra_load_share
+        self._burst = parameters.extra_load_burst
+        self._tokens = parameters.extra_load_burst
+        self._pressure: float = 0
+
+    @property
+    def overloaded(self) -> bool:
+        """Tell whether so many answers had to queue that hedging harms."""
+        return self._pressure > PRESSURE_LIMIT
+
+    def note_needed(self) -> None:
+        """Count a shard request that was needed anyway."""
+        self._tokens = min(self._burst, self._tokens + self._share)
+
+    def note_answer(self, *, queued: bool) -> None:
+        """Note whether an answer had to wait for a slot."""
+        sample = 1.0 if queued else 0
+        self._pressure += PRESSURE_WEIGHT * (sample - self._pressure)
+
+    def take(self) -> bool:
+        """Take the right to one extra shard request, if there is one."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class HedgeDelay:
+    """Adapts the delay before a hedge to the latency of one group."""
+
+    def __init__(self, floor_s: float) -> None:
+        """Start with a fixed delay."""
+        self._floor_s = floor_s
+        self._histogram = HdrHistogram(1, LARGEST_LATENCY_US, 2)
+        self._recorded = 0
+        self._delay_s = INITIAL_DELAY_S
+
+    @property
+    def delay_s(self) -> float:
+        """Time after which a shard request is worth a second one."""
+        return self._delay_s
+
+    def note_latency(self, latency_s: float) -> None:
+        """Record the latency of a shard answer."""
+        micros = min(
+            LARGEST_LATENCY_US, max(1, int(latency_s * MICROS_PER_SECOND))
+        )
+        self._histogram.record_value(micros)
+        self._recorded += 1
+        if self._recorded % REFRESH_INTERVAL:
+            return
+        percentile = self._histogram.get_value_at_percentile(HEDGE_PERCENTILE)
+        self._delay_s = max(self._floor_s, percentile / MICROS_PER_SECOND)
+        if self._recorded >= REFRESH_INTERVAL * REFRESH_INTERVAL:
+            self._histogram.reset()
+            self._recorded = 0
--- /dev/null
+++ b/oriolestage/core/_operator_commands.py
@@ -0,0 +1,250 @@
+"""Commands of operators that change the configuration, and their answers."""
+
+import dataclasses
+from collections.abc import Callable
+
+import msgspec
+
+from oriolestage.core._charts import StateChart, load_chart
+from oriolestage.core._configuration import (
+    Change,
+    RevisionRecord,
+    apply_change,
+    describe_change,
+)
+from oriolestage.core._configuration_keeper import (
+    ConfigurationKeeper,
+    decode_record,
+    encode_record,
+    revision_key,
+)
+from oriolestage.core._effects import Outbox
+from oriolestage.core._errors import ChangeRefusedError
+from oriolestage.core._freshness import has_majority
+from oriolestage.core._membership import Membership
+from oriolestage.core._store_port import (
+    StoreFound,
+    StoreMismatch,
+    StoreMissing,
+    StoreOutcome,
+    StorePort,
+    StoreUnreachable,
+    StoreWritten,
+)
+from oriolestage.core._timers import Timers
+
+#: Time spent on finding out whether a write took effect, in seconds.
+SETTLE_LIMIT_S = 4.0
+#: Time between two attempts to find out, in seconds.
+SETTLE_PERIOD_S = 0.25
+
+
+class ChangeAccepted(msgspec.Struct, frozen=True, tag='accepted'):
+    """The change is in the history and will be in force everywhere."""
+
+    revision: int
+
+
+class ChangeRefused(msgspec.Struct, frozen=True, tag='refused'):
+    """Nothing was changed."""
+
+    why: str
+
+
+class ChangeConflict(msgspec.Struct, frozen=True, tag='conflict'):
+    """Another operator's change came first; nothing was changed."""
+
+    revision: int
+    operator: str
+    after: str
+
+
+class ChangeUnknown(msgspec.Struct, frozen=True, tag='unknown'):
+    """The write was sent and its effect is not known yet."""
+
+    command_id: str
+    why: str
+
+
+ChangeOutcome = ChangeAccepted | ChangeRefused | ChangeConflict | ChangeUnknown
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorCommand:
+    """A change that an operator asks for."""
+
+    change: Change
+    operator: str
+    #: Chosen by the tool; the same id is never applied twice.
+    command_id: str
+    #: Wall-clock time in milliseconds since the epoch.
+    at_ms: int
+
+
+class _Submission:
+    """One command on its way into the history."""
+
+    def __init__(
+        self,
+        record: RevisionRecord,
+        callback: Callable[[ChangeOutcome], None],
+        give_up_at: float,
+    ) -> None:
+        self.record = record
+        self.callback = callback
+        self.give_up_at = give_up_at
+        self.chart = StateChart(load_chart('configuration_change'))
+
+
+class OperatorCommands:
+    """Turns commands into revisions by compare-and-swap."""
+
+    def __init__(
+        self,
+        outbox: Outbox,
+        timers: Timers,
+        store: StorePort,
+        membership: Membership,
+        keeper: ConfigurationKeeper,
+    ) -> None:
+        """Start without commands in progress."""
+        self._outbox = outbox
+        self._timers = timers
+        self._store = store
+        self._membership = membership
+        self._keeper = keeper
+
+    def submit(
+        self,
+        command: OperatorCommand,
+        callback: Callable[[ChangeOutcome], None],
+    ) -> None:
+        """Try to make a change; the callback gets exactly one outcome."""
+        known = self._known_outcome(command.command_id)
+        if known is not None:
+            callback(known)
+            return
+        try:
+            record = self._draft(command)
+        except ChangeRefusedError as error:
+            callback(ChangeRefused(str(error)))
+            return
+        give_up_at = self._timers.now + SETTLE_LIMIT_S
+        self._write(_Submission(record, callback, give_up_at))
+
+    def _known_outcome(self, command_id: str) -> ChangeAccepted | None:
+        for record in self._keeper.records:
+            if record.command_id == command_id:
+                return ChangeAccepted(record.revision)
+        return None
+
+    def _draft(self, command: OperatorCommand) -> RevisionRecord:
+        if not self._keeper.loaded:
+            raise ChangeRefusedError(
+                'this host has not read the configuration yet',
+            )
+        alive = self._membership.alive_count
+        fleet = self._membership.fleet_size
+        if not has_majority(alive, fleet):
+            raise ChangeRefusedError(
+                f'this host sees {alive} of {fleet} hosts, which is no '
+                'majority; a change could not be put in force everywhere',
+            )
+        document = self._keeper.index.document
+        changed = apply_change(document, command.change)
+        before, after = describe_change(document, changed, command.change)
+        return RevisionRecord(
+            revision=changed.revision,
+            change=command.change,
+            operator=command.operator,
+            command_id=command.command_id,
+            at_ms=command.at_ms,
+            before=before,
+            after=after,
+        )
+
+    def _write(self, submission: _Submission) -> None:
+        submission.chart.fire('write')
+        self._store.write(
+            revision_key(submission.record.revision),
+            0,
+            encode_record(submission.record),
+            lambda outcome: self._on_written(submission, outcome),
+        )
+
+    def _on_written(
+        self,
+        submission: _Submission,
+        outcome: StoreOutcome,
+    ) -> None:
+        match outcome:
+            case StoreWritten():
+                self._accept(submission)
+            case StoreMismatch():
+                submission.chart.fire('mismatch')
+                self._read_back(submission)
+            case StoreUnreachable(sent=False):
+                self._not_written(submission)
+            case _:
+                submission.chart.fire('no_reply')
+                self._settle_later(submission)
+
+    def _not_written(self, submission: _Submission) -> None:
+        if submission.chart.was_in('settling'):
+            self._settle_later(submission)
+            return
+        submission.chart.fire('unreachable')
+        why = 'the store cannot be reached; nothing was changed'
+        submission.callback(ChangeRefused(why))
+
+    def _accept(self, submission: _Submission) -> None:
+        submission.chart.fire('written')
+        self._keeper.adopt_records([submission.record])
+        self._keeper.write_snapshot_if_due()
+        submission.callback(ChangeAccepted(submission.record.revision))
+
+    def _settle_later(self, submission: _Submission) -> None:
+        if self._timers.now >= submission.give_up_at:
+            submission.chart.fire('give_up')
+            why = (
+                'the write was sent and no reply came; the history will show '
+                'whether it took effect, or send the same command id again'
+            )
+            submission.callback(
+                ChangeUnknown(submission.record.command_id, why),
+            )
+            return
+        self._timers.call_after(
+            SETTLE_PERIOD_S,
+            lambda: self._read_back(submission),
+        )
+
+    def _read_back(self, submission: _Submission) -> None:
+        self._store.read(
+            revision_key(submission.record.revision),
+            lambda outcome: self._on_read_back(submission, outcome),
+        )
+
+    def _on_read_back(
+        self,
+        submission: _Submission,
+        outcome: StoreOutcome,
+    ) -> None:
+        match outcome:
+            case StoreFound(content=content):
+                self._compare(submission, decode_record(content))
+            case StoreMissing():
+                # The first write may still arrive; the key admits only one.
+                self._write(submission)
+            case _:
+                self._settle_later(submission)
+
+    def _compare(self, submission: _Submission, found: RevisionRecord) -> None:
+        if found.command_id == submission.record.command_id:
+            self._accept(submission)
+            return
+        submission.chart.fire('other_found')
+        self._keeper.adopt_records([found])
+        submission.callback(
+            ChangeConflict(found.revision, found.operator, found.after),
+        )
--- /dev/null
+++ b/oriolestage/core/_target_knowledge.py
@@ -0,0 +1,107 @@
+"""What an entry host learned about targets from the replies of owners."""
+
+import dataclasses
+import random
+from collections.abc import Sequence
+
+from oriolestage.core._configuration import Target
+
+#: Weight of the newest latency in the running mean.
+LATENCY_WEIGHT = 0.2
+#: Latency added for each request of this host that is in flight, seconds.
+LOAD_PENALTY_S = 0.01
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    versions: tuple[int, ...] = ()
+    unavailable_until: float = 0
+    latency_s: float = 0
+    in_flight: int = 0
+
+
+class TargetKnowledge:
+    """Chooses among the targets of a service."""
+
+    def __init__(self, randomness: random.Random) -> None:
+        """Start knowing nothing."""
+        self._random = randomness
+        self._known: dict[str, _Known] = {}
+
+    def note_versions(self, target: str, versions: tuple[int, ...]) -> None:
+        """Note the index versions that a target serves."""
+        if versions:
+            self._of(target).versions = versions
+
+    def note_unavailable(self, target: str, until: float) -> None:
+        """Note that a target refuses work until a time."""
+        self._of(target).unavailable_until = until
+
+    def note_dispatch(self, target: str) -> None:
+        """Count a request on its way."""
+        self._of(target).in_flight += 1
+
+    def note_end(self, target: str) -> None:
+        """Count a request that ended, however it did."""
+        self._of(target).in_flight -= 1
+
+    def note_latency(self, target: str, latency_s: float) -> None:
+        """Note how long an answer took."""
+        known = self._of(target)
+        known.latency_s += LATENCY_WEIGHT * (latency_s - known.latency_s)
+
+    def may_serve(self, target: str, version: int) -> bool:
+        """Tell whether a target may serve a version, for all that is known."""
+        versions = self._of(target).versions
+        return version == 0 or not versions or version in versions
+
+    def choose(
+        self,
+        candidates: Sequence[Target],
+        version: int,
+        now: float,
+        avoided: frozenset[str],
+    ) -> Target | None:
+        """Choose a target that is available and may serve ``version``."""
+        best: Target | None = None
+        best_score = float('inf')
+        for target in candidates:
+            known = self._of(target.name)
+            if target.name in avoided or now < known.unavailable_until:
+                continue
+            if not self.may_serve(target.name, version):
+                continue
+            score = known.latency_s + LOAD_PENALTY_S * known.in_flight
+            score *= 1 + self._random.random() / 2
+            if score < best_score:
+                best = target
+                best_score = score
+        return best
+
+    def available_at(
+        self,
+        candidates: Sequence[Target],
+        version: int,
+    ) -> float:
+        """Give the earliest time at which a candidate may take work."""
+        times = [
+            self._of(target.name).unavailable_until
+            for target in candidates
+            if self.may_serve(target.name, version)
+        ]
+        return min(times, default=float('inf'))
+
+    def versions_of(self, candidates: Sequence[Target]) -> frozenset[int]:
+        """Give every version that one of the candidates serves."""
+        return frozenset(
+            version
+            for target in candidates
+            for version in self._of(target.name).versions
+        )
+
+    def _of(self, target: str) -> _Known:
+        known = self._known.get(target)
+        if known is None:
+            known = _Known()
+            self._known[target] = known
+        return known
--- /dev/null
+++ b/oriolestage/daemon/_caller_server.py
@@ -0,0 +1,262 @@
+"""The HTTP interface for callers and for the balancer's health checks."""
+
+import asyncio
+import re
+import socket
+import uuid
+from http import HTTPStatus
+
+import msgspec
+from aiohttp import web
+from aiomisc import Service
+
+from oriolestage._logging import log_event
+from oriolestage.core import (
+    MAXIMUM_TIMEOUT_MS,
+    CallerOutcome,
+    CallerRequest,
+    CommandAnswer,
+    MayHaveRun,
+    NodeCore,
+    NotRun,
+    QueryAnswer,
+    Reason,
+    key_created_ms,
+)
+from oriolestage.daemon._caller_metrics import CallerMetrics
+from oriolestage.daemon._events import (
+    CallerAsked,
+    CallerLeft,
+    Inbox,
+)
+from oriolestage.daemon._http import json_response
+
+#: Names a request at every hop; made here when the caller sends none.
+REQUEST_ID_HEADER = 'X-Request-Id'
+#: Longest time that the caller waits, in milliseconds.
+TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
+#: UUID version 7 that names work which must run at most once.
+KEY_HEADER = 'Idempotency-Key'
+#: Who asks, for fairness; the peer's address when absent.
+CALLER_HEADER = 'X-Caller'
+#: Time allowed when the caller names none, in milliseconds.
+DEFAULT_TIMEOUT_MS = 1000
+
+_IDENTIFIER = re.compile(r'^[A-Za-z0-9._:-]{1,128}$')
+
+
+class BadRequest(msgspec.Struct, frozen=True, tag='bad_request'):
+    """The request itself is wrong; it was not run."""
+
+    field: str
+    why: str
+
+
+class _BadRequestError(Exception):
+    def __init__(self, field: str, why: str) -> None:
+        super().__init__(why)
+        self.answer = BadRequest(field, why)
+
+
+class _AnswerView(msgspec.Struct, frozen=True, tag='answer', tag_field='type'):
+    request_id: str
+    whole: bool
+    version: int
+    covered: list[tuple[int, int]]
+    missing: list[tuple[int, int]]
+    lacking: tuple[NotRun | MayHaveRun, ...]
+    rows: list[msgspec.Raw]
+
+
+class _CommandView(
+    msgspec.Struct,
+    frozen=True,
+    tag='command_answer',
+    tag_field='type',
+):
+    request_id: str
+    replayed: bool
+    result: msgspec.Raw
+
+
+class CallerServer(Service):
+    """Owns the listening socket for callers."""
+
+    def __init__(
+        self,
+        listening: socket.socket,
+        body_limit: int,
+        core: NodeCore,
+        inbox: Inbox,
+        metrics: CallerMetrics,
+    ) -> None:
+        """Serve on a bound socket; bodies hold at most ``body_limit`` bytes."""
+        super().__init__()
+        self._listening = listening
+        self._core = core
+        self._inbox = inbox
+        self._metrics = metrics
+        self._app = web.Application(client_max_size=body_limit)
+        self._app.router.add_post('/v1/requests/{route}', self._on_request)
+        self._app.router.add_get('/health/live', self._on_live)
+        self._app.router.add_get('/health/ready', self._on_ready)
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        self._runner = web.AppRunner(
+            self._app,
+            access_log=None,
+            handler_cancellation=True,
+        )
+        await self._runner.setup()
+        await web.SockSite(self._runner, self._listening).start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Finish open requests and close."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _on_live(self, request: web.Request) -> web.Response:
+        return web.Response(text='alive\n')
+
+    async def _on_ready(self, request: web.Request) -> web.Response:
+        if self._core.ready:
+            return web.Response(text='ready\n')
+        return web.Response(
+            status=HTTPStatus.SERVICE_UNAVAILABLE, text=f'{self._core.state}\n'
+        )
+
+    async def _on_request(self, request: web.Request) -> web.Response:
+        try:
+            asked = await _parse(request)
+        except _BadRequestError as error:
+            self._metrics.count('bad_request')
+            return json_response(error.answer, status=HTTPStatus.BAD_REQUEST)
+        except web.HTTPRequestEntityTooLarge:
+            self._metrics.count('bad_request')
+            answer = BadRequest('body', 'the body is larger than the limit')
+            return json_response(
+                answer, status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            )
+        return await self._ask(asked)
+
+    async def _ask(self, asked: CallerRequest) -> web.Response:
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[CallerOutcome] = loop.create_future()
+        started_at = loop.time()
+        self._inbox.put_nowait(CallerAsked(asked, answer))
+        try:
+            outcome = await answer
+        except asyncio.CancelledError:
+            self._inbox.put_nowait(CallerLeft(asked.request_id))
+            raise
+        self._metrics.record(asked.route, outcome, loop.time() - started_at)
+        _log_outcome(asked, outcome)
+        return _response(asked, outcome)
+
+
+async def _parse(request: web.Request) -> CallerRequest:
+    request_id = request.headers.get(REQUEST_ID_HEADER, '')
+    if not request_id:
+        request_id = str(uuid.uuid4())
+    _check_identifier(REQUEST_ID_HEADER, request_id)
+    caller = request.headers.get(CALLER_HEADER, request.remote or 'unknown')
+    _check_identifier(CALLER_HEADER, caller)
+    key = request.headers.get(KEY_HEADER, '').lower()
+    if key and key_created_ms(key) is None:
+        raise _BadRequestError(
+            KEY_HEADER,
+            'must be a UUID of version 7, which holds its time',
+        )
+    return CallerRequest(
+        # A caller may reuse its identifier; each arrival gets its own.
+        request_id=f'{request_id}-{uuid.uuid4().hex[:8]}',
+        caller=caller,
+        route=request.match_info['route'],
+        body=await _json_body(request),
+        timeout_ms=_timeout(request),
+        idempotency_key=key,
+    )
+
+
+def _check_identifier(field: str, text: str) -> None:
+    if not _IDENTIFIER.match(text):
+        raise _BadRequestError(
+            field,
+            'must be 1 to 128 letters, digits or any of . _ : -',
+        )
+
+
+def _timeout(request: web.Request) -> int:
+    text = request.headers.get(TIMEOUT_HEADER, str(DEFAULT_TIMEOUT_MS))
+    valid = text.isascii() and text.isdigit() and len(text) < 10
+    if not valid or not 1 <= int(text) <= MAXIMUM_TIMEOUT_MS:
+        raise _BadRequestError(
+            TIMEOUT_HEADER,
+            f'must be a whole number from 1 to {MAXIMUM_TIMEOUT_MS}',
+        )
+    return int(text)
+
+
+async def _json_body(request: web.Request) -> bytes:
+    body = await request.read()
+    try:
+        msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise _BadRequestError('body', f'not JSON: {error}') from error
+    return body
+
+
+def _log_outcome(asked: CallerRequest, outcome: CallerOutcome) -> None:
+    if isinstance(outcome, NotRun | MayHaveRun):
+        log_event(
+            'request_refused',
+            {
+                'step': outcome.step,
+                'peer': outcome.peer,
+                'request': asked.request_id,
+                'route': asked.route,
+                'outcome': type(outcome).__name__,
+                'reason': outcome.reason.value,
+            },
+        )
+
+
+def _response(asked: CallerRequest, outcome: CallerOutcome) -> web.Response:
+    match outcome:
+        case QueryAnswer():
+            return json_response(_query_view(asked, outcome))
+        case CommandAnswer(answer=answer, replayed=replayed):
+            rows = msgspec.Raw(answer.rows)
+            view = _CommandView(asked.request_id, replayed, rows)
+            return json_response(view)
+    status = _refusal_status(outcome)
+    response = json_response(outcome, status=status)
+    if outcome.retry_after_ms:
+        seconds = -(-outcome.retry_after_ms // 1000)
+        response.headers['Retry-After'] = str(seconds)
+    return response
+
+
+def _query_view(asked: CallerRequest, outcome: QueryAnswer) -> _AnswerView:
+    coverage = outcome.coverage
+    return _AnswerView(
+        request_id=asked.request_id,
+        whole=coverage.whole,
+        version=outcome.version,
+        covered=[(span.start, span.end) for span in coverage.covered],
+        missing=[(span.start, span.end) for span in coverage.missing],
+        lacking=outcome.lacking,
+        rows=[msgspec.Raw(rows) for rows in outcome.rows],
+    )
+
+
+def _refusal_status(outcome: NotRun | MayHaveRun) -> int:
+    if outcome.reason is Reason.UNKNOWN_ROUTE:
+        return HTTPStatus.NOT_FOUND
+    if outcome.reason in {Reason.KEY_REUSED, Reason.KEY_EXPIRED}:
+        return HTTPStatus.UNPROCESSABLE_ENTITY
+    if isinstance(outcome, MayHaveRun):
+        return HTTPStatus.GATEWAY_TIMEOUT
+    return HTTPStatus.SERVICE_UNAVAILABLE
--- /dev/null
+++ b/oriolestage/daemon/_composition.py
@@ -0,0 +1,182 @@
+"""The composition root: wires the parts of the daemon."""
+
+import asyncio
+import dataclasses
+import random
+import signal
+import socket
+import time
+
+import aiomisc
+import pynng
+
+from oriolestage._logging import log_event
+from oriolestage.core import Identity, NodeCore, Parameters
+from oriolestage.daemon._caller_metrics import CallerMetrics
+from oriolestage.daemon._caller_server import CallerServer
+from oriolestage.daemon._core_service import CoreService
+from oriolestage.daemon._data_links import DataLinks, DataListener
+from oriolestage.daemon._events import Event, Inbox, StopAsked
+from oriolestage.daemon._gossip import GossipListener, GossipSender
+from oriolestage.daemon._operator_server import OperatorServer
+from oriolestage.daemon._settings import (
+    Settings,
+    SettingsError,
+    parse_duration,
+)
+from oriolestage.daemon._store_client import StoreClient
+from oriolestage.daemon._target_client import TargetClient
+
+#: Exit code after a stop that cut off requests.
+EXIT_CUT = 1
+#: Exit code after an internal error.
+EXIT_FAILED = 70
+#: Connections that may wait to be accepted.
+BACKLOG = 1024
+#: Time between two looks at whether a stopping host is drained, in seconds.
+DRAIN_CHECK_S = 0.05
+#: Time for the last replies to leave after everything is drained, seconds.
+LAST_REPLIES_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Daemon:
+    """The wired parts of one daemon."""
+
+    core: NodeCore
+    inbox: Inbox
+    core_service: CoreService
+    services: tuple[aiomisc.Service, ...]
+    stop_notice_s: float
+    stop_deadline_s: float
+
+
+async def run_daemon(settings: Settings) -> int:
+    """Run one host until it is told to stop; give the exit code."""
+    daemon = _wire(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    async with aiomisc.entrypoint(
+        *daemon.services,
+        catch_signals=(),
+        log_config=False,
+    ):
+        log_event('started', {'step': 'start', 'host': settings.name})
+        stopping = asyncio.create_task(stop.wait())
+        failing = asyncio.create_task(daemon.core_service.failed())
+        await asyncio.wait(
+            (stopping, failing),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if failing.done():
+            log_event('failed', {'step': 'core', 'error': failing.result()})
+            return EXIT_FAILED
+        left = await _drain(daemon, stop)
+    log_event('stopped', {'step': 'stop', 'host': settings.name, 'cut': left})
+    return EXIT_CUT if left else 0
+
+
+async def _drain(daemon: Daemon, stop: asyncio.Event) -> int:
+    """Finish what is in flight; give the number of requests cut off."""
+    stop.clear()
+    loop = asyncio.get_running_loop()
+    daemon.inbox.put_nowait(StopAsked())
+    notice_until = loop.time() + daemon.stop_notice_s
+    deadline = notice_until + daemon.stop_deadline_s
+    while loop.time() < deadline and not stop.is_set():
+        await asyncio.sleep(DRAIN_CHECK_S)
+        if loop.time() >= notice_until and daemon.core.drained:
+            break
+    left = daemon.core.requests_in_flight
+    await asyncio.sleep(LAST_REPLIES_S)
+    return left
+
+
+def _wire(settings: Settings) -> Daemon:
+    inbox: asyncio.Queue[Event] = asyncio.Queue()
+    core = NodeCore(
+        identity=Identity(
+            name=settings.name,
+            gossip_address=settings.advertise_gossip or settings.listen.gossip,
+            data_address=settings.advertise_data or settings.listen.data,
+            data_centre=settings.data_centre,
+            incarnation=int(time.time() * 1000),
+        ),
+        parameters=Parameters(
+            freshness_limit_s=parse_duration(
+                settings.freshness_limit,
+                'freshness_limit',
+            ),
+        ),
+        randomness=random.Random(),
+        now=asyncio.get_running_loop().time(),
+        seeds=settings.seeds,
+    )
+    source_ip = settings.listen.data.rsplit(':', 1)[0]
+    metrics = CallerMetrics(core)
+    links = DataLinks(source_ip, inbox)
+    gossip_listener = GossipListener(settings.listen.gossip, inbox)
+    try:
+        gossip_listener.bind()
+    except pynng.NNGException as error:
+        raise SettingsError(
+            f'{settings.listen.gossip}: {error} - at `$.listen.gossip`',
+        ) from error
+    core_service = CoreService(
+        core=core,
+        inbox=inbox,
+        gossip=GossipSender(source_ip),
+        links=links,
+        targets=TargetClient(source_ip, inbox),
+        store=StoreClient(
+            settings.platform.store,
+            settings.platform.host_list,
+            parse_duration(settings.platform.timeout, 'platform.timeout'),
+            inbox,
+        ),
+    )
+    services = (
+        core_service,
+        gossip_listener,
+        DataListener(_bind(settings.listen.data, 'listen.data'), inbox),
+        OperatorServer(
+            _bind(settings.listen.operators, 'listen.operators'),
+            inbox,
+            metrics,
+        ),
+        CallerServer(
+            _bind(settings.listen.callers, 'listen.callers'),
+            settings.body_limit,
+            core,
+            inbox,
+            metrics,
+        ),
+    )
+    return Daemon(
+        core=core,
+        inbox=inbox,
+        core_service=core_service,
+        services=services,
+        stop_notice_s=parse_duration(settings.stop.notice, 'stop.notice'),
+        stop_deadline_s=parse_duration(
+            settings.stop.deadline,
+            'stop.deadline',
+        ),
+    )
+
+
+def _bind(address: str, key: str) -> socket.socket:
+    host, port = address.rsplit(':', 1)
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listening.bind((host, int(port)))
+    except OSError as error:
+        raise SettingsError(
+            f'{address}: {error.strerror} - at `$.{key}`',
+        ) from error
+    listening.listen(BACKLOG)
+    listening.setblocking(False)
+    return listening
--- /dev/null
+++ b/oriolestage/daemon/_data_links.py
@@ -0,0 +1,209 @@
+"""Streams of length-prefixed messages between hosts."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import msgspec
+from aiomisc import Service
+
+from oriolestage._logging import log_event
+from oriolestage.core import DataMessage, decode_data, encode_message
+from oriolestage.daemon._events import (
+    DataArrived,
+    DataNotSent,
+    Inbox,
+    PeerLost,
+)
+
+#: Length prefix: four bytes, big-endian.
+LENGTH = struct.Struct('>I')
+#: Largest message accepted, in bytes.
+LARGEST_MESSAGE = 1 << 24
+#: Time allowed to connect to a peer, in seconds.
+CONNECT_TIMEOUT_S = 0.5
+
+
+class _Link:
+    """One outgoing stream; a task owns it."""
+
+    def __init__(
+        self,
+        peer: str,
+        address: str,
+        source_ip: str,
+        inbox: Inbox,
+    ) -> None:
+        self._peer = peer
+        self._address = address
+        self._source_ip = source_ip
+        self._inbox = inbox
+        self._outgoing: asyncio.Queue[DataMessage] = asyncio.Queue()
+        self._closed = False
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def address(self) -> str:
+        """Where the stream leads."""
+        return self._address
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether the stream ended."""
+        return self._closed
+
+    def send(self, message: DataMessage) -> None:
+        """Queue a message."""
+        self._outgoing.put_nowait(message)
+
+    def close(self) -> None:
+        """End the stream."""
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        try:
+            reader, writer = await self._connect()
+        except (OSError, TimeoutError) as error:
+            self._end('link.connect', error)
+            return
+        waiting = asyncio.create_task(reader.read(1))
+        try:
+            await self._write_until_end(writer, waiting)
+        except OSError as error:
+            self._lose('link.write', error)
+        finally:
+            waiting.cancel()
+            writer.close()
+
+    async def _connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, port = self._address.rsplit(':', 1)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            return await asyncio.open_connection(
+                host,
+                int(port),
+                local_addr=(self._source_ip, 0),
+            )
+
+    async def _write_until_end(
+        self,
+        writer: asyncio.StreamWriter,
+        closing: asyncio.Task[bytes],
+    ) -> None:
+        while True:
+            getting = asyncio.create_task(self._outgoing.get())
+            await asyncio.wait(
+                (getting, closing),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if closing.done():
+                await self._stop_getting(getting)
+                self._lose('link.read', 'closed by peer')
+                return
+            frames = [_frame(getting.result())]
+            while not self._outgoing.empty():
+                frames.append(_frame(self._outgoing.get_nowait()))
+            writer.writelines(frames)
+            await writer.drain()
+
+    async def _stop_getting(self, getting: asyncio.Task[DataMessage]) -> None:
+        if getting.done():
+            self._outgoing.put_nowait(getting.result())
+            return
+        getting.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await getting
+
+    def _lose(self, step: str, error: object) -> None:
+        self._end(step, error)
+        self._inbox.put_nowait(PeerLost(self._peer))
+
+    def _end(self, step: str, error: object) -> None:
+        self._closed = True
+        log_event(
+            'peer_stream_ended',
+            {'step': step, 'peer': self._peer, 'error': error},
+        )
+        while not self._outgoing.empty():
+            message = self._outgoing.get_nowait()
+            self._inbox.put_nowait(DataNotSent(self._peer, message))
+
+
+class DataLinks:
+    """Owns the outgoing streams to all peers."""
+
+    def __init__(self, source_ip: str, inbox: Inbox) -> None:
+        """Connect from ``source_ip``."""
+        self._source_ip = source_ip
+        self._inbox = inbox
+        self._links: dict[str, _Link] = {}
+
+    def send(self, peer: str, address: str, message: DataMessage) -> None:
+        """Send a message on the stream to a peer, opening it if needed."""
+        link = self._links.get(peer)
+        if link is None or link.closed or link.address != address:
+            link = _Link(peer, address, self._source_ip, self._inbox)
+            self._links[peer] = link
+        link.send(message)
+
+    def close(self) -> None:
+        """End all streams."""
+        for link in self._links.values():
+            link.close()
+
+
+class DataListener(Service):
+    """Owns the listening socket and the incoming streams."""
+
+    def __init__(self, listening: socket.socket, inbox: Inbox) -> None:
+        """Serve on a bound socket."""
+        super().__init__()
+        self._listening = listening
+        self._inbox = inbox
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Accept streams."""
+        self._server = await asyncio.start_server(
+            self._serve,
+            sock=self._listening,
+        )
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop accepting streams."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            await self._receive(reader)
+        except (asyncio.IncompleteReadError, OSError):
+            return
+        except (msgspec.DecodeError, ValueError) as error:
+            log_event(
+                'data_malformed',
+                {'step': 'link.decode', 'error': error},
+            )
+        finally:
+            writer.close()
+
+    async def _receive(self, reader: asyncio.StreamReader) -> None:
+        while True:
+            prefix = await reader.readexactly(LENGTH.size)
+            length = LENGTH.unpack(prefix)[0]
+            if length > LARGEST_MESSAGE:
+                raise ValueError(f'message of {length} bytes')
+            payload = await reader.readexactly(length)
+            message = decode_data(payload)
+            self._inbox.put_nowait(DataArrived(message))
+
+
+def _frame(message: DataMessage) -> bytes:
+    payload = encode_message(message)
+    return LENGTH.pack(len(payload)) + payload
--- /dev/null
+++ b/oriolestage/daemon/_gossip.py
@@ -0,0 +1,102 @@
+"""Gossip between hosts over ``pynng`` push and pull sockets."""
+
+import asyncio
+from collections import OrderedDict
+
+import msgspec
+import pynng
+from aiomisc import Service
+
+from oriolestage._logging import log_event
+from oriolestage.core import GossipMessage, decode_gossip, encode_message
+from oriolestage.daemon._events import GossipArrived, Inbox
+
+#: Sockets to peers that are kept open.
+SOCKETS_KEPT = 64
+#: Time after which a message that cannot be sent is dropped, in ms.
+SEND_TIMEOUT_MS = 300
+#: Times between attempts to connect, in milliseconds.
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 1000
+
+
+class GossipSender:
+    """Owns the sockets on which gossip leaves this host."""
+
+    def __init__(self, source_ip: str) -> None:
+        """Send from ``source_ip``."""
+        self._source_ip = source_ip
+        self._sockets: OrderedDict[str, pynng.Push0] = OrderedDict()
+        self._sending: set[asyncio.Task[None]] = set()
+
+    def send(self, address: str, message: GossipMessage) -> None:
+        """Send a message that may be lost."""
+        socket = self._socket(address)
+        task = asyncio.create_task(_send(socket, encode_message(message)))
+        self._sending.add(task)
+        task.add_done_callback(self._sending.discard)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for socket in self._sockets.values():
+            socket.close()
+        self._sockets.clear()
+
+    def _socket(self, address: str) -> pynng.Push0:
+        socket = self._sockets.get(address)
+        if socket is not None:
+            self._sockets.move_to_end(address)
+            return socket
+        socket = pynng.Push0(
+            send_timeout=SEND_TIMEOUT_MS,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        socket.dial(f'tcp://{self._source_ip};{address}', block=False)
+        self._sockets[address] = socket
+        if len(self._sockets) > SOCKETS_KEPT:
+            _, oldest = self._sockets.popitem(last=False)
+            oldest.close()
+        return socket
+
+
+async def _send(socket: pynng.Push0, payload: bytes) -> None:
+    try:
+        await socket.asend(payload)
+    except pynng.NNGException:
+        # Probes find out who is out of reach; a lost message is no event.
+        return
+
+
+class GossipListener(Service):
+    """Owns the socket on which gossip comes in."""
+
+    def __init__(self, address: str, inbox: Inbox) -> None:
+        """Listen on ``address`` and pass messages to ``inbox``."""
+        super().__init__()
+        self._address = address
+        self._inbox = inbox
+        self._socket = pynng.Pull0()
+
+    def bind(self) -> None:
+        """Take the address; raises ``pynng.NNGException`` if it is in use."""
+        self._socket.listen(f'tcp://{self._address}')
+
+    async def start(self) -> None:
+        """Receive until the service is stopped."""
+        self.start_event.set()
+        while True:
+            payload = await self._socket.arecv()
+            try:
+                message = decode_gossip(payload)
+            except msgspec.DecodeError as error:
+                log_event(
+                    'gossip_malformed',
+                    {'step': 'gossip.decode', 'error': error},
+                )
+                continue
+            self._inbox.put_nowait(GossipArrived(message))
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close the socket."""
+        self._socket.close()
--- /dev/null
+++ b/oriolestage/daemon/_operator_server.py
@@ -0,0 +1,137 @@
+"""The HTTP interface for the operator tool and for metrics."""
+
+import asyncio
+import socket
+import time
+from http import HTTPStatus
+
+import msgspec
+from aiohttp import web
+from aiomisc import Service
+from prometheus_client import CollectorRegistry, generate_latest
+
+from oriolestage._logging import log_event
+from oriolestage.core import (
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeOutcome,
+    ChangeRefused,
+    InForceReport,
+    NodeCore,
+    OperatorCommand,
+)
+from oriolestage.daemon._caller_metrics import CallerMetrics
+from oriolestage.daemon._events import (
+    Inbox,
+    OperatorAsked,
+    SurveyAsked,
+    ViewAsked,
+)
+from oriolestage.daemon._http import json_response
+from oriolestage.views import ChangeRequest, ErrorView, view_of
+
+#: Longest wait for a revision to be in force, in milliseconds.
+LONGEST_SURVEY_MS = 60_000
+#: Largest body accepted, in bytes; a document may hold a megabyte.
+BODY_LIMIT = 4 * 1024 * 1024
+
+
+class OperatorServer(Service):
+    """Owns the listening socket for operators."""
+
+    def __init__(
+        self,
+        listening: socket.socket,
+        inbox: Inbox,
+        metrics: CallerMetrics,
+    ) -> None:
+        """Serve on a bound socket."""
+        super().__init__()
+        self._listening = listening
+        self._inbox = inbox
+        self._registry = CollectorRegistry()
+        self._registry.register(metrics)
+        self._app = web.Application(client_max_size=BODY_LIMIT)
+        self._app.router.add_post('/v1/changes', self._on_change)
+        self._app.router.add_get('/v1/view', self._on_view)
+        self._app.router.add_get('/v1/in-force/{revision}', self._on_in_force)
+        self._app.router.add_get('/metrics', self._on_metrics)
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        self._runner = web.AppRunner(self._app, access_log=None)
+        await self._runner.setup()
+        await web.SockSite(self._runner, self._listening).start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Finish open requests and close."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _on_change(self, request: web.Request) -> web.Response:
+        try:
+            asked = msgspec.json.decode(
+                await request.read(),
+                type=ChangeRequest,
+            )
+        except msgspec.DecodeError as error:
+            return json_response(
+                ErrorView(str(error)), status=HTTPStatus.BAD_REQUEST
+            )
+        command = OperatorCommand(
+            change=asked.change,
+            operator=asked.operator,
+            command_id=asked.command_id,
+            at_ms=int(time.time() * 1000),
+        )
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[ChangeOutcome] = loop.create_future()
+        self._inbox.put_nowait(OperatorAsked(command, answer))
+        outcome = await answer
+        log_event(
+            'operator_command',
+            {
+                'step': 'operator',
+                'operator': asked.operator,
+                'command_id': asked.command_id,
+                'outcome': type(outcome).__name__,
+            },
+        )
+        return json_response(outcome, status=_change_status(outcome))
+
+    async def _on_view(self, request: web.Request) -> web.Response:
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[NodeCore] = loop.create_future()
+        self._inbox.put_nowait(ViewAsked(answer))
+        return json_response(view_of(await answer))
+
+    async def _on_in_force(self, request: web.Request) -> web.Response:
+        revision = request.match_info['revision']
+        wait_ms = request.query.get('wait_ms', '0')
+        if not revision.isdigit() or not wait_ms.isdigit():
+            return json_response(
+                ErrorView('not a number'), status=HTTPStatus.BAD_REQUEST
+            )
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[InForceReport] = loop.create_future()
+        wait_s = min(int(wait_ms), LONGEST_SURVEY_MS) / 1000
+        self._inbox.put_nowait(SurveyAsked(int(revision), wait_s, answer))
+        return json_response(await answer)
+
+    async def _on_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=generate_latest(self._registry),
+            content_type='text/plain',
+        )
+
+
+def _change_status(outcome: ChangeOutcome) -> int:
+    match outcome:
+        case ChangeAccepted():
+            return HTTPStatus.OK
+        case ChangeConflict():
+            return HTTPStatus.CONFLICT
+        case ChangeRefused():
+            return HTTPStatus.UNPROCESSABLE_ENTITY
+    return HTTPStatus.GATEWAY_TIMEOUT
--- /dev/null
+++ b/oriolestage/daemon/_store_client.py
@@ -0,0 +1,126 @@
+"""Calls to the platform's store and host list over HTTP."""
+
+import asyncio
+from http import HTTPStatus
+
+import aiohttp
+
+from oriolestage.core import (
+    ReadHostList,
+    StoreFound,
+    StoreMismatch,
+    StoreMissing,
+    StoreOutcome,
+    StoreRead,
+    StoreUnreachable,
+    StoreWatch,
+    StoreWrite,
+    StoreWritten,
+)
+from oriolestage.daemon._events import Inbox, StoreEnded
+
+#: Time that a watch waits for a change, in milliseconds.
+WATCH_MS = 1000
+#: Header with the version of a key.
+VERSION_HEADER = 'X-Version'
+
+StoreEffect = StoreRead | StoreWrite | StoreWatch | ReadHostList
+
+
+class StoreClient:
+    """Owns the connections to the platform."""
+
+    def __init__(
+        self,
+        store: str,
+        host_list: str,
+        timeout_s: float,
+        inbox: Inbox,
+    ) -> None:
+        """Take the addresses of the services, as ``ip:port``."""
+        self._store_url = f'http://{store}/v1/kv'
+        self._hosts_url = f'http://{host_list}/v1/hosts'
+        self._timeout_s = timeout_s
+        self._inbox = inbox
+        self._session: aiohttp.ClientSession | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def carry_out(self, effect: StoreEffect) -> None:
+        """Start a call; its outcome goes to the inbox."""
+        task = asyncio.create_task(self._run(effect))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        if self._session is not None:
+            await self._session.close()
+
+    async def _run(self, effect: StoreEffect) -> None:
+        try:
+            outcome = await self._call(effect)
+        except aiohttp.ClientConnectorError:
+            outcome = StoreUnreachable(sent=False)
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            outcome = StoreUnreachable(sent=True)
+        self._inbox.put_nowait(StoreEnded(effect.operation, outcome))
+
+    async def _call(self, effect: StoreEffect) -> StoreOutcome:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+            )
+        match effect:
+            case StoreRead(key=key):
+                return await self._get(f'{self._store_url}/{key}', {}, 0)
+            case StoreWatch(key=key, after=after):
+                query = {'after': str(after), 'wait_ms': str(WATCH_MS)}
+                wait_s = WATCH_MS / 1000
+                return await self._get(
+                    f'{self._store_url}/{key}',
+                    query,
+                    wait_s,
+                )
+            case ReadHostList():
+                return await self._get(self._hosts_url, {}, 0)
+            case StoreWrite():
+                return await self._put(effect)
+
+    async def _get(
+        self,
+        url: str,
+        query: dict[str, str],
+        wait_s: float,
+    ) -> StoreOutcome:
+        assert self._session is not None
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s + wait_s)
+        request = self._session.get(url, params=query, timeout=timeout)
+        async with request as response:
+            content = await response.read()
+            match response.status:
+                case HTTPStatus.OK:
+                    version = int(response.headers.get(VERSION_HEADER, '0'))
+                    return StoreFound(content, version)
+                case HTTPStatus.NOT_FOUND:
+                    return StoreMissing()
+            return StoreUnreachable(sent=True)
+
+    async def _put(self, effect: StoreWrite) -> StoreOutcome:
+        assert self._session is not None
+        query = {'expected': str(effect.expected), 'ttl_s': str(effect.ttl_s)}
+        request = self._session.put(
+            f'{self._store_url}/{effect.key}',
+            params=query,
+            data=effect.content,
+            timeout=aiohttp.ClientTimeout(total=self._timeout_s),
+        )
+        async with request as response:
+            await response.read()
+            match response.status:
+                case HTTPStatus.OK:
+                    return StoreWritten(int(response.headers[VERSION_HEADER]))
+                case HTTPStatus.CONFLICT:
+                    return StoreMismatch()
+            return StoreUnreachable(sent=True)
--- /dev/null
+++ b/oriolestage/daemon/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests beside the code they test."""
--- /dev/null
+++ b/oriolestage/tool/__init__.py
@@ -0,0 +1,22 @@
+"""The operator tool and its query and command language."""
+
+from oriolestage.tool._client import DaemonClient
+from oriolestage.tool._documents import dump_document, load_document
+from oriolestage.tool._errors import (
+    CommandSyntaxError,
+    DaemonUnreachableError,
+)
+from oriolestage.tool._exit_codes import ExitCode
+from oriolestage.tool._language import parse_command
+from oriolestage.tool._session import Session
+
+__all__ = (
+    'CommandSyntaxError',
+    'DaemonClient',
+    'DaemonUnreachableError',
+    'ExitCode',
+    'Session',
+    'dump_document',
+    'load_document',
+    'parse_command',
+)
--- /dev/null
+++ b/oriolestage/tool/__main__.py
@@ -0,0 +1,117 @@
+"""Command line of the operator tool, ``oriolestage``."""
+
+import getpass
+import os
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated
+
+import cyclopts
+
+from oriolestage._event_loop import forbid_io_uring
+from oriolestage.tool import DaemonClient, ExitCode, Session
+
+#: Environment variable with addresses of daemons, separated by commas.
+HOSTS_VARIABLE = 'ORIOLESTAGE_HOSTS'
+#: Address asked when none is given.
+DEFAULT_HOST = '127.0.0.1:7002'
+PROMPT = 'oriolestage> '
+
+app = cyclopts.App(
+    name='oriolestage',
+    help='Ask what the query tier does and change its configuration.',
+)
+
+
+@app.default
+def run(
+    *words: Annotated[
+        str,
+        cyclopts.Parameter(help='A command; none starts a prompt.'),
+    ],
+    host: Annotated[
+        str,
+        cyclopts.Parameter(help='Operator addresses, with commas.'),
+    ] = '',
+    operator: Annotated[
+        str,
+        cyclopts.Parameter(help='Name for the audit trail.'),
+    ] = '',
+    file: Annotated[
+        Path | None,
+        cyclopts.Parameter(help='File with commands.'),
+    ] = None,
+    json: Annotated[
+        bool,
+        cyclopts.Parameter(help='Print JSON.', negative=''),
+    ] = False,
+) -> int:
+    """Run a command; 'help' lists them."""
+    forbid_io_uring()
+    import uvloop  # noqa: PLC0415 - reads its switch when a loop is made
+
+    hosts = host or os.environ.get(HOSTS_VARIABLE, '') or DEFAULT_HOST
+    session = Session(
+        DaemonClient([part for part in hosts.split(',') if part]),
+        operator or getpass.getuser(),
+        as_json=json,
+        write=_write_line,
+        write_error=_write_error_line,
+    )
+    try:
+        lines = _command_lines(words, file)
+    except OSError as error:
+        _write_error_line(f'{file}: {error}')
+        return ExitCode.USAGE
+    worst = ExitCode.DONE
+    for line in lines:
+        code = uvloop.run(session.run(line))
+        worst = max(worst, code)
+        if code is not ExitCode.DONE and file is not None:
+            _write_error_line(f'stopped at: {line}')
+            break
+    return worst
+
+
+def _command_lines(words: tuple[str, ...], file: Path | None) -> Iterator[str]:
+    if words:
+        return iter((' '.join(words),))
+    if file is not None:
+        return _without_blanks(file.read_text('utf-8').splitlines())
+    return _without_blanks(_prompt_lines())
+
+
+def _without_blanks(lines) -> Iterator[str]:
+    for line in lines:
+        text = line.strip()
+        if text in {'exit', 'quit'}:
+            return
+        if text and not text.startswith('#'):
+            yield text
+
+
+def _prompt_lines() -> Iterator[str]:
+    prompt = PROMPT if sys.stdin.isatty() else ''
+    while True:
+        try:
+            yield input(prompt)
+        except (EOFError, KeyboardInterrupt):
+            return
+
+
+def _write_line(text: str) -> None:
+    sys.stdout.write(f'{text}\n')
+
+
+def _write_error_line(text: str) -> None:
+    sys.stderr.write(f'{text}\n')
+
+
+def main() -> None:
+    """Run the command line and exit with its code."""
+    sys.exit(app(result_action='return_value'))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/oriolestage/tool/_documents.py
@@ -0,0 +1,36 @@
+"""Configuration documents in YAML files."""
+
+from pathlib import Path
+
+import msgspec
+import yaml
+
+from oriolestage.core import (
+    ChangeRefusedError,
+    Configuration,
+    check_document,
+)
+
+
+def load_document(path: Path) -> Configuration:
+    """Read and check a document; raises :class:`ChangeRefusedError`."""
+    try:
+        content = yaml.safe_load(path.read_text('utf-8'))
+        document = msgspec.convert(content, Configuration)
+    except (OSError, UnicodeDecodeError) as error:
+        raise ChangeRefusedError(f'{path}: {error}') from error
+    except yaml.YAMLError as error:
+        place = ' '.join(str(error).split())
+        raise ChangeRefusedError(f'{path}: not YAML: {place}') from error
+    except msgspec.ValidationError as error:
+        raise ChangeRefusedError(f'{path}: {error}') from error
+    try:
+        check_document(document)
+    except ChangeRefusedError as error:
+        raise ChangeRefusedError(f'{path}: {error}') from error
+    return document
+
+
+def dump_document(document: Configuration) -> str:
+    """Write a document as YAML."""
+    return yaml.safe_dump(msgspec.to_builtins(document), sort_keys=False)
--- /dev/null
+++ b/oriolestage/tool/_language.py
@@ -0,0 +1,232 @@
+"""Reads the command language of operators."""
+
+import functools
+from importlib import resources
+from pathlib import Path
+
+from lark import Lark, Token, Transformer
+from lark.exceptions import (
+    UnexpectedCharacters,
+    UnexpectedEOF,
+    UnexpectedInput,
+    UnexpectedToken,
+)
+
+from oriolestage.core import (
+    AnswerPolicy,
+    Change,
+    PutRoute,
+    RemoveRoute,
+    Route,
+    RouteKind,
+    SetDataCentreAccepting,
+    SetServiceAccepting,
+    SetTargetAccepting,
+    SetTargetLimits,
+)
+from oriolestage.tool._commands import (
+    ApplyFile,
+    CheckFile,
+    Command,
+    Compare,
+    Condition,
+    Help,
+    MakeChange,
+    Show,
+    Watch,
+)
+from oriolestage.tool._errors import CommandSyntaxError
+
+#: Milliseconds in each unit of a duration.
+_UNITS_MS = (('ms', 1), ('min', 60_000), ('s', 1000))
+#: What kinds of words are called in messages.
+_TERMINAL_NAMES = (
+    ('WORD', 'a name'),
+    ('INT', 'a number'),
+    ('DURATION', 'a duration such as 500ms'),
+    ('PATH', 'a file path such as ./routes.yaml'),
+    ('EQUAL', '"="'),
+    ('$END', 'the end of the command'),
+)
+
+#: Shown by ``help``.
+HELP_TEXT = """\
+show targets|datacentres|services|hosts|routes|requests|configuration|history
+     [where FIELD = VALUE [and FIELD = VALUE]] [last N]
+take out datacentre|service|target NAME [confirm]
+bring back datacentre|service|target NAME
+add route NAME to GROUP [kind query|command] [policy whole|latency]
+     [timeout DURATION] [answer by DURATION]
+remove route NAME
+set limit TARGET slots N connections N
+watch [revision N] [for DURATION]
+compare N with M
+check FILE
+apply FILE
+"""
+
+
+def parse_command(text: str) -> Command:
+    """Read one command; raises :class:`CommandSyntaxError`."""
+    try:
+        tree = _parser().parse(text)
+    except UnexpectedInput as error:
+        raise CommandSyntaxError(_explain(text, error)) from error
+    return _CommandBuilder().transform(tree)
+
+
+@functools.cache
+def _parser() -> Lark:
+    folder = resources.files('oriolestage.tool')
+    grammar = folder.joinpath('_grammar.lark').read_text('utf-8')
+    return Lark(grammar, parser='lalr', maybe_placeholders=True)
+
+
+def _explain(text: str, error: UnexpectedInput) -> str:
+    position = len(text) if isinstance(error, UnexpectedEOF) else 0
+    expected: set[str] = set()
+    match error:
+        case UnexpectedToken(token=token):
+            at_end = token.type == '$END'
+            position = len(text) if at_end else token.start_pos or 0
+            expected = set(error.accepts or error.expected)
+        case UnexpectedCharacters():
+            position = error.pos_in_stream or 0
+            expected = set(error.allowed or ())
+    words = ', '.join(sorted(_word_for(name) for name in expected))
+    pointer = '^'.rjust(position + 1)
+    return (
+        f'{text}\n{pointer}\n'
+        f'column {position + 1}: expected {words or "something else"}'
+    )
+
+
+def _word_for(terminal: str) -> str:
+    for name, words in _TERMINAL_NAMES:
+        if name == terminal:
+            return words
+    return f'"{terminal.lower()}"'
+
+
+def _duration_ms(token: Token) -> int:
+    for unit, factor in _UNITS_MS:
+        if token.endswith(unit):
+            return int(token.removesuffix(unit)) * factor
+    raise CommandSyntaxError(f'{token} is not a duration')
+
+
+def _accepting_change(
+    part: str,
+    name: str,
+    *,
+    accepting: bool,
+    confirmed: bool,
+) -> Change:
+    match part:
+        case 'datacentre':
+            return SetDataCentreAccepting(name, accepting, confirmed)
+        case 'service':
+            return SetServiceAccepting(name, accepting, confirmed)
+    return SetTargetAccepting(name, accepting, confirmed)
+
+
+class _CommandBuilder(Transformer):
+    """Builds a command from a parse tree, rule by rule."""
+
+    def start(self, children):
+        return children[0]
+
+    def subject(self, children):
+        return str(children[0])
+
+    def condition(self, children):
+        return Condition(str(children[0]), str(children[1]))
+
+    def filter(self, children):
+        return tuple(children)
+
+    def last(self, children):
+        return int(children[0])
+
+    def show(self, children):
+        subject, conditions, last = children
+        return Show(subject, conditions or (), last or 0)
+
+    def part(self, children):
+        return str(children[0])
+
+    def confirm(self, children):
+        return True
+
+    def take_out(self, children):
+        part, name, confirmed = children
+        change = _accepting_change(
+            part,
+            str(name),
+            accepting=False,
+            confirmed=bool(confirmed),
+        )
+        return MakeChange(change)
+
+    def bring_back(self, children):
+        part, name = children
+        change = _accepting_change(
+            part,
+            str(name),
+            accepting=True,
+            confirmed=False,
+        )
+        return MakeChange(change)
+
+    def kind(self, children):
+        return RouteKind(str(children[1]))
+
+    def policy(self, children):
+        return AnswerPolicy(str(children[1]))
+
+    def timeout(self, children):
+        return _duration_ms(children[0])
+
+    def answer_by(self, children):
+        return _duration_ms(children[0])
+
+    def add_route(self, children):
+        name, group, kind, policy, timeout_ms, answer_by_ms = children
+        plain = Route(str(name), str(group))
+        route = Route(
+            plain.name,
+            plain.group,
+            kind or plain.kind,
+            policy or plain.policy,
+            timeout_ms or plain.timeout_ms,
+            answer_by_ms or plain.answer_by_ms,
+        )
+        return MakeChange(PutRoute(route))
+
+    def remove_route(self, children):
+        return MakeChange(RemoveRoute(str(children[0])))
+
+    def set_limit(self, children):
+        name, slots, connections = children
+        change = SetTargetLimits(str(name), int(slots), int(connections))
+        return MakeChange(change)
+
+    def watch(self, children):
+        revision, duration = children
+        plain = Watch()
+        return Watch(
+            int(revision) if revision else plain.revision,
+            _duration_ms(duration) if duration else plain.wait_ms,
+        )
+
+    def compare(self, children):
+        return Compare(int(children[0]), int(children[1]))
+
+    def check(self, children):
+        return CheckFile(Path(str(children[0])))
+
+    def apply(self, children):
+        return ApplyFile(Path(str(children[0])))
+
+    def help(self, children):
+        return Help()
--- /dev/null
+++ b/oriolestage/tool/_session.py
@@ -0,0 +1,186 @@
+"""Carries out commands of operators and prints what came of them."""
+
+import uuid
+from collections.abc import Callable
+
+import msgspec
+
+from oriolestage.core import (
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeRefused,
+    ChangeRefusedError,
+    ChangeUnknown,
+    InForceReport,
+    ReplaceDocument,
+)
+from oriolestage.tool._client import DaemonClient
+from oriolestage.tool._commands import (
+    ApplyFile,
+    CheckFile,
+    Command,
+    Compare,
+    Help,
+    MakeChange,
+    Show,
+    Watch,
+)
+from oriolestage.tool._documents import dump_document, load_document
+from oriolestage.tool._errors import CommandSyntaxError, DaemonUnreachableError
+from oriolestage.tool._exit_codes import ExitCode
+from oriolestage.tool._language import HELP_TEXT, parse_command
+from oriolestage.tool._tables import history_row, render_table, rows_for
+from oriolestage.views import ChangeRequest, ErrorView
+
+#: Time that a change is given to be in force everywhere, in milliseconds.
+IN_FORCE_WAIT_MS = 15_000
+
+
+class Session:
+    """Runs commands one after the other."""
+
+    def __init__(
+        self,
+        client: DaemonClient,
+        operator: str,
+        *,
+        as_json: bool,
+        write: Callable[[str], None],
+        write_error: Callable[[str], None],
+    ) -> None:
+        """Print by ``write`` and ``write_error``."""
+        self._client = client
+        self._operator = operator
+        self._as_json = as_json
+        self._write = write
+        self._write_error = write_error
+
+    async def run(self, text: str) -> ExitCode:
+        """Run one command as typed."""
+        try:
+            command = parse_command(text)
+        except CommandSyntaxError as error:
+            self._write_error(str(error))
+            return ExitCode.USAGE
+        try:
+            return await self._run(command)
+        except ChangeRefusedError as error:
+            self._write_error(f'refused: {error}')
+            return ExitCode.REFUSED
+        except DaemonUnreachableError as error:
+            self._write_error(f'no daemon answered: {error}')
+            return ExitCode.UNREACHABLE
+
+    async def _run(self, command: Command) -> ExitCode:
+        match command:
+            case Show():
+                return await self._show(command)
+            case MakeChange(change=change):
+                return await self._change(self._request(change))
+            case Watch():
+                return await self._watch(command)
+            case Compare():
+                return await self._compare(command)
+            case CheckFile(path=path):
+                document = load_document(path)
+                self._write(
+                    f'{path}: good, {len(document.targets)} targets, '
+                    f'{len(document.routes)} routes',
+                )
+            case ApplyFile(path=path):
+                change = ReplaceDocument(load_document(path))
+                return await self._change(self._request(change))
+            case Help():
+                self._write(HELP_TEXT)
+        return ExitCode.DONE
+
+    def _request(self, change) -> ChangeRequest:
+        return ChangeRequest(change, self._operator, uuid.uuid4().hex)
+
+    async def _show(self, show: Show) -> ExitCode:
+        view = await self._client.view()
+        if show.subject == 'configuration':
+            if self._as_json:
+                self._write(msgspec.json.encode(view.document).decode())
+            else:
+                self._write(dump_document(view.document))
+            return ExitCode.DONE
+        rows = rows_for(show, view)
+        if self._as_json:
+            self._write(msgspec.json.encode(rows).decode())
+        else:
+            self._write(render_table(rows))
+        return ExitCode.DONE
+
+    async def _compare(self, compare: Compare) -> ExitCode:
+        view = await self._client.view()
+        wanted = range(compare.older + 1, compare.newer + 1)
+        rows = [
+            history_row(record)
+            for record in view.history
+            if record.revision in wanted
+        ]
+        if len(rows) < len(wanted):
+            self._write_error(
+                f'refused: the daemon holds {len(rows)} of the '
+                f'{len(wanted)} revisions in between',
+            )
+            return ExitCode.REFUSED
+        if self._as_json:
+            self._write(msgspec.json.encode(rows).decode())
+        else:
+            self._write(render_table(rows))
+        return ExitCode.DONE
+
+    async def _change(self, request: ChangeRequest) -> ExitCode:
+        outcome = await self._client.change(request)
+        if self._as_json:
+            self._write(msgspec.json.encode(outcome).decode())
+        match outcome:
+            case ChangeAccepted(revision=revision):
+                return await self._wait(revision, IN_FORCE_WAIT_MS)
+            case ChangeConflict():
+                self._write_error(
+                    f'conflict: revision is now {outcome.revision}, by '
+                    f'{outcome.operator}: {outcome.after}; nothing was '
+                    'changed by this command',
+                )
+                return ExitCode.CONFLICT
+            case ChangeRefused(why=why) | ErrorView(why=why):
+                self._write_error(f'refused: {why}')
+                return ExitCode.REFUSED
+            case ChangeUnknown():
+                self._write_error(
+                    f'unknown: command {outcome.command_id}: {outcome.why}',
+                )
+        return ExitCode.UNKNOWN
+
+    async def _watch(self, watch: Watch) -> ExitCode:
+        revision = watch.revision
+        if not revision:
+            revision = (await self._client.view()).revision
+        return await self._wait(revision, watch.wait_ms)
+
+    async def _wait(self, revision: int, wait_ms: int) -> ExitCode:
+        report = await self._client.in_force(revision, wait_ms)
+        if self._as_json:
+            self._write(msgspec.json.encode(report).decode())
+        else:
+            self._write(_report_text(report))
+        if report.complete:
+            return ExitCode.DONE
+        return ExitCode.NOT_IN_FORCE
+
+
+def _report_text(report: InForceReport) -> str:
+    groups = (report.in_force, report.behind, report.not_heard_from)
+    total = sum(len(group) for group in groups)
+    parts = [
+        f'revision {report.revision} is in force on '
+        f'{len(report.in_force)} of {total} hosts',
+    ]
+    if report.behind:
+        parts.append(f'behind: {", ".join(report.behind)}')
+    if report.not_heard_from:
+        parts.append(f'not heard from: {", ".join(report.not_heard_from)}')
+    return '; '.join(parts)
--- /dev/null
+++ b/oriolestage/tool/_tables.py
@@ -0,0 +1,106 @@
+"""Tables for people, and the rows behind them."""
+
+from collections.abc import Sequence
+from datetime import UTC, datetime
+
+import msgspec
+
+from oriolestage.core import RevisionRecord
+from oriolestage.tool._commands import Condition, Show
+from oriolestage.views import NodeView
+
+#: One row of a table, by column.
+Row = dict[str, str]
+
+
+def rows_for(show: Show, view: NodeView) -> list[Row]:
+    """Give the rows that a ``show`` command asks for."""
+    rows = _all_rows(show.subject, view)
+    kept = [row for row in rows if _fits(row, show.conditions)]
+    if show.last:
+        return kept[-show.last :]
+    return kept
+
+
+def render_table(rows: Sequence[Row]) -> str:
+    """Lay rows out in columns."""
+    if not rows:
+        return 'nothing to show'
+    columns = list(rows[0])
+    widths = {
+        column: max(len(column), *(len(row[column]) for row in rows))
+        for column in columns
+    }
+    lines = ['  '.join(column.ljust(widths[column]) for column in columns)]
+    for row in rows:
+        cells = [row[column].ljust(widths[column]) for column in columns]
+        lines.append('  '.join(cells).rstrip())
+    return '\n'.join(lines)
+
+
+def history_row(record: RevisionRecord) -> Row:
+    """Give one entry of the audit trail as a row."""
+    when = datetime.fromtimestamp(record.at_ms / 1000, tz=UTC)
+    change = msgspec.to_builtins(record.change)
+    return {
+        'revision': str(record.revision),
+        'when': when.isoformat(timespec='seconds'),
+        'operator': record.operator,
+        'command': record.command_id,
+        'change': f'{change["type"]} {change.get("name", "")}'.strip(),
+        'before': record.before,
+        'after': record.after,
+    }
+
+
+def _all_rows(subject: str, view: NodeView) -> list[Row]:
+    match subject:
+        case 'targets':
+            return [_as_row(target) for target in view.targets]
+        case 'hosts':
+            return [_as_row(host) for host in view.hosts]
+        case 'datacentres':
+            return [_as_row(entry) for entry in view.document.data_centres]
+        case 'services':
+            return [_as_row(service) for service in view.document.services]
+        case 'routes':
+            return [_as_row(route) for route in view.document.routes]
+        case 'history':
+            return [history_row(record) for record in view.history]
+        case 'requests':
+            return [_request_row(view)]
+    return [{'revision': str(view.revision)}]
+
+
+def _request_row(view: NodeView) -> Row:
+    in_flight = sum(target.in_flight for target in view.targets)
+    queued = sum(target.queued for target in view.targets)
+    return {
+        'host': view.host,
+        'state': view.state,
+        'ready': _text(view.ready),
+        'queries in flight': str(view.queries_in_flight),
+        'target calls in flight': str(in_flight),
+        'queued': str(queued),
+        'revision': str(view.revision),
+    }
+
+
+def _as_row(entry: msgspec.Struct) -> Row:
+    fields = msgspec.to_builtins(entry)
+    return {name: _text(content) for name, content in fields.items()}
+
+
+def _text(content: object) -> str:
+    match content:
+        case bool():
+            return 'yes' if content else 'no'
+        case list() | tuple():
+            return ','.join(str(part) for part in content)
+    return str(content)
+
+
+def _fits(row: Row, conditions: Sequence[Condition]) -> bool:
+    return all(
+        row.get(condition.field) == condition.wanted for condition in conditions
+    )
--- /dev/null
+++ b/oriolestage/views.py
@@ -0,0 +1,110 @@
+"""What the daemon shows to the operator tool, as typed JSON."""
+
+import msgspec
+
+from oriolestage.core import (
+    Change,
+    Configuration,
+    NodeCore,
+    RevisionRecord,
+)
+
+
+class TargetView(msgspec.Struct, frozen=True):
+    """A target as its owner sees it, or as the configuration has it."""
+
+    name: str
+    service: str
+    data_centre: str
+    address: str
+    accepting: bool
+    slots: int
+    #: Empty when another host owns the target.
+    state: str = ''
+    limit: int = 0
+    in_flight: int = 0
+    queued: int = 0
+    versions: tuple[int, ...] = ()
+
+
+class HostView(msgspec.Struct, frozen=True):
+    """A host of the query tier as another one sees it."""
+
+    name: str
+    data_centre: str
+    state: str
+    incarnation: int
+
+
+class NodeView(msgspec.Struct, frozen=True):
+    """Everything that one host shows."""
+
+    host: str
+    state: str
+    ready: bool
+    revision: int
+    queries_in_flight: int
+    hosts: tuple[HostView, ...]
+    targets: tuple[TargetView, ...]
+    document: Configuration
+    history: tuple[RevisionRecord, ...]
+
+
+class ChangeRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A change that the tool asks for."""
+
+    change: Change
+    operator: str
+    command_id: str
+
+
+class ErrorView(msgspec.Struct, frozen=True, tag='error'):
+    """The request to the operator interface was wrong."""
+
+    why: str
+
+
+def view_of(core: NodeCore) -> NodeView:
+    """Take a picture of a core."""
+    gates = {gate.target.name: gate for gate in core.owner.gates}
+    index = core.configuration.index
+    targets: list[TargetView] = []
+    for target in index.document.targets:
+        view = TargetView(
+            name=target.name,
+            service=target.service,
+            data_centre=target.data_centre,
+            address=target.address,
+            accepting=index.may_take_work(target.name),
+            slots=target.slots,
+        )
+        gate = gates.get(target.name)
+        if gate is not None:
+            view = msgspec.structs.replace(
+                view,
+                state=gate.state,
+                limit=gate.limit,
+                in_flight=gate.in_flight,
+                queued=len(gate.queue),
+                versions=gate.versions,
+            )
+        targets.append(view)
+    return NodeView(
+        host=core.membership.identity.name,
+        state=core.state,
+        ready=core.ready,
+        revision=core.configuration.revision,
+        queries_in_flight=core.queries.in_flight,
+        hosts=tuple(
+            HostView(
+                member.name,
+                member.data_centre,
+                member.state.name.lower(),
+                member.incarnation,
+            )
+            for member in core.membership.members
+        ),
+        targets=tuple(targets),
+        document=index.document,
+        history=core.configuration.records,
+    )
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for maintainers."""
--- /dev/null
+++ b/scripts/run_tests.py
@@ -0,0 +1,50 @@
+"""Runs all tests and compares failures with KNOWN-RED.txt.
+
+Each entry of KNOWN-RED.txt is a line ``test | command and seed | seen |
+issue``. A listed test that fails is printed and passed over; a listed test
+that passes is printed too, so that its entry can be removed.
+"""
+
+import sys
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+#: Folders with tests.
+FOLDERS = ('oriolestage', 'scenarios', 'stand_ins')
+
+
+def main() -> int:
+    """Run the tests; give the exit code."""
+    suite = unittest.TestSuite()
+    loader = unittest.TestLoader()
+    for folder in FOLDERS:
+        if (ROOT / folder).is_dir():
+            suite.addTests(
+                loader.discover(str(ROOT / folder), top_level_dir=str(ROOT)),
+            )
+    result = unittest.TextTestRunner(verbosity=2).run(suite)
+    bad = {test.id() for test, _ in result.failures + result.errors}
+    known = _known_red()
+    for test_id in sorted(known):
+        state = 'fails' if test_id in bad else 'passes now'
+        sys.stdout.write(f'KNOWN-RED {state}: {known[test_id]}\n')
+    unknown = bad - known.keys()
+    passed = result.testsRun - len(bad)
+    sys.stdout.write(f'{passed} passed, {len(unknown)} failed\n')
+    return 1 if unknown or not result.testsRun else 0
+
+
+def _known_red() -> dict[str, str]:
+    if not KNOWN_RED.exists():
+        return {}
+    entries: dict[str, str] = {}
+    for line in KNOWN_RED.read_text('utf-8').splitlines():
+        if line.strip() and not line.startswith('#'):
+            entries[line.split('|')[0].strip()] = line
+    return entries
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/stand_ins/_server.py
@@ -0,0 +1,31 @@
+"""Starts a stand-in's web application on a loopback address."""
+
+import argparse
+import os
+from collections.abc import Awaitable
+
+import uvloop
+from aiohttp import web
+
+
+def base_arguments(description: str) -> argparse.ArgumentParser:
+    """Give a parser with the address to listen on."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument('--ip', default='127.0.0.1')
+    parser.add_argument('--port', type=int, required=True)
+    return parser
+
+
+def serve(app: Awaitable[web.Application], ip: str, port: int) -> None:
+    """Serve until the process is told to stop."""
+    os.environ['UV_USE_IO_URING'] = '0'
+    uvloop.install()
+    web.run_app(
+        app,
+        host=ip,
+        port=port,
+        print=None,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=1,
+    )
--- /dev/null
+++ b/trial/layout.py
@@ -0,0 +1,206 @@
+"""Which data centres, services, targets and hosts a trial has."""
+
+import dataclasses
+from collections.abc import Sequence
+
+from oriolestage.core import (
+    KEY_SPACE_SIZE,
+    AnswerPolicy,
+    Configuration,
+    DataCentre,
+    Route,
+    RouteKind,
+    Service,
+    Target,
+)
+
+#: Loopback addresses of the parts; each host has its own.
+PLATFORM_IP = '127.1.0.1'
+BALANCER_IP = '127.1.0.2'
+HOST_IP_PREFIX = '127.1.1.'
+TARGET_IP_PREFIX = '127.1.2.'
+PLATFORM_PORT = 7100
+BALANCER_PORT = 7101
+CALLERS_PORT = 7001
+OPERATORS_PORT = 7002
+GOSSIP_PORT = 7003
+DATA_PORT = 7004
+TARGET_PORT = 7200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupShape:
+    """A group of services and the targets of each."""
+
+    name: str
+    services: int
+    replicas: int
+    slots: int
+    connections: int
+    #: Cost of a new connection, in milliseconds.
+    connect_ms: float
+    kind: RouteKind
+    policy: AnswerPolicy
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UserShape:
+    """One user's data centres and groups."""
+
+    name: str
+    data_centres: tuple[str, ...]
+    groups: tuple[GroupShape, ...]
+
+
+def association(services: int = 4) -> UserShape:
+    """Give the association's shape with fewer services by default."""
+    return UserShape(
+        'association',
+        ('marmara-a', 'ege-a', 'ic-anadolu-a'),
+        (
+            GroupShape(
+                'sitter-app',
+                services,
+                2,
+                2,
+                25,
+                6,
+                RouteKind.QUERY,
+                AnswerPolicy.WHOLE,
+            ),
+            GroupShape(
+                'visit-log',
+                1,
+                3,
+                4,
+                100,
+                1,
+                RouteKind.COMMAND,
+                AnswerPolicy.WHOLE,
+            ),
+        ),
+    )
+
+
+def franchise(services: int = 4) -> UserShape:
+    """Give the franchise's shape with fewer services by default."""
+    return UserShape(
+        'franchise',
+        ('gent-a', 'namur-a', 'anderlecht-a'),
+        (
+            GroupShape(
+                'motif-finder',
+                services,
+                2,
+                2,
+                25,
+                6,
+                RouteKind.QUERY,
+                AnswerPolicy.LATENCY,
+            ),
+            GroupShape(
+                'atelier-orders',
+                1,
+                3,
+                3,
+                40,
+                1,
+                RouteKind.COMMAND,
+                AnswerPolicy.WHOLE,
+            ),
+        ),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacedTarget:
+    """A target with what its stand-in must know."""
+
+    target: Target
+    key_start: int
+    key_end: int
+    connect_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacedHost:
+    """An entry host with its addresses."""
+
+    name: str
+    data_centre: str
+    ip: str
+
+    def address(self, port: int) -> str:
+        """Give an address of this host."""
+        return f'{self.ip}:{port}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Layout:
+    """Everything that a trial starts."""
+
+    configuration: Configuration
+    targets: tuple[PlacedTarget, ...]
+    hosts: tuple[PlacedHost, ...]
+
+
+def make_layout(users: Sequence[UserShape], host_count: int) -> Layout:
+    """Place hosts and targets of some users in their data centres."""
+    centres = [name for user in users for name in user.data_centres]
+    hosts = tuple(
+        PlacedHost(
+            f'entry-{number + 1}',
+            centres[number % len(centres)],
+            f'{HOST_IP_PREFIX}{number + 1}',
+        )
+        for number in range(host_count)
+    )
+    targets: list[PlacedTarget] = []
+    services: list[Service] = []
+    routes: list[Route] = []
+    for user in users:
+        for group in user.groups:
+            routes.append(
+                Route(group.name, group.name, group.kind, group.policy),
+            )
+            for number in range(group.services):
+                services.append(
+                    Service(f'{group.name}-{number + 1}', group.name),
+                )
+                targets.extend(
+                    _replicas(user, group, number, len(targets)),
+                )
+    configuration = Configuration(
+        data_centres=tuple(DataCentre(name, name) for name in centres),
+        services=tuple(services),
+        targets=tuple(placed.target for placed in targets),
+        routes=tuple(routes),
+    )
+    return Layout(configuration, tuple(targets), hosts)
+
+
+def _replicas(
+    user: UserShape,
+    group: GroupShape,
+    number: int,
+    placed_before: int,
+) -> list[PlacedTarget]:
+    key_start = KEY_SPACE_SIZE * number // group.services
+    key_end = KEY_SPACE_SIZE * (number + 1) // group.services
+    replicas: list[PlacedTarget] = []
+    for replica in range(group.replicas):
+        centre = user.data_centres[(number + replica) % len(user.data_centres)]
+        address_number = placed_before + replica
+        name = f'{group.name}-{number + 1}-{replica + 1}'
+        target = Target(
+            name=name,
+            service=f'{group.name}-{number + 1}',
+            data_centre=centre,
+            address=f'{TARGET_IP_PREFIX}{address_number + 1}:{TARGET_PORT}',
+            slots=group.slots,
+            connections=group.connections,
+        )
+        replicas.append(
+            PlacedTarget(target, key_start, key_end, group.connect_ms),
+        )
+    return replicas
--- /dev/null
+++ b/trial/load.py
@@ -0,0 +1,212 @@
+"""A load of callers, and what they got."""
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections import Counter
+
+import aiohttp
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from oriolestage.core import KEY_SPACE_SIZE, RouteKind, make_key
+from trial.layout import Layout
+
+#: Largest latency recorded, in microseconds.
+LARGEST_LATENCY_US = 120_000_000
+#: Random bits of an idempotency key.
+KEY_BITS = 74
+#: Distinct queries that callers ask.
+DISTINCT_QUERIES = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Served:
+    """One answer as its caller saw it."""
+
+    route: str
+    at: float
+    latency_s: float
+    status: int
+    #: ``whole``, ``partial``, ``command_answer``, ``not_run``,
+    #: ``may_have_run``, ``failed`` or ``wrong``.
+    outcome: str
+    #: Reason of a refusal, or detail of a failure.
+    detail: str = ''
+    covered_share: float = 0
+    retry_after_ms: int = 0
+
+
+class LoadResults:
+    """Collects what callers got."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.served: list[Served] = []
+        self.bookings: dict[str, list[str]] = {}
+
+    def outcomes(self) -> Counter[str]:
+        """Count answers by outcome."""
+        return Counter(answer.outcome for answer in self.served)
+
+    def refusals(self) -> Counter[str]:
+        """Count refusals by outcome and reason."""
+        return Counter(
+            f'{answer.outcome}: {answer.detail}'
+            for answer in self.served
+            if answer.detail
+        )
+
+    def histogram(self, route: str = '') -> HdrHistogram:
+        """Give the latencies of answers, in microseconds."""
+        histogram = HdrHistogram(1, LARGEST_LATENCY_US, 3)
+        for answer in self.served:
+            if route and answer.route != route:
+                continue
+            micros = max(1, int(answer.latency_s * 1_000_000))
+            histogram.record_value(min(micros, LARGEST_LATENCY_US))
+        return histogram
+
+    def coverage(self) -> float:
+        """Give the mean share of the key space that queries covered."""
+        shares = [
+            answer.covered_share
+            for answer in self.served
+            if answer.outcome in {'whole', 'partial'}
+        ]
+        return sum(shares) / len(shares) if shares else 0
+
+
+class LoadGenerator:
+    """Sends queries and commands at a steady rate."""
+
+    def __init__(
+        self,
+        layout: Layout,
+        callers_url: str,
+        rate: float,
+        seed: int,
+    ) -> None:
+        """Send ``rate`` requests a second in all."""
+        self._routes = layout.configuration.routes
+        self._url = callers_url
+        self._rate = rate
+        self._random = random.Random(seed)
+        self._stopped = False
+        self.results = LoadResults()
+
+    def stop(self) -> None:
+        """Send no more."""
+        self._stopped = True
+
+    async def run(self, duration_s: float) -> LoadResults:
+        """Send for a while, then wait for the last answers."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        sent = 0
+        timeout = aiohttp.ClientTimeout(total=30)
+        connector = aiohttp.TCPConnector(limit=0)
+        async with (
+            aiohttp.ClientSession(
+                timeout=timeout,
+                connector=connector,
+            ) as session,
+            asyncio.TaskGroup() as group,
+        ):
+            while not self._stopped:
+                elapsed_s = loop.time() - started_at
+                if elapsed_s >= duration_s:
+                    break
+                while sent < elapsed_s * self._rate:
+                    group.create_task(self._send(session))
+                    sent += 1
+                await asyncio.sleep(0.005)
+        return self.results
+
+    async def _send(self, session: aiohttp.ClientSession) -> None:
+        route = self._random.choice(self._routes)
+        headers = {'X-Caller': f'caller-{self._random.randrange(20)}'}
+        if route.kind is RouteKind.COMMAND:
+            booking = self._random.randbytes(8).hex()
+            key = make_key(
+                int(time.time() * 1000),
+                self._random.getrandbits(KEY_BITS),
+            )
+            headers['Idempotency-Key'] = key
+            body: dict[str, object] = {'booking': booking}
+        else:
+            booking = ''
+            body = {'query': self._random.randrange(DISTINCT_QUERIES)}
+        answer = await ask(session, self._url, route.name, body, headers)
+        self.results.served.append(answer)
+        if booking:
+            outcomes = self.results.bookings.setdefault(booking, [])
+            outcomes.append(answer.outcome)
+
+
+async def ask(
+    session: aiohttp.ClientSession,
+    url: str,
+    route: str,
+    body: dict[str, object],
+    headers: dict[str, str],
+) -> Served:
+    """Send one request and look at its answer."""
+    started = time.monotonic()
+    status = 0
+    try:
+        async with session.post(
+            f'{url}/v1/requests/{route}',
+            json=body,
+            headers=headers,
+        ) as response:
+            status = response.status
+            content = await response.read()
+        answer = msgspec.json.decode(content)
+        outcome, detail, share, wait_ms = judge(answer)
+    except (aiohttp.ClientError, TimeoutError) as error:
+        outcome, detail, share, wait_ms = 'failed', repr(error), 0, 0
+    except msgspec.DecodeError:
+        outcome, detail, share, wait_ms = 'failed', f'status {status}', 0, 0
+    return Served(
+        route,
+        started,
+        time.monotonic() - started,
+        status,
+        outcome,
+        detail,
+        share,
+        wait_ms,
+    )
+
+
+def judge(answer: dict) -> tuple[str, str, float, int]:
+    """Check an answer against itself; give outcome, detail, share, wait."""
+    match answer.get('type'):
+        case 'answer':
+            return (*_judge_query(answer), 0)
+        case 'command_answer':
+            return 'command_answer', '', 0, 0
+        case 'not_run' | 'may_have_run':
+            wait_ms = answer.get('retry_after_ms', 0)
+            return answer['type'], answer['reason'], 0, wait_ms
+    return 'failed', str(answer)[:100], 0, 0
+
+
+def _judge_query(answer: dict) -> tuple[str, str, float]:
+    rows = [row for shard in answer['rows'] for row in shard]
+    if any(row['version'] != answer['version'] for row in rows):
+        return 'wrong', 'two versions in one answer', 0
+    if any(row['request'] != answer['request_id'] for row in rows):
+        return 'wrong', "another request's rows", 0
+    read = sorted(row['range'] for row in rows)
+    overlap = any(
+        later[0] < earlier[1] for earlier, later in zip(read, read[1:])
+    )
+    read_keys = sum(end - start for start, end in read)
+    claimed = sum(end - start for start, end in answer['covered'])
+    if overlap or read_keys != claimed:
+        return 'wrong', 'coverage is not what was read', 0
+    outcome = 'whole' if answer['whole'] else 'partial'
+    return outcome, '', claimed / KEY_SPACE_SIZE
--- /dev/null
+++ b/trial/processes.py
@@ -0,0 +1,308 @@
+"""Starts and ends the processes of a trial."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import aiohttp
+import msgspec
+import yaml
+
+from oriolestage.tool import dump_document
+from trial.layout import (
+    BALANCER_IP,
+    BALANCER_PORT,
+    CALLERS_PORT,
+    DATA_PORT,
+    GOSSIP_PORT,
+    OPERATORS_PORT,
+    PLATFORM_IP,
+    PLATFORM_PORT,
+    Layout,
+    PlacedHost,
+    PlacedTarget,
+)
+
+#: Longest wait for a part to be ready, in seconds.
+READY_TIMEOUT_S = 30.0
+#: Longest wait for a process to end by itself, in seconds.
+END_TIMEOUT_S = 20.0
+
+
+class Trial:
+    """A running query tier with its surroundings."""
+
+    def __init__(self, layout: Layout, folder: Path) -> None:
+        """Keep settings and logs in ``folder``."""
+        self._layout = layout
+        self._folder = folder
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+
+    @property
+    def layout(self) -> Layout:
+        """What the trial consists of."""
+        return self._layout
+
+    @property
+    def folder(self) -> Path:
+        """Where settings and logs are."""
+        return self._folder
+
+    @property
+    def callers_url(self) -> str:
+        """Where callers reach the balancer."""
+        return f'http://{BALANCER_IP}:{BALANCER_PORT}'
+
+    @property
+    def platform_url(self) -> str:
+        """Where the platform stand-in is controlled."""
+        return f'http://{PLATFORM_IP}:{PLATFORM_PORT}'
+
+    def host(self, name: str) -> PlacedHost:
+        """Give the entry host called ``name``."""
+        for host in self._layout.hosts:
+            if host.name == name:
+                return host
+        raise KeyError(name)
+
+    def target(self, name: str) -> PlacedTarget:
+        """Give the target called ``name``."""
+        for placed in self._layout.targets:
+            if placed.target.name == name:
+                return placed
+        raise KeyError(name)
+
+    async def start(self) -> None:
+        """Start everything and apply the configuration."""
+        await self._spawn(
+            'platform',
+            'stand_ins.platform',
+            '--ip',
+            PLATFORM_IP,
+            '--port',
+            str(PLATFORM_PORT),
+        )
+        for placed in self._layout.targets:
+            await self.start_target(placed.target.name)
+        await wait_for_http(f'{self.platform_url}/report')
+        await self.publish_hosts()
+        for host in self._layout.hosts:
+            await self.start_host(host.name)
+        await self._spawn(
+            'balancer',
+            'stand_ins.balancer',
+            '--ip',
+            BALANCER_IP,
+            '--port',
+            str(BALANCER_PORT),
+            '--hosts',
+            self._addresses(CALLERS_PORT),
+        )
+        for placed in self._layout.targets:
+            await wait_for_http(f'http://{placed.target.address}/report')
+        for host in self._layout.hosts:
+            await wait_for_http(
+                f'http://{host.address(CALLERS_PORT)}/health/ready',
+            )
+        await wait_for_http(f'{self.callers_url}/health/ready')
+        await self._apply_configuration()
+
+    async def start_target(self, name: str, *, warm: bool = False) -> None:
+        """Start one target's stand-in."""
+        placed = self.target(name)
+        target = placed.target
+        ip, port = target.address.rsplit(':', 1)
+        arguments = [
+            '--ip',
+            ip,
+            '--port',
+            port,
+            '--name',
+            target.name,
+            '--service',
+            target.service,
+            '--slots',
+            str(target.slots),
+            '--connections',
+            str(target.connections),
+            '--connect-ms',
+            str(placed.connect_ms),
+            '--key-range',
+            f'{placed.key_start}-{placed.key_end}',
+            '--journal',
+            str(self._folder / 'runs.txt'),
+        ]
+        if warm:
+            arguments.append('--warm')
+        await self._spawn(name, 'stand_ins.target', *arguments)
+
+    async def start_host(self, name: str) -> None:
+        """Start one daemon."""
+        host = self.host(name)
+        settings = self._folder / f'{name}.yaml'
+        settings.write_text(yaml.safe_dump(self._settings(host)))
+        await self._spawn(name, 'oriolestage.daemon', str(settings))
+
+    async def publish_hosts(
+        self,
+        leaving: frozenset[str] = frozenset(),
+        lag_s: float = 0,
+    ) -> None:
+        """Give the host list to the platform."""
+        hosts = [
+            {
+                'name': host.name,
+                'kind': 'entry',
+                'address': host.address(GOSSIP_PORT),
+                'data_centre': host.data_centre,
+                'leaving': host.name in leaving,
+            }
+            for host in self._layout.hosts
+        ]
+        targets = [
+            {
+                'name': placed.target.name,
+                'kind': 'target',
+                'address': placed.target.address,
+                'data_centre': placed.target.data_centre,
+                'leaving': placed.target.name in leaving,
+            }
+            for placed in self._layout.targets
+        ]
+        await post(
+            f'{self.platform_url}/control',
+            {'hosts': {'hosts': hosts + targets}, 'lag_s': lag_s},
+        )
+
+    async def operate(
+        self,
+        *words: str,
+        hosts: str = '',
+        operator: str = 'trial',
+    ) -> tuple[int, str]:
+        """Run the operator tool; give its exit code and output."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'oriolestage.tool',
+            '--host',
+            hosts or self._addresses(OPERATORS_PORT),
+            '--operator',
+            operator,
+            *words,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+        return process.returncode or 0, output.decode()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process of the trial."""
+        self._processes[name].send_signal(number)
+
+    def process(self, name: str) -> asyncio.subprocess.Process:
+        """Give one process of the trial."""
+        return self._processes[name]
+
+    async def kill(self, name: str) -> None:
+        """End one process without warning."""
+        process = self._processes.pop(name)
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        await process.wait()
+
+    async def stop_host(self, name: str) -> int:
+        """Stop one daemon as planned; give its exit code."""
+        process = self._processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return await process.wait()
+
+    async def close(self) -> None:
+        """End all processes."""
+        for name in tuple(self._processes):
+            await self.kill(name)
+
+    async def _apply_configuration(self) -> None:
+        path = self._folder / 'configuration.yaml'
+        path.write_text(dump_document(self._layout.configuration))
+        code, output = await self.operate('apply', str(path))
+        if code:
+            raise RuntimeError(f'apply failed ({code}): {output}')
+
+    def _addresses(self, port: int) -> str:
+        return ','.join(host.address(port) for host in self._layout.hosts)
+
+    def _settings(self, host: PlacedHost) -> dict[str, object]:
+        platform = f'{PLATFORM_IP}:{PLATFORM_PORT}'
+        return {
+            'name': host.name,
+            'data_centre': host.data_centre,
+            'listen': {
+                'callers': host.address(CALLERS_PORT),
+                'operators': host.address(OPERATORS_PORT),
+                'gossip': host.address(GOSSIP_PORT),
+                'data': host.address(DATA_PORT),
+            },
+            'platform': {'store': platform, 'host_list': platform},
+            'stop': {'notice': '1s', 'deadline': '10s'},
+        }
+
+    async def _spawn(self, name: str, module: str, *arguments: str) -> None:
+        with (self._folder / f'{name}.log').open('ab') as log:
+            self._processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                module,
+                *arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+                start_new_session=True,
+            )
+
+
+@contextlib.asynccontextmanager
+async def running_trial(layout: Layout, keep_logs: Path | None = None):
+    """Run a trial and end all of its processes afterwards."""
+    with tempfile.TemporaryDirectory(prefix='oriolestage-') as temporary:
+        folder = keep_logs or Path(temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        trial = Trial(layout, folder)
+        try:
+            await trial.start()
+            yield trial
+        finally:
+            await trial.close()
+
+
+async def wait_for_http(url: str) -> None:
+    """Wait until a GET of ``url`` gives status 200."""
+    deadline = asyncio.get_running_loop().time() + READY_TIMEOUT_S
+    async with aiohttp.ClientSession() as session:
+        while asyncio.get_running_loop().time() < deadline:
+            with contextlib.suppress(aiohttp.ClientError):
+                async with session.get(url) as response:
+                    if response.status == 200:
+                        return
+            await asyncio.sleep(0.05)
+    raise TimeoutError(f'{url} was not ready within {READY_TIMEOUT_S} s')
+
+
+async def post(url: str, content: object) -> None:
+    """Post JSON to a stand-in."""
+    async with aiohttp.ClientSession() as session:
+        body = msgspec.json.encode(content)
+        async with session.post(url, data=body) as response:
+            response.raise_for_status()
+
+
+async def get_json(url: str) -> dict:
+    """Read JSON from a stand-in."""
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        return msgspec.json.decode(await response.read())
