Run scripted failures on the decision core

Mechanisms can be switched off to show each check red.

Cause found on the way: a host that wakes from a pause took probes that it had sent before for unanswered and suspected its peers, then skipped the release by the former owner. Change: a pause clears outstanding probes and prolongs suspicions; a suspected former owner is still asked.

--- a/oriolestage/core/_attempts.py
+++ b/oriolestage/core/_attempts.py
@@ -3,9 +3,15 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-from oriolestage.core._messages import CancelAttempts, ShardReply
+from oriolestage.core._messages import (
+    CancelAttempts,
+    ShardReplies,
+    ShardReply,
+)
 from oriolestage.core._outcomes import MayHaveRun, NotRun, Reason
+from oriolestage.core._owner_health import OwnerHealth
 from oriolestage.core._ownership import PeerPort
+from oriolestage.core._parameters import Parameters
 from oriolestage.core._target_knowledge import TargetKnowledge
 from oriolestage.core._timers import Timers
 
@@ -16,7 +22,6 @@
 class _Attempt:
     owner: str
     target: str
-    sent_at: float
     callback: ReplyCallback
 
 
@@ -25,6 +30,7 @@
 
     def __init__(
         self,
+        parameters: Parameters,
         timers: Timers,
         peers: PeerPort,
         knowledge: TargetKnowledge,
@@ -34,6 +40,7 @@
         self._peers = peers
         self._knowledge = knowledge
         self._attempts: dict[int, _Attempt] = {}
+        self._health = OwnerHealth(parameters.silence_limit_s)
         self._number = 0
         self._late_replies = 0
 
@@ -53,10 +60,10 @@
         self._attempts[self._number] = _Attempt(
             owner,
             target,
-            self._timers.now,
             callback,
         )
         self._knowledge.note_dispatch(target)
+        self._health.note_sent(owner, self._timers.now)
         return self._number
 
     def on_reply(self, reply: ShardReply) -> None:
@@ -69,18 +76,20 @@
         self._knowledge.note_versions(attempt.target, reply.versions)
         attempt.callback(reply)
 
-    def sent_at(self, number: int) -> float:
-        """Give the time at which a request in flight was sent."""
-        return self._attempts[number].sent_at
+    def on_replies(self, message: ShardReplies) -> None:
+        """Take the replies of an owner."""
+        self._health.note_reply(message.sender)
+        for reply in message.replies:
+            self.on_reply(reply)
+
+    def is_silent(self, owner: str) -> bool:
+        """Tell whether an owner takes requests and does not reply."""
+        return self._health.is_silent(owner, self._timers.now)
 
     def target_of(self, number: int) -> str:
         """Give the target of a request in flight."""
         return self._attempts[number].target
 
-    def owner_of(self, number: int) -> str:
-        """Give the owner that a request in flight was sent to."""
-        return self._attempts[number].owner
-
     def cancel(self, numbers: Iterable[int]) -> None:
         """Give up requests and tell their owners so."""
         by_owner: dict[str, list[int]] = {}
--- a/oriolestage/core/_command_runner.py
+++ b/oriolestage/core/_command_runner.py
@@ -200,12 +200,15 @@
         if command.ended:
             return
         candidates = self._keeper.index.serving_targets_of(command.service)
-        target = self._knowledge.choose(
-            candidates,
-            0,
-            self._timers.now,
-            frozenset(),
+        silent = frozenset(
+            target.name
+            for target in candidates
+            if self._attempts.is_silent(self._ownership.owner_of(target))
         )
+        now = self._timers.now
+        target = self._knowledge.choose(candidates, 0, now, silent)
+        if target is None:
+            target = self._knowledge.choose(candidates, 0, now, frozenset())
         if target is not None:
             self._send(command, target)
             return
--- a/oriolestage/core/_membership.py
+++ b/oriolestage/core/_membership.py
@@ -80,6 +80,7 @@
         self._round: list[str] = []
         self._probes: dict[int, _Probe] = {}
         self._acquainted: dict[str, int] = {}
+        self._suspected_until: dict[str, float] = {}
         self._sequence = 0
         self._version = 0
         self.revision = 0
@@ -152,6 +153,15 @@
         self._replace_self(MemberState.LEAVING, self._self.incarnation + 1)
         self.announce(self._parameters.announce_fanout * 2)
 
+    def on_pause(self) -> None:
+        """Forget what a pause of this process made look like silence."""
+        self._probes.clear()
+        for name in self._suspected_until:
+            self._suspected_until[name] = (
+                self._timers.now + self._parameters.suspicion_s
+            )
+        self.announce(self._parameters.announce_fanout)
+
     def spread_crash(self, mark: CrashMark) -> None:
         """Tell all members that a request lost a target."""
         if mark not in self._crashes:
@@ -248,14 +258,22 @@
             state=member.state.name.lower(),
             incarnation=member.incarnation,
         )
+        self._suspected_until.pop(member.name, None)
         if member.state is MemberState.SUSPECT:
+            until = self._timers.now + self._parameters.suspicion_s
+            self._suspected_until[member.name] = until
+            self._timers.call_at(until, lambda: self._end_suspicion(member))
+
+    def _end_suspicion(self, suspected: Member) -> None:
+        name = suspected.name
+        if self._members[name] != suspected:
+            return
+        until = self._suspected_until[name]
+        if self._timers.now < until:
             self._timers.call_at(
-                self._timers.now + self._parameters.suspicion_s,
-                lambda: self._declare_dead(member),
+                until,
+                lambda: self._end_suspicion(suspected),
             )
-
-    def _declare_dead(self, suspected: Member) -> None:
-        if self._members.get(suspected.name) != suspected:
             return
         self._store(
             msgspec.structs.replace(suspected, state=MemberState.DEAD),
--- a/oriolestage/core/_node.py
+++ b/oriolestage/core/_node.py
@@ -128,7 +128,9 @@
             self._membership,
         )
         knowledge = TargetKnowledge(randomness)
-        self._attempts = AttemptTable(self._timers, self._peers, knowledge)
+        self._attempts = AttemptTable(
+            parameters, self._timers, self._peers, knowledge,
+        )
         self._owner = TargetOwner(
             parameters,
             self._outbox,
@@ -406,7 +408,7 @@
         )
         self._owner.drop_all('paused')
         self._view_seen = -1
-        self._membership.announce(self._parameters.announce_fanout)
+        self._membership.on_pause()
 
     def _tick(self) -> None:
         self._last_tick = self._timers.now
@@ -468,8 +470,7 @@
                     message.sender,
                     message.revision,
                 )
-                for reply in message.replies:
-                    self._attempts.on_reply(reply)
+                self._attempts.on_replies(message)
             case CancelAttempts():
                 self._owner.on_cancel(message)
             case AcquireTargets():
--- a/oriolestage/core/_parameters.py
+++ b/oriolestage/core/_parameters.py
@@ -45,6 +45,8 @@
     tick_period_s: float = 0.1
     #: Longest wait for the former owner of a target.
     takeover_wait_s: float = 1.0
+    #: Requests in flight that any cold target is trusted to carry.
+    cold_limit: int = 1
     #: Answers without a failure before a cold target gets one more slot.
     ramp_successes: int = 8
     #: Time that a target lost in a crash is left alone at first.
@@ -63,6 +65,8 @@
     attempts_per_shard: int = 6
     #: Shortest delay before a hedge.
     hedge_floor_s: float = 0.005
+    #: Time without a reply after which an owner is avoided.
+    silence_limit_s: float = 0.15
     #: Distinct targets lost by one fingerprint before it is quarantined.
     quarantine_threshold: int = 2
     #: Time for which a fingerprint stays quarantined.
--- a/oriolestage/core/_query_runner.py
+++ b/oriolestage/core/_query_runner.py
@@ -162,16 +162,22 @@
         busy = frozenset(
             self._attempts.target_of(number) for number in shard.attempts
         )
-        now = self._timers.now
-        target = self._knowledge.choose(
-            candidates,
-            query.version,
-            now,
-            busy | shard.tried,
+        silent = frozenset(
+            target.name
+            for target in candidates
+            if self._attempts.is_silent(self._ownership.owner_of(target))
         )
-        if target is not None:
-            return target
-        return self._knowledge.choose(candidates, query.version, now, busy)
+        # The best choice first: neither tried before nor at a silent owner.
+        for avoided in (busy | shard.tried | silent, busy | silent, busy):
+            target = self._knowledge.choose(
+                candidates,
+                query.version,
+                self._timers.now,
+                avoided,
+            )
+            if target is not None:
+                return target
+        return None
 
     def _register(
         self,
--- a/oriolestage/core/_target_gate.py
+++ b/oriolestage/core/_target_gate.py
@@ -32,7 +32,8 @@
         self._parameters = parameters
         self._chart = StateChart(load_chart('target'))
         self._state = self._chart.state
-        self._limit = 1
+        self._limit = parameters.cold_limit
+        self._says_cold = False
         self._successes = 0
         self._slow_answers = 0
         self._process = ''
@@ -76,7 +77,7 @@
         before = self._state
         self._state = self._chart.fire(event)
         if self._state != before and self._state == 'cold':
-            self._limit = 1
+            self._limit = self._parameters.cold_limit
             self._successes = 0
             self._slow_answers = 0
 
@@ -89,7 +90,8 @@
             self._restart_ramp()
         if signs.process:
             self._process = signs.process
-        if signs.cold and self._state == 'warm':
+        self._says_cold = signs.cold
+        if signs.cold:
             self._restart_ramp()
         if signs.leaving:
             self.fire('leaving_seen')
@@ -99,7 +101,7 @@
     def note_success(self, latency_s: float) -> None:
         """Count an answer; ramp up after a run of them."""
         self._backoff_s = self._parameters.lost_backoff_s
-        if self._is_slow(latency_s):
+        if self._is_slow(latency_s) or self._says_cold:
             return
         self._latency_s += LATENCY_WEIGHT * (latency_s - self._latency_s)
         self._successes += 1
@@ -129,7 +131,7 @@
         self._restart_ramp()
 
     def _restart_ramp(self) -> None:
-        self._limit = 1
+        self._limit = self._parameters.cold_limit
         self._successes = 0
         self._slow_answers = 0
         if self._state == 'warm':
--- a/oriolestage/core/_target_owner.py
+++ b/oriolestage/core/_target_owner.py
@@ -154,7 +154,7 @@
         self._gates[target.name] = gate
         former = self._ownership.former_owner_of(target)
         member = self._membership.member(former)
-        if member is None or member.state >= MemberState.SUSPECT:
+        if member is None or member.state >= MemberState.DEAD:
             gate.fire('acquired')
             return
         self._peers.send(
--- a/oriolestage/daemon/_caller_server.py
+++ b/oriolestage/daemon/_caller_server.py
@@ -15,11 +15,9 @@
     MAXIMUM_TIMEOUT_MS,
     CallerOutcome,
     CallerRequest,
-    CommandAnswer,
     MayHaveRun,
     NodeCore,
     NotRun,
-    QueryAnswer,
     Reason,
     key_created_ms,
 )
@@ -30,6 +28,7 @@
     Inbox,
 )
 from oriolestage.daemon._http import json_response
+from oriolestage.views import caller_view
 
 #: Names a request at every hop; made here when the caller sends none.
 REQUEST_ID_HEADER = 'X-Request-Id'
@@ -58,27 +57,6 @@
         self.answer = BadRequest(field, why)
 
 
-class _AnswerView(msgspec.Struct, frozen=True, tag='answer', tag_field='type'):
-    request_id: str
-    whole: bool
-    version: int
-    covered: list[tuple[int, int]]
-    missing: list[tuple[int, int]]
-    lacking: tuple[NotRun | MayHaveRun, ...]
-    rows: list[msgspec.Raw]
-
-
-class _CommandView(
-    msgspec.Struct,
-    frozen=True,
-    tag='command_answer',
-    tag_field='type',
-):
-    request_id: str
-    replayed: bool
-    result: msgspec.Raw
-
-
 class CallerServer(Service):
     """Owns the listening socket for callers."""
 
@@ -224,34 +202,16 @@
 
 
 def _response(asked: CallerRequest, outcome: CallerOutcome) -> web.Response:
-    match outcome:
-        case QueryAnswer():
-            return json_response(_query_view(asked, outcome))
-        case CommandAnswer(answer=answer, replayed=replayed):
-            rows = msgspec.Raw(answer.rows)
-            view = _CommandView(asked.request_id, replayed, rows)
-            return json_response(view)
-    status = _refusal_status(outcome)
-    response = json_response(outcome, status=status)
-    if outcome.retry_after_ms:
-        seconds = -(-outcome.retry_after_ms // 1000)
+    view = caller_view(asked.request_id, outcome)
+    if not isinstance(view, NotRun | MayHaveRun):
+        return json_response(view)
+    response = json_response(view, status=_refusal_status(view))
+    if view.retry_after_ms:
+        seconds = -(-view.retry_after_ms // 1000)
         response.headers['Retry-After'] = str(seconds)
     return response
 
 
-def _query_view(asked: CallerRequest, outcome: QueryAnswer) -> _AnswerView:
-    coverage = outcome.coverage
-    return _AnswerView(
-        request_id=asked.request_id,
-        whole=coverage.whole,
-        version=outcome.version,
-        covered=[(span.start, span.end) for span in coverage.covered],
-        missing=[(span.start, span.end) for span in coverage.missing],
-        lacking=outcome.lacking,
-        rows=[msgspec.Raw(rows) for rows in outcome.rows],
-    )
-
-
 def _refusal_status(outcome: NotRun | MayHaveRun) -> int:
     if outcome.reason is Reason.UNKNOWN_ROUTE:
         return HTTPStatus.NOT_FOUND
--- a/oriolestage/views.py
+++ b/oriolestage/views.py
@@ -1,11 +1,17 @@
-"""What the daemon shows to the operator tool, as typed JSON."""
+"""What the daemon shows to callers and operators, as typed JSON."""
 
 import msgspec
 
 from oriolestage.core import (
+    CallerOutcome,
     Change,
+    CommandAnswer,
     Configuration,
+    KeyRange,
+    MayHaveRun,
     NodeCore,
+    NotRun,
+    QueryAnswer,
     RevisionRecord,
 )
 
@@ -108,3 +114,51 @@
         document=index.document,
         history=core.configuration.records,
     )
+
+
+class QueryAnswerView(msgspec.Struct, frozen=True, tag='answer'):
+    """The answer to a query, as its caller sees it."""
+
+    request_id: str
+    #: True when nothing of the key space is missing.
+    whole: bool
+    #: Index version that every row was read from.
+    version: int
+    #: Ranges of keys that were read, each as start and end.
+    covered: tuple[KeyRange, ...]
+    missing: tuple[KeyRange, ...]
+    #: Why each shard without rows has none.
+    lacking: tuple[NotRun | MayHaveRun, ...]
+    #: Row lists of the shards, in the order of their keys.
+    rows: list[msgspec.Raw]
+
+
+class CommandAnswerView(msgspec.Struct, frozen=True, tag='command_answer'):
+    """The answer to a request that runs at most once."""
+
+    request_id: str
+    #: True when the answer was kept from an earlier run of the same key.
+    replayed: bool
+    result: msgspec.Raw
+
+
+CallerView = QueryAnswerView | CommandAnswerView | NotRun | MayHaveRun
+
+
+def caller_view(request_id: str, outcome: CallerOutcome) -> CallerView:
+    """Give an outcome in the form in which callers get it."""
+    match outcome:
+        case QueryAnswer(coverage=coverage):
+            return QueryAnswerView(
+                request_id=request_id,
+                whole=coverage.whole,
+                version=outcome.version,
+                covered=coverage.covered,
+                missing=coverage.missing,
+                lacking=outcome.lacking,
+                rows=[msgspec.Raw(rows) for rows in outcome.rows],
+            )
+        case CommandAnswer(answer=answer, replayed=replayed):
+            rows = msgspec.Raw(answer.rows)
+            return CommandAnswerView(request_id, replayed, rows)
+    return outcome
--- /dev/null
+++ b/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios of failures, run on the decision core or on processes."""
--- /dev/null
+++ b/scenarios/fake_store.py
@@ -0,0 +1,148 @@
+"""The platform's store and host list on injected time."""
+
+import dataclasses
+from collections.abc import Callable
+
+from oriolestage.core import (
+    ReadHostList,
+    StoreFound,
+    StoreMismatch,
+    StoreMissing,
+    StoreOutcome,
+    StoreRead,
+    StoreUnreachable,
+    StoreWatch,
+    StoreWrite,
+    StoreWritten,
+)
+from scenarios.steps import StoreFault
+
+#: Time that a call takes each way, in seconds.
+STORE_LATENCY_S = 0.001
+#: Time after which a client gives up a call, in seconds.
+STORE_TIMEOUT_S = 1.0
+#: Time that a watch waits for a change, in seconds.
+WATCH_S = 1.0
+
+StoreEffect = StoreRead | StoreWrite | StoreWatch | ReadHostList
+Reply = Callable[[StoreOutcome], None]
+CallLater = Callable[[float, Callable[[], None]], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    content: bytes
+    version: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Watch:
+    key: str
+    after: int
+    reply: Reply
+    ended: bool = False
+
+
+class FakeStore:
+    """Keys with versions, watches and faults."""
+
+    #: When true, idempotency keys are not kept, to show that they matter.
+    forgets_keys = False
+    #: When true, writes replace whatever is there.
+    overwrites = False
+
+    def __init__(self, call_later: CallLater) -> None:
+        """Schedule by ``call_later``."""
+        self.fault = StoreFault()
+        self.host_list = b'{"hosts": []}'
+        self.calls = 0
+        self._call_later = call_later
+        self._entries: dict[str, _Entry] = {}
+        self._watches: list[_Watch] = []
+        self._replies_to_lose = 0
+
+    def set_fault(self, fault: StoreFault) -> None:
+        """Change what is wrong."""
+        self.fault = fault
+        self._replies_to_lose = fault.lose_replies
+
+    def call(self, effect: StoreEffect, *, cut: bool, reply: Reply) -> None:
+        """Take a call; ``reply`` gets its outcome later."""
+        self.calls += 1
+        if cut:
+            lost = StoreUnreachable(sent=False)
+            self._call_later(STORE_TIMEOUT_S, lambda: reply(lost))
+            return
+        delay_s = STORE_LATENCY_S + self.fault.slow_s
+        if delay_s > STORE_TIMEOUT_S:
+            self._call_later(delay_s, lambda: self._arrive(effect, _ignore))
+            timeout = StoreUnreachable(sent=True)
+            self._call_later(STORE_TIMEOUT_S, lambda: reply(timeout))
+            return
+        self._call_later(delay_s, lambda: self._arrive(effect, reply))
+
+    def _arrive(self, effect: StoreEffect, reply: Reply) -> None:
+        if self.fault.down:
+            reply(StoreUnreachable(sent=False))
+            return
+        match effect:
+            case StoreRead(key=key):
+                self._answer(reply, self._read(key))
+            case StoreWatch(key=key, after=after):
+                self._watch(_Watch(key, after, reply))
+            case StoreWrite():
+                self._write(effect, reply)
+            case ReadHostList():
+                self._answer(reply, StoreFound(self.host_list, 1))
+
+    def _read(self, key: str, after: int = -1) -> StoreOutcome:
+        entry = self._entries.get(key)
+        if entry is None or entry.version <= after:
+            return StoreMissing()
+        return StoreFound(entry.content, entry.version)
+
+    def _write(self, effect: StoreWrite, reply: Reply) -> None:
+        if self.forgets_keys and effect.key.startswith('keys/'):
+            self._answer(reply, StoreWritten(effect.expected + 1))
+            return
+        held = self._entries.get(effect.key)
+        version = held.version if held else 0
+        if version != effect.expected and not self.overwrites:
+            self._answer(reply, StoreMismatch())
+            return
+        self._entries[effect.key] = _Entry(effect.content, version + 1)
+        self._notify(effect.key)
+        if self._replies_to_lose:
+            self._replies_to_lose -= 1
+            self._answer(reply, StoreUnreachable(sent=True))
+            return
+        self._answer(reply, StoreWritten(version + 1))
+
+    def _watch(self, watch: _Watch) -> None:
+        self._watches.append(watch)
+        self._call_later(WATCH_S, lambda: self._end_watch(watch))
+        self._notify(watch.key)
+
+    def _notify(self, key: str) -> None:
+        for watch in tuple(self._watches):
+            found = self._read(watch.key, watch.after)
+            if watch.key == key and isinstance(found, StoreFound):
+                self._end_watch(watch)
+
+    def _end_watch(self, watch: _Watch) -> None:
+        if watch.ended:
+            return
+        watch.ended = True
+        self._watches.remove(watch)
+        if self.fault.down:
+            self._answer(watch.reply, StoreUnreachable(sent=True))
+            return
+        self._answer(watch.reply, self._read(watch.key, watch.after))
+
+    def _answer(self, reply: Reply, outcome: StoreOutcome) -> None:
+        delay_s = STORE_LATENCY_S + self.fault.slow_s
+        self._call_later(delay_s, lambda: reply(outcome))
+
+
+def _ignore(outcome: StoreOutcome) -> None:
+    """Drop the outcome of a call whose client gave up."""
--- /dev/null
+++ b/scenarios/fake_target.py
@@ -0,0 +1,224 @@
+"""A target on injected time."""
+
+import json
+import random
+from collections.abc import Callable
+
+from oriolestage.core import (
+    CallTarget,
+    KeyRange,
+    TargetAnswered,
+    TargetConnectionLost,
+    TargetNotReached,
+    TargetRefused,
+    TargetResult,
+    TargetSigns,
+)
+from scenarios.observations import Observations, Overload, Run
+from scenarios.steps import TargetSign
+from trial.layout import PlacedTarget
+
+#: Mean time of a request, in seconds.
+SERVICE_S = 0.005
+#: Share of requests that straggle, and by how much in seconds.
+STRAGGLE_SHARE = 0.01
+STRAGGLE_S = 0.2
+#: Requests that warm a cold target, and what it carries until then.
+WARM_AFTER = 8
+COLD_CARRIES = 1
+#: Time in which a response surely reached the owner and took effect there.
+ROUND_TRIP_S = 0.1
+NEVER = float('inf')
+#: Slow-down of a cold target that got more than it carries.
+COLLAPSE_FACTOR = 10
+#: Requests in flight, in slots, from which it sheds load.
+SHED_FACTOR = 2
+
+Reply = Callable[[TargetResult], None]
+CallLater = Callable[[float, Callable[[], None]], None]
+
+
+class FakeTarget:
+    """One replica; it notes truthfully what it was asked to do."""
+
+    def __init__(
+        self,
+        placed: PlacedTarget,
+        randomness: random.Random,
+        call_later: CallLater,
+        clock: Callable[[], float],
+        seen: Observations,
+    ) -> None:
+        """Start cold; note into ``seen``."""
+        self.placed = placed
+        self.running = True
+        self.versions: tuple[int, ...] = (1,)
+        self.keys = KeyRange(placed.key_start, placed.key_end)
+        self.partition_revision = 1
+        self._random = randomness
+        self._call_later = call_later
+        self._clock = clock
+        self._seen = seen
+        self._starts = 1
+        self._cold = True
+        self._says_leaving = False
+        self._served_cold = 0
+        # When the owner has heard that the target is cold.
+        self._cold_known_at: float = 0
+        self._in_flight: dict[tuple[str, int], Reply] = {}
+
+    def signal(self, sign: TargetSign) -> None:
+        """Let something happen to the target."""
+        match sign:
+            case TargetSign.COLD:
+                self._cold = True
+                self._served_cold = 0
+                # Its owner cannot know before the first response.
+                self._cold_known_at = NEVER
+            case TargetSign.LEAVES:
+                self._says_leaving = True
+            case TargetSign.RETURNS:
+                self.restart()
+
+    def crash(self) -> None:
+        """End at once; connections break."""
+        self.running = False
+        lost = tuple(self._in_flight.values())
+        self._in_flight.clear()
+        for reply in lost:
+            reply(TargetConnectionLost())
+
+    def restart(self) -> None:
+        """Start again as a new, cold process."""
+        self.running = True
+        self._starts += 1
+        self._cold = True
+        self._cold_known_at = 0
+        self._served_cold = 0
+        self._says_leaving = False
+
+    def signs(self) -> TargetSigns:
+        """Give what responses tell of the target."""
+        if self._cold and self._cold_known_at == NEVER:
+            self._cold_known_at = self._clock() + ROUND_TRIP_S
+        return TargetSigns(
+            process=f'{self.placed.target.name}/{self._starts}',
+            leaving=self._says_leaving,
+            cold=self._cold,
+            versions=self.versions,
+        )
+
+    def call(self, host: str, effect: CallTarget, now: float, reply: Reply):
+        """Take a request."""
+        if not self.running:
+            reply(TargetNotReached())
+            return
+        run = self._run_of(effect, now)
+        self._seen.received.append(run)
+        if b'"crash"' in effect.body:
+            self._seen.crashed.add(self.placed.target.name)
+            reply(TargetConnectionLost())
+            self.crash()
+            return
+        why = self._refusal(effect)
+        if why:
+            reply(TargetRefused(self.signs(), why, 50))
+            return
+        self._begin((host, effect.call), effect, run, reply)
+
+    def cancel(self, host: str, call: int) -> None:
+        """End a request early."""
+        reply = self._in_flight.pop((host, call), None)
+        if reply is not None:
+            reply(TargetRefused(self.signs(), 'cancelled', 0))
+
+    def _begin(
+        self,
+        key: tuple[str, int],
+        effect: CallTarget,
+        run: Run,
+        reply: Reply,
+    ) -> None:
+        self._in_flight[key] = reply
+        self._seen.runs.append(run)
+        self._note_overload(run.at)
+        version = effect.version or max(self.versions)
+        starts = self._starts
+        self._call_later(
+            self._service_s(),
+            lambda: self._end(key, effect, version, starts),
+        )
+
+    def _end(
+        self,
+        key: tuple[str, int],
+        effect: CallTarget,
+        version: int,
+        starts: int,
+    ) -> None:
+        if self._starts != starts:
+            return
+        reply = self._in_flight.pop(key, None)
+        if reply is None:
+            return
+        if self._cold:
+            self._served_cold += 1
+            self._cold = self._served_cold < WARM_AFTER
+        rows = [
+            {
+                'request': effect.request_id,
+                'version': version,
+                'range': [self.keys.start, self.keys.end],
+            },
+        ]
+        reply(
+            TargetAnswered(
+                signs=self.signs(),
+                version=version,
+                covered=self.keys,
+                partition_revision=self.partition_revision,
+                rows=json.dumps(rows).encode(),
+            ),
+        )
+
+    def _refusal(self, effect: CallTarget) -> str:
+        if self._says_leaving:
+            return 'leaving'
+        if effect.version and effect.version not in self.versions:
+            return 'version'
+        slots = self.placed.target.slots
+        if len(self._in_flight) >= SHED_FACTOR * slots:
+            return 'shed'
+        return ''
+
+    def _note_overload(self, now: float) -> None:
+        name = self.placed.target.name
+        in_flight = len(self._in_flight)
+        known = self._clock() >= self._cold_known_at
+        if self._cold and known and in_flight > COLD_CARRIES:
+            self._seen.cold_overloads.append(
+                Overload(name, now, in_flight, COLD_CARRIES),
+            )
+        slots = self.placed.target.slots
+        if in_flight > slots:
+            self._seen.slot_overloads.append(
+                Overload(name, now, in_flight, slots),
+            )
+
+    def _service_s(self) -> float:
+        duration_s = self._random.expovariate(1 / SERVICE_S)
+        if self._random.random() < STRAGGLE_SHARE:
+            duration_s += STRAGGLE_S
+        if self._cold and len(self._in_flight) > COLD_CARRIES:
+            duration_s *= COLLAPSE_FACTOR
+        return duration_s
+
+    def _run_of(self, effect: CallTarget, now: float) -> Run:
+        target = self.placed.target
+        return Run(
+            target=target.name,
+            data_centre=target.data_centre,
+            request_id=effect.request_id,
+            booking=json.loads(effect.body).get('booking', ''),
+            at=now,
+        )
--- /dev/null
+++ b/scenarios/switches.py
@@ -0,0 +1,87 @@
+"""Switches mechanisms off, to show that scenarios notice their absence."""
+
+import contextlib
+import dataclasses
+from unittest import mock
+
+from oriolestage.core import NotRun, Parameters, Reason
+from oriolestage.core._query import Query
+
+#: Never reached, to switch a limit off.
+NEVER = 10**9
+_CORE = 'oriolestage.core'
+_whole_outcome = Query.outcome
+
+#: Mechanisms that are limits among the parameters.
+_LIMITS = {  # noqa: WPS407
+    'freshness': {'freshness_limit_s': NEVER},
+    'ramp': {'cold_limit': NEVER},
+    'takeover': {'takeover_wait_s': 0},
+    'pause': {'pause_limit_s': NEVER},
+    'silence': {'silence_limit_s': NEVER},
+    'quarantine': {'quarantine_threshold': NEVER},
+    'hedging': {'extra_load_share': 0, 'extra_load_burst': 0},
+}
+
+
+def switch_off(
+    mechanism: str,
+    parameters: Parameters,
+    patches: contextlib.ExitStack,
+) -> Parameters:
+    """Switch one mechanism off until ``patches`` is closed."""
+    limits = _LIMITS.get(mechanism)
+    if limits is not None:
+        return dataclasses.replace(parameters, **limits)
+    patches.enter_context(_patch(mechanism))
+    return parameters
+
+
+def _patch(mechanism: str) -> contextlib.AbstractContextManager:
+    match mechanism:
+        case 'journal':
+            return mock.patch(
+                'scenarios.fake_store.FakeStore.forgets_keys', True,
+            )
+        case 'compare_and_swap':
+            return mock.patch(
+                'scenarios.fake_store.FakeStore.overwrites', True,
+            )
+        case 'snapshot':
+            return mock.patch(f'{_CORE}._query.Query.outcome', _torn_outcome)
+        case 'coverage':
+            return mock.patch(f'{_CORE}._query.keep_disjoint', list)
+        case 'leaving':
+            return mock.patch(
+                f'{_CORE}._target_owner.TargetOwner.on_listed',
+            )
+        case 'draining':
+            return mock.patch(f'{_CORE}._node.NodeCore.drained', True)
+        case 'notice':
+            return mock.patch('scenarios.core_engine.STOP_NOTICE_S', 0)
+        case 'may_have_run':
+            return mock.patch(
+                f'{_CORE}._target_owner.TargetOwner._may_have_run',
+                _claim_not_run,
+            )
+    raise ValueError(f'no mechanism named {mechanism}')
+
+
+def _torn_outcome(query):
+    """Merge answers of all versions, as if versions did not matter."""
+    versions = query.answered_versions()
+    first = min(versions, default=0)
+    for shard in query.shards:
+        if shard.answer is not None:
+            shard.answer = type(shard.answer)(
+                first,
+                shard.answer.covered,
+                shard.answer.partition_revision,
+                shard.answer.rows,
+            )
+    return _whole_outcome(query)
+
+
+def _claim_not_run(owner, call, reason):
+    """Claim that lost work was not run, as if that were known."""
+    return NotRun(Reason.TARGET_LOST, 'switch', call.task.entry.target)
