Measure ways of sharing targets and slopes of cost

Found by the slopes: the core's time of a query grew with the square of its shards (5: 262 us, 80: 4.7 ms, 320: 36.5 ms), and the checks of a majority with the number of hosts on every request. Ruled out: encoding (1.2 us a shard, straight). Cause: three loops over all shards for each reply, pairwise overlap checks, and counting members anew. Change: a cursor over settled shards, neighbours in a sorted list, counts kept by state.

Conclusion: one owner stays; the others live only in the benchmark.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind docs/MEASUREMENTS.md and docs/CAPACITY.md."""
--- /dev/null
+++ b/benchmarks/compare_ways.py
@@ -0,0 +1,175 @@
+"""Compares ways of sharing targets between hosts, on one load and seed.
+
+``owner`` is the product: one owner for each target. ``static`` is the
+baseline: each host sends by itself, within a fixed share of the slots with a
+floor of one, and never hedges. ``adaptive`` lets each host send by itself
+with a limit that ramps up and falls on refusals.
+"""
+
+import json
+import sys
+from collections import Counter
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Annotated
+from unittest import mock
+
+import cyclopts
+
+from oriolestage.core import Parameters
+from oriolestage.core._ownership import OwnershipView
+from oriolestage.core._target_gate import TargetGate
+from scenarios.core_engine import CoreEngine
+from scenarios.language import parse_scenario
+from scenarios.observations import Observations
+from scenarios.switches import switch_off
+
+#: The data centre move: out at 5 s, back at 15 s with cold targets.
+MOVE = """
+users {user}
+hosts 6
+services {services}
+load {rate} per second
+at 5s operate "take out datacentre {centre}"
+{restarts}
+at 15s operate "bring back datacentre {centre}"
+end at 22s
+"""
+CENTRES = (('association', 'ege-a'), ('franchise', 'namur-a'))
+WAYS = ('owner', 'static', 'adaptive')
+#: Hosts among which the static way divides the slots.
+HOSTS = 6
+
+app = cyclopts.App(name='compare_ways', help=__doc__)
+
+
+@app.default
+def main(
+    *,
+    seed: Annotated[int, cyclopts.Parameter(help='Seed of the run.')] = 1,
+    rate: Annotated[int, cyclopts.Parameter(help='Requests a second.')] = 300,
+    services: Annotated[int, cyclopts.Parameter(help='Large group.')] = 20,
+    plots: Annotated[
+        Path | None,
+        cyclopts.Parameter(help='Folder for plots.'),
+    ] = None,
+) -> None:
+    """Print a table for both users; plot the move if asked to."""
+    _print('| user | way | p50 ms | p99 ms | p99.9 ms | whole | coverage | ')
+    _print('|---|---|---|---|---|---|---|---|---|---|')
+    series: dict[str, list[float]] = {}
+    latencies: dict[str, list[float]] = {}
+    for user, centre in CENTRES:
+        for way in WAYS:
+            seen = observe(way, user, centre, seed, rate, services)
+            _print(_row(user, way, seen, services))
+            series[f'{user} {way}'] = service_by_second(seen)
+            latencies[f'{user} {way}'] = _latencies(seen)
+    _print(json.dumps(series))
+    if plots is not None:
+        from benchmarks import plots as plotting  # noqa: PLC0415, WPS433
+
+        plotting.plot_move(series, plots / 'data-centre-move.png')
+        plotting.plot_latencies(latencies, plots / 'latency.png')
+
+
+def observe(
+    way: str,
+    user: str,
+    centre: str,
+    seed: int,
+    rate: int,
+    services: int,
+) -> Observations:
+    """Run the data centre move one way."""
+    text = MOVE.format(
+        user=user,
+        centre=centre,
+        rate=rate,
+        services=services,
+        restarts='at 15s target all turns cold',
+    )
+    scenario = parse_scenario(text)
+    with ExitStack() as patches:
+        parameters = Parameters()
+        if way != 'owner':
+            _let_every_host_own(patches)
+        if way == 'static':
+            parameters = switch_off('hedging', parameters, patches)
+            share = property(lambda gate: max(1, gate.target.slots // HOSTS))
+            patches.enter_context(mock.patch.object(TargetGate, 'limit', share))
+        return CoreEngine(scenario, parameters, seed).run()
+
+
+def service_by_second(seen: Observations) -> list[float]:
+    """Give the share of requests answered whole, by second of sending."""
+    asked: Counter[int] = Counter()
+    served: Counter[int] = Counter()
+    for answer in seen.answers:
+        second = int(answer.sent_at)
+        asked[second] += 1
+        served[second] += answer.served.outcome in {'whole', 'command_answer'}
+    return [
+        round(served[second] / asked[second], 4) for second in sorted(asked)
+    ]
+
+
+def _let_every_host_own(patches: ExitStack) -> None:
+    def owner_of(view: OwnershipView, target: object) -> str:
+        return view._membership.identity.name  # noqa: SLF001
+
+    patches.enter_context(
+        mock.patch.object(OwnershipView, 'owner_of', owner_of),
+    )
+    patches.enter_context(
+        mock.patch.object(
+            OwnershipView,
+            'former_owner_of',
+            lambda view, target: '',
+        ),
+    )
+
+
+def _latencies(seen: Observations) -> list[float]:
+    return sorted(
+        1000 * answer.served.latency_s
+        for answer in seen.answers
+        if not answer.booking
+    )
+
+
+def _row(user: str, way: str, seen: Observations, services: int) -> str:
+    latencies = _latencies(seen)
+    queries = [answer for answer in seen.answers if not answer.booking]
+    whole = sum(answer.served.outcome == 'whole' for answer in queries)
+    coverage = sum(answer.served.covered_share for answer in queries)
+    commands = sum(
+        answer.served.outcome == 'command_answer' for answer in seen.answers
+    )
+    needed = services * len(queries) + commands
+    extra = len(seen.runs) / needed - 1
+    cells = (
+        user,
+        way,
+        *(f'{_percentile(latencies, part):.0f}' for part in (500, 990, 999)),
+        f'{whole / len(queries):.2%}',
+        f'{coverage / len(queries):.2%}',
+        f'extra {extra:+.1%}',
+        f'cold overloads {len(seen.cold_overloads)}, most '
+        f'{max((entry.in_flight for entry in seen.cold_overloads), default=1)}',
+        f'slot overloads {len(seen.slot_overloads)}',
+    )
+    return f'| {" | ".join(cells)} |'
+
+
+def _percentile(ordered: list[float], per_mille: int) -> float:
+    return ordered[min(len(ordered) - 1, len(ordered) * per_mille // 1000)]
+
+
+def _print(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    app()
--- a/oriolestage/core/_coverage.py
+++ b/oriolestage/core/_coverage.py
@@ -1,5 +1,6 @@
 """Works out what a set of shard answers covers of the key space."""
 
+import bisect
 from collections.abc import Iterable, Sequence
 
 from oriolestage.core._outcomes import Answered, Coverage, KeyRange
@@ -16,11 +17,15 @@
         key=lambda answer: (-answer.partition_revision, answer.covered),
     )
     kept: list[Answered] = []
+    spans: list[KeyRange] = []
     for answer in ordered:
-        if answer.covered.end <= answer.covered.start:
-            continue
-        if any(_overlap(answer.covered, other.covered) for other in kept):
+        span = answer.covered
+        place = bisect.bisect_left(spans, span)
+        # Kept spans are disjoint, so only neighbours can overlap.
+        neighbours = spans[max(0, place - 1) : place + 1]
+        if span.end <= span.start or _overlaps_any(span, neighbours):
             continue
+        spans.insert(place, span)
         kept.append(answer)
     return kept
 
@@ -57,5 +62,7 @@
     return tuple(gaps)
 
 
-def _overlap(one: KeyRange, other: KeyRange) -> bool:
-    return one.start < other.end and other.start < one.end
+def _overlaps_any(span: KeyRange, others: Sequence[KeyRange]) -> bool:
+    return any(
+        span.start < other.end and other.start < span.end for other in others
+    )
--- a/oriolestage/core/_membership.py
+++ b/oriolestage/core/_membership.py
@@ -7,8 +7,10 @@
 """
 
 import dataclasses
+import heapq
 import math
 import random
+from collections import Counter
 from collections.abc import Iterable
 from typing import TypeVar
 
@@ -75,6 +77,8 @@
             incarnation=identity.incarnation,
         )
         self._members: dict[str, Member] = {identity.name: self._self}
+        # Counted here because every request asks for a majority.
+        self._state_counts = Counter((MemberState.ALIVE,))
         self._news: dict[str, int] = {}
         self._crashes: dict[CrashMark, int] = {}
         self._round: list[str] = []
@@ -107,14 +111,14 @@
     @property
     def fleet_size(self) -> int:
         """Hosts that count for a majority."""
-        return sum(
-            member.state is not MemberState.LEAVING for member in self.members
-        )
+        not_counted = (MemberState.LEAVING, MemberState.REMOVED)
+        gone = sum(self._state_counts[state] for state in not_counted)
+        return len(self._members) - gone
 
     @property
     def alive_count(self) -> int:
         """Hosts that are alive in this view, this one included."""
-        return sum(member.state is MemberState.ALIVE for member in self.members)
+        return self._state_counts[MemberState.ALIVE]
 
     def member(self, name: str) -> Member | None:
         """Give what is known of a member."""
@@ -247,6 +251,9 @@
     def _store(self, member: Member) -> None:
         known = self._members.get(member.name)
         self._members[member.name] = member
+        self._state_counts[member.state] += 1
+        if known is not None:
+            self._state_counts[known.state] -= 1
         self._news[member.name] = self._repeats()
         if known is not None and known.state is member.state:
             return
@@ -475,12 +482,13 @@
             picked.append(receiver_news)
         if self._acquainted.get(receiver) != receiver_news.incarnation:
             picked.append(self._self)
-        for name in sorted(
+        wanted = self._parameters.news_per_probe
+        for name in heapq.nlargest(
+            wanted,
             self._news,
             key=self._news.__getitem__,
-            reverse=True,
         ):
-            if len(picked) >= self._parameters.news_per_probe:
+            if len(picked) >= wanted:
                 break
             if name == receiver:
                 continue
--- a/oriolestage/core/_query.py
+++ b/oriolestage/core/_query.py
@@ -78,18 +78,31 @@
         #: Index version that every shard must answer from; 0 is any.
         self.version = 0
         self.restarts = 0
+        #: True while only the first shard was asked.
+        self.held_back = False
         self.ended = False
+        # Shards up to here are settled; looking again costs nothing.
+        self._settled_shards = 0
 
     @property
     def settled(self) -> bool:
         """Tell whether every shard is settled."""
-        return all(shard.settled for shard in self.shards)
+        while self._settled_shards < len(self.shards):
+            if not self.shards[self._settled_shards].settled:
+                return False
+            self._settled_shards += 1
+        return True
 
     @property
     def in_flight(self) -> list[int]:
         """Numbers of all attempts in flight."""
         return [number for shard in self.shards for number in shard.attempts]
 
+    def ask_again(self, shard: ShardState) -> None:
+        """Forget the answer of a shard, so that it is asked once more."""
+        shard.ask_again()
+        self._settled_shards = 0
+
     def answered_versions(self) -> frozenset[int]:
         """Give every index version that an answer was read from."""
         return frozenset(
@@ -147,8 +160,9 @@
         kept: list[Answered],
     ) -> tuple[NotRun | MayHaveRun, ...]:
         lacking: list[NotRun | MayHaveRun] = []
+        merged = {id(answer) for answer in kept}
         for shard in self.shards:
-            if any(shard.answer is answer for answer in kept):
+            if id(shard.answer) in merged:
                 continue
             if shard.answer is not None:
                 lacking.append(
--- a/oriolestage/core/_query_runner.py
+++ b/oriolestage/core/_query_runner.py
@@ -125,6 +125,7 @@
     def _first_wave(self, query: Query) -> list[ShardState]:
         # A request that already cost a target is tried on one shard alone.
         if self._crashes.losses(query.fingerprint):
+            query.held_back = True
             return query.shards[:1]
         return query.shards
 
@@ -312,6 +313,9 @@
         self._release_rest(query)
 
     def _release_rest(self, query: Query) -> None:
+        if not query.held_back:
+            return
+        query.held_back = False
         fresh = [
             shard
             for shard in query.shards
@@ -453,7 +457,7 @@
                 continue
             self._attempts.cancel(shard.attempts)
             shard.attempts.clear()
-            shard.ask_again()
+            query.ask_again(shard)
             if not shard.waiting:
                 again.append(shard)
         self._dispatch_shards(query, again)
@@ -480,7 +484,7 @@
             answer = shard.answer
             if answer is None or answer.partition_revision == newest:
                 continue
-            shard.ask_again()
+            query.ask_again(shard)
             again.append(shard)
         self._dispatch_shards(query, again)
 
