--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -14,7 +14,7 @@
 from benchmarks import control_cost, data_cost, state_cost
 
 #: Repeats of each point.
-REPEATS = 3
+REPEATS = 5
 
 app = cyclopts.App(name='slopes', help=__doc__)
 
@@ -28,12 +28,16 @@
         bool,
         cyclopts.Parameter(help='Leave the largest sizes out.'),
     ] = False,
+    data_only: Annotated[
+        bool,
+        cyclopts.Parameter(help='Leave the control cost out.'),
+    ] = False,
 ) -> None:
     """Print the table of slopes."""
     _print('| quantity | points | fit | spread |')
     _print('|---|---|---|---|')
     fleets = (6, 24, 96) if quick else (6, 24, 96, 240)
-    for name, measure in control_cost.MEASURES:
+    for name, measure in () if data_only else control_cost.MEASURES:
         _report(name, fleets, measure, repeats=1)
     for name, sizes, measure in (*data_cost.MEASURES, *state_cost.MEASURES):
         _report(name, sizes, measure, repeats=REPEATS)
