Let hosts that stopped as planned not count for a majority

Cause: a host that announced that it leaves and then ended was counted as dead, so with the store down and half of the hosts stopped the others took themselves for a minority and stopped serving. Ruled out: freshness of peers (the hosts saw each other). The fake callers counted nothing when no host was ready; they now note it as an answer that failed, which is stricter.

Also: a change of view looks only at data centres for which the host is a candidate; settings of the trial name seeds, so hosts start while the platform is down (all_stops).

--- a/oriolestage/core/_index.py
+++ b/oriolestage/core/_index.py
@@ -1,6 +1,7 @@
 """Lookups in a configuration document, computed once per revision."""
 
 from collections import defaultdict
+from collections.abc import Mapping, Sequence
 
 from oriolestage.core._configuration import (
     Configuration,
@@ -18,6 +19,9 @@
         self._document = document
         self._targets = {target.name: target for target in document.targets}
         self._routes = {route.name: route for route in document.routes}
+        self._by_centre: dict[str, list[Target]] = defaultdict(list)
+        for target in document.targets:
+            self._by_centre[target.data_centre].append(target)
         self._services_by_group: dict[str, list[str]] = defaultdict(list)
         for service in document.services:
             self._services_by_group[service.group].append(service.name)
@@ -53,6 +57,10 @@
         """Give the names of all services of a group."""
         return tuple(self._services_by_group.get(group, ()))
 
+    def targets_by_data_centre(self) -> Mapping[str, Sequence[Target]]:
+        """Give all targets, grouped by their data centre."""
+        return self._by_centre
+
     def serving_targets_of(self, service: str) -> tuple[Target, ...]:
         """Give the targets of a service that may take work."""
         return tuple(self._serving.get(service, ()))
--- a/oriolestage/core/_membership.py
+++ b/oriolestage/core/_membership.py
@@ -391,8 +391,9 @@
         if member is None or member.state >= MemberState.SUSPECT:
             return
         if member.state is MemberState.LEAVING:
+            # It said that it goes, so it no longer counts for a majority.
             self._store(
-                msgspec.structs.replace(member, state=MemberState.DEAD),
+                msgspec.structs.replace(member, state=MemberState.REMOVED),
             )
             return
         self._store(
--- a/oriolestage/core/_ownership.py
+++ b/oriolestage/core/_ownership.py
@@ -37,7 +37,8 @@
         self._refresh()
         owner = self._owners.get(target.name)
         if owner is None:
-            owner = rendezvous_owner(target.name, self._candidates(target))
+            candidates = self._candidates(target.data_centre)
+            owner = rendezvous_owner(target.name, candidates)
             self._owners[target.name] = owner
         return owner
 
@@ -45,7 +46,8 @@
         """Give the owner that a target had before this host joined."""
         self._refresh()
         me = self._membership.identity.name
-        others = [name for name in self._candidates(target) if name != me]
+        candidates = self._candidates(target.data_centre)
+        others = [name for name in candidates if name != me]
         return rendezvous_owner(target.name, others)
 
     def keeper_of(self, key_slice: int) -> str:
@@ -53,11 +55,25 @@
         self._refresh()
         return rendezvous_owner(f'key-slice-{key_slice}', self._names)
 
-    def _candidates(self, target: Target) -> list[str]:
-        near = self._by_centre.get(target.data_centre)
+    def owned_targets(self) -> list[Target]:
+        """Give the targets that this host owns."""
+        self._refresh()
+        me = self._membership.identity.name
+        owned: list[Target] = []
+        groups = self._keeper.index.targets_by_data_centre()
+        for data_centre, targets in groups.items():
+            if me not in self._candidates(data_centre):
+                continue
+            for target in targets:
+                if self.owner_of(target) == me:
+                    owned.append(target)
+        return owned
+
+    def _candidates(self, data_centre: str) -> list[str]:
+        near = self._by_centre.get(data_centre)
         if near:
             return near
-        region = self._keeper.index.region_of(target.data_centre)
+        region = self._keeper.index.region_of(data_centre)
         return self._by_region.get(region) or self._names
 
     def _refresh(self) -> None:
--- a/oriolestage/core/_target_owner.py
+++ b/oriolestage/core/_target_owner.py
@@ -124,12 +124,7 @@
         me = self._membership.member(self._peers.me)
         may_own = me is not None and me.state is MemberState.ALIVE
         owned: set[str] = set()
-        for target in self._keeper.index.document.targets:
-            if (
-                not may_own
-                or self._ownership.owner_of(target) != self._peers.me
-            ):
-                continue
+        for target in self._ownership.owned_targets() if may_own else ():
             owned.add(target.name)
             self._take_up(target)
         for name in tuple(self._gates):
--- a/scenarios/core_engine.py
+++ b/scenarios/core_engine.py
@@ -202,6 +202,7 @@
             self._parameters,
             random.Random(self.random.getrandbits(64)),
             self.now,
+            seeds=tuple(self._by_address),
         )
         host.core.start()
         self.settle(host)
--- a/scenarios/fake_callers.py
+++ b/scenarios/fake_callers.py
@@ -35,8 +35,10 @@
 RESEND_S = 0.1
 #: Age of the balancer's knowledge of hosts, in seconds.
 CHECK_PERIOD_S = 0.25
-#: Requests in flight that a caller leaves at hosts that died are lost.
+#: The host was lost, or did not answer in time.
 NO_ANSWER = 'no_answer'
+#: The balancer had no ready host.
+NO_HOST = 'no_host'
 
 
 @dataclasses.dataclass(slots=True)
@@ -157,6 +159,9 @@
         count: int,
     ) -> None:
         if not self._ready:
+            now = self._engine.since_origin()
+            refused = _Sending('', route, body, key, booking, now, count)
+            self._note('', refused, NO_HOST, '', 0, 0)
             return
         name = self._engine.random.choice(self._ready)
         host = self._engine.hosts[name]
--- a/trial/processes.py
+++ b/trial/processes.py
@@ -280,6 +280,9 @@
             'advertise_gossip': host.advertised(GOSSIP_PORT),
             'advertise_data': host.advertised(DATA_PORT),
             'platform': {'store': platform, 'host_list': platform},
+            'seeds': [
+                other.advertised(GOSSIP_PORT) for other in self._layout.hosts
+            ],
             'freshness_limit': self.freshness_limit,
             'stop': {'notice': '1s', 'deadline': '10s'},
         }
