Refuse at once under overload

Cause: a shard refused for lack of room waited and was tried again until the deadline, so refusals came after 0.8 to 1.0 s and targets worked for queries that could no longer be whole. Ruled out: the owners' queues (their refusals came at once).

--- a/oriolestage/core/_attempts.py
+++ b/oriolestage/core/_attempts.py
@@ -94,6 +94,10 @@
         """Give the target of a request in flight."""
         return self._attempts[number].target
 
+    def owner_of(self, number: int) -> str:
+        """Give the owner that a request in flight goes to."""
+        return self._attempts[number].owner
+
     def cancel(self, numbers: Iterable[int]) -> None:
         """Give up requests and tell their owners so."""
         by_owner: dict[str, list[int]] = {}
--- a/oriolestage/core/_command_runner.py
+++ b/oriolestage/core/_command_runner.py
@@ -19,8 +19,6 @@
     ClaimReply,
     ClaimRequest,
     ClaimResult,
-    ShardBatch,
-    ShardEntry,
     ShardReply,
 )
 from oriolestage.core._outcomes import (
@@ -34,6 +32,7 @@
 from oriolestage.core._ownership import OwnershipView, PeerPort
 from oriolestage.core._parameters import Parameters
 from oriolestage.core._rendezvous import rendezvous_owner
+from oriolestage.core._shard_sender import Dispatch, ShardSender
 from oriolestage.core._target_knowledge import TargetKnowledge
 from oriolestage.core._timers import Timers
 
@@ -74,6 +73,7 @@
         crashes: CrashRegister,
         knowledge: TargetKnowledge,
         attempts: AttemptTable,
+        sender: ShardSender,
     ) -> None:
         """Start without requests."""
         self._parameters = parameters
@@ -85,6 +85,7 @@
         self._crashes = crashes
         self._knowledge = knowledge
         self._attempts = attempts
+        self._sender = sender
         self._commands: dict[str, _Command] = {}
         self._claims: dict[int, _Command] = {}
         self._claim_keys: dict[int, str] = {}
@@ -199,20 +200,11 @@
     def _dispatch(self, command: _Command) -> None:
         if command.ended:
             return
-        candidates = self._keeper.index.serving_targets_of(command.service)
-        silent = frozenset(
-            target.name
-            for target in candidates
-            if self._attempts.is_silent(self._ownership.owner_of(target))
-        )
-        now = self._timers.now
-        target = self._knowledge.choose(candidates, 0, now, silent)
-        if target is None:
-            target = self._knowledge.choose(candidates, 0, now, frozenset())
+        target = self._sender.choose(command.service, 0)
         if target is not None:
             self._send(command, target)
             return
-        at = self._knowledge.available_at(candidates, 0, now)
+        at = self._sender.available_at(command.service, 0)
         if at >= command.deadline:
             failure = command.failure
             if failure is None:
@@ -228,30 +220,20 @@
         )
 
     def _send(self, command: _Command, target: Target) -> None:
-        owner = self._ownership.owner_of(target)
         command.dispatches += 1
-        command.attempt = self._attempts.register(
-            owner,
-            target.name,
+        entry = self._sender.register(
+            target,
             lambda reply: self._on_reply(command, target, reply),
         )
-        request = command.request
-        left_s = command.deadline - self._timers.now
-        batch = ShardBatch(
-            sender=self._peers.me,
-            request_id=request.request_id,
-            caller=request.caller,
-            fingerprint=request.fingerprint,
-            route=request.route,
-            body=request.body,
-            version=0,
-            timeout_ms=max(1, int(left_s * 1000)),
+        command.attempt = entry.attempt
+        dispatch = Dispatch(
+            command.request,
+            command.request.fingerprint,
+            0,
+            command.deadline,
             idempotent=False,
-            entries=(ShardEntry(command.attempt, target.name),),
-            revision=self._keeper.revision,
         )
-        if not self._peers.send(owner, batch):
-            self._attempts.on_not_sent(owner, (command.attempt,))
+        self._sender.send(dispatch, [entry])
 
     def _on_reply(
         self,
--- a/oriolestage/core/_node.py
+++ b/oriolestage/core/_node.py
@@ -8,8 +8,6 @@
 import random
 from collections.abc import Callable, Sequence
 
-import msgspec
-
 from oriolestage.core._attempts import AttemptTable
 from oriolestage.core._caller_request import CallerRequest
 from oriolestage.core._charts import StateChart, load_chart
@@ -19,7 +17,7 @@
 from oriolestage.core._crashes import CrashRegister
 from oriolestage.core._effects import AnswerCaller, Effect, Outbox
 from oriolestage.core._freshness import Freshness
-from oriolestage.core._host_list import HostList, decode_host_list
+from oriolestage.core._host_directory import HostDirectory
 from oriolestage.core._in_force import InForceReport, InForceSurveys
 from oriolestage.core._key_keeper import KeyKeeper
 from oriolestage.core._membership import Membership
@@ -34,7 +32,6 @@
     ConfigurationRequest,
     DataMessage,
     GossipMessage,
-    MemberState,
     Ping,
     PingRequest,
     RevisionQuery,
@@ -56,10 +53,10 @@
 from oriolestage.core._parameters import Identity, Parameters
 from oriolestage.core._query_runner import QueryRunner
 from oriolestage.core._store_port import (
-    StoreFound,
     StoreOutcome,
     StorePort,
 )
+from oriolestage.core._shard_sender import ShardSender
 from oriolestage.core._target_knowledge import TargetKnowledge
 from oriolestage.core._target_owner import TargetOwner
 from oriolestage.core._target_results import TargetResult, TargetSigns
@@ -67,8 +64,6 @@
 
 #: Suggested wait while a host may not start new work, in milliseconds.
 UNREADY_RETRY_MS = 500
-#: Period of introductions while no other member is known, in seconds.
-INTRODUCTION_PERIOD_S = 1.0
 
 
 class NodeCore:
@@ -86,7 +81,6 @@
         self._identity = identity
         self._parameters = parameters
         self._started_at = now
-        self._seeds = tuple(seeds)
         self._outbox = Outbox()
         self._timers = Timers(now)
         self._freshness = Freshness(parameters.freshness_limit_s)
@@ -145,7 +139,25 @@
             self._crashes,
             self.may_start_work,
         )
-        entry_parts = (
+        sender = ShardSender(
+            self._timers,
+            self._keeper,
+            self._ownership,
+            self._peers,
+            knowledge,
+            self._attempts,
+        )
+        self._queries = QueryRunner(
+            parameters,
+            self._outbox,
+            self._timers,
+            self._keeper,
+            self._crashes,
+            knowledge,
+            self._attempts,
+            sender,
+        )
+        self._one_time = CommandRunner(
             parameters,
             self._outbox,
             self._timers,
@@ -155,9 +167,8 @@
             self._crashes,
             knowledge,
             self._attempts,
+            sender,
         )
-        self._queries = QueryRunner(*entry_parts)
-        self._one_time = CommandRunner(*entry_parts)
         self._keys = KeyKeeper(
             parameters,
             self._outbox,
@@ -168,12 +179,22 @@
             identity.incarnation,
             self._wall_ms,
         )
+        self._directory = HostDirectory(
+            parameters,
+            self._outbox,
+            self._timers,
+            self._store,
+            self._membership,
+            self._keeper,
+            self._ownership,
+            self._peers,
+            seeds,
+        )
         self._chart = StateChart(load_chart('node'))
         self._state = self._chart.state
         self._last_tick = now
         self._view_seen = -1
         self._seen_revision = -1
-        self._leaving_listed: frozenset[str] = frozenset()
 
     # What can be seen.
 
@@ -247,8 +268,7 @@
         """Begin to probe, to read the configuration and to tick."""
         self._membership.start()
         self._keeper.start()
-        self._introduce()
-        self._read_host_list()
+        self._directory.start()
         self._probe_leaving_targets()
         self._tick()
 
@@ -521,62 +541,3 @@
     def _wall_ms(self) -> int:
         elapsed_s = self._timers.now - self._started_at
         return self._identity.incarnation + int(elapsed_s * 1000)
-
-    # The host list.
-
-    def _introduce(self) -> None:
-        known = self._membership.alive_count
-        if known > 1:
-            return
-        for address in self._seeds:
-            if address != self._identity.gossip_address:
-                self._membership.contact(address)
-        self._timers.call_after(INTRODUCTION_PERIOD_S, self._introduce)
-
-    def _read_host_list(self) -> None:
-        self._timers.call_after(
-            self._parameters.host_list_period_s,
-            self._read_host_list,
-        )
-        if self._keeper.is_reader:
-            self._store.read_host_list(self._on_host_list)
-
-    def _on_host_list(self, outcome: StoreOutcome) -> None:
-        if not isinstance(outcome, StoreFound):
-            return
-        try:
-            listed = decode_host_list(outcome.content)
-        except msgspec.DecodeError as error:
-            self._outbox.log(
-                'host_list_malformed',
-                step='host_list',
-                error=str(error),
-            )
-            return
-        self._meet_listed_hosts(listed)
-        self._pass_on_leaving_targets(listed)
-
-    def _meet_listed_hosts(self, listed: HostList) -> None:
-        names: set[str] = set()
-        for host in listed.hosts:
-            if host.kind != 'entry':
-                continue
-            names.add(host.name)
-            known = self._membership.member(host.name)
-            if known is None or known.state is MemberState.REMOVED:
-                self._membership.contact(host.address)
-        self._membership.remove_absent(frozenset(names))
-
-    def _pass_on_leaving_targets(self, listed: HostList) -> None:
-        leaving = frozenset(
-            host.name
-            for host in listed.hosts
-            if host.kind == 'target' and host.leaving
-        )
-        for name in leaving | self._leaving_listed:
-            target = self._keeper.index.target(name)
-            if target is None:
-                continue
-            news = TargetLeaving(self._identity.name, name, name in leaving)
-            self._peers.send(self._ownership.owner_of(target), news)
-        self._leaving_listed = leaving
--- a/oriolestage/core/_query_runner.py
+++ b/oriolestage/core/_query_runner.py
@@ -1,6 +1,5 @@
 """Runs queries: fan-out, retries, hedges, one snapshot, early answers."""
 
-from collections import defaultdict
 from collections.abc import Iterable
 
 from oriolestage.core._attempts import AttemptTable
@@ -10,17 +9,18 @@
 from oriolestage.core._crashes import CrashRegister
 from oriolestage.core._effects import AnswerCaller, Outbox
 from oriolestage.core._extra_load import ExtraLoadBudget, HedgeDelay
-from oriolestage.core._messages import ShardBatch, ShardEntry, ShardReply
+from oriolestage.core._messages import ShardEntry, ShardReply
 from oriolestage.core._outcomes import (
     Answered,
     CallerOutcome,
     MayHaveRun,
     NotRun,
+    QueryAnswer,
     Reason,
 )
-from oriolestage.core._ownership import OwnershipView, PeerPort
 from oriolestage.core._parameters import Parameters
 from oriolestage.core._query import Query, ShardState
+from oriolestage.core._shard_sender import Dispatch, ShardSender
 from oriolestage.core._target_knowledge import TargetKnowledge
 from oriolestage.core._timers import Timers
 
@@ -45,22 +45,20 @@
         outbox: Outbox,
         timers: Timers,
         keeper: ConfigurationKeeper,
-        ownership: OwnershipView,
-        peers: PeerPort,
         crashes: CrashRegister,
         knowledge: TargetKnowledge,
         attempts: AttemptTable,
+        sender: ShardSender,
     ) -> None:
         """Start without queries."""
         self._parameters = parameters
         self._outbox = outbox
         self._timers = timers
         self._keeper = keeper
-        self._ownership = ownership
-        self._peers = peers
         self._crashes = crashes
         self._knowledge = knowledge
         self._attempts = attempts
+        self._sender = sender
         self._budget = ExtraLoadBudget(parameters)
         self._hedge_delays: dict[str, HedgeDelay] = {}
         self._queries: dict[str, Query] = {}
@@ -108,7 +106,9 @@
         if route.policy is AnswerPolicy.LATENCY:
             answer_by = now + route.answer_by_ms / 1000 - ANSWER_MARGIN_S
             self._timers.call_at(answer_by, lambda: self._finish(query))
-        for shard in query.shards:
+        if self._end_if_overloaded(query, query.shards):
+            return
+        for _ in query.shards:
             self._needed += 1
             self._budget.note_needed()
         self._dispatch_shards(query, self._first_wave(query))
@@ -158,83 +158,45 @@
         query: Query,
         shards: Iterable[ShardState],
     ) -> None:
-        chosen: dict[str, list[ShardEntry]] = defaultdict(list)
+        entries: list[ShardEntry] = []
         for shard in shards:
             target = self._choose(query, shard)
             if target is None:
                 self._wait_or_give_up(query, shard)
                 continue
-            owner = self._ownership.owner_of(target)
-            entry = self._register(query, shard, target, owner)
-            chosen[owner].append(entry)
-        for owner, entries in chosen.items():
-            self._send(query, owner, entries)
+            entries.append(self._register(query, shard, target))
+        self._sender.send(_dispatch_of(query), entries)
 
     def _choose(self, query: Query, shard: ShardState) -> Target | None:
-        candidates = self._keeper.index.serving_targets_of(shard.service)
         busy = frozenset(
             self._attempts.target_of(number) for number in shard.attempts
         )
-        silent = frozenset(
-            target.name
-            for target in candidates
-            if self._attempts.is_silent(self._ownership.owner_of(target))
+        return self._sender.choose(
+            shard.service,
+            query.version,
+            busy,
+            frozenset(shard.tried),
         )
-        # The best choice first: neither tried before nor at a silent owner.
-        for avoided in (busy | shard.tried | silent, busy | silent, busy):
-            target = self._knowledge.choose(
-                candidates,
-                query.version,
-                self._timers.now,
-                avoided,
-            )
-            if target is not None:
-                return target
-        return None
 
     def _register(
         self,
         query: Query,
         shard: ShardState,
         target: Target,
-        owner: str,
     ) -> ShardEntry:
-        number = self._attempts.register(
-            owner,
-            target.name,
+        entry = self._sender.register(
+            target,
             lambda reply: self._on_reply(query, shard, target, reply),
         )
-        shard.attempts.add(number)
+        shard.attempts.add(entry.attempt)
         shard.tried.add(target.name)
         shard.dispatches += 1
-        hedge_at = self._timers.now + self._delay_of(query.route.group).delay_s
         if shard.dispatches == 1:
-            self._timers.call_at(hedge_at, lambda: self._hedge(query, shard))
-        return ShardEntry(number, target.name)
-
-    def _send(
-        self,
-        query: Query,
-        owner: str,
-        entries: list[ShardEntry],
-    ) -> None:
-        left_s = query.deadline - self._timers.now
-        batch = ShardBatch(
-            sender=self._peers.me,
-            request_id=query.request.request_id,
-            caller=query.request.caller,
-            fingerprint=query.fingerprint,
-            route=query.route.name,
-            body=query.request.body,
-            version=query.version,
-            timeout_ms=max(1, int(left_s * 1000)),
-            idempotent=True,
-            entries=tuple(entries),
-            revision=self._keeper.revision,
-        )
-        if self._peers.send(owner, batch):
-            return
-        self._attempts.on_not_sent(owner, (entry.attempt for entry in entries))
+            self._timers.call_after(
+                self._delay_of(query.route.group).delay_s,
+                lambda: self._hedge(query, shard),
+            )
+        return entry
 
     def _delay_of(self, group: str) -> HedgeDelay:
         delay = self._hedge_delays.get(group)
@@ -253,9 +215,8 @@
         if target is None or not self._budget.take():
             return
         self._hedged += 1
-        owner = self._ownership.owner_of(target)
-        entry = self._register(query, shard, target, owner)
-        self._send(query, owner, [entry])
+        entry = self._register(query, shard, target)
+        self._sender.send(_dispatch_of(query), [entry])
 
     def _is_suspect(self, query: Query) -> bool:
         return self._crashes.losses(query.fingerprint) > 0
@@ -338,10 +299,13 @@
         if refusal.reason is Reason.SNAPSHOT_UNAVAILABLE:
             self._restart_if_needed(query, shard)
             return
-        self._knowledge.note_unavailable(
-            target.name,
-            self._timers.now + wait_s,
-        )
+        until = self._timers.now + wait_s
+        if refusal.reason is Reason.OVERLOADED:
+            self._knowledge.note_overloaded(target.name, until)
+            if self._end_if_overloaded(query, [shard]):
+                return
+        else:
+            self._knowledge.note_unavailable(target.name, until)
         if not shard.attempts:
             self._dispatch_again(query, shard)
 
@@ -373,11 +337,7 @@
         if shard.attempts:
             return
         candidates = self._keeper.index.serving_targets_of(shard.service)
-        at = self._knowledge.available_at(
-            candidates,
-            query.version,
-            self._timers.now,
-        )
+        at = self._sender.available_at(shard.service, query.version)
         if not candidates:
             shard.failure = NotRun(
                 Reason.NO_TARGET,
@@ -509,6 +469,33 @@
             ),
         )
 
+    def _end_if_overloaded(
+        self,
+        query: Query,
+        shards: Iterable[ShardState],
+    ) -> bool:
+        """End a query at once if a shard has no target with room.
+
+        What is left of the targets' time then goes to queries that can still
+        be whole, and the caller hears at once when to come back.
+        """
+        for shard in shards:
+            wait_s = self._sender.overloaded_for(shard.service, query.version)
+            if wait_s <= 0 or shard.attempts:
+                continue
+            refusal = MayHaveRun if query.ran_somewhere() else NotRun
+            shard.failure = refusal(
+                Reason.OVERLOADED,
+                'entry.admission',
+                shard.service,
+                retry_after_ms=int(wait_s * 1000) + 1,
+            )
+            outcome = query.outcome()
+            answered = isinstance(outcome, QueryAnswer)
+            self._end(query, outcome if answered else shard.failure)
+            return True
+        return False
+
     def _finish(self, query: Query) -> None:
         if query.ended:
             return
@@ -519,3 +506,13 @@
         self._queries.pop(query.request.request_id, None)
         self._attempts.cancel(query.in_flight)
         self._outbox.add(AnswerCaller(query.request.request_id, outcome))
+
+
+def _dispatch_of(query: Query) -> Dispatch:
+    return Dispatch(
+        query.request,
+        query.fingerprint,
+        query.version,
+        query.deadline,
+        idempotent=True,
+    )
--- a/oriolestage/core/_target_knowledge.py
+++ b/oriolestage/core/_target_knowledge.py
@@ -19,6 +19,7 @@
     versions: tuple[int, ...] = ()
     versions_at: float = float('-inf')
     unavailable_until: float = 0
+    overloaded_until: float = 0
     latency_s: float = 0
     in_flight: int = 0
 
@@ -47,6 +48,24 @@
         """Note that a target refuses work until a time."""
         self._of(target).unavailable_until = until
 
+    def note_overloaded(self, target: str, until: float) -> None:
+        """Note that a target has no room until a time."""
+        self._of(target).overloaded_until = until
+
+    def overloaded_for(
+        self,
+        candidates: Sequence[Target],
+        version: int,
+        now: float,
+    ) -> float:
+        """Give the seconds for which no candidate has room, or 0."""
+        waits = [
+            self._of(target.name).overloaded_until - now
+            for target in candidates
+            if self.may_serve(target.name, version, now)
+        ]
+        return max(0, min(waits, default=0))
+
     def note_dispatch(self, target: str) -> None:
         """Count a request on its way."""
         self._of(target).in_flight += 1
@@ -77,7 +96,8 @@
         best_score = float('inf')
         for target in candidates:
             known = self._of(target.name)
-            if target.name in avoided or now < known.unavailable_until:
+            busy_until = max(known.unavailable_until, known.overloaded_until)
+            if target.name in avoided or now < busy_until:
                 continue
             if not self.may_serve(target.name, version, now):
                 continue
@@ -95,12 +115,14 @@
         now: float,
     ) -> float:
         """Give the earliest time at which a candidate may take work."""
-        times = [
-            self._of(target.name).unavailable_until
-            for target in candidates
-            if self.may_serve(target.name, version, now)
-        ]
-        return min(times, default=float('inf'))
+        earliest = float('inf')
+        for target in candidates:
+            if not self.may_serve(target.name, version, now):
+                continue
+            known = self._of(target.name)
+            at = max(known.unavailable_until, known.overloaded_until)
+            earliest = min(earliest, at)
+        return earliest
 
     def versions_of(self, target: str, now: float) -> tuple[int, ...]:
         """Give the versions a target serves; empty when not known of late."""
--- a/scenarios/checks.py
+++ b/scenarios/checks.py
@@ -12,6 +12,7 @@
     MostCrashed,
     NoWork,
     OperatorGets,
+    RefusalsWithin,
     Scenario,
 )
 
@@ -110,6 +111,8 @@
         case MostCrashed(count=count):
             if len(seen.crashed) > count:
                 yield f'{len(seen.crashed)} targets crashed, not {count}'
+        case RefusalsWithin(bound_s=bound_s):
+            yield from _late_refusals(bound_s, seen)
         case LatencyBelow():
             yield from _high_latency(expectation, seen)
         case OperatorGets(operator=operator, outcomes=wanted):
@@ -159,3 +162,14 @@
     if not latencies or latencies[place] >= expectation.bound_s:
         measured = latencies[place] if latencies else 0
         yield f'percentile {expectation.percentile} is {measured:.3f} s'
+
+
+def _late_refusals(bound_s: float, seen: Observations) -> Iterator[str]:
+    for answer in seen.answers:
+        served = answer.served
+        if served.detail != 'overloaded':
+            continue
+        if served.latency_s > bound_s:
+            yield f'{answer.request_id} was refused after {served.latency_s} s'
+        if not served.retry_after_ms:
+            yield f'{answer.request_id} was not told when to come back'
--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -21,6 +21,7 @@
     NoWork,
     Operate,
     OperatorGets,
+    RefusalsWithin,
     Scenario,
     Start,
     Step,
@@ -180,6 +181,9 @@
     def crashed(self, count):
         return MostCrashed(int(count))
 
+    def refusals(self, bound):
+        return RefusalsWithin(_seconds(bound))
+
     def latency(self, percentile, bound):
         return LatencyBelow(int(percentile), _seconds(bound))
 
--- a/scenarios/steps.py
+++ b/scenarios/steps.py
@@ -196,8 +196,16 @@
     bound_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusalsWithin:
+    """Refusals come at once, each with a time to come back."""
+
+    bound_s: float
+
+
 Expectation = (
-    LatencyBelow
+    RefusalsWithin
+    | LatencyBelow
     | MostCrashed
     | NoWork
     | LeastShare
