Ask the owner before a planned stop to release its targets

Cause: the new owner computed the former one from the present view, in which a host that leaves is no candidate any more, so it started at once while the leaving host still had two requests in flight. Found by all_stops, seed 6: three at once on two slots, 9.170 s. Ruled out: the deadline margin of calls (the trace shows two hosts sending). Change: each host remembers the owners of the last view.

Not shown red: waiting for a release alone, switched off, changes nothing in 60 runs, since the ramp from one request covers what is left.

--- a/benchmarks/compare_ways.py
+++ b/benchmarks/compare_ways.py
@@ -124,7 +124,7 @@
     patches.enter_context(
         mock.patch.object(
             OwnershipView,
-            'former_owner_of',
+            'owner_without_me',
             lambda view, target: '',
         ),
     )
--- a/oriolestage/core/_ownership.py
+++ b/oriolestage/core/_ownership.py
@@ -42,8 +42,8 @@
             self._owners[target.name] = owner
         return owner
 
-    def former_owner_of(self, target: Target) -> str:
-        """Give the owner that a target had before this host joined."""
+    def owner_without_me(self, target: Target) -> str:
+        """Give the owner that a target has when this host does not count."""
         self._refresh()
         me = self._membership.identity.name
         candidates = self._candidates(target.data_centre)
@@ -55,19 +55,16 @@
         self._refresh()
         return rendezvous_owner(f'key-slice-{key_slice}', self._names)
 
-    def owned_targets(self) -> list[Target]:
-        """Give the targets that this host owns."""
+    def nearby_targets(self) -> list[Target]:
+        """Give the targets that this host is a candidate to own."""
         self._refresh()
         me = self._membership.identity.name
-        owned: list[Target] = []
+        nearby: list[Target] = []
         groups = self._keeper.index.targets_by_data_centre()
         for data_centre, targets in groups.items():
-            if me not in self._candidates(data_centre):
-                continue
-            for target in targets:
-                if self.owner_of(target) == me:
-                    owned.append(target)
-        return owned
+            if me in self._candidates(data_centre):
+                nearby.extend(targets)
+        return nearby
 
     def _candidates(self, data_centre: str) -> list[str]:
         near = self._by_centre.get(data_centre)
--- a/oriolestage/core/_target_owner.py
+++ b/oriolestage/core/_target_owner.py
@@ -103,6 +103,8 @@
         self._gates: dict[str, TargetGate] = {}
         self._released: dict[str, TargetGate] = {}
         self._release_wanted: dict[str, str] = {}
+        # Owners in the last view, of targets that this host may own.
+        self._owners: dict[str, str] = {}
         self._calls: dict[int, _Call] = {}
         self._call_number = 0
         self._serving: frozenset[str] = frozenset()
@@ -124,9 +126,14 @@
         me = self._membership.member(self._peers.me)
         may_own = me is not None and me.state is MemberState.ALIVE
         owned: set[str] = set()
-        for target in self._ownership.owned_targets() if may_own else ():
-            owned.add(target.name)
-            self._take_up(target)
+        before = self._owners
+        self._owners = {}
+        for target in self._ownership.nearby_targets():
+            owner = self._ownership.owner_of(target)
+            self._owners[target.name] = owner
+            if may_own and owner == self._peers.me:
+                owned.add(target.name)
+                self._take_up(target, before.get(target.name, ''))
         for name in tuple(self._gates):
             if name not in owned:
                 self._give_up(name)
@@ -138,7 +145,7 @@
         for name in tuple(self._gates):
             self._give_up(name)
 
-    def _take_up(self, target: Target) -> None:
+    def _take_up(self, target: Target, owner_before: str) -> None:
         gate = self._gates.get(target.name)
         if gate is not None:
             gate.target = target
@@ -149,7 +156,9 @@
             gate.in_flight = held.in_flight
             self._rebind_calls(held, gate)
         self._gates[target.name] = gate
-        former = self._ownership.former_owner_of(target)
+        former = owner_before
+        if former in {'', self._peers.me}:
+            former = self._ownership.owner_without_me(target)
         member = self._membership.member(former)
         if member is None or member.state >= MemberState.DEAD:
             gate.fire('acquired')
--- a/scenarios/tests/test_core_scenarios.py
+++ b/scenarios/tests/test_core_scenarios.py
@@ -8,6 +8,8 @@
 
 #: Seeds with which each file must pass.
 GREEN_SEEDS = (0, 1, 2)
+#: Seeds that once failed.
+MORE_GREEN = (('all_stops', 6),)
 #: File, mechanisms switched off, and a seed with which a check must fail.
 RED = (
     ('all_cold', ('ramp',), 0),
@@ -53,6 +55,7 @@
             for path in sorted(FILES.iterdir())
             for seed in GREEN_SEEDS
         ]
+        cases.extend(MORE_GREEN)
         running = [
             self.pool.submit(run_named, name, (), seed) for name, seed in cases
         ]
