--- a/scenarios/process_engine.py
+++ b/scenarios/process_engine.py
@@ -79,6 +79,7 @@
         self._seen = Observations()
         self._cuts: set[tuple[str, str]] = set()
         self._cut_from_store: set[str] = set()
+        self._sending_cuts = asyncio.Lock()
         self._listed: set[str] = set()
         self._origin: float = 0
         self._background: list[asyncio.Task[None]] = []
@@ -172,16 +173,18 @@
         await self._send_cuts(trial)
 
     async def _send_cuts(self, trial: Trial) -> None:
-        cuts = [
-            {
-                'sender': trial.host(sender).ip,
-                'receiver': trial.host(receiver).ip,
-            }
-            for sender, receiver in self._cuts
-        ]
-        await post(f'{trial.links_url}/control', {'cuts': cuts})
-        addresses = [trial.host(name).ip for name in self._cut_from_store]
-        await post(f'{trial.platform_url}/control', {'cut': addresses})
+        # One at a time: a post that is overtaken would undo a later cut.
+        async with self._sending_cuts:
+            cuts = [
+                {
+                    'sender': trial.host(sender).ip,
+                    'receiver': trial.host(receiver).ip,
+                }
+                for sender, receiver in self._cuts
+            ]
+            await post(f'{trial.links_url}/control', {'cuts': cuts})
+            addresses = [trial.host(name).ip for name in self._cut_from_store]
+            await post(f'{trial.platform_url}/control', {'cut': addresses})
 
     async def _operate(self, trial: Trial, action: Operate) -> None:
         hosts = ''
