Serve callers on the users' platform: a thin whole path

Cause: the product speaks its own protocols only; nothing of it runs on the users' platform. Change: oriolestage.relay decides on requests (routes, targets, placement, shared budget, warm-up, the life of a request) without I/O; oriolestage.entry serves callers, calls targets and follows the store; oriolestage.platform holds names, formats and calls. Ruled out for now: requests through one owner for each target, which costs a hop and a region on this platform. Before: nothing served.

--- a/oriolestage/core/_command_runner.py
+++ b/oriolestage/core/_command_runner.py
@@ -31,7 +31,7 @@
 )
 from oriolestage.core._ownership import OwnershipView, PeerPort
 from oriolestage.core._parameters import Parameters
-from oriolestage.core._rendezvous import rendezvous_owner
+from oriolestage._rendezvous import rendezvous_owner
 from oriolestage.core._shard_sender import Dispatch, ShardSender
 from oriolestage.core._target_knowledge import TargetKnowledge
 from oriolestage.core._timers import Timers
--- a/oriolestage/core/_configuration_keeper.py
+++ b/oriolestage/core/_configuration_keeper.py
@@ -25,7 +25,7 @@
     MemberState,
 )
 from oriolestage.core._parameters import Parameters
-from oriolestage.core._rendezvous import rendezvous_rank
+from oriolestage._rendezvous import rendezvous_rank
 from oriolestage.core._store_port import (
     StoreFound,
     StoreMissing,
--- a/oriolestage/core/_ownership.py
+++ b/oriolestage/core/_ownership.py
@@ -12,7 +12,7 @@
 from oriolestage.core._effects import Outbox, SendData
 from oriolestage.core._membership import Membership
 from oriolestage.core._messages import DataMessage, Member
-from oriolestage.core._rendezvous import rendezvous_owner
+from oriolestage._rendezvous import rendezvous_owner
 
 
 class OwnershipView:
--- /dev/null
+++ b/oriolestage/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host: serves callers, calls targets, follows the store."""
--- /dev/null
+++ b/oriolestage/entry/_caller_server.py
@@ -0,0 +1,159 @@
+"""The server for callers."""
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from oriolestage._logging import log_event
+from oriolestage.entry._ports import Exchange
+from oriolestage.entry._relay import CallerRequest, Relay
+from oriolestage.relay._rules import CallerLimits
+
+#: Time for which bytes of a refused body are read, in seconds.
+LINGER_S = 1.0
+#: Answer to a caller that waits before it sends a body.
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class BodyTooLargeError(Exception):
+    """The body of a request exceeds the limit."""
+
+
+class CallerServer:
+    """Reads callers' requests and writes the final answers."""
+
+    def __init__(
+        self,
+        relay: Relay,
+        exchange: Exchange,
+        limits: Callable[[], CallerLimits],
+    ) -> None:
+        """Prepare the server; ``limits`` gives those in force."""
+        self._relay = relay
+        self._exchange = exchange
+        self._limits = limits
+        self._leaving = False
+        self._servers: dict[CallerLimits, web.Server] = {}
+        self._listener: asyncio.Server | None = None
+
+    @property
+    def connections(self) -> int:
+        """Open connections of callers."""
+        return sum(len(server.connections) for server in self._servers.values())
+
+    async def start(self, listening: socket.socket) -> None:
+        """Accept callers on a bound socket."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: self._server()(),
+            sock=listening,
+        )
+
+    def leave(self) -> None:
+        """Ask callers to close their connections after the next answer."""
+        self._leaving = True
+
+    async def close(self) -> None:
+        """Accept no more and close idle connections."""
+        if self._listener is not None:
+            self._listener.close()
+        for server in self._servers.values():
+            server.pre_shutdown()
+        for server in self._servers.values():
+            await server.shutdown(timeout=0.1)
+
+    def _server(self) -> web.Server:
+        """Give the server whose connections keep the limits in force."""
+        limits = self._limits()
+        server = self._servers.get(limits)
+        if server is None:
+            server = web.Server(
+                self._handle,
+                handler_cancellation=True,
+                access_log=None,
+                auto_decompress=False,
+                keepalive_timeout=limits.idle_timeout_s,
+                lingering_time=LINGER_S,
+                max_line_size=limits.header_bytes,
+                max_field_size=limits.header_bytes,
+            )
+            self._servers[limits] = server
+        return server
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived = time.monotonic()
+        response = await self._answer(request, arrived)
+        if self._leaving:
+            response.force_close()
+        return response
+
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        arrived: float,
+    ) -> web.StreamResponse:
+        path = request.raw_path
+        host = request.headers.get('Host', '').partition(':')[0]
+        if not host or not path.startswith('/') or '#' in path:
+            return _bad_request(request, 'needs a host and a path')
+        try:
+            facts = self._exchange.request_facts(request.headers)
+        except ValueError as error:
+            return _bad_request(request, str(error))
+        try:
+            body = await self._read_body(request)
+        except BodyTooLargeError:
+            log_event(
+                'request_rejected',
+                {'id': facts.request_id, 'reason': 'body_too_large'},
+            )
+            return web.Response(status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        verdict = await self._relay.serve(
+            CallerRequest(
+                facts=facts,
+                method=request.method,
+                host=host,
+                path=path,
+                headers=tuple(request.headers.items()),
+                body=body,
+                arrived=arrived,
+            ),
+        )
+        answer = self._exchange.response(verdict, facts.request_id)
+        headers = CIMultiDict(answer.headers)
+        headers.popall('Content-Length', None)
+        return web.Response(
+            status=answer.status,
+            headers=headers,
+            body=answer.body,
+        )
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        if not request.can_read_body:
+            return b''
+        limit = self._limits().body_bytes
+        if (request.content_length or 0) > limit:
+            raise BodyTooLargeError
+        if request.headers.get('Expect', '').lower() == '100-continue':
+            await request.writer.write(CONTINUE)
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in request.content.iter_any():
+            size += len(chunk)
+            if size > limit:
+                raise BodyTooLargeError
+            chunks.append(chunk)
+        return b''.join(chunks)
+
+
+def _bad_request(request: web.BaseRequest, problem: str) -> web.Response:
+    log_event(
+        'request_rejected',
+        {'path': request.raw_path, 'reason': problem},
+    )
+    return web.Response(status=HTTPStatus.BAD_REQUEST, text=problem)
--- /dev/null
+++ b/oriolestage/entry/_composition.py
@@ -0,0 +1,170 @@
+"""Wires the parts of one entry host."""
+
+import asyncio
+import dataclasses
+import signal
+import socket
+import time
+from collections.abc import Callable
+
+import aiomisc
+
+from oriolestage._logging import log_event
+from oriolestage.entry._caller_server import CallerServer
+from oriolestage.entry._control_server import ControlServer
+from oriolestage.entry._metrics import EntryMetrics
+from oriolestage.entry._ports import Exchange, Store
+from oriolestage.entry._relay import Relay
+from oriolestage.entry._settings import EntrySettings, EntrySettingsError
+from oriolestage.entry._store_follower import HostRegistration, StoreFollower
+from oriolestage.entry._target_client import TargetClient
+from oriolestage.relay._facts import HostRecord
+from oriolestage.relay._knowledge import Knowledge
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._rules import CallerLimits
+from oriolestage.relay._targets import TargetDirectory
+
+#: Connections that may wait to be accepted.
+BACKLOG = 1024
+#: Time in which the balancer notices that a host is not ready: two checks a
+#: second apart and their answers, in seconds.
+NOTICE_S = 2.6
+#: Time before the kill at which a stopping host ends, in seconds.
+STOP_MARGIN_S = 0.5
+#: Time between two looks at whether a stopping host is done, in seconds.
+STOP_CHECK_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryHost:
+    """The wired parts of one entry host."""
+
+    settings: EntrySettings
+    relay: Relay
+    callers: CallerServer
+    control: ControlServer
+    follower: StoreFollower
+    registration: HostRegistration
+    client: TargetClient
+    stopping: asyncio.Event
+
+
+async def run_entry_host(
+    settings: EntrySettings,
+    store: Store,
+    exchange: Exchange,
+    reload: Callable[[], None],
+) -> int:
+    """Run one entry host until it is told to stop; give the exit code."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    host = _wire(settings, store, exchange)
+    async with aiomisc.entrypoint(
+        catch_signals=(),
+        log_config=False,
+        pool_size=1,
+    ):
+        tasks = (
+            asyncio.create_task(host.follower.run()),
+            asyncio.create_task(host.follower.expire_targets()),
+            asyncio.create_task(host.registration.run()),
+        )
+        await _listen(host)
+        log_event('started', {'step': 'start', 'host': settings.place.name})
+        await stop.wait()
+        left = await _drain(host)
+        for task in tasks:
+            task.cancel()
+        await host.client.close()
+        await host.control.close()
+    log_event('stopped', {'step': 'stop', 'cut': left})
+    return 0
+
+
+def _wire(
+    settings: EntrySettings,
+    store: Store,
+    exchange: Exchange,
+) -> EntryHost:
+    stopping = asyncio.Event()
+    metrics = EntryMetrics()
+    directory = TargetDirectory()
+    placement = Placement(settings.place, directory, settings.warm_up)
+    knowledge = Knowledge(directory, placement)
+    client = TargetClient(exchange)
+    relay = Relay(knowledge, placement, client, settings.budget, metrics)
+    follower = StoreFollower(store, knowledge, directory)
+
+    def limits() -> CallerLimits:
+        table = knowledge.table
+        return CallerLimits() if table is None else table.limits
+
+    def is_ready() -> bool:
+        return knowledge.table is not None and not stopping.is_set()
+
+    metrics.add_gauge('in_flight', lambda: relay.in_flight)
+    metrics.add_gauge('targets', lambda: len(directory))
+    metrics.add_gauge('hosts', lambda: len(placement.hosts))
+    metrics.add_gauge('store_age_seconds', lambda: follower.age_s)
+    metrics.add_gauge(
+        'configuration_version',
+        lambda: -1 if knowledge.table is None else knowledge.table.version,
+    )
+    return EntryHost(
+        settings=settings,
+        relay=relay,
+        callers=CallerServer(relay, exchange, limits),
+        control=ControlServer(is_ready, metrics),
+        follower=follower,
+        registration=HostRegistration(
+            store,
+            HostRecord(
+                settings.place.name,
+                settings.place.data_centre,
+                settings.peer_address,
+            ),
+        ),
+        client=client,
+        stopping=stopping,
+    )
+
+
+async def _listen(host: EntryHost) -> None:
+    settings = host.settings
+    await host.callers.start(_bind(settings.caller_address))
+    await host.control.start(_bind(settings.ready_address), ready=True)
+    await host.control.start(_bind(settings.metrics_address), ready=False)
+
+
+async def _drain(host: EntryHost) -> int:
+    """Finish what is in flight; give the number of requests cut off."""
+    log_event('stopping', {'step': 'stop', 'in_flight': host.relay.in_flight})
+    host.stopping.set()
+    host.callers.leave()
+    asked_at = time.monotonic()
+    ends_at = asked_at + host.settings.stop_grace_s - STOP_MARGIN_S
+    await host.registration.withdraw()
+    while time.monotonic() < ends_at:
+        await asyncio.sleep(STOP_CHECK_S)
+        noticed = time.monotonic() - asked_at >= NOTICE_S
+        if noticed and not host.relay.in_flight:
+            break
+    left = host.relay.in_flight
+    await host.callers.close()
+    return left
+
+
+def _bind(address: str) -> socket.socket:
+    host, _, port = address.rpartition(':')
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listening.bind((host, int(port)))
+    except OSError as error:
+        raise EntrySettingsError(f'{address}: {error.strerror}') from error
+    listening.listen(BACKLOG)
+    listening.setblocking(False)
+    return listening
--- /dev/null
+++ b/oriolestage/entry/_metrics.py
@@ -0,0 +1,120 @@
+"""Counts and latencies of one entry host."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
+
+from oriolestage.relay._answers import (
+    AttemptAnswered,
+    AttemptLost,
+    AttemptNotRun,
+    AttemptOutcome,
+    Failed,
+    Refused,
+    Verdict,
+)
+
+MICROS_PER_SECOND = 1_000_000
+#: Largest latency recorded, in microseconds.
+LARGEST_LATENCY_US = 120_000_000
+#: Percentiles given in the metrics.
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class EntryMetrics:
+    """Collects what callers and targets of this host experience."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self._requests: Counter[tuple[str, str]] = Counter()
+        self._attempts: Counter[tuple[str, str]] = Counter()
+        self._latencies: dict[str, HdrHistogram] = {}
+        self._gauges: dict[str, Callable[[], float]] = {}
+
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Add a figure that is read when metrics are asked for."""
+        self._gauges[name] = read
+
+    def note_request(
+        self,
+        route: str,
+        verdict: Verdict | str,
+        took_s: float,
+    ) -> None:
+        """Count a request and record its latency."""
+        self._requests[route, _verdict_name(verdict)] += 1
+        histogram = self._latencies.get(route)
+        if histogram is None:
+            histogram = HdrHistogram(1, LARGEST_LATENCY_US, 2)
+            self._latencies[route] = histogram
+        micros = max(1, int(took_s * MICROS_PER_SECOND))
+        histogram.record_value(min(micros, LARGEST_LATENCY_US))
+
+    def note_attempt(self, outcome: AttemptOutcome, *, hedge: bool) -> None:
+        """Count an attempt at a target."""
+        cause = 'hedge' if hedge else 'first_or_repeat'
+        self._attempts[cause, _attempt_name(outcome)] += 1
+
+    def collect(self) -> Iterable[Metric]:
+        """Give all metrics in the form that the exposition writes."""
+        requests = CounterMetricFamily(
+            'oriolestage_requests',
+            'Caller requests.',
+            labels=['route', 'outcome'],
+        )
+        for labels, total in self._requests.items():
+            requests.add_metric(labels, total)
+        yield requests
+        attempts = CounterMetricFamily(
+            'oriolestage_attempts',
+            'Attempts at targets.',
+            labels=['cause', 'outcome'],
+        )
+        for labels, total in self._attempts.items():
+            attempts.add_metric(labels, total)
+        yield attempts
+        yield self._latency_metric()
+        for name, read in self._gauges.items():
+            yield GaugeMetricFamily(f'oriolestage_{name}', name, value=read())
+
+    def _latency_metric(self) -> Metric:
+        latency = GaugeMetricFamily(
+            'oriolestage_request_latency_seconds',
+            'Latency of caller requests by percentile.',
+            labels=['route', 'percentile'],
+        )
+        for route, histogram in self._latencies.items():
+            for percentile in PERCENTILES:
+                micros = histogram.get_value_at_percentile(percentile)
+                latency.add_metric(
+                    [route, str(percentile)],
+                    micros / MICROS_PER_SECOND,
+                )
+        return latency
+
+
+def _verdict_name(verdict: Verdict | str) -> str:
+    match verdict:
+        case str():
+            return verdict
+        case Refused(reason=reason):
+            return f'refused_{reason.value}'
+        case Failed(reason=reason):
+            return f'failed_{reason.value}'
+    return 'answered'
+
+
+def _attempt_name(outcome: AttemptOutcome) -> str:
+    match outcome:
+        case AttemptAnswered(answer=answer):
+            return 'answered' if answer.success else 'error'
+        case AttemptNotRun(reason=reason):
+            return reason.value
+        case AttemptLost():
+            return 'lost'
--- /dev/null
+++ b/oriolestage/entry/_relay.py
@@ -0,0 +1,368 @@
+"""Carries requests from callers to targets, as the decisions say."""
+
+import asyncio
+import dataclasses
+import itertools
+import time
+from collections.abc import Callable
+
+from oriolestage._logging import log_event
+from oriolestage.entry._metrics import EntryMetrics
+from oriolestage.entry._ports import RequestFacts
+from oriolestage.entry._target_client import TargetCall, TargetClient
+from oriolestage.relay._answers import (
+    AttemptAnswered,
+    AttemptLost,
+    AttemptNotRun,
+    AttemptOutcome,
+    GiveUpReason,
+    Refused,
+    Verdict,
+)
+from oriolestage.relay._extra_budget import BudgetBounds, ExtraBudget
+from oriolestage.relay._knowledge import Knowledge
+from oriolestage.relay._placement import Placement, Wanted
+from oriolestage.relay._request_run import (
+    DEADLINE_MARGIN_S,
+    Action,
+    CancelAttempt,
+    Finish,
+    PartRequest,
+    RequestRun,
+    RunTimes,
+    SendAttempt,
+)
+from oriolestage.relay._rules import (
+    RouteRule,
+    RoutingTable,
+    ServiceRule,
+    ShardGroup,
+    SingleService,
+    WeightedServices,
+)
+from oriolestage.relay._weights import WeightedTurns
+
+#: Time to come back for a caller while there is no configuration, seconds.
+NO_CONFIGURATION_RETRY_S = 0.5
+#: Services that the configuration does not describe.
+UNKNOWN_SERVICE = ServiceRule(name='', connection_limit=0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One request as a caller sent it."""
+
+    facts: RequestFacts
+    method: str
+    #: Host name that the caller asks for.
+    host: str
+    #: Path and query, unchanged.
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    #: Steady time at which it was read.
+    arrived: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Outcome:
+    attempt: int
+    outcome: AttemptOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _TimePassed:
+    """A timer of the run is due."""
+
+
+class Relay:
+    """Serves callers' requests."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        placement: Placement,
+        client: TargetClient,
+        budget_bounds: BudgetBounds,
+        metrics: EntryMetrics,
+    ) -> None:
+        """Prepare to serve; nothing is known yet."""
+        self._knowledge = knowledge
+        self._placement = placement
+        self._client = client
+        self._budget_bounds = budget_bounds
+        self._metrics = metrics
+        self._started_at = time.monotonic()
+        self._budgets: dict[str, ExtraBudget] = {}
+        self._turns = WeightedTurns()
+        self._attempts = itertools.count(1)
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have no final answer yet."""
+        return self._in_flight
+
+    async def serve(self, request: CallerRequest) -> Verdict:
+        """Serve one request; cancelling stops its attempts."""
+        table = self._knowledge.table
+        if table is None:
+            return self._refuse(
+                request,
+                GiveUpReason.NO_CONFIGURATION,
+                NO_CONFIGURATION_RETRY_S,
+            )
+        rule = table.find(request.host, request.path.partition('?')[0])
+        if rule is None:
+            return self._refuse(request, GiveUpReason.UNKNOWN_ROUTE, 0)
+        self._in_flight += 1
+        try:
+            return await self._run(request, table, rule)
+        finally:
+            self._in_flight -= 1
+
+    async def _run(
+        self,
+        request: CallerRequest,
+        table: RoutingTable,
+        rule: RouteRule,
+    ) -> Verdict:
+        run = RequestRun(
+            rule=rule,
+            parts=self._parts(rule, table),
+            times=_times(rule, request),
+            placement=self._placement,
+            next_attempt=lambda: next(self._attempts),
+        )
+        driver = _Driver(
+            run,
+            lambda action: self._send(request, rule, action),
+        )
+        try:
+            verdict = await driver.finish()
+        except asyncio.CancelledError:
+            run.cancel(time.monotonic())
+            self._note(request, rule, table, driver, 'caller_left')
+            raise
+        finally:
+            driver.cancel_all()
+        self._note(request, rule, table, driver, verdict)
+        return verdict
+
+    def _parts(
+        self,
+        rule: RouteRule,
+        table: RoutingTable,
+    ) -> tuple[PartRequest, ...]:
+        match rule.destination:
+            case ShardGroup(services=services):
+                names = services
+            case SingleService(name=name):
+                names = (name,)
+            case WeightedServices(choices=choices):
+                names = (self._turns.next_service(rule.name, choices),)
+        return tuple(self._part(name, rule, table) for name in names)
+
+    def _part(
+        self,
+        name: str,
+        rule: RouteRule,
+        table: RoutingTable,
+    ) -> PartRequest:
+        service = table.services.get(name, UNKNOWN_SERVICE)
+        budget = self._budgets.get(name)
+        if budget is None:
+            budget = ExtraBudget(self._budget_bounds, self._started_at)
+            self._budgets[name] = budget
+        wanted = Wanted(
+            service=name,
+            regions=rule.regions,
+            connection_limit=service.connection_limit,
+            warm_up_rate=service.warm_up_rate,
+        )
+        return PartRequest(wanted, budget)
+
+    async def _send(
+        self,
+        request: CallerRequest,
+        rule: RouteRule,
+        action: SendAttempt,
+    ) -> AttemptOutcome:
+        record = action.target.record
+        sent_at = time.monotonic()
+        outcome = await self._client.send(
+            TargetCall(
+                request_id=request.facts.request_id,
+                method=request.method,
+                path=request.path,
+                headers=request.headers,
+                body=request.body,
+                repeatable=rule.repeatable,
+                target=record.identity,
+                address=record.address,
+                time_left_s=max(0.001, action.deadline - sent_at),
+            ),
+        )
+        self._metrics.note_attempt(outcome, hedge=action.hedge)
+        problem = _problem(outcome)
+        if problem:
+            log_event(
+                'attempt_failed',
+                {
+                    'id': request.facts.request_id,
+                    'step': problem,
+                    'peer': record.address,
+                    'target': record.identity,
+                    'service': record.service,
+                    'hedge': action.hedge,
+                    'after_ms': (time.monotonic() - sent_at) * 1000,
+                },
+            )
+        return outcome
+
+    def _refuse(
+        self,
+        request: CallerRequest,
+        reason: GiveUpReason,
+        retry_after_s: float,
+    ) -> Verdict:
+        verdict = Refused(reason, retry_after_s)
+        self._metrics.note_request('none', verdict, 0)
+        log_event(
+            'request_refused',
+            {
+                'id': request.facts.request_id,
+                'host': request.host,
+                'path': request.path,
+                'reason': reason.value,
+                'retry_after_s': retry_after_s,
+            },
+        )
+        return verdict
+
+    def _note(
+        self,
+        request: CallerRequest,
+        rule: RouteRule,
+        table: RoutingTable,
+        driver: '_Driver',
+        verdict: Verdict | str,
+    ) -> None:
+        took_s = time.monotonic() - request.arrived
+        self._metrics.note_request(rule.name, verdict, took_s)
+        log_event(
+            'request_done',
+            {
+                'id': request.facts.request_id,
+                'route': rule.name,
+                'version': table.version,
+                'outcome': _outcome_text(verdict),
+                'took_ms': took_s * 1000,
+                'hosts': len(self._placement.hosts),
+                **driver.run.summary(),
+            },
+        )
+
+
+class _Driver:
+    """Does what a run decides and tells it what comes of it."""
+
+    def __init__(
+        self,
+        run: RequestRun,
+        send: Callable[[SendAttempt], object],
+    ) -> None:
+        """Prepare to drive ``run``."""
+        self.run = run
+        self._send = send
+        self._inbox: asyncio.Queue[_Outcome | _TimePassed] = asyncio.Queue()
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def finish(self) -> Verdict:
+        """Drive the run until its verdict."""
+        actions = self.run.start(time.monotonic())
+        while True:
+            verdict = self._do(actions)
+            if verdict is not None:
+                return verdict
+            self._set_timer()
+            event = await self._inbox.get()
+            now = time.monotonic()
+            match event:
+                case _Outcome(attempt=attempt, outcome=outcome):
+                    actions = self.run.on_outcome(attempt, outcome, now)
+                case _TimePassed():
+                    actions = self.run.on_time(now)
+
+    def cancel_all(self) -> None:
+        """Stop all attempts that are still on their way."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _do(self, actions: list[Action]) -> Verdict | None:
+        verdict: Verdict | None = None
+        for action in actions:
+            match action:
+                case SendAttempt(attempt=attempt):
+                    self._tasks[attempt] = asyncio.create_task(
+                        self._attempt(action),
+                    )
+                case CancelAttempt(attempt=attempt):
+                    task = self._tasks.pop(attempt, None)
+                    if task is not None:
+                        task.cancel()
+                case Finish(verdict=final):
+                    verdict = final
+        return verdict
+
+    async def _attempt(self, action: SendAttempt) -> None:
+        try:
+            outcome = await self._send(action)
+        except TimeoutError:
+            outcome = AttemptLost('target.deadline')
+        self._tasks.pop(action.attempt, None)
+        self._inbox.put_nowait(_Outcome(action.attempt, outcome))
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        wait_s = max(0, self.run.wake_at - time.monotonic())
+        self._timer = loop.call_later(
+            wait_s,
+            self._inbox.put_nowait,
+            _TimePassed(),
+        )
+
+
+def _times(rule: RouteRule, request: CallerRequest) -> RunTimes:
+    limit_s = rule.time_limit_s
+    if request.facts.time_left_s is not None:
+        limit_s = min(limit_s, request.facts.time_left_s)
+    return RunTimes(
+        started=request.arrived,
+        objective=request.arrived + rule.objective_s,
+        deadline=request.arrived + max(0, limit_s - DEADLINE_MARGIN_S),
+    )
+
+
+def _problem(outcome: AttemptOutcome) -> str:
+    match outcome:
+        case AttemptNotRun(reason=reason):
+            return f'target.{reason.value}'
+        case AttemptLost(step=step):
+            return step
+        case AttemptAnswered(answer=answer) if not answer.success:
+            return f'target.status_{answer.status}'
+    return ''
+
+
+def _outcome_text(verdict: Verdict | str) -> str:
+    if isinstance(verdict, str):
+        return verdict
+    name = type(verdict).__name__.lower()
+    reason = getattr(verdict, 'reason', None)
+    return name if reason is None else f'{name}:{reason.value}'
--- /dev/null
+++ b/oriolestage/entry/_store_follower.py
@@ -0,0 +1,172 @@
+"""Follows the store and keeps this host registered in it."""
+
+import asyncio
+import random
+import time
+from collections.abc import Iterable
+
+from oriolestage._logging import log_event
+from oriolestage.entry._ports import (
+    HistoryLostError,
+    LeaseEndedError,
+    Store,
+    StoreError,
+)
+from oriolestage.relay._facts import HostRecord
+from oriolestage.relay._knowledge import BeliefChanged, Knowledge
+from oriolestage.relay._targets import TargetDirectory
+
+#: Longest wait of one call for changes, in seconds; below the store's bound
+#: of 30 s and its shortest history of 20 s.
+WATCH_WAIT_S = 18.0
+#: Pause after changes, so that changes in a row come in one answer, seconds.
+GATHER_PAUSE_S = 0.3
+#: First and longest pause after a failed call, in seconds.
+RETRY_PAUSE_S = 0.1
+RETRY_PAUSE_LIMIT_S = 0.8
+#: Time without any answer after which lapsed registrations are allowed for.
+LAPSE_AFTER_S = 1.0
+#: Time for which this host's registration outlives it, in seconds.
+LEASE_S = 8.0
+#: Time between renewals, in seconds.
+RENEWAL_S = 2.5
+
+
+class StoreFollower:
+    """Reads the store once and then follows its changes."""
+
+    def __init__(
+        self,
+        store: Store,
+        knowledge: Knowledge,
+        directory: TargetDirectory,
+    ) -> None:
+        """Prepare to follow; nothing is read yet."""
+        self._store = store
+        self._knowledge = knowledge
+        self._directory = directory
+        self._revision: int | None = None
+        self._answered_at = time.monotonic()
+        self._lost_since: float | None = None
+        self._pause_s = RETRY_PAUSE_S
+
+    @property
+    def age_s(self) -> float:
+        """Time since the store last answered or was known to listen."""
+        return time.monotonic() - self._answered_at
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except HistoryLostError as error:
+                log_event('store_history_lost', {'error': error})
+                self._revision = None
+            except StoreError as error:
+                await self._note_failure(error)
+
+    async def expire_targets(self) -> None:
+        """Forget targets whose registrations did not come back."""
+        while True:
+            await asyncio.sleep(GATHER_PAUSE_S)
+            for identity in self._directory.expire(time.monotonic()):
+                log_event('target_expired', {'target': identity})
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            view = await self._store.read_all()
+            self._note_answer()
+            self._log(
+                self._knowledge.replace_all(view.facts, time.monotonic()),
+            )
+            self._revision = view.revision
+            return
+        changes = await self._store.changes_after(
+            self._revision,
+            WATCH_WAIT_S,
+        )
+        self._note_answer()
+        now = time.monotonic()
+        for fact in changes.facts:
+            self._log(self._knowledge.apply(fact, now))
+        self._revision = changes.revision
+        if changes.facts:
+            await asyncio.sleep(GATHER_PAUSE_S)
+
+    def _note_answer(self) -> None:
+        now = time.monotonic()
+        self._pause_s = RETRY_PAUSE_S
+        if self._lost_since is not None:
+            away_s = now - self._lost_since
+            self._lost_since = None
+            log_event('store_regained', {'step': 'store', 'away_s': away_s})
+            if away_s >= LAPSE_AFTER_S:
+                self._directory.expect_lapses(now)
+        self._answered_at = now
+
+    async def _note_failure(self, error: StoreError) -> None:
+        if self._lost_since is None:
+            self._lost_since = time.monotonic()
+            log_event(
+                'store_lost',
+                {
+                    'step': error.step,
+                    'peer': error.peer,
+                    'cause': error.cause,
+                    'revision': self._revision,
+                    'targets': len(self._directory),
+                },
+            )
+        await asyncio.sleep(self._pause_s * random.uniform(0.5, 1))
+        self._pause_s = min(RETRY_PAUSE_LIMIT_S, self._pause_s * 2)
+
+    def _log(self, changes: Iterable[BeliefChanged]) -> None:
+        for change in changes:
+            log_event(
+                change.event,
+                {**dict(change.fields), 'revision': self._revision},
+            )
+
+
+class HostRegistration:
+    """Keeps this host registered while it takes requests."""
+
+    def __init__(self, store: Store, record: HostRecord) -> None:
+        """Prepare the registration of ``record``."""
+        self._store = store
+        self._record = record
+        self._lease: int | None = None
+
+    async def run(self) -> None:
+        """Register and renew until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except LeaseEndedError as error:
+                log_event('registration_ended', {'error': error})
+                self._lease = None
+                continue
+            except StoreError as error:
+                log_event('registration_failed', {'error': error})
+            await asyncio.sleep(RENEWAL_S * random.uniform(0.9, 1.1))
+
+    async def withdraw(self) -> None:
+        """End the registration, so that other hosts stop counting on it."""
+        lease = self._lease
+        self._lease = None
+        if lease is None:
+            return
+        try:
+            await self._store.end_lease(lease)
+        except StoreError as error:
+            log_event('registration_not_ended', {'error': error})
+
+    async def _step(self) -> None:
+        if self._lease is not None:
+            await self._store.renew_lease(self._lease)
+            return
+        lease = await self._store.open_lease(LEASE_S)
+        await self._store.register_host(self._record, lease)
+        self._lease = lease
+        log_event('registered', {'host': self._record.name, 'lease': lease})
--- /dev/null
+++ b/oriolestage/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: names, formats and calls."""
--- /dev/null
+++ b/oriolestage/platform/__main__.py
@@ -0,0 +1,61 @@
+"""The entry host on the platform: ``python3 -m oriolestage.platform``."""
+
+import os
+import sys
+
+from oriolestage._event_loop import forbid_io_uring
+from oriolestage._logging import log_event, start_logging
+from oriolestage.entry._settings import EntrySettingsError
+from oriolestage.platform._settings import load_settings, settings_path
+
+#: Exit code for settings that cannot be used.
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> int:
+    """Run an entry host with the settings that the platform names."""
+    try:
+        path = settings_path()
+        settings = load_settings(path)
+    except EntrySettingsError as error:
+        sys.stderr.write(f'oriolestage: {error}\n')
+        return EXIT_BAD_SETTINGS
+    forbid_io_uring()
+    start_logging()
+    # Imported late, because the loop's library reads its switch early.
+    import uvloop  # noqa: PLC0415
+
+    from oriolestage.entry._composition import (  # noqa: PLC0415
+        run_entry_host,
+    )
+    from oriolestage.platform._exchange import (  # noqa: PLC0415
+        PlatformExchange,
+    )
+    from oriolestage.platform._store import StoreClient  # noqa: PLC0415
+
+    def reload() -> None:
+        """Check the settings file again; its addresses hold until a stop."""
+        try:
+            changed = load_settings(path) != settings
+        except EntrySettingsError as error:
+            log_event('reload_failed', {'step': 'reload', 'error': error})
+            return
+        log_event('reloaded', {'step': 'reload', 'changed': changed})
+
+    try:
+        return uvloop.run(
+            run_entry_host(
+                settings,
+                StoreClient(settings.store_address),
+                PlatformExchange(),
+                reload,
+            ),
+        )
+    except EntrySettingsError as error:
+        log_event('start_failed', {'step': 'start', 'error': error})
+        return EXIT_BAD_SETTINGS
+
+
+if __name__ == '__main__':
+    os.environ.setdefault('PYTHONUNBUFFERED', '1')
+    sys.exit(main())
--- /dev/null
+++ b/oriolestage/platform/_store.py
@@ -0,0 +1,260 @@
+"""The client of the platform's store."""
+
+import base64
+import json
+import socket
+from collections.abc import Iterable
+from http import HTTPStatus
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from oriolestage.entry._ports import (
+    HistoryLostError,
+    LeaseEndedError,
+    StoreChanges,
+    StoreError,
+    StoreView,
+)
+from oriolestage.platform import _names
+from oriolestage.platform._documents import (
+    decode_item,
+    decode_removal,
+    encode_host,
+)
+from oriolestage.relay._facts import HostRecord, StoredFact
+
+MS_PER_S = 1000
+#: Longest wait for an answer beyond what a watch waits, in seconds. The
+#: store answers in milliseconds and in up to some 0.3 s while it is slow.
+ANSWER_TIMEOUT_S = 2.0
+#: Longest wait for a connection, in seconds.
+CONNECT_TIMEOUT_S = 1.0
+#: A silent connection is found by keep-alive probes after some 3 seconds.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+#: Unacknowledged bytes break a connection after this time, milliseconds.
+UNACKNOWLEDGED_LIMIT_MS = 2500
+#: Prefixes of the keys that concern an entry host.
+PREFIXES = (
+    _names.CONFIGURATION_KEY,
+    _names.CLOSED_DATA_CENTRE_PREFIX,
+    _names.TARGET_PREFIX,
+    _names.HOST_PREFIX,
+)
+#: Prefix of all keys: one watch follows everything.
+ALL_KEYS = ''
+
+
+class _Item(msgspec.Struct, frozen=True):
+    key: str
+    value: str = ''
+    revision: int = 0
+    removed: bool = False
+
+
+class _Range(msgspec.Struct, frozen=True, rename='camel'):
+    items: tuple[_Item, ...]
+    # The revision of the whole store, not of an item.
+    store_revision: int
+    has_more: bool = False
+
+
+class _Events(msgspec.Struct, frozen=True, rename='camel'):
+    events: tuple[_Item, ...]
+    store_revision: int
+
+
+class _Lease(msgspec.Struct, frozen=True):
+    lease: int
+
+
+_Shape = TypeVar('_Shape', bound=msgspec.Struct)
+
+
+class StoreClient:
+    """Implements the store port for the platform."""
+
+    def __init__(self, address: str) -> None:
+        """Prepare a client of the store at ``ip:port``."""
+        self._address = address
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def read_all(self) -> StoreView:
+        """Read everything that concerns an entry host."""
+        facts: list[StoredFact] = []
+        revision: int | None = None
+        after = ''
+        while True:
+            query = {'pathPrefix': ALL_KEYS}
+            if after:
+                query['after'] = after
+            body = await self._call('GET', _names.STORE_RANGE_PATH, query)
+            page = self._decoded(body, _Range)
+            # Pages are no snapshot: changes count from the first page on.
+            if revision is None:
+                revision = page.store_revision
+            facts.extend(_facts(page.items))
+            if not page.has_more or not page.items:
+                return StoreView(tuple(facts), revision)
+            after = page.items[-1].key
+
+    async def changes_after(self, revision: int, wait_s: float) -> StoreChanges:
+        """Wait for changes; raises :class:`HistoryLostError` too."""
+        body = await self._call(
+            'GET',
+            _names.STORE_WATCH_PATH,
+            {
+                'pathPrefix': ALL_KEYS,
+                # A revision here; in a range it is a key.
+                'after': str(revision),
+                'waitMs': str(int(wait_s * MS_PER_S)),
+            },
+            wait_s=wait_s,
+        )
+        answer = self._decoded(body, _Events)
+        return StoreChanges(
+            tuple(_facts(answer.events)),
+            max(revision, answer.store_revision),
+        )
+
+    async def open_lease(self, time_to_live_s: float) -> int:
+        """Open a lease; give its number."""
+        body = await self._call(
+            'POST',
+            _names.LEASE_PATH,
+            content={'ttlMs': int(time_to_live_s * MS_PER_S)},
+        )
+        return self._decoded(body, _Lease).lease
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renew a lease; raises :class:`LeaseEndedError` too."""
+        await self._call('POST', f'{_names.LEASE_RENEW_PATH}/{lease}')
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and remove what hangs on it."""
+        await self._call('DELETE', f'{_names.LEASE_END_PATH}/{lease}')
+
+    async def register_host(self, record: HostRecord, lease: int) -> None:
+        """Register this host for as long as its lease lives."""
+        await self._call(
+            'POST',
+            _names.STORE_WRITE_PATH,
+            content={
+                'expectedRev': [],
+                'writes': [
+                    {
+                        'key': f'{_names.HOST_PREFIX}{record.name}',
+                        'value': base64.b64encode(
+                            encode_host(record),
+                        ).decode(),
+                        'lease': lease,
+                    },
+                ],
+                'remove': [],
+            },
+        )
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        *,
+        content: dict[str, object] | None = None,
+        wait_s: float = 0,
+    ) -> bytes:
+        """Make one call; give the body of a 200 response."""
+        step = f'store.{path.rpartition("/")[2] or path}'
+        session = self._open()
+        body = None if content is None else json.dumps(content).encode()
+        try:
+            async with session.request(
+                method,
+                f'http://{self._address}{path}',
+                params=query,
+                data=body,
+                headers={'Content-Type': 'application/json'} if body else {},
+                timeout=aiohttp.ClientTimeout(
+                    total=wait_s + ANSWER_TIMEOUT_S,
+                    sock_connect=CONNECT_TIMEOUT_S,
+                ),
+            ) as response:
+                answer = await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            cause = f'{type(error).__name__}: {error}'
+            raise StoreError(step, self._address, cause) from error
+        return self._checked(step, response.status, answer)
+
+    def _decoded(self, body: bytes, kind: type[_Shape]) -> _Shape:
+        """Decode a body; raises :class:`StoreError` for a damaged one."""
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.DecodeError as error:
+            raise StoreError(
+                'store.decode',
+                self._address,
+                str(error),
+            ) from error
+
+    def _checked(self, step: str, status: int, body: bytes) -> bytes:
+        """Give the body of a success; raise for anything else."""
+        match status:
+            case HTTPStatus.OK:
+                return body
+            case HTTPStatus.GONE:
+                raise HistoryLostError(step, self._address, 'history lost')
+            case HTTPStatus.NOT_FOUND:
+                raise LeaseEndedError(step, self._address, 'not found')
+        raise StoreError(step, self._address, f'status {status}')
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(socket_factory=_probed_socket),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                trust_env=False,
+            )
+        return self._session
+
+
+def _facts(items: Iterable[_Item]) -> list[StoredFact]:
+    facts: list[StoredFact] = []
+    for item in items:
+        fact = _fact(item)
+        if fact is not None:
+            facts.append(fact)
+    return facts
+
+
+def _fact(item: _Item) -> StoredFact | None:
+    if not item.key.startswith(PREFIXES):
+        return None
+    if item.removed:
+        return decode_removal(item.key)
+    return decode_item(item.key, base64.b64decode(item.value))
+
+
+def _probed_socket(
+    address: aiohttp.AddrInfoType,
+) -> socket.socket:
+    """Make a socket whose silent death is noticed in seconds."""
+    family, kind, protocol, _, _ = address
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, bound in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+    ):
+        made.setsockopt(socket.IPPROTO_TCP, option, bound)
+    return made
--- /dev/null
+++ b/oriolestage/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on callers' requests and the targets that serve them."""
--- /dev/null
+++ b/oriolestage/relay/_knowledge.py
@@ -0,0 +1,176 @@
+"""What a host believes of the configuration, the targets and the hosts.
+
+Facts come from the store, in order, but some twice or late; a routing table
+never gives way to an older version.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+from oriolestage.relay._facts import (
+    ConfigurationStored,
+    DataCentreClosed,
+    DataCentreOpened,
+    HostRecord,
+    HostRemoved,
+    HostStored,
+    StoredFact,
+    TargetRemoved,
+    TargetStored,
+    Unreadable,
+)
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._rules import RoutingTable
+from oriolestage.relay._targets import TargetDirectory
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BeliefChanged:
+    """A change of what the host believes, for its log."""
+
+    event: str
+    fields: tuple[tuple[str, object], ...]
+
+
+class Knowledge:
+    """Takes in facts and answers what they add up to."""
+
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        placement: Placement,
+    ) -> None:
+        """Start without a configuration."""
+        self._directory = directory
+        self._placement = placement
+        self._table: RoutingTable | None = None
+        self._closed: set[str] = set()
+        self._hosts: dict[str, HostRecord] = {}
+        self._unreadable: dict[str, str] = {}
+
+    @property
+    def table(self) -> RoutingTable | None:
+        """The routing table in force; None before the first one."""
+        return self._table
+
+    @property
+    def hosts(self) -> dict[str, HostRecord]:
+        """Registered entry hosts by name."""
+        return self._hosts
+
+    def replace_all(
+        self,
+        facts: Iterable[StoredFact],
+        now: float,
+    ) -> list[BeliefChanged]:
+        """Take in a whole reading of the store."""
+        listed = tuple(facts)
+        closed = {
+            fact.name for fact in listed if isinstance(fact, DataCentreClosed)
+        }
+        hosts = {
+            fact.record.name: fact.record
+            for fact in listed
+            if isinstance(fact, HostStored)
+        }
+        changes: list[BeliefChanged] = []
+        if closed != self._closed:
+            self._closed = closed
+            changes.append(self._closed_changed())
+        if hosts != self._hosts:
+            self._hosts = hosts
+            changes.append(self._hosts_changed())
+        records = [
+            fact.record for fact in listed if isinstance(fact, TargetStored)
+        ]
+        for identity in self._directory.replace_all(records, now):
+            changes.append(_change('target_missing', target=identity))
+        changes.append(_change('targets_read', targets=len(records)))
+        for fact in listed:
+            match fact:
+                case ConfigurationStored() | Unreadable():
+                    changes.extend(self.apply(fact, now))
+        self._placement.forget_targets()
+        return changes
+
+    def apply(self, fact: StoredFact, now: float) -> list[BeliefChanged]:
+        """Take in one fact; give what changed by it."""
+        match fact:
+            case ConfigurationStored(table=table):
+                return self._apply_table(table)
+            case TargetStored(record=record):
+                added = self._directory.register(record, now)
+                return [
+                    _change(
+                        'target_registered',
+                        target=record.identity,
+                        service=record.service,
+                        data_centre=record.data_centre,
+                        draining=record.draining,
+                        new=added,
+                    ),
+                ]
+            case TargetRemoved(identity=identity):
+                at_once = self._directory.remove(identity, now)
+                self._placement.forget_targets()
+                return [
+                    _change('target_removed', target=identity, now=at_once),
+                ]
+            case Unreadable():
+                return self._apply_unreadable(fact, now)
+            case DataCentreClosed(name=name):
+                self._closed.add(name)
+                return [self._closed_changed()]
+            case DataCentreOpened(name=name):
+                self._closed.discard(name)
+                return [self._closed_changed()]
+            case HostStored(record=host):
+                self._hosts[host.name] = host
+                return [self._hosts_changed()]
+            case HostRemoved(name=name):
+                self._hosts.pop(name, None)
+                return [self._hosts_changed()]
+
+    def _apply_table(self, table: RoutingTable) -> list[BeliefChanged]:
+        known = -1 if self._table is None else self._table.version
+        if table.version <= known:
+            return []
+        self._table = table
+        return [
+            _change(
+                'configuration_in_force',
+                version=table.version,
+                previous=known,
+                services=len(table.services),
+            ),
+        ]
+
+    def _apply_unreadable(
+        self,
+        fact: Unreadable,
+        now: float,
+    ) -> list[BeliefChanged]:
+        """Stop using a target whose registration became unreadable."""
+        if self._unreadable.get(fact.key) == fact.problem:
+            return []
+        self._unreadable[fact.key] = fact.problem
+        if fact.target:
+            self._directory.remove(fact.target, now)
+        return [
+            _change('item_unreadable', key=fact.key, problem=fact.problem),
+        ]
+
+    def _closed_changed(self) -> BeliefChanged:
+        self._directory.set_closed_data_centres(self._closed)
+        return _change(
+            'data_centres_closed',
+            names=','.join(sorted(self._closed)) or 'none',
+        )
+
+    def _hosts_changed(self) -> BeliefChanged:
+        self._placement.set_hosts(self._hosts)
+        return _change('hosts_known', hosts=len(self._hosts))
+
+
+def _change(event: str, **fields: object) -> BeliefChanged:
+    return BeliefChanged(event, tuple(fields.items()))
