--- a/oriolestage/_logging.py
+++ b/oriolestage/_logging.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable, Mapping
 
-from absl import logging
+from absl import flags, logging
 
 #: Characters that make a value need quotes.
 QUOTED_CHARACTERS = frozenset(' ="\n\r\t')
@@ -70,6 +70,9 @@
         self._dropped = 0
         return len(text)
 
+    def close(self) -> None:
+        """Do nothing: the descriptor belongs to the process."""
+
     def flush(self) -> None:
         """Do nothing: lines are not buffered."""
 
@@ -79,6 +82,8 @@
 
 def start_logging() -> None:
     """Send log lines to standard output."""
+    # Library code may log before a command line is parsed, and has none here.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.python_handler.stream = NonBlockingStream(sys.stdout.fileno())
--- a/oriolestage/daemon/_data_links.py
+++ b/oriolestage/daemon/_data_links.py
@@ -3,11 +3,11 @@
 import asyncio
 import contextlib
 import socket
-import struct
 
 import msgspec
 from aiomisc import Service
 
+from oriolestage._frames import frame, read_frame
 from oriolestage._logging import log_event
 from oriolestage.core import DataMessage, decode_data, encode_message
 from oriolestage.daemon._events import (
@@ -17,10 +17,6 @@
     PeerLost,
 )
 
-#: Length prefix: four bytes, big-endian.
-LENGTH = struct.Struct('>I')
-#: Largest message accepted, in bytes.
-LARGEST_MESSAGE = 1 << 24
 #: Time allowed to connect to a peer, in seconds.
 CONNECT_TIMEOUT_S = 0.5
 
@@ -102,9 +98,10 @@
                 await self._stop_getting(getting)
                 self._lose('link.read', 'closed by peer')
                 return
-            frames = [_frame(getting.result())]
+            frames = [frame(encode_message(getting.result()))]
             while not self._outgoing.empty():
-                frames.append(_frame(self._outgoing.get_nowait()))
+                message = self._outgoing.get_nowait()
+                frames.append(frame(encode_message(message)))
             writer.writelines(frames)
             await writer.drain()
 
@@ -195,15 +192,5 @@
 
     async def _receive(self, reader: asyncio.StreamReader) -> None:
         while True:
-            prefix = await reader.readexactly(LENGTH.size)
-            length = LENGTH.unpack(prefix)[0]
-            if length > LARGEST_MESSAGE:
-                raise ValueError(f'message of {length} bytes')
-            payload = await reader.readexactly(length)
-            message = decode_data(payload)
+            message = decode_data(await read_frame(reader))
             self._inbox.put_nowait(DataArrived(message))
-
-
-def _frame(message: DataMessage) -> bytes:
-    payload = encode_message(message)
-    return LENGTH.pack(len(payload)) + payload
--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -119,7 +119,9 @@
                 method=request.method,
                 host=host,
                 path=path,
-                headers=tuple(request.headers.items()),
+                headers=tuple(
+                    (str(name), text) for name, text in request.headers.items()
+                ),
                 body=body,
                 arrived=arrived,
             ),
--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -13,6 +13,8 @@
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._control_server import ControlServer
 from oriolestage.entry._metrics import EntryMetrics
+from oriolestage.entry._peer_client import PeerClient
+from oriolestage.entry._peer_server import PeerServer
 from oriolestage.entry._ports import Exchange, Store
 from oriolestage.entry._relay import Relay
 from oriolestage.entry._settings import EntrySettings, EntrySettingsError
@@ -20,6 +22,7 @@
 from oriolestage.entry._target_client import TargetClient
 from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._knowledge import Knowledge
+from oriolestage.relay._peers import PeerBook
 from oriolestage.relay._placement import Placement
 from oriolestage.relay._rules import CallerLimits
 from oriolestage.relay._targets import TargetDirectory
@@ -30,7 +33,9 @@
 #: second apart and their answers, in seconds.
 NOTICE_S = 2.6
 #: Time before the kill at which a stopping host ends, in seconds.
-STOP_MARGIN_S = 0.5
+STOP_MARGIN_S = 0.8
+#: Time between two looks at the streams to other hosts, in seconds.
+LINK_CHECK_S = 1.0
 #: Time between two looks at whether a stopping host is done, in seconds.
 STOP_CHECK_S = 0.05
 
@@ -46,6 +51,9 @@
     follower: StoreFollower
     registration: HostRegistration
     client: TargetClient
+    peers: PeerBook
+    peer_client: PeerClient
+    peer_server: PeerServer
     stopping: asyncio.Event
 
 
@@ -71,6 +79,7 @@
             asyncio.create_task(host.follower.run()),
             asyncio.create_task(host.follower.expire_targets()),
             asyncio.create_task(host.registration.run()),
+            asyncio.create_task(_keep_links(host)),
         )
         await _listen(host)
         log_event('started', {'step': 'start', 'host': settings.place.name})
@@ -78,8 +87,11 @@
         left = await _drain(host)
         for task in tasks:
             task.cancel()
+        host.peer_server.close()
+        host.peer_client.close()
         await host.client.close()
         await host.control.close()
+        await store.close()
     log_event('stopped', {'step': 'stop', 'cut': left})
     return 0
 
@@ -93,9 +105,19 @@
     metrics = EntryMetrics()
     directory = TargetDirectory()
     placement = Placement(settings.place, directory, settings.warm_up)
-    knowledge = Knowledge(directory, placement)
+    peers = PeerBook(settings.place)
+    knowledge = Knowledge(directory, placement, peers)
     client = TargetClient(exchange)
-    relay = Relay(knowledge, placement, client, settings.budget, metrics)
+    peer_client = PeerClient()
+    relay = Relay(
+        knowledge,
+        placement,
+        peers,
+        client,
+        peer_client,
+        settings.budget,
+        metrics,
+    )
     follower = StoreFollower(store, knowledge, directory)
 
     def limits() -> CallerLimits:
@@ -128,6 +150,9 @@
             ),
         ),
         client=client,
+        peers=peers,
+        peer_client=peer_client,
+        peer_server=PeerServer(knowledge, placement, client),
         stopping=stopping,
     )
 
@@ -135,10 +160,18 @@
 async def _listen(host: EntryHost) -> None:
     settings = host.settings
     await host.callers.start(_bind(settings.caller_address))
+    await host.peer_server.start(_bind(settings.peer_address))
     await host.control.start(_bind(settings.ready_address), ready=True)
     await host.control.start(_bind(settings.metrics_address), ready=False)
 
 
+async def _keep_links(host: EntryHost) -> None:
+    """Keep streams to the hosts of other regions open."""
+    while True:
+        await host.peer_client.prepare(host.peers.far_addresses())
+        await asyncio.sleep(LINK_CHECK_S)
+
+
 async def _drain(host: EntryHost) -> int:
     """Finish what is in flight; give the number of requests cut off."""
     log_event('stopping', {'step': 'stop', 'in_flight': host.relay.in_flight})
--- a/oriolestage/entry/_metrics.py
+++ b/oriolestage/entry/_metrics.py
@@ -19,6 +19,7 @@
     Refused,
     Verdict,
 )
+from oriolestage.relay._run_types import BatchLost, BatchOutcome
 
 MICROS_PER_SECOND = 1_000_000
 #: Largest latency recorded, in microseconds.
@@ -61,6 +62,11 @@
         cause = 'hedge' if hedge else 'first_or_repeat'
         self._attempts[cause, _attempt_name(outcome)] += 1
 
+    def note_batch(self, outcome: BatchOutcome) -> None:
+        """Count a batch that another host gathered."""
+        name = 'lost' if isinstance(outcome, BatchLost) else 'answered'
+        self._attempts['batch', name] += 1
+
     def collect(self) -> Iterable[Metric]:
         """Give all metrics in the form that the exposition writes."""
         requests = CounterMetricFamily(
--- /dev/null
+++ b/oriolestage/entry/_peer_messages.py
@@ -0,0 +1,91 @@
+"""Messages between entry hosts, as MessagePack arrays in frames."""
+
+import msgspec
+
+from oriolestage._frames import frame
+
+
+class GatherRequest(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='gather',
+):
+    """Gather one shard of each service."""
+
+    #: Number of the request on its link.
+    number: int
+    request_id: str
+    route: str
+    method: str
+    #: Path and query as the caller sent them.
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    services: tuple[str, ...]
+    #: Regions whose targets may be used.
+    regions: tuple[str, ...]
+    top_records: int
+    #: True to merge the records of all shards.
+    merged: bool
+    #: Work after which a shard is late before its siblings answered, and
+    #: the work that this request takes as far as it is known, in seconds.
+    late_s: float
+    work_s: float
+    #: Time that the caller still waits, in seconds.
+    time_left_s: float
+
+
+class GatherCancel(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='cancel',
+):
+    """Stop gathering; no reply is wanted."""
+
+    number: int
+
+
+class GatherReply(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='reply',
+):
+    """What was gathered."""
+
+    number: int
+    #: Signature of each shard that answered, by service.
+    signatures: dict[str, str]
+    #: The greatest records of those shards together, if they are merged.
+    body: bytes
+    #: The greatest records of each shard by service, if they are not.
+    bodies: dict[str, bytes]
+    #: Services whose shards did not get the request.
+    not_sent: tuple[str, ...]
+    #: Work of the shards that answered, in seconds.
+    work_s: float
+
+
+ToPeer = GatherRequest | GatherCancel
+
+_encoder = msgspec.msgpack.Encoder()
+_to_peer_decoder: msgspec.msgpack.Decoder[ToPeer] = msgspec.msgpack.Decoder(
+    ToPeer,
+)
+_reply_decoder = msgspec.msgpack.Decoder(GatherReply)
+
+
+def encode_frame(message: ToPeer | GatherReply) -> bytes:
+    """Encode a message with its length."""
+    return frame(_encoder.encode(message))
+
+
+def decode_to_peer(payload: bytes) -> ToPeer:
+    """Decode a message to a host; raises ``msgspec.DecodeError``."""
+    return _to_peer_decoder.decode(payload)
+
+
+def decode_reply(payload: bytes) -> GatherReply:
+    """Decode a reply; raises ``msgspec.DecodeError``."""
+    return _reply_decoder.decode(payload)
--- /dev/null
+++ b/oriolestage/entry/_peer_server.py
@@ -0,0 +1,292 @@
+"""Gathers shards in this region for other entry hosts."""
+
+import asyncio
+import dataclasses
+import itertools
+import socket
+import time
+from collections.abc import Mapping
+
+import msgspec
+
+from oriolestage._frames import read_frame
+from oriolestage._logging import log_event
+from oriolestage.entry._peer_messages import (
+    GatherCancel,
+    GatherReply,
+    GatherRequest,
+    ToPeer,
+    decode_to_peer,
+    encode_frame,
+)
+from oriolestage.entry._target_client import TargetCall, TargetClient
+from oriolestage.relay._answers import (
+    AttemptAnswered,
+    AttemptLost,
+    AttemptNotRun,
+    AttemptOutcome,
+    NotRunReason,
+    TargetAnswer,
+)
+from oriolestage.relay._knowledge import Knowledge
+from oriolestage.relay._merge import merge_records
+from oriolestage.relay._placement import Chosen, Placement, Wanted
+from oriolestage.relay._stragglers import WorkWatch
+from oriolestage.relay._targets import KnownTarget
+
+#: Attempts for other hosts are numbered apart from those for callers.
+FIRST_ATTEMPT = 1 << 40
+MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Shard:
+    """One shard of a batch and what became of it."""
+
+    service: str
+    #: The answer; None if the shard failed.
+    answer: TargetAnswer | None
+
+
+class PeerServer:
+    """Serves the batches of other entry hosts."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        placement: Placement,
+        client: TargetClient,
+    ) -> None:
+        """Prepare the server."""
+        self._knowledge = knowledge
+        self._placement = placement
+        self._client = client
+        self._attempts = itertools.count(FIRST_ATTEMPT)
+        self._server: asyncio.Server | None = None
+        self._links: set[asyncio.Task[None]] = set()
+
+    async def start(self, listening: socket.socket) -> None:
+        """Serve batches on a bound socket."""
+        self._server = await asyncio.start_server(
+            self._serve,
+            sock=listening,
+        )
+
+    def close(self) -> None:
+        """Stop serving."""
+        if self._server is not None:
+            self._server.close()
+        for link in self._links:
+            link.cancel()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Serve the requests on one stream until it ends."""
+        current = asyncio.current_task()
+        if current is not None:
+            self._links.add(current)
+            current.add_done_callback(self._links.discard)
+        running: dict[int, asyncio.Task[None]] = {}
+        try:
+            while True:
+                message = decode_to_peer(await read_frame(reader))
+                self._take(message, writer, running)
+        except (asyncio.IncompleteReadError, OSError):
+            return
+        except (ValueError, msgspec.DecodeError) as error:
+            log_event('batch_rejected', {'step': 'peer', 'error': error})
+        finally:
+            for task in running.values():
+                task.cancel()
+            writer.close()
+
+    def _take(
+        self,
+        message: ToPeer,
+        writer: asyncio.StreamWriter,
+        running: dict[int, asyncio.Task[None]],
+    ) -> None:
+        match message:
+            case GatherRequest(number=number):
+                task = asyncio.create_task(self._answer(message, writer))
+                running[number] = task
+                task.add_done_callback(lambda _: running.pop(number, None))
+            case GatherCancel(number=number):
+                cancelled = running.get(number)
+                if cancelled is not None:
+                    cancelled.cancel()
+
+    async def _answer(
+        self,
+        request: GatherRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        reply = await self._gather(request)
+        writer.write(encode_frame(reply))
+
+    async def _gather(self, request: GatherRequest) -> GatherReply:
+        started = time.monotonic()
+        watch = WorkWatch(len(request.services), request.work_s)
+        chosen = self._choose(request, started)
+        tasks = {
+            asyncio.create_task(self._attempt(request, service, target, watch))
+            for service, target in chosen.items()
+        }
+        try:
+            shards = await _wait(tasks, watch, started, request.late_s)
+        finally:
+            for task in tasks:
+                task.cancel()
+        watch.settle(self._placement, request.route, time.monotonic())
+        log_event(
+            'batch_served',
+            {
+                'id': request.request_id,
+                'route': request.route,
+                'shards': len(request.services),
+                'answered': sum(1 for shard in shards if shard.answer),
+                'sent': len(chosen),
+                'late_after_ms': watch.late_s * MS_PER_S,
+                'took_ms': (time.monotonic() - started) * MS_PER_S,
+            },
+        )
+        not_sent = tuple(set(request.services) - chosen.keys())
+        return _reply(request, shards, not_sent, watch.work_s)
+
+    def _choose(
+        self,
+        request: GatherRequest,
+        now: float,
+    ) -> Mapping[str, KnownTarget]:
+        """Choose a target for each shard that has one with room."""
+        table = self._knowledge.table
+        chosen: dict[str, KnownTarget] = {}
+        for service in request.services:
+            rule = None if table is None else table.services.get(service)
+            wanted = Wanted(
+                service=service,
+                route=request.route,
+                regions=frozenset(request.regions),
+                connection_limit=0 if rule is None else rule.connection_limit,
+                warm_up_rate=0 if rule is None else rule.warm_up_rate,
+            )
+            placed = self._placement.choose(wanted, (), now)
+            if isinstance(placed, Chosen):
+                chosen[service] = placed.target
+        return chosen
+
+    async def _attempt(
+        self,
+        request: GatherRequest,
+        service: str,
+        target: KnownTarget,
+        watch: WorkWatch,
+    ) -> _Shard:
+        """Send to one target; give its answer if it is a success."""
+        attempt = next(self._attempts)
+        self._placement.note_sent(target, attempt, time.monotonic())
+        try:
+            outcome = await self._client.send(
+                TargetCall(
+                    request_id=request.request_id,
+                    method=request.method,
+                    path=request.path,
+                    headers=request.headers,
+                    body=b'',
+                    repeatable=True,
+                    target=target.record.identity,
+                    address=target.record.address,
+                    time_left_s=request.time_left_s,
+                ),
+            )
+        except asyncio.CancelledError:
+            self._placement.note_abandoned(
+                target,
+                attempt,
+                watch.late_s,
+                time.monotonic(),
+            )
+            raise
+        return _Shard(service, self._note(target, attempt, outcome, watch))
+
+    def _note(
+        self,
+        target: KnownTarget,
+        attempt: int,
+        outcome: AttemptOutcome,
+        watch: WorkWatch,
+    ) -> TargetAnswer | None:
+        now = time.monotonic()
+        match outcome:
+            case AttemptAnswered(answer=answer) if answer.success:
+                worked_s = self._placement.note_answer(target, attempt, now)
+                watch.note_answer(target, worked_s)
+                return answer
+            case AttemptAnswered() | AttemptNotRun(reason=NotRunReason.SHED):
+                self._placement.note_failure(target, attempt, now)
+            case AttemptNotRun(reason=reason):
+                self._placement.note_not_reached(target, attempt, now)
+                target.replaced |= reason == NotRunReason.OTHER_TARGET
+            case AttemptLost(step=step):
+                self._placement.note_lost(target, attempt, now)
+                log_event(
+                    'attempt_failed',
+                    {'step': step, 'peer': target.record.address},
+                )
+        return None
+
+
+async def _wait(
+    tasks: set[asyncio.Task[_Shard]],
+    watch: WorkWatch,
+    started: float,
+    late_s: float,
+) -> list[_Shard]:
+    """Wait until all shards are over or the others are late."""
+    pending = tasks
+    shards: list[_Shard] = []
+    while pending:
+        limit_s = watch.late_s if watch.compared else late_s
+        left_s = started + limit_s - time.monotonic()
+        if left_s <= 0:
+            break
+        done, pending = await asyncio.wait(
+            pending,
+            timeout=left_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        shards.extend(task.result() for task in done)
+    return shards
+
+
+def _reply(
+    request: GatherRequest,
+    shards: list[_Shard],
+    not_sent: tuple[str, ...],
+    work_s: float,
+) -> GatherReply:
+    signatures: dict[str, str] = {}
+    bodies: dict[str, bytes] = {}
+    for shard in shards:
+        if shard.answer is None:
+            continue
+        signatures[shard.service] = shard.answer.signature
+        bodies[shard.service] = merge_records(
+            [shard.answer.body],
+            request.top_records,
+        )
+    body = b''
+    if request.merged:
+        body = merge_records(bodies.values(), request.top_records)
+        bodies = {}
+    return GatherReply(
+        number=request.number,
+        signatures=signatures,
+        body=body,
+        bodies=bodies,
+        not_sent=not_sent,
+        work_s=work_s,
+    )
--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -50,6 +50,9 @@
     All calls raise :class:`StoreError`.
     """
 
+    async def close(self) -> None:
+        """Close all connections."""
+
     async def read_all(self) -> StoreView:
         """Read everything that concerns an entry host."""
 
--- a/oriolestage/entry/_relay.py
+++ b/oriolestage/entry/_relay.py
@@ -4,11 +4,13 @@
 import dataclasses
 import itertools
 import time
-from collections.abc import Callable
 
 from oriolestage._logging import log_event
 from oriolestage.entry._metrics import EntryMetrics
+from oriolestage.entry._peer_client import PeerClient
+from oriolestage.entry._peer_messages import GatherRequest
 from oriolestage.entry._ports import RequestFacts
+from oriolestage.entry._run_driver import RunDriver
 from oriolestage.entry._target_client import TargetCall, TargetClient
 from oriolestage.relay._answers import (
     AttemptAnswered,
@@ -21,17 +23,9 @@
 )
 from oriolestage.relay._extra_budget import BudgetBounds, ExtraBudget
 from oriolestage.relay._knowledge import Knowledge
+from oriolestage.relay._peers import PeerBook
 from oriolestage.relay._placement import Placement, Wanted
-from oriolestage.relay._request_run import (
-    DEADLINE_MARGIN_S,
-    Action,
-    CancelAttempt,
-    Finish,
-    PartRequest,
-    RequestRun,
-    RunTimes,
-    SendAttempt,
-)
+from oriolestage.relay._request_run import RequestRun
 from oriolestage.relay._rules import (
     RouteRule,
     RoutingTable,
@@ -40,10 +34,24 @@
     SingleService,
     WeightedServices,
 )
+from oriolestage.relay._run_types import (
+    BatchAnswered,
+    BatchLost,
+    BatchOutcome,
+    PartRequest,
+    RunTimes,
+    SendAttempt,
+    SendBatch,
+)
 from oriolestage.relay._weights import WeightedTurns
 
 #: Time to come back for a caller while there is no configuration, seconds.
 NO_CONFIGURATION_RETRY_S = 0.5
+#: Time kept back from the caller's deadline for the final answer, seconds.
+DEADLINE_MARGIN_S = 0.02
+#: Shortest time that is told to a target, in seconds.
+LEAST_TIME_S = 0.001
+MS_PER_S = 1000
 #: Services that the configuration does not describe.
 UNKNOWN_SERVICE = ServiceRule(name='', connection_limit=0)
 
@@ -64,17 +72,6 @@
     arrived: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Outcome:
-    attempt: int
-    outcome: AttemptOutcome
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _TimePassed:
-    """A timer of the run is due."""
-
-
 class Relay:
     """Serves callers' requests."""
 
@@ -82,14 +79,18 @@
         self,
         knowledge: Knowledge,
         placement: Placement,
+        peers: PeerBook,
         client: TargetClient,
+        peer_client: PeerClient,
         budget_bounds: BudgetBounds,
         metrics: EntryMetrics,
     ) -> None:
         """Prepare to serve; nothing is known yet."""
         self._knowledge = knowledge
         self._placement = placement
+        self._peers = peers
         self._client = client
+        self._peer_client = peer_client
         self._budget_bounds = budget_bounds
         self._metrics = metrics
         self._started_at = time.monotonic()
@@ -132,11 +133,13 @@
             parts=self._parts(rule, table),
             times=_times(rule, request),
             placement=self._placement,
+            peers=self._peers,
             next_attempt=lambda: next(self._attempts),
         )
-        driver = _Driver(
+        driver = RunDriver(
             run,
             lambda action: self._send(request, rule, action),
+            lambda action: self._send_batch(request, rule, action),
         )
         try:
             verdict = await driver.finish()
@@ -176,6 +179,7 @@
             self._budgets[name] = budget
         wanted = Wanted(
             service=name,
+            route=rule.name,
             regions=rule.regions,
             connection_limit=service.connection_limit,
             warm_up_rate=service.warm_up_rate,
@@ -200,7 +204,7 @@
                 repeatable=rule.repeatable,
                 target=record.identity,
                 address=record.address,
-                time_left_s=max(0.001, action.deadline - sent_at),
+                time_left_s=max(LEAST_TIME_S, action.deadline - sent_at),
             ),
         )
         self._metrics.note_attempt(outcome, hedge=action.hedge)
@@ -215,11 +219,50 @@
                     'target': record.identity,
                     'service': record.service,
                     'hedge': action.hedge,
-                    'after_ms': (time.monotonic() - sent_at) * 1000,
+                    'after_ms': (time.monotonic() - sent_at) * MS_PER_S,
                 },
             )
         return outcome
 
+    async def _send_batch(
+        self,
+        request: CallerRequest,
+        rule: RouteRule,
+        action: SendBatch,
+    ) -> BatchOutcome:
+        now = time.monotonic()
+        outcome = await self._peer_client.gather(
+            action.peer.peer_address,
+            GatherRequest(
+                number=0,
+                request_id=request.facts.request_id,
+                route=rule.name,
+                method=request.method,
+                path=request.path,
+                headers=request.headers,
+                services=tuple(part.service for part in action.parts),
+                regions=tuple(action.regions),
+                top_records=action.top_records,
+                merged=action.merged,
+                late_s=action.late_s,
+                work_s=action.work_s,
+                time_left_s=max(LEAST_TIME_S, action.deadline - now),
+            ),
+        )
+        self._metrics.note_batch(outcome)
+        log_event(
+            'batch_over',
+            {
+                'id': request.facts.request_id,
+                'step': _batch_step(outcome),
+                'peer': action.peer.name,
+                'shards': len(action.parts),
+                'merged': action.merged,
+                'after_ms': (time.monotonic() - now) * MS_PER_S,
+            },
+        )
+        return outcome
+
     def _refuse(
         self,
         request: CallerRequest,
@@ -245,7 +288,7 @@
         request: CallerRequest,
         rule: RouteRule,
         table: RoutingTable,
-        driver: '_Driver',
+        driver: RunDriver,
         verdict: Verdict | str,
     ) -> None:
         took_s = time.monotonic() - request.arrived
@@ -257,87 +300,13 @@
                 'route': rule.name,
                 'version': table.version,
                 'outcome': _outcome_text(verdict),
-                'took_ms': took_s * 1000,
+                'took_ms': took_s * MS_PER_S,
                 'hosts': len(self._placement.hosts),
                 **driver.run.summary(),
             },
         )
 
 
-class _Driver:
-    """Does what a run decides and tells it what comes of it."""
-
-    def __init__(
-        self,
-        run: RequestRun,
-        send: Callable[[SendAttempt], object],
-    ) -> None:
-        """Prepare to drive ``run``."""
-        self.run = run
-        self._send = send
-        self._inbox: asyncio.Queue[_Outcome | _TimePassed] = asyncio.Queue()
-        self._tasks: dict[int, asyncio.Task[None]] = {}
-        self._timer: asyncio.TimerHandle | None = None
-
-    async def finish(self) -> Verdict:
-        """Drive the run until its verdict."""
-        actions = self.run.start(time.monotonic())
-        while True:
-            verdict = self._do(actions)
-            if verdict is not None:
-                return verdict
-            self._set_timer()
-            event = await self._inbox.get()
-            now = time.monotonic()
-            match event:
-                case _Outcome(attempt=attempt, outcome=outcome):
-                    actions = self.run.on_outcome(attempt, outcome, now)
-                case _TimePassed():
-                    actions = self.run.on_time(now)
-
-    def cancel_all(self) -> None:
-        """Stop all attempts that are still on their way."""
-        if self._timer is not None:
-            self._timer.cancel()
-        for task in self._tasks.values():
-            task.cancel()
-
-    def _do(self, actions: list[Action]) -> Verdict | None:
-        verdict: Verdict | None = None
-        for action in actions:
-            match action:
-                case SendAttempt(attempt=attempt):
-                    self._tasks[attempt] = asyncio.create_task(
-                        self._attempt(action),
-                    )
-                case CancelAttempt(attempt=attempt):
-                    task = self._tasks.pop(attempt, None)
-                    if task is not None:
-                        task.cancel()
-                case Finish(verdict=final):
-                    verdict = final
-        return verdict
-
-    async def _attempt(self, action: SendAttempt) -> None:
-        try:
-            outcome = await self._send(action)
-        except TimeoutError:
-            outcome = AttemptLost('target.deadline')
-        self._tasks.pop(action.attempt, None)
-        self._inbox.put_nowait(_Outcome(action.attempt, outcome))
-
-    def _set_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        loop = asyncio.get_running_loop()
-        wait_s = max(0, self.run.wake_at - time.monotonic())
-        self._timer = loop.call_later(
-            wait_s,
-            self._inbox.put_nowait,
-            _TimePassed(),
-        )
-
-
 def _times(rule: RouteRule, request: CallerRequest) -> RunTimes:
     limit_s = rule.time_limit_s
     if request.facts.time_left_s is not None:
@@ -360,6 +329,14 @@
     return ''
 
 
+def _batch_step(outcome: BatchOutcome) -> str:
+    match outcome:
+        case BatchLost(step=step):
+            return step
+        case BatchAnswered(signatures=signatures):
+            return f'answered_{len(signatures)}'
+
+
 def _outcome_text(verdict: Verdict | str) -> str:
     if isinstance(verdict, str):
         return verdict
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import dataclasses
+import functools
 import socket
-from http import HTTPStatus
+from typing import cast
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -57,15 +58,40 @@
         """Tell whether the connection may be used again."""
         return super().is_connected() and not self.should_close
 
+    def eof_received(self) -> None:
+        """Fail an answer without a length that a reset cut off.
+
+        The event loop reports a reset that arrives together with the last
+        bytes as an end of the stream, so the socket itself is asked.
+        """
+        payload = self._payload
+        if payload is not None and not payload.is_eof() and self._was_reset():
+            payload.set_exception(_reset_error())
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer without a length that a reset cut off."""
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
-                aiohttp.ClientPayloadError('reset before the answer ended'),
-            )
+            payload.set_exception(_reset_error())
         super().connection_lost(exc)
 
+    def _was_reset(self) -> bool:
+        transport = self.transport
+        if transport is None:
+            return True
+        descriptor = transport.get_extra_info('socket').fileno()
+        asked = socket.socket(fileno=descriptor)
+        try:
+            return asked.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b''
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            # The transport keeps the descriptor.
+            asked.detach()
+
 
 class TargetClient:
     """Keeps connections to targets and sends attempts over them."""
@@ -90,10 +116,10 @@
         try:
             async with asyncio.timeout(call.time_left_s):
                 return await self._exchange_once(session, call)
-        except aiohttp.ClientConnectorError:
-            return AttemptNotRun(NotRunReason.NOT_REACHED)
-        except aiohttp.ConnectionTimeoutError:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return AttemptNotRun(NotRunReason.NOT_REACHED)
+        except TimeoutError:
+            return AttemptLost('target.deadline')
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return AttemptLost(f'target.{type(error).__name__}')
 
@@ -140,16 +166,30 @@
         )
 
 
+def _reset_error() -> aiohttp.ClientPayloadError:
+    return aiohttp.ClientPayloadError('reset before the answer ended')
+
+
 def _session(*, keep: bool) -> aiohttp.ClientSession:
     loop = asyncio.get_running_loop()
-    connector = aiohttp.TCPConnector(
-        limit=0,
-        force_close=not keep,
-        socket_factory=_target_socket,
-        **({'keepalive_timeout': IDLE_LIMIT_S} if keep else {}),
-    )
+    if keep:
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=IDLE_LIMIT_S,
+            socket_factory=target_socket,
+        )
+    else:
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            force_close=True,
+            socket_factory=target_socket,
+        )
     # The library has no public way to choose the connection's class.
-    connector._factory = lambda: TargetConnection(loop=loop)  # noqa: SLF001
+    factory = functools.partial(TargetConnection, loop=loop)
+    connector._factory = cast(  # noqa: SLF001
+        functools.partial[ResponseHandler],
+        factory,
+    )
     session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -162,7 +202,8 @@
     return session
 
 
-def _target_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+def target_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    """Make a socket that breaks when what it sent is not acknowledged."""
     family, kind, protocol, _, _ = address
     made = socket.socket(family, kind, protocol)
     made.setsockopt(
--- a/oriolestage/relay/_extra_budget.py
+++ b/oriolestage/relay/_extra_budget.py
@@ -17,6 +17,8 @@
 #: Part of the allowance in the first window after a start, when what this
 #: host spent before a restart is not known.
 ALLOWANCE_AFTER_START = 0.35
+#: Part of what a window gives below which extra attempts are scarce.
+SCARCE_PART = 0.25
 #: Part of the ratio that is used; intervals at the window's edge are inexact.
 RATIO_USED = 0.9
 
@@ -58,13 +60,12 @@
 
     def left(self, hosts: int, now: float) -> float:
         """Give the extra attempts left, with ``hosts`` sharing."""
-        self._interval(now)
-        used = ALLOWANCE_USED
-        if now - self._started_at < self._bounds.window_s:
-            used = ALLOWANCE_AFTER_START
-        allowance = used * self._bounds.allowance / max(1, hosts)
-        ratio = RATIO_USED * self._bounds.ratio
-        return allowance + ratio * self._needed - self._extra
+        return self._granted(hosts, now) - self._extra
+
+    def scarce(self, hosts: int, now: float) -> bool:
+        """Tell whether most extra attempts of the window are spent."""
+        granted = self._granted(hosts, now)
+        return granted - self._extra < SCARCE_PART * granted
 
     def take(self, hosts: int, now: float) -> bool:
         """Take one extra attempt, if one is left."""
@@ -74,6 +75,14 @@
         self._extra += 1
         return True
 
+    def _granted(self, hosts: int, now: float) -> float:
+        self._interval(now)
+        used = ALLOWANCE_USED
+        if now - self._started_at < self._bounds.window_s:
+            used = ALLOWANCE_AFTER_START
+        allowance = used * self._bounds.allowance / max(1, hosts)
+        return allowance + RATIO_USED * self._bounds.ratio * self._needed
+
     def _interval(self, now: float) -> _Interval:
         horizon = now - self._bounds.window_s - INTERVAL_S
         while self._intervals and self._intervals[0].started_at < horizon:
--- /dev/null
+++ b/oriolestage/relay/_first_wave.py
@@ -0,0 +1,113 @@
+"""Divides the first attempts of a query over direct ones and batches.
+
+Answers the load pattern in which a query needs many shards of which some
+have no good target in this host's region: those go in one batch for each
+region to a host there, chosen so that few batches are needed.
+"""
+
+import dataclasses
+
+from oriolestage.relay._facts import HostRecord
+from oriolestage.relay._peers import PeerBook
+from oriolestage.relay._placement import Chosen, Placement, Wanted
+
+#: Smallest number of shards that is worth a batch.
+SMALLEST_BATCH = 2
+#: A region may be this much slower than the best one if that saves a batch,
+#: in seconds.
+REGION_SLACK_S = 0.008
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Parts that one host of another region gathers."""
+
+    peer: HostRecord
+    region: str
+    #: Positions of the parts.
+    positions: tuple[int, ...]
+    #: Steady time by which the answer should be here.
+    due_at: float = float('inf')
+
+
+def plan_batches(
+    wants: tuple[Wanted, ...],
+    placement: Placement,
+    peers: PeerBook,
+    now: float,
+) -> list[Batch]:
+    """Give the batches; what is in none is sent directly."""
+    regions_of = _remote_parts(wants, placement, now)
+    batches: list[Batch] = []
+    while regions_of:
+        region = _commonest(regions_of)
+        members = tuple(
+            position
+            for position, regions in regions_of.items()
+            if region in regions
+        )
+        peer = peers.choose(region, now)
+        if len(members) < SMALLEST_BATCH:
+            break
+        if peer is None:
+            _drop_region(regions_of, region)
+            continue
+        batches.append(Batch(peer, region, members))
+        for position in members:
+            regions_of.pop(position)
+    return batches
+
+
+def _remote_parts(
+    wants: tuple[Wanted, ...],
+    placement: Placement,
+    now: float,
+) -> dict[int, set[str]]:
+    """Give the regions that can serve each part that goes far."""
+    home = placement.place.region
+    found: dict[int, set[str]] = {}
+    for position, wanted in enumerate(wants):
+        best = placement.choose(wanted, (), now)
+        if not isinstance(best, Chosen):
+            continue
+        if placement.place.region_of(best.target.record.data_centre) == home:
+            continue
+        regions = {
+            region
+            for region in set(placement.place.regions.values())
+            if region != home
+            and _expected_s(region, wanted, placement, now)
+            <= best.expected_s + REGION_SLACK_S
+        }
+        if regions:
+            found[position] = regions
+    return found
+
+
+def _expected_s(
+    region: str,
+    wanted: Wanted,
+    placement: Placement,
+    now: float,
+) -> float:
+    """Give the expected delay in a region; infinite if it cannot serve."""
+    if wanted.regions and region not in wanted.regions:
+        return float('inf')
+    there = dataclasses.replace(wanted, regions=frozenset((region,)))
+    placed = placement.choose(there, (), now)
+    return placed.expected_s if isinstance(placed, Chosen) else float('inf')
+
+
+def _commonest(regions_of: dict[int, set[str]]) -> str:
+    counts: dict[str, int] = {}
+    for regions in regions_of.values():
+        for region in regions:
+            counts[region] = counts.get(region, 0) + 1
+    return max(sorted(counts), key=lambda region: counts[region])
+
+
+def _drop_region(regions_of: dict[int, set[str]], region: str) -> None:
+    for position, regions in tuple(regions_of.items()):
+        regions.discard(region)
+        if not regions:
+            regions_of.pop(position)
--- a/oriolestage/relay/_knowledge.py
+++ b/oriolestage/relay/_knowledge.py
@@ -19,6 +19,7 @@
     TargetStored,
     Unreadable,
 )
+from oriolestage.relay._peers import PeerBook
 from oriolestage.relay._placement import Placement
 from oriolestage.relay._rules import RoutingTable
 from oriolestage.relay._targets import TargetDirectory
@@ -39,8 +40,10 @@
         self,
         directory: TargetDirectory,
         placement: Placement,
+        peers: PeerBook,
     ) -> None:
         """Start without a configuration."""
+        self._peers = peers
         self._directory = directory
         self._placement = placement
         self._table: RoutingTable | None = None
@@ -53,11 +56,6 @@
         """The routing table in force; None before the first one."""
         return self._table
 
-    @property
-    def hosts(self) -> dict[str, HostRecord]:
-        """Registered entry hosts by name."""
-        return self._hosts
-
     def replace_all(
         self,
         facts: Iterable[StoredFact],
@@ -169,6 +167,7 @@
 
     def _hosts_changed(self) -> BeliefChanged:
         self._placement.set_hosts(self._hosts)
+        self._peers.set_hosts(self._hosts.values())
         return _change('hosts_known', hosts=len(self._hosts))
 
 
--- a/oriolestage/relay/_request_run.py
+++ b/oriolestage/relay/_request_run.py
@@ -18,120 +18,52 @@
     AttemptLost,
     AttemptNotRun,
     AttemptOutcome,
-    Delivered,
-    Failed,
-    Gathered,
     GiveUpReason,
     NotRunReason,
-    Refused,
     TargetAnswer,
-    Verdict,
-)
-from oriolestage.relay._extra_budget import ExtraBudget
-from oriolestage.relay._merge import merge_records
-from oriolestage.relay._placement import (
-    Chosen,
-    NoRoom,
-    NoTarget,
-    Placement,
-    Wanted,
 )
+from oriolestage.relay._first_wave import Batch, plan_batches
+from oriolestage.relay._parts import RETRY_AFTER_S, Attempt, Part
+from oriolestage.relay._peers import PeerBook
+from oriolestage.relay._placement import Chosen, NoRoom, NoTarget, Placement
 from oriolestage.relay._rules import RouteRule, ShardGroup
-from oriolestage.relay._targets import KnownTarget
+from oriolestage.relay._run_types import (
+    Action,
+    BatchAnswered,
+    BatchLost,
+    BatchOutcome,
+    BatchPart,
+    CancelAttempt,
+    Finish,
+    PartRequest,
+    RunTimes,
+    SendAttempt,
+    SendBatch,
+)
+from oriolestage.relay._stragglers import WorkWatch
+from oriolestage.relay._verdicts import least_parts, verdict_of
 
-#: A hedge is sent after this many times the expected delay ...
-HEDGE_FACTOR = 2.0
-#: ... and this time more, in seconds.
-HEDGE_MARGIN_S = 0.012
+#: Time for the work of another host on a batch, in seconds. Its reply tells
+#: which shards are late, so only a host that is lost exceeds this.
+PEER_MARGIN_S = 0.025
 #: Time between the end of a run and the caller's receipt, in seconds: the
 #: way to the caller, its connection's set-up and the work on the answer.
-DELIVERY_MARGIN_S = 0.018
-#: Time kept back from the caller's deadline for the final answer, seconds.
-DEADLINE_MARGIN_S = 0.02
+DELIVERY_MARGIN_S = 0.017
 #: Time between two tries to place a part that has no room, in seconds.
 PLACE_AGAIN_S = 0.01
+MS_PER_S = 1000
 #: Shed answers of one part after which it is given up.
 SHED_LIMIT = 4
-#: Shortest time to come back that is told to a caller, in seconds.
-RETRY_AFTER_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SendAttempt:
-    """Send the request to a target."""
-
-    attempt: int
-    service: str
-    target: KnownTarget
-    #: Steady time at which the target may stop.
-    deadline: float
-    hedge: bool
+class _Launch:
+    """An attempt that was decided on and is not sent yet."""
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CancelAttempt:
-    """Stop an attempt whose answer is of no more use."""
-
-    attempt: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finish:
-    """End the request."""
-
-    verdict: Verdict
-
-
-Action = SendAttempt | CancelAttempt | Finish
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunTimes:
-    """When a request came and when it has to be over, in steady time."""
-
-    started: float
-    #: Time within which an answer has its full use.
-    objective: float
-    deadline: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PartRequest:
-    """One service that a request needs."""
-
-    wanted: Wanted
-    budget: ExtraBudget
-
-
-@dataclasses.dataclass(slots=True)
-class _Attempt:
-    target: KnownTarget
-    sent_at: float
-    hedge_at: float
-
-
-@dataclasses.dataclass(slots=True)
-class _Part:
-    request: PartRequest
-    answer: TargetAnswer | None = None
-    #: An answer of a target that is no success.
-    failure: TargetAnswer | None = None
-    live: dict[int, _Attempt] = dataclasses.field(default_factory=dict)
-    #: Targets that got an attempt.
-    tried: set[str] = dataclasses.field(default_factory=set)
-    sends: int = 0
-    may_have_run: int = 0
-    sheds: int = 0
-    place_at: float = float('inf')
-    given_up: bool = False
-    reason: GiveUpReason = GiveUpReason.NO_TARGET
-    #: Earliest time at which a target may have room, seconds from then.
-    room_after_s: float = RETRY_AFTER_S
-
-    @property
-    def over(self) -> bool:
-        """Tell whether nothing more can come of the part."""
-        return self.answer is not None or (self.given_up and not self.live)
+    #: Position of the part.
+    position: int
+    placed: Chosen
+    hedge: bool = False
 
 
 class RequestRun:
@@ -143,49 +75,51 @@
         parts: tuple[PartRequest, ...],
         times: RunTimes,
         placement: Placement,
+        peers: PeerBook,
         next_attempt: Callable[[], int],
     ) -> None:
         """Prepare the run; nothing is sent before ``start``."""
         self._rule = rule
         self._times = times
         self._placement = placement
+        self._peers = peers
         self._next_attempt = next_attempt
-        self._parts = tuple(_Part(part) for part in parts)
-        self._of_attempt: dict[int, _Part] = {}
-        self._gathers = isinstance(rule.destination, ShardGroup)
+        self._parts = tuple(
+            Part(position, part) for position, part in enumerate(parts)
+        )
+        self._of_attempt: dict[int, Part] = {}
+        self._batches: dict[int, Batch] = {}
+        self._launches: list[_Launch] = []
+        #: Merged records of batches.
+        self._merged: list[bytes] = []
+        self._watch = WorkWatch(len(parts), placement.work_s(rule.name))
+        self._least = least_parts(rule.destination, len(parts))
         self._finished = False
-
-    @property
-    def finished(self) -> bool:
-        """Tell whether the verdict was given."""
-        return self._finished
-
-    @property
-    def sends(self) -> int:
-        """Attempts made so far."""
-        return sum(part.sends for part in self._parts)
+        self._hedges = 0
+        self._sends = 0
 
     @property
     def wake_at(self) -> float:
         """Steady time at which ``on_time`` is due."""
-        wake_at = min(self._times.deadline, self._cut_off_at())
+        wake_at = self._times.deadline
+        if self._answered() >= self._least:
+            wake_at = min(wake_at, self._cut_off_at())
         for part in self._parts:
-            wake_at = min(wake_at, part.place_at)
-            if part.answer is not None:
-                continue
-            for attempt in part.live.values():
-                wake_at = min(wake_at, attempt.hedge_at)
+            wake_at = min(wake_at, self._due_at(part))
         return wake_at
 
     def start(self, now: float) -> list[Action]:
         """Send the first attempts, or refuse what cannot be served."""
-        actions: list[Action] = []
         for part in self._parts:
             part.request.budget.note_needed(now)
+        actions = self._send_first_batches(now)
         for part in self._parts:
-            actions.extend(self._place(part, now))
+            self._place(part, now)
+        actions += self._launch(now)
         if self._hopeless():
-            self._forget(now)
+            self._drop_all(now)
+            for part in self._parts:
+                part.live.clear()
             return self._end(now)
         return actions + self._check_end(now)
 
@@ -195,198 +129,357 @@
         outcome: AttemptOutcome,
         now: float,
     ) -> list[Action]:
-        """Take in what became of an attempt."""
+        """Take in what became of an attempt at a target."""
         part = self._of_attempt.pop(attempt, None)
         if part is None or self._finished:
             return []
-        sent = part.live.pop(attempt)
-        load = self._placement.load_of(sent.target)
+        target = part.live.pop(attempt).target
+        if target is None:
+            return []
         match outcome:
             case AttemptAnswered(answer=answer):
-                failed = answer.status >= 500
-                load.note_answer(attempt, now, failed=failed)
+                if answer.status >= 500:
+                    self._placement.note_failure(target, attempt, now)
+                else:
+                    self._watch.note_answer(
+                        target,
+                        self._placement.note_answer(target, attempt, now),
+                    )
                 return self._on_answer(part, answer, now)
+            case AttemptNotRun(reason=NotRunReason.SHED):
+                self._placement.note_failure(target, attempt, now)
+                part.sheds += 1
+                part.reason = GiveUpReason.SHED
             case AttemptNotRun(reason=reason):
-                return self._on_not_run(part, sent, attempt, reason, now)
+                self._placement.note_not_reached(target, attempt, now)
+                if reason == NotRunReason.OTHER_TARGET:
+                    target.replaced = True
+                else:
+                    part.arrivals -= 1
             case AttemptLost():
-                load.note_lost(attempt, now)
+                self._placement.note_lost(target, attempt, now)
                 part.may_have_run += 1
                 part.reason = GiveUpReason.LOST
-                return self._repeat(part, now) + self._check_end(now)
+        self._repeat(part, now)
+        return self._launch(now) + self._check_end(now)
+
+    def on_batch(
+        self,
+        batch: int,
+        outcome: BatchOutcome,
+        now: float,
+    ) -> list[Action]:
+        """Take in what became of a batch."""
+        sent = self._batches.pop(batch, None)
+        if sent is None or self._finished:
+            return []
+        actions: list[Action] = []
+        match outcome:
+            case BatchAnswered():
+                self._peers.note_answer(sent.peer.name)
+                self._merged.append(outcome.body)
+                answers = len(outcome.signatures)
+                self._watch.note_work(outcome.work_s, answers)
+                for position in sent.positions:
+                    part = self._parts[position]
+                    actions += self._on_batch_part(part, sent, outcome, now)
+            case BatchLost(not_sent=not_sent):
+                self._peers.note_silent(sent.peer.name, now)
+                self._peers.note_ended(sent.peer.name)
+                for position in sent.positions:
+                    part = self._parts[position]
+                    self._drop_batched(part)
+                    part.arrivals -= not_sent
+                    part.may_have_run += not not_sent
+                    part.reason = GiveUpReason.LOST
+                    self._repeat(part, now)
+        return actions + self._launch(now) + self._check_end(now)
 
     def on_time(self, now: float) -> list[Action]:
         """Do what is due by now."""
         if self._finished:
             return []
-        actions: list[Action] = []
         for part in self._parts:
             if part.place_at <= now:
                 part.place_at = float('inf')
-                actions.extend(self._place(part, now))
-            actions.extend(self._hedge(part, now))
-        return actions + self._check_end(now)
+                self._place(part, now)
+            self._hedge(part, now)
+        return self._launch(now) + self._check_end(now)
 
     def cancel(self, now: float) -> None:
         """End the run because the caller left."""
-        self._forget(now)
+        self._drop_all(now)
         self._finished = True
 
+    def summary(self) -> dict[str, object]:
+        """Give what was done, for the log."""
+        return {
+            'parts': len(self._parts),
+            'answered': self._answered(),
+            'sends': self._sends,
+            'hedges': self._hedges,
+            'batches': len(self._merged),
+            'lacking': ','.join(
+                f'{part.service}:{part.reason.value}:{"/".join(part.history)}'
+                for part in self._parts
+                if part.answer is None
+            ),
+        }
+
+    def _send_first_batches(self, now: float) -> list[Action]:
+        """Give the shards that go far to hosts near their targets."""
+        if not isinstance(self._rule.destination, ShardGroup):
+            return []
+        wants = tuple(part.request.wanted for part in self._parts)
+        planned = plan_batches(wants, self._placement, self._peers, now)
+        return [self._send_batch(batch, now, merged=True) for batch in planned]
+
+    def _launch(self, now: float) -> list[Action]:
+        """Send the attempts that were decided on.
+
+        Those to another region go through a host there: its connections to
+        its targets are open, and several shards take one request.
+        """
+        actions: list[Action] = []
+        far: dict[str, list[int]] = {}
+        for launch in self._launches:
+            region = self._far_region(launch.placed)
+            if region and self._peers.choose(region, now) is not None:
+                far.setdefault(region, []).append(launch.position)
+            else:
+                actions.append(self._send(launch, now))
+        self._launches.clear()
+        for region, positions in far.items():
+            peer = self._peers.choose(region, now)
+            if peer is not None:
+                batch = Batch(peer, region, tuple(positions))
+                actions.append(self._send_batch(batch, now, merged=False))
+        return actions
+
+    def _far_region(self, placed: Chosen) -> str:
+        """Give the region of a shard's target if it is another one."""
+        if not isinstance(self._rule.destination, ShardGroup):
+            return ''
+        place = self._placement.place
+        region = place.region_of(placed.target.record.data_centre)
+        return '' if region == place.region else region
+
+    def _send_batch(
+        self,
+        batch: Batch,
+        now: float,
+        *,
+        merged: bool,
+    ) -> SendBatch:
+        number = self._next_attempt()
+        way_s = self._placement.way_to_region_s(batch.region)
+        way_s += PEER_MARGIN_S
+        due_at = now + way_s + self._watch.late_s
+        self._batches[number] = dataclasses.replace(batch, due_at=due_at)
+        self._peers.note_sent(batch.peer.name)
+        sent: list[BatchPart] = []
+        for position in batch.positions:
+            part = self._parts[position]
+            attempt = self._next_attempt()
+            part.live[attempt] = Attempt(now, way_s, None, number)
+            part.arrivals += 1
+            part.history.append(self._step(batch.region, now))
+            part.tried.update(
+                target.record.identity
+                for target in self._placement.targets_in(
+                    part.service,
+                    batch.region,
+                )
+            )
+            sent.append(BatchPart(attempt, part.service))
+        self._sends += 1
+        return SendBatch(
+            batch=number,
+            peer=batch.peer,
+            parts=tuple(sent),
+            regions=frozenset((batch.region,)),
+            top_records=getattr(self._rule.destination, 'top_records', 0),
+            merged=merged,
+            late_s=self._watch.late_s,
+            work_s=self._watch.work_s,
+            deadline=self._times.deadline,
+        )
+
+    def _on_batch_part(
+        self,
+        part: Part,
+        batch: Batch,
+        outcome: BatchAnswered,
+        now: float,
+    ) -> list[Action]:
+        """Take in one shard of an answered batch."""
+        self._drop_batched(part)
+        signature = outcome.signatures.get(part.service)
+        if signature is not None:
+            body = outcome.bodies.get(part.service)
+            # Merged records hold this shard, so what a hedge gave must not
+            # be merged again.
+            if part.answer is None or body is None:
+                part.answer = TargetAnswer(200, (), body or b'', signature)
+            self._placement.note_batched(
+                part.service,
+                batch.region,
+                now,
+                late=False,
+            )
+            return self._drop_live(part, now)
+        self._placement.note_batched(
+            part.service,
+            batch.region,
+            now,
+            late=True,
+        )
+        if part.service in outcome.not_sent:
+            part.arrivals -= 1
+        else:
+            part.may_have_run += 1
+            part.reason = GiveUpReason.LATE
+        self._repeat(part, now)
+        return []
+
     def _on_answer(
         self,
-        part: _Part,
+        part: Part,
         answer: TargetAnswer,
         now: float,
     ) -> list[Action]:
-        if answer.success or (answer.status < 500 and not self._gathers):
+        gathers = isinstance(self._rule.destination, ShardGroup)
+        if answer.success or (answer.status < 500 and not gathers):
             part.answer = answer
             return self._drop_live(part, now) + self._check_end(now)
         part.may_have_run += 1
         part.failure = answer
         part.reason = GiveUpReason.LOST
-        return self._repeat(part, now) + self._check_end(now)
+        self._repeat(part, now)
+        return self._launch(now) + self._check_end(now)
 
-    def _on_not_run(
-        self,
-        part: _Part,
-        sent: _Attempt,
-        attempt: int,
-        reason: NotRunReason,
-        now: float,
-    ) -> list[Action]:
-        load = self._placement.load_of(sent.target)
-        match reason:
-            case NotRunReason.SHED:
-                load.note_answer(attempt, now, failed=True)
-                part.sheds += 1
-                part.reason = GiveUpReason.SHED
-            case NotRunReason.OTHER_TARGET:
-                load.note_not_reached(attempt, now)
-                sent.target.replaced = True
-            case NotRunReason.NOT_REACHED:
-                load.note_not_reached(attempt, now)
-        if part.sheds >= SHED_LIMIT:
-            part.given_up = True
-            return self._check_end(now)
-        return self._repeat(part, now, not_run=True) + self._check_end(now)
-
-    def _repeat(
-        self,
-        part: _Part,
-        now: float,
-        *,
-        not_run: bool = False,
-    ) -> list[Action]:
+    def _repeat(self, part: Part, now: float) -> None:
         """Try another target after a failed attempt, if it may be done."""
         if part.live or part.answer is not None:
-            return []
-        if not (self._rule.repeatable or not_run):
-            part.given_up = True
-            return []
-        if part.may_have_run >= self._rule.attempts_limit:
+            return
+        once = not self._rule.repeatable and part.may_have_run
+        spent = part.may_have_run >= self._rule.attempts_limit
+        if once or spent or part.sheds >= SHED_LIMIT:
             part.given_up = True
-            return []
-        return self._place(part, now)
+            return
+        self._place(part, now)
 
-    def _place(self, part: _Part, now: float) -> list[Action]:
-        """Send an attempt of a part that has none on its way."""
+    def _place(self, part: Part, now: float) -> None:
+        """Decide on an attempt of a part that has none on its way."""
         if part.live or part.over:
-            return []
+            return
         placed = self._choose(part, now)
         match placed:
             case Chosen():
-                hosts = len(self._placement.hosts)
-                first = part.sends == 0
-                if not first and not part.request.budget.take(hosts, now):
+                if part.arrivals and not self._take_extra(part, now):
                     part.given_up = True
-                    return []
-                return [self._send(part, placed, now, hedge=False)]
+                    part.reason = GiveUpReason.NO_BUDGET
+                    return
+                self._launches.append(_Launch(part.position, placed))
             case NoRoom(wait_s=wait_s):
                 part.room_after_s = max(RETRY_AFTER_S, wait_s)
                 part.reason = GiveUpReason.NO_ROOM
-                if now + wait_s >= self._times.deadline:
-                    part.given_up = True
-                    return []
                 part.place_at = now + max(PLACE_AGAIN_S, wait_s)
+                part.given_up = part.place_at >= self._times.deadline
             case NoTarget():
                 part.given_up = True
-        return []
+                part.reason = GiveUpReason.NO_TARGET
 
-    def _choose(self, part: _Part, now: float) -> Chosen | NoRoom | NoTarget:
+    def _choose(self, part: Part, now: float) -> Chosen | NoRoom | NoTarget:
         """Choose a target not tried yet, else any."""
         placed = self._placement.choose(part.request.wanted, part.tried, now)
         if part.tried and not isinstance(placed, Chosen):
             return self._placement.choose(part.request.wanted, (), now)
         return placed
 
-    def _hedge(self, part: _Part, now: float) -> list[Action]:
-        """Send a second attempt when the first one takes too long."""
+    def _hedge(self, part: Part, now: float) -> None:
+        """Decide on a second attempt when the first takes too long."""
         if part.answer is not None or len(part.live) != 1:
-            return []
+            return
         attempt = next(iter(part.live.values()))
-        if attempt.hedge_at > now:
-            return []
-        attempt.hedge_at = float('inf')
-        limit = self._rule.attempts_limit
-        if part.may_have_run + len(part.live) >= limit:
-            return []
+        if self._late_at(attempt) > now:
+            return
+        attempt.hedged = True
+        if part.may_have_run + 1 >= self._rule.attempts_limit:
+            return
         placed = self._placement.choose(part.request.wanted, part.tried, now)
         if not isinstance(placed, Chosen):
-            return []
-        if now + placed.expected_s >= self._times.deadline:
-            return []
-        if not part.request.budget.take(len(self._placement.hosts), now):
-            return []
-        return [self._send(part, placed, now, hedge=True)]
-
-    def _send(
-        self,
-        part: _Part,
-        placed: Chosen,
-        now: float,
-        *,
-        hedge: bool,
-    ) -> SendAttempt:
+            return
+        if not self._in_time(placed, now) or not self._take_extra(part, now):
+            return
+        self._hedges += 1
+        self._launches.append(_Launch(part.position, placed, hedge=True))
+
+    def _in_time(self, placed: Chosen, now: float) -> bool:
+        """Tell whether a hedge can still be of use."""
+        answered_at = now + placed.expected_s
+        if self._answered() >= self._least:
+            return answered_at < self._cut_off_at()
+        return answered_at < self._times.deadline
+
+    def _take_extra(self, part: Part, now: float) -> bool:
+        """Take an extra attempt; the last ones are for answers at all."""
+        hosts = len(self._placement.hosts)
+        lacking = len(self._parts) - self._answered()
+        optional = lacking <= len(self._parts) - self._least
+        budget = part.request.budget
+        if optional and budget.scarce(hosts, now):
+            return False
+        return budget.take(hosts, now)
+
+    def _send(self, launch: '_Launch', now: float) -> SendAttempt:
+        part = self._parts[launch.position]
+        placed = launch.placed
         attempt = self._next_attempt()
-        hedge_at = float('inf')
-        if self._rule.repeatable:
-            hedge_at = self._hedge_at(placed.expected_s, now)
-        part.live[attempt] = _Attempt(placed.target, now, hedge_at)
+        way_s = self._placement.way_s(placed.target)
+        part.live[attempt] = Attempt(now, way_s, placed.target)
         part.tried.add(placed.target.record.identity)
-        part.sends += 1
+        part.arrivals += 1
+        place = placed.target.record.data_centre
+        part.history.append(self._step(place, now))
+        self._sends += 1
         self._of_attempt[attempt] = part
         self._placement.note_sent(placed.target, attempt, now)
         return SendAttempt(
             attempt=attempt,
-            service=part.request.wanted.service,
             target=placed.target,
             deadline=self._times.deadline,
-            hedge=hedge,
+            hedge=launch.hedge,
         )
 
-    def _hedge_at(self, expected_s: float, now: float) -> float:
-        return now + expected_s * HEDGE_FACTOR + HEDGE_MARGIN_S
+    def _late_at(self, attempt: Attempt) -> float:
+        """Time at which a second attempt is worth it."""
+        if attempt.hedged or not self._rule.repeatable:
+            return float('inf')
+        return attempt.sent_at + attempt.way_s + self._watch.late_s
+
+    def _due_at(self, part: Part) -> float:
+        """Time at which something is due for a part."""
+        if part.answer is not None:
+            return float('inf')
+        due_at = part.place_at
+        if len(part.live) == 1:
+            for attempt in part.live.values():
+                due_at = min(due_at, self._late_at(attempt))
+        return due_at
+
+    def _step(self, place: str, now: float) -> str:
+        return f'{place}+{(now - self._times.started) * MS_PER_S:.0f}'
 
     def _cut_off_at(self) -> float:
         """Time at which an answer with enough shards is given."""
-        if not self._gathers:
+        if not isinstance(self._rule.destination, ShardGroup):
             return float('inf')
         return self._times.objective - DELIVERY_MARGIN_S
 
     def _answered(self) -> int:
         return sum(1 for part in self._parts if part.answer is not None)
 
-    def _needed(self) -> int:
-        """Smallest number of parts that makes an answer."""
-        match self._rule.destination:
-            case ShardGroup(least_coverage=least):
-                total = len(self._parts)
-                for count in range(1, total + 1):
-                    if count / total >= least:
-                        return count
-                return total
-            case _:
-                return 1
-
     def _hopeless(self) -> bool:
         """Tell whether too few parts can still be answered."""
         possible = sum(
@@ -394,91 +487,63 @@
             for part in self._parts
             if part.answer is not None or not part.over
         )
-        return possible < self._needed()
+        return possible < self._least
 
     def _check_end(self, now: float) -> list[Action]:
         """End the request if it is whole, late, or cannot become better."""
         if self._finished:
             return []
-        if all(part.over for part in self._parts):
+        if all(part.over for part in self._parts) or self._hopeless():
             return self._end(now)
-        if now >= self._times.deadline or self._hopeless():
+        if now >= self._times.deadline:
             return self._end(now)
-        if now >= self._cut_off_at() and self._answered() >= self._needed():
+        if now >= self._cut_off_at() and self._answered() >= self._least:
             return self._end(now)
         return []
 
     def _end(self, now: float) -> list[Action]:
-        verdict = self._verdict(now)
         self._finished = True
-        actions: list[Action] = [Finish(verdict)]
-        for part in self._parts:
-            actions.extend(self._drop_live(part, now))
-        return actions
-
-    def _verdict(self, now: float) -> Verdict:
-        answers = [
-            part.answer for part in self._parts if part.answer is not None
-        ]
-        match self._rule.destination:
-            case ShardGroup(top_records=top_records):
-                if len(answers) >= self._needed():
-                    return Gathered(
-                        body=merge_records(
-                            (answer.body for answer in answers),
-                            top_records,
-                        ),
-                        signatures=tuple(
-                            answer.signature for answer in answers
-                        ),
-                        missing=len(self._parts) - len(answers),
-                    )
-            case _:
-                for answer in answers:
-                    return Delivered(answer)
-                for part in self._parts:
-                    if part.failure is not None:
-                        return Delivered(part.failure)
-        return self._without_answer(now)
-
-    def _without_answer(self, now: float) -> Verdict:
-        sent = any(
-            part.may_have_run or part.live or part.answer is not None
-            for part in self._parts
-        )
-        lacking = [part for part in self._parts if part.answer is None]
-        reason = lacking[0].reason
-        if now >= self._times.deadline:
-            reason = GiveUpReason.DEADLINE
-        if sent:
-            return Failed(reason)
-        return Refused(
-            reason,
-            max(part.room_after_s for part in lacking),
+        verdict = verdict_of(
+            self._rule.destination,
+            self._parts,
+            self._merged,
+            late=now >= self._times.deadline,
         )
+        self._watch.settle(self._placement, self._rule.name, now)
+        return [Finish(verdict), *self._drop_all(now)]
 
-    def _drop_live(self, part: _Part, now: float) -> list[Action]:
+    def _drop_live(self, part: Part, now: float) -> list[Action]:
+        """Give up the attempts of a part that are on their way."""
         actions: list[Action] = []
-        for attempt, sent in part.live.items():
-            self._placement.load_of(sent.target).note_abandoned(attempt, now)
+        for attempt, sent in tuple(part.live.items()):
+            if sent.target is None:
+                continue
+            part.live.pop(attempt)
             self._of_attempt.pop(attempt, None)
+            self._placement.note_abandoned(
+                sent.target,
+                attempt,
+                self._watch.late_s,
+                now,
+            )
             actions.append(CancelAttempt(attempt))
-        part.live = {}
         return actions
 
-    def _forget(self, now: float) -> None:
-        for part in self._parts:
-            self._drop_live(part, now)
+    def _drop_batched(self, part: Part) -> None:
+        """Forget the attempt of a part that went in a batch."""
+        for attempt, sent in tuple(part.live.items()):
+            if sent.target is None:
+                part.live.pop(attempt)
 
-    def summary(self) -> dict[str, object]:
-        """Give what was done, for the log."""
-        return {
-            'parts': len(self._parts),
-            'answered': self._answered(),
-            'sends': self.sends,
-            'lacking': ','.join(
-                f'{part.request.wanted.service}:{part.reason.value}'
-                for part in self._parts
-                if part.answer is None
-            ),
-        }
+    def _drop_all(self, now: float) -> list[Action]:
+        """Give up everything that is on its way."""
+        actions: list[Action] = []
+        for part in self._parts:
+            actions.extend(self._drop_live(part, now))
+        for number, batch in self._batches.items():
+            if now >= batch.due_at:
+                self._peers.note_silent(batch.peer.name, now)
+            self._peers.note_ended(batch.peer.name)
+            actions.append(CancelAttempt(number))
+        self._batches.clear()
+        return actions
--- /dev/null
+++ b/oriolestage/relay/_stragglers.py
@@ -0,0 +1,85 @@
+"""Tells a slow target from a request that is heavy for every target.
+
+Answers the load pattern in which the work differs much from one query to the
+next but little between the shards of one query: a shard is late by what its
+siblings took, not by what other queries took. Before enough siblings have
+answered, only a much longer wait than usual counts as late.
+"""
+
+import math
+import statistics
+
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._targets import KnownTarget
+
+#: A shard is late after this many times the work of its siblings ...
+SIBLING_FACTOR = 1.4
+#: ... and this time more, in seconds.
+SIBLING_MARGIN_S = 0.006
+#: Part of the shards that must have answered before they are compared.
+SIBLING_SHARE = 0.25
+#: Without siblings an attempt is late after this many times the usual work
+#: of its route: of one target, and of a query over many.
+USUAL_FACTOR_SINGLE = 2.2
+USUAL_FACTOR_MANY = 3.5
+#: ... and this time more, in seconds.
+USUAL_MARGIN_S = 0.01
+
+
+class WorkWatch:
+    """The work that the targets of one request took so far."""
+
+    def __init__(self, parts: int, usual_s: float) -> None:
+        """Start without answers; ``usual_s`` is the route's usual work."""
+        self._parts = parts
+        self._usual_s = usual_s
+        self._worked: list[float] = []
+        self._by_target: list[tuple[KnownTarget, float]] = []
+        self._late_s = self._usual_late_s()
+
+    @property
+    def late_s(self) -> float:
+        """Work after which an attempt without an answer is late, seconds."""
+        return self._late_s
+
+    @property
+    def compared(self) -> bool:
+        """Tell whether enough siblings have answered."""
+        needed = max(2, math.ceil(self._parts * SIBLING_SHARE))
+        return self._parts > 1 and len(self._worked) >= needed
+
+    @property
+    def work_s(self) -> float:
+        """Work of this request, in seconds; usual work before answers."""
+        if not self._worked:
+            return self._usual_s
+        return statistics.median(self._worked)
+
+    def note_answer(self, target: KnownTarget, worked_s: float) -> None:
+        """Note the work that a target's answer took."""
+        self._by_target.append((target, worked_s))
+        self.note_work(worked_s, 1)
+
+    def note_work(self, worked_s: float, answers: int) -> None:
+        """Note work that another host saw."""
+        self._worked.extend([worked_s] * answers)
+        if self.compared:
+            sibling_s = statistics.median(self._worked)
+            self._late_s = sibling_s * SIBLING_FACTOR + SIBLING_MARGIN_S
+
+    def settle(self, placement: Placement, route: str, now: float) -> None:
+        """Tell what was seen of targets once the request is over."""
+        if not self._worked:
+            return
+        work_s = self.work_s
+        if self._parts == 1:
+            work_s = self._usual_s
+        for target, worked_s in self._by_target:
+            placement.note_slowness(target, worked_s / work_s, now)
+        placement.note_work(route, self.work_s)
+
+    def _usual_late_s(self) -> float:
+        factor = USUAL_FACTOR_SINGLE
+        if self._parts > 1:
+            factor = USUAL_FACTOR_MANY
+        return self._usual_s * factor + USUAL_MARGIN_S
--- a/oriolestage/relay/_target_load.py
+++ b/oriolestage/relay/_target_load.py
@@ -1,17 +1,17 @@
-"""What this host has seen of each target: delay, failures, silence."""
+"""What this host has seen of one target: slowness, failures, silence."""
 
 import math
 
-#: Weight of the newest delay in the running estimate.
-DELAY_WEIGHT = 0.25
-#: A delay counts for at most this many times the estimate.
-DELAY_CLIP = 4.0
+#: Weight of the newest answer in the running slowness.
+SLOWNESS_WEIGHT = 0.25
+#: One answer counts for at most this many times the known slowness.
+SLOWNESS_CLIP = 4.0
 #: Weight of the newest outcome in the failure rate.
 FAILURE_WEIGHT = 0.15
-#: Time for which an estimate is trusted without new samples, in seconds.
-ESTIMATE_FRESH_S = 1.0
-#: Time constant with which an old estimate returns to the prior, in seconds.
-ESTIMATE_DECAY_S = 2.0
+#: Time for which what was seen is trusted without new answers, in seconds.
+FRESH_S = 1.0
+#: Time constant with which it then returns to the usual, in seconds.
+DECAY_S = 2.0
 #: Attempts in a row without an answer after which a target may be lost.
 SILENT_RUN = 3
 #: Shortest silence that counts as lost, in seconds; pauses are shorter.
@@ -21,20 +21,31 @@
 BACKOFF_LIMIT_S = 2.0
 #: Expected delay is raised by this time for a target that always fails.
 FAILURE_COST_S = 0.4
+#: Time for which a target counts as paused after an attempt at it was given
+#: up, in seconds, and what that adds to the expected delay.
+PAUSE_S = 0.1
+PAUSE_COST_S = 0.1
+#: Each late answer in a row doubles the assumed slowness, up to this.
+LATE_SLOWNESS_LIMIT = 16.0
+#: Late attempts within this time count as one, in seconds: a pause delays
+#: all of them.
+LATE_APART_S = 0.15
 
 
 class TargetLoad:
     """Outstanding work and recent behaviour of one target, seen from here."""
 
-    def __init__(self, prior_s: float) -> None:
-        """Start from a prior delay in seconds."""
-        self.prior_s = prior_s
+    def __init__(self) -> None:
+        """Start as a usual target."""
         self._outstanding: dict[int, float] = {}
-        self._delay_s = prior_s
-        self._updated_at = float('-inf')
+        self._slowness = 1.0
+        self._slowness_at = float('-inf')
         self._failure_rate: float = 0
+        self._failure_at = float('-inf')
+        self._late_at = float('-inf')
         self._silent_run = 0
         self._silent_since = float('-inf')
+        self._paused_until = float('-inf')
         self._down_until = float('-inf')
         self._backoff_s = BACKOFF_S
 
@@ -43,11 +54,6 @@
         """Attempts that are not over."""
         return len(self._outstanding)
 
-    @property
-    def failure_rate(self) -> float:
-        """Recent share of failed attempts, from 0 to 1."""
-        return self._failure_rate
-
     @property
     def down_until(self) -> float:
         """Steady time until which the target is left alone."""
@@ -62,45 +68,75 @@
             return True
         return self._backoff_s > BACKOFF_S and bool(self._outstanding)
 
-    def delay_s(self, now: float) -> float:
-        """Estimate the delay of an answer, in seconds."""
-        age = now - self._updated_at - ESTIMATE_FRESH_S
-        if age <= 0:
-            return self._delay_s
-        kept = math.exp(-age / ESTIMATE_DECAY_S)
-        return self.prior_s + (self._delay_s - self.prior_s) * kept
-
-    def expected_s(self, slots: int, now: float) -> float:
-        """Estimate the delay of one more attempt under the present work."""
-        delay_s = self.delay_s(now)
+    def slowness(self, now: float) -> float:
+        """Give how many times the usual work the target takes."""
+        kept = _kept(now - self._slowness_at)
+        return 1 + (self._slowness - 1) * kept
+
+    def failure_rate(self, now: float) -> float:
+        """Give the recent share of failed attempts, from 0 to 1."""
+        return self._failure_rate * _kept(now - self._failure_at)
+
+    def expected_s(
+        self,
+        way_s: float,
+        work_s: float,
+        slots: int,
+        now: float,
+    ) -> float:
+        """Estimate the delay of one more attempt, in seconds."""
+        worked_s = work_s * self.slowness(now)
         ahead = max(0, len(self._outstanding) + 1 - slots)
-        expected = delay_s * (1 + ahead / slots)
-        for sent_at in self._outstanding.values():
-            expected += max(0, now - sent_at - 2 * delay_s)
-            break
-        return expected + self._failure_rate * FAILURE_COST_S
+        expected = way_s + worked_s * (1 + ahead / slots)
+        oldest = next(iter(self._outstanding.values()), now)
+        expected += max(0, now - oldest - way_s - 2 * worked_s)
+        if now < self._paused_until:
+            expected += PAUSE_COST_S
+        return expected + self.failure_rate(now) * FAILURE_COST_S
 
     def note_sent(self, attempt: int, now: float) -> None:
         """Note that an attempt is on its way."""
         self._outstanding[attempt] = now
 
+    def sent_at(self, attempt: int, now: float) -> float:
+        """Give the time at which an attempt was sent."""
+        return self._outstanding.get(attempt, now)
+
     def note_answer(self, attempt: int, now: float, *, failed: bool) -> None:
         """Note an answer that the target gave, a failure or not."""
-        sent_at = self._outstanding.pop(attempt, now)
+        self._outstanding.pop(attempt, None)
         self._silent_run = 0
         self._backoff_s = BACKOFF_S
         self._down_until = float('-inf')
-        self._note_failure(failed=failed)
-        if not failed:
-            self._note_delay(now - sent_at, now)
+        self._note_failure(now, failed=failed)
+
+    def note_work(self, times_usual: float, now: float) -> None:
+        """Note how many times the usual work an answer took."""
+        current = self.slowness(now)
+        sample = min(times_usual, SLOWNESS_CLIP * max(1, current))
+        self._slowness = current + SLOWNESS_WEIGHT * (sample - current)
+        self._slowness_at = now
 
-    def note_abandoned(self, attempt: int, now: float) -> None:
-        """Note that an attempt was given up; its delay is a lower bound."""
+    def note_late(self, now: float) -> None:
+        """Note that no answer came when others had answered long since.
+
+        How slow the target is stays unknown, as it was not waited for; so
+        each time in a row doubles what is assumed.
+        """
+        self._paused_until = now + PAUSE_S
+        if now - self._late_at < LATE_APART_S:
+            return
+        self._late_at = now
+        doubled = 2 * max(1, self.slowness(now))
+        self._slowness = min(LATE_SLOWNESS_LIMIT, doubled)
+        self._slowness_at = now
+
+    def note_abandoned(self, attempt: int, now: float, late_s: float) -> None:
+        """Note an attempt that was given up; it was late after ``late_s``."""
         sent_at = self._outstanding.pop(attempt, now)
-        waited_s = now - sent_at
-        if waited_s <= self.delay_s(now):
+        if now - sent_at < late_s:
             return
-        self._note_delay(waited_s, now)
+        self.note_late(now)
         if not self._silent_run:
             self._silent_since = sent_at
         self._silent_run += 1
@@ -111,24 +147,26 @@
     def note_lost(self, attempt: int, now: float) -> None:
         """Note a broken connection or a damaged answer."""
         self._outstanding.pop(attempt, None)
-        self._note_failure(failed=True)
+        self._note_failure(now, failed=True)
 
     def note_not_reached(self, attempt: int, now: float) -> None:
         """Note that no connection could be made."""
         self._outstanding.pop(attempt, None)
-        self._note_failure(failed=True)
+        self._note_failure(now, failed=True)
         self._leave_alone(now)
 
     def _leave_alone(self, now: float) -> None:
         self._down_until = now + self._backoff_s
         self._backoff_s = min(BACKOFF_LIMIT_S, self._backoff_s * 2)
 
-    def _note_failure(self, *, failed: bool) -> None:
+    def _note_failure(self, now: float, *, failed: bool) -> None:
         sample = 1.0 if failed else 0
-        self._failure_rate += FAILURE_WEIGHT * (sample - self._failure_rate)
+        rate = self.failure_rate(now)
+        self._failure_rate = rate + FAILURE_WEIGHT * (sample - rate)
+        self._failure_at = now
+
 
-    def _note_delay(self, delay_s: float, now: float) -> None:
-        current = self.delay_s(now)
-        clipped = min(delay_s, DELAY_CLIP * max(current, self.prior_s))
-        self._delay_s = current + DELAY_WEIGHT * (clipped - current)
-        self._updated_at = now
+def _kept(age_s: float) -> float:
+    """Give the part of an old observation that still counts."""
+    stale_s = age_s - FRESH_S
+    return 1 if stale_s <= 0 else math.exp(-stale_s / DECAY_S)
--- /dev/null
+++ b/oriolestage/relay/_verdicts.py
@@ -0,0 +1,78 @@
+"""The final answer of a request from what became of its parts."""
+
+from collections.abc import Sequence
+
+from oriolestage.relay._answers import (
+    Delivered,
+    Failed,
+    Gathered,
+    GiveUpReason,
+    Refused,
+    Verdict,
+)
+from oriolestage.relay._merge import merge_records
+from oriolestage.relay._parts import Part
+from oriolestage.relay._rules import Destination, ShardGroup
+
+#: Tolerance for shares such as 0.95 of 20 in floating point.
+ROUNDING = 1e-9
+
+
+def least_parts(destination: Destination, total: int) -> int:
+    """Give the smallest number of parts that makes an answer."""
+    match destination:
+        case ShardGroup(least_coverage=least):
+            for count in range(1, total):
+                if count / total >= least - ROUNDING:
+                    return count
+            return total
+        case _:
+            return 1
+
+
+def verdict_of(
+    destination: Destination,
+    parts: Sequence[Part],
+    merged: Sequence[bytes],
+    *,
+    late: bool,
+) -> Verdict:
+    """Give the final answer; ``merged`` are the records of batches."""
+    answered = [part for part in parts if part.answer is not None]
+    match destination:
+        case ShardGroup(top_records=top_records):
+            if len(answered) >= least_parts(destination, len(parts)):
+                return _gathered(answered, merged, top_records, len(parts))
+        case _:
+            for part in parts:
+                answer = part.answer or part.failure
+                if answer is not None:
+                    return Delivered(answer)
+    return _without_answer(parts, late=late)
+
+
+def _gathered(
+    answered: Sequence[Part],
+    merged: Sequence[bytes],
+    top_records: int,
+    total: int,
+) -> Gathered:
+    answers = [part.answer for part in answered if part.answer is not None]
+    bodies = [answer.body for answer in answers]
+    return Gathered(
+        body=merge_records([*bodies, *merged], top_records),
+        signatures=tuple(answer.signature for answer in answers),
+        missing=total - len(answers),
+    )
+
+
+def _without_answer(parts: Sequence[Part], *, late: bool) -> Verdict:
+    started = any(
+        part.may_have_run or part.live or part.answer is not None
+        for part in parts
+    )
+    lacking = [part for part in parts if part.answer is None]
+    reason = GiveUpReason.DEADLINE if late else lacking[0].reason
+    if started:
+        return Failed(reason)
+    return Refused(reason, max(part.room_after_s for part in lacking))
