--- /dev/null
+++ b/oriolestage/relay/tests/builders.py
@@ -0,0 +1,345 @@
+"""Builders of test data for the decisions on requests."""
+
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Mapping
+
+from oriolestage.relay._answers import (
+    AttemptAnswered,
+    AttemptOutcome,
+    TargetAnswer,
+    Verdict,
+)
+from oriolestage.relay._extra_budget import BudgetBounds, ExtraBudget
+from oriolestage.relay._facts import HostRecord
+from oriolestage.relay._merge import merge_records
+from oriolestage.relay._peers import PeerBook
+from oriolestage.relay._placement import HostPlace, Placement, Wanted
+from oriolestage.relay._request_run import RequestRun
+from oriolestage.relay._rules import (
+    Destination,
+    RouteRule,
+    ShardGroup,
+    SingleService,
+)
+from oriolestage.relay._run_types import (
+    Action,
+    BatchAnswered,
+    CancelAttempt,
+    Finish,
+    PartRequest,
+    RunTimes,
+    SendAttempt,
+    SendBatch,
+)
+from oriolestage.relay._targets import TargetDirectory, TargetRecord
+from oriolestage.relay._warm_up import WarmUpBounds
+
+#: Three data centres, each in a region of its own.
+REGIONS: Mapping[str, str] = {  # noqa: WPS407
+    'dc-a': 'region-a',
+    'dc-b': 'region-b',
+    'dc-c': 'region-c',
+}
+DATA_CENTRES = tuple(REGIONS)
+#: Delay of the way there and back, in seconds.
+NEAR_S = 0.001
+FAR_S = 0.041
+
+
+def make_record(
+    identity: str = 't-1',
+    service: str = 'shard-0',
+    data_centre: str = 'dc-a',
+    **changes: object,
+) -> TargetRecord:
+    """Give a registration of a ready, warm target."""
+    record = TargetRecord(
+        identity=identity,
+        service=service,
+        address='10.0.0.1:8080',
+        data_centre=data_centre,
+        slots=2,
+        draining=False,
+        warm_up_left_s=0,
+        started_ms=1,
+    )
+    return dataclasses.replace(record, **changes)  # type: ignore[arg-type]
+
+
+def make_rule(
+    destination: Destination | None = None,
+    **changes: object,
+) -> RouteRule:
+    """Give a rule for repeatable requests to one service."""
+    rule = RouteRule(
+        name='route',
+        host='search.example',
+        path_prefix='/rota/',
+        destination=destination or SingleService('shard-0'),
+        repeatable=True,
+        time_limit_s=1.5,
+        objective_s=0.16,
+        attempts_limit=2,
+    )
+    return dataclasses.replace(rule, **changes)  # type: ignore[arg-type]
+
+
+def make_group(shards: int = 20, least: float = 0.89) -> ShardGroup:
+    """Give a group of shards."""
+    return ShardGroup(
+        services=tuple(f'shard-{number}' for number in range(shards)),
+        top_records=5,
+        least_coverage=least,
+    )
+
+
+def make_answer(
+    status: int = 200,
+    body: bytes = b'r' * 16,
+    signature: str = 'signed',
+) -> TargetAnswer:
+    """Give a target's answer."""
+    return TargetAnswer(status, (), body, signature)
+
+
+def make_placement(
+    data_centre: str = 'dc-a',
+    records: tuple[TargetRecord, ...] = (),
+    name: str = 'host-1',
+) -> tuple[Placement, TargetDirectory]:
+    """Give a placement that knows ``records``."""
+    directory = TargetDirectory()
+    for record in records:
+        directory.register(record, 0)
+    place = HostPlace(name, data_centre, REGIONS)
+    return Placement(place, directory, WarmUpBounds()), directory
+
+
+def shard_records(shards: int = 20) -> tuple[TargetRecord, ...]:
+    """Give two targets a shard, spread over the data centres in turn."""
+    records: list[TargetRecord] = []
+    for shard in range(shards):
+        for copy in range(2):
+            data_centre = DATA_CENTRES[(shard + copy) % len(DATA_CENTRES)]
+            records.append(
+                make_record(
+                    identity=f't-{shard}-{copy}',
+                    service=f'shard-{shard}',
+                    data_centre=data_centre,
+                ),
+            )
+    return tuple(records)
+
+
+def make_peers(place: HostPlace) -> PeerBook:
+    """Give a book with one other host in each data centre."""
+    peers = PeerBook(place)
+    peers.set_hosts(
+        HostRecord(f'peer-{data_centre}', data_centre, f'{data_centre}:1')
+        for data_centre in DATA_CENTRES
+    )
+    return peers
+
+
+#: Gives the work of a target from its record, the time and the usual work.
+WorkOf = Callable[[TargetRecord, float, float], float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replayed:
+    """What became of one replayed request."""
+
+    verdict: Verdict
+    #: Time from its arrival to the verdict, in seconds.
+    took_s: float
+    #: Attempts that targets got.
+    attempts: int
+
+
+class Replay:
+    """Replays requests on one host against targets with given delays.
+
+    Attempts and batches end after the way and the work; nothing else of the
+    network is modelled. Requests follow each other without overlap unless
+    the work of targets says otherwise.
+    """
+
+    def __init__(
+        self,
+        work_of: WorkOf,
+        *,
+        rule: RouteRule,
+        bounds: BudgetBounds | None = None,
+        peers: bool = True,
+        hosts: int = 1,
+        data_centre: str = 'dc-a',
+    ) -> None:
+        """Prepare a host that knows two targets of each shard."""
+        self._work_of = work_of
+        self._rule = rule
+        self.placement, self.directory = make_placement(
+            data_centre,
+            shard_records(),
+        )
+        self.placement.set_hosts([f'host-{one}' for one in range(hosts)])
+        self.peers = make_peers(self.placement.place)
+        if not peers:
+            self.peers.set_hosts(())
+        self._bounds = bounds or BudgetBounds()
+        self._budgets: dict[str, ExtraBudget] = {}
+        self._numbers = itertools.count(1)
+        self._order = itertools.count()
+        self.now = 100.0
+        self.needed = 0
+        self.attempts = 0
+
+    def play(self, usual_s: float) -> Replayed:
+        """Play one request whose work is ``usual_s`` at a usual target."""
+        started = self.now
+        run = self._run(started)
+        queue: list[tuple[float, int, Callable[[float], list[Action]]]] = []
+        cancelled: set[int] = set()
+        before = self.attempts
+        actions = run.start(started)
+        while True:
+            for action in actions:
+                match action:
+                    case Finish(verdict=verdict):
+                        took_s = self.now - started
+                        return Replayed(
+                            verdict,
+                            took_s,
+                            self.attempts - before,
+                        )
+                    case CancelAttempt(attempt=number):
+                        cancelled.add(number)
+                    case SendAttempt():
+                        self._send(run, action, usual_s, queue)
+                    case SendBatch():
+                        self._batch(run, action, usual_s, queue)
+            if not queue or queue[0][0] > run.wake_at:
+                self.now = max(self.now, run.wake_at)
+                actions = run.on_time(self.now)
+                continue
+            self.now, _, handler = heapq.heappop(queue)
+            actions = handler(self.now)
+
+    def _run(self, now: float) -> RequestRun:
+        destination = self._rule.destination
+        names: tuple[str, ...] = ('shard-0',)
+        if isinstance(destination, ShardGroup):
+            names = destination.services
+        self.needed += len(names)
+        parts = tuple(
+            PartRequest(
+                Wanted(name, self._rule.name),
+                self._budgets.setdefault(
+                    name,
+                    ExtraBudget(self._bounds, now - 60),
+                ),
+            )
+            for name in names
+        )
+        return RequestRun(
+            rule=self._rule,
+            parts=parts,
+            times=RunTimes(
+                started=now,
+                objective=now + self._rule.objective_s,
+                deadline=now + self._rule.time_limit_s,
+            ),
+            placement=self.placement,
+            peers=self.peers,
+            next_attempt=lambda: next(self._numbers),
+        )
+
+    def _send(
+        self,
+        run: RequestRun,
+        action: SendAttempt,
+        usual_s: float,
+        queue: list[tuple[float, int, Callable[[float], list[Action]]]],
+    ) -> None:
+        self.attempts += 1
+        record = action.target.record
+        near = record.data_centre == self.placement.place.data_centre
+        work_s = self._work_of(record, self.now, usual_s)
+        ends_at = self.now + work_s + (NEAR_S if near else FAR_S)
+        outcome: AttemptOutcome = AttemptAnswered(make_answer())
+        number = action.attempt
+        heapq.heappush(
+            queue,
+            (
+                ends_at,
+                next(self._order),
+                lambda now: run.on_outcome(number, outcome, now),
+            ),
+        )
+
+    def _batch(
+        self,
+        run: RequestRun,
+        action: SendBatch,
+        usual_s: float,
+        queue: list[tuple[float, int, Callable[[float], list[Action]]]],
+    ) -> None:
+        works: dict[str, float] = {}
+        for part in action.parts:
+            self.attempts += 1
+            target = self.placement.targets_in(
+                part.service,
+                next(iter(action.regions)),
+            )[0]
+            works[part.service] = self._work_of(
+                target.record,
+                self.now + FAR_S / 2,
+                usual_s,
+            )
+        late_s = max(action.late_s, usual_s * 2)
+        in_time = {
+            name: work_s for name, work_s in works.items() if work_s <= late_s
+        }
+        waited_s = max(works.values())
+        if len(in_time) < len(works):
+            waited_s = late_s
+        bodies: dict[str, bytes] = {}
+        if not action.merged:
+            bodies = dict.fromkeys(in_time, b'r' * 16)
+        outcome = BatchAnswered(
+            signatures=dict.fromkeys(in_time, 'signed'),
+            body=merge_records([b'r' * 16 * len(in_time)], action.top_records),
+            bodies=bodies,
+            not_sent=frozenset(),
+            work_s=usual_s,
+        )
+        number = action.batch
+        heapq.heappush(
+            queue,
+            (
+                self.now + FAR_S + waited_s,
+                next(self._order),
+                lambda now: run.on_batch(number, outcome, now),
+            ),
+        )
+
+
+def pausing_targets(
+    seed: int,
+    every_s: float = 4.5,
+    lasts_s: float = 0.2,
+) -> WorkOf:
+    """Give work of targets that pause at times of their own."""
+    chance = random.Random(seed)
+    phases: dict[str, float] = {}
+
+    def work_of(record: TargetRecord, now: float, usual_s: float) -> float:
+        phase = phases.setdefault(record.identity, chance.random() * every_s)
+        into_s = (now + phase) % every_s
+        if into_s < lasts_s:
+            return lasts_s - into_s + usual_s
+        return usual_s * chance.uniform(0.9, 1.1)
+
+    return work_of
--- /dev/null
+++ b/oriolestage/relay/tests/test_limits.py
@@ -0,0 +1,85 @@
+"""Tests of the limits that all hosts share."""
+
+import random
+import unittest
+
+from oriolestage.relay._extra_budget import BudgetBounds, ExtraBudget
+from oriolestage.relay._warm_up import WarmUpBounds, WarmUpPacer
+
+HOSTS = tuple(f'host-{number}' for number in range(6))
+
+
+class ExtraBudgetTest(unittest.TestCase):
+    """The sum of all hosts keeps the bound in any window."""
+
+    def test_sum_over_hosts(self) -> None:
+        """Hosts that always want more stay below the shared bound."""
+        bounds = BudgetBounds()
+        chance = random.Random(7)
+        budgets = [ExtraBudget(bounds, 0) for _ in HOSTS]
+        needed: list[float] = []
+        extra: list[float] = []
+        for step in range(4000):
+            now = step * 0.01
+            budget = budgets[chance.randrange(len(budgets))]
+            if chance.random() < 0.5:
+                budget.note_needed(now)
+                needed.append(now)
+            for other in budgets:
+                if other.take(len(HOSTS), now):
+                    extra.append(now)
+        for start in range(0, 30):
+            end = start + bounds.window_s
+            asked = sum(1 for at in needed if start <= at < end)
+            spent = sum(1 for at in extra if start <= at < end)
+            with self.subTest(start=start):
+                allowed = bounds.ratio * asked + bounds.allowance
+                self.assertLessEqual(spent, allowed)
+                self.assertGreater(spent, 0)
+
+    def test_restart_of_all_hosts(self) -> None:
+        """What was spent before all hosts restarted still fits."""
+        bounds = BudgetBounds()
+        spent = 0
+        before = [ExtraBudget(bounds, 0) for _ in HOSTS]
+        after = [ExtraBudget(bounds, 21) for _ in HOSTS]
+        for budget in before:
+            while budget.take(len(HOSTS), 20):
+                spent += 1
+        for budget in after:
+            while budget.take(len(HOSTS), 21):
+                spent += 1
+        self.assertLessEqual(spent, bounds.allowance)
+
+    def test_scarce(self) -> None:
+        """The last extra attempts count as scarce."""
+        budget = ExtraBudget(BudgetBounds(allowance=100), 0)
+        self.assertFalse(budget.scarce(1, 20))
+        while not budget.scarce(1, 20):
+            self.assertTrue(budget.take(1, 20))
+        self.assertTrue(budget.take(1, 20))
+
+
+class WarmUpPacerTest(unittest.TestCase):
+    """All hosts together send a cold target no more than it carries."""
+
+    def test_sum_over_hosts(self) -> None:
+        """Hosts that always want more stay below the bound."""
+        bounds = WarmUpBounds()
+        for rate in (0.5, 2.0, 20.0):
+            pacers = {host: WarmUpPacer(bounds) for host in HOSTS}
+            sent: list[float] = []
+            for step in range(300):
+                now = step * 0.01
+                for host, pacer in pacers.items():
+                    if pacer.allows('t-1', rate, host, HOSTS, now):
+                        pacer.note_sent(now)
+                        sent.append(now)
+            most = max(
+                sum(1 for at in sent if start <= at < start + 1)
+                for start in sent
+            )
+            with self.subTest(rate=rate):
+                allowed = rate * bounds.overage + bounds.slack
+                self.assertLessEqual(most, allowed)
+                self.assertGreaterEqual(most, 1)
