Close callers' connections after 5 s and while hosts return

Ruled out: targets, budgets and batches after the restart; the shards lacking from second 40 to 50 were as many as from 24 to 34. Change: a connection ends with the first answer after 5 s, and with each answer in the first 3 s of a host.

--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from aiohttp import web
@@ -12,6 +12,7 @@
 from oriolestage._logging import log_event
 from oriolestage.entry._ports import Exchange
 from oriolestage.entry._relay import CallerRequest, Relay
+from oriolestage.relay._connection_ages import ConnectionAges
 from oriolestage.relay._rules import CallerLimits
 
 #: Time for which bytes of a refused body are read, in seconds.
@@ -24,6 +25,50 @@
     """The body of a request exceeds the limit."""
 
 
+class _HttpServer(web.Server):
+    """Notes when each connection was opened."""
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        limits: CallerLimits,
+    ) -> None:
+        """Keep the limits that are in force now for new connections."""
+        super().__init__(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=limits.idle_timeout_s,
+            lingering_time=LINGER_S,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+        )
+        self._opened_at: dict[web.RequestHandler, float] = {}
+
+    def connection_made(
+        self,
+        handler: web.RequestHandler,
+        transport: asyncio.Transport,
+    ) -> None:
+        """Note a new connection."""
+        self._opened_at[handler] = time.monotonic()
+        super().connection_made(handler, transport)
+
+    def connection_lost(
+        self,
+        handler: web.RequestHandler,
+        exc: BaseException | None = None,
+    ) -> None:
+        """Forget a connection."""
+        self._opened_at.pop(handler, None)
+        super().connection_lost(handler, exc)
+
+    def opened_at(self, handler: web.RequestHandler) -> float | None:
+        """Give the steady time at which a connection was opened."""
+        return self._opened_at.get(handler)
+
+
 class CallerServer:
     """Reads callers' requests and writes the final answers."""
 
@@ -38,7 +83,8 @@
         self._exchange = exchange
         self._limits = limits
         self._leaving = False
-        self._servers: dict[CallerLimits, web.Server] = {}
+        self._ages = ConnectionAges(time.monotonic())
+        self._servers: dict[CallerLimits, _HttpServer] = {}
         self._listener: asyncio.Server | None = None
 
     @property
@@ -67,31 +113,30 @@
         for server in self._servers.values():
             await server.shutdown(timeout=0.1)
 
-    def _server(self) -> web.Server:
+    def _server(self) -> _HttpServer:
         """Give the server whose connections keep the limits in force."""
         limits = self._limits()
         server = self._servers.get(limits)
         if server is None:
-            server = web.Server(
-                self._handle,
-                handler_cancellation=True,
-                access_log=None,
-                auto_decompress=False,
-                keepalive_timeout=limits.idle_timeout_s,
-                lingering_time=LINGER_S,
-                max_line_size=limits.header_bytes,
-                max_field_size=limits.header_bytes,
-            )
+            server = _HttpServer(self._handle, limits)
             self._servers[limits] = server
         return server
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = time.monotonic()
         response = await self._answer(request, arrived)
-        if self._leaving:
+        if self._leaving or self._is_old(request.protocol):
             response.force_close()
         return response
 
+    def _is_old(self, connection: web.RequestHandler) -> bool:
+        now = time.monotonic()
+        for server in self._servers.values():
+            opened_at = server.opened_at(connection)
+            if opened_at is not None:
+                return self._ages.expired(opened_at, now)
+        return False
+
     async def _answer(
         self,
         request: web.BaseRequest,
