Connect through the event loop alone; fold library errors into lines

Also: batches bounced between hosts when a shard had no room (147 in one query); the caller's socket now waits for the first reading of the store, at most 0.4 s; certificates are not read at start.

--- a/oriolestage/_logging.py
+++ b/oriolestage/_logging.py
@@ -5,9 +5,12 @@
 """
 
 import json
+import logging as python_logging
 import os
 import sys
 import time
+import traceback
+import types
 from collections.abc import Callable, Mapping
 
 from absl import flags, logging
@@ -80,6 +83,25 @@
 _limiter = EventLimiter(time.monotonic)
 
 
+class _LineFormatter(python_logging.Formatter):
+    """Puts what libraries log, tracebacks included, on one line."""
+
+    def format(self, record: python_logging.LogRecord) -> str:
+        """Give one line of key=value pairs."""
+        message = record.getMessage()
+        if not message.startswith('event='):
+            fields: dict[str, object] = {
+                'level': record.levelname,
+                'logger': record.name,
+                'message': message,
+            }
+            if record.exc_info:
+                fields['error'] = repr(record.exc_info[1])
+                fields['at'] = _innermost_place(record.exc_info[2])
+            message = _line('library_log', fields)
+        return f'time={record.created:.6f} {message}'
+
+
 def start_logging() -> None:
     """Send log lines to standard output."""
     # Library code may log before a command line is parsed, and has none here.
@@ -87,6 +109,7 @@
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.python_handler.stream = NonBlockingStream(sys.stdout.fileno())
+    handler.python_handler.setFormatter(_LineFormatter())
     logging.set_verbosity(logging.INFO)
 
 
@@ -95,12 +118,25 @@
     suppressed = _limiter.admit(event)
     if suppressed is None:
         return
+    pairs = dict(fields)
+    if suppressed:
+        pairs['suppressed'] = suppressed
+    logging.info('%s', _line(event, pairs))
+
+
+def _line(event: str, fields: Mapping[str, object]) -> str:
     pairs = [f'event={event}']
     for name, content in fields.items():
         pairs.append(f'{name}={_quoted(content)}')
-    if suppressed:
-        pairs.append(f'suppressed={suppressed}')
-    logging.info('%s', ' '.join(pairs)[:LINE_LIMIT])
+    return ' '.join(pairs)[:LINE_LIMIT]
+
+
+def _innermost_place(trace: types.TracebackType | None) -> str:
+    """Give the file and line at which an error was raised."""
+    frames = traceback.extract_tb(trace)
+    if not frames:
+        return 'unknown'
+    return f'{frames[-1].filename}:{frames[-1].lineno}'
 
 
 def _quoted(content: object) -> str:
--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -34,6 +34,9 @@
 NOTICE_S = 2.6
 #: Time before the kill at which a stopping host ends, in seconds.
 STOP_MARGIN_S = 0.8
+#: Longest wait for the first reading of the store, in seconds. Callers that
+#: connect meanwhile wait; a reading takes some 20 ms.
+FIRST_READ_LIMIT_S = 0.4
 #: Time between two looks at the streams to other hosts, in seconds.
 LINK_CHECK_S = 1.0
 #: Time between two looks at whether a stopping host is done, in seconds.
@@ -69,6 +72,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload)
+    loop.set_exception_handler(_log_loop_error)
     host = _wire(settings, store, exchange)
     async with aiomisc.entrypoint(
         catch_signals=(),
@@ -82,7 +86,6 @@
             asyncio.create_task(_keep_links(host)),
         )
         await _listen(host)
-        log_event('started', {'step': 'start', 'host': settings.place.name})
         await stop.wait()
         left = await _drain(host)
         for task in tasks:
@@ -158,11 +161,18 @@
 
 
 async def _listen(host: EntryHost) -> None:
+    """Accept callers once the store was read, or could not be."""
     settings = host.settings
-    await host.callers.start(_bind(settings.caller_address))
+    callers = _bind(settings.caller_address)
     await host.peer_server.start(_bind(settings.peer_address))
     await host.control.start(_bind(settings.ready_address), ready=True)
     await host.control.start(_bind(settings.metrics_address), ready=False)
+    read = await host.follower.first_read(FIRST_READ_LIMIT_S)
+    await host.callers.start(callers)
+    log_event(
+        'started',
+        {'step': 'start', 'host': settings.place.name, 'store_read': read},
+    )
 
 
 async def _keep_links(host: EntryHost) -> None:
@@ -190,6 +200,20 @@
     return left
 
 
+def _log_loop_error(
+    _: asyncio.AbstractEventLoop,
+    context: dict[str, object],
+) -> None:
+    """Log an error that no task waits for."""
+    log_event(
+        'loop_error',
+        {
+            'step': context.get('message', ''),
+            'error': repr(context.get('exception')),
+        },
+    )
+
+
 def _bind(address: str) -> socket.socket:
     host, _, port = address.rpartition(':')
     listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -49,12 +49,21 @@
         self._answered_at = time.monotonic()
         self._lost_since: float | None = None
         self._pause_s = RETRY_PAUSE_S
+        self._first_read = asyncio.Event()
 
     @property
     def age_s(self) -> float:
         """Time since the store last answered or was known to listen."""
         return time.monotonic() - self._answered_at
 
+    async def first_read(self, limit_s: float) -> bool:
+        """Wait until the store was read; tell whether it was in time."""
+        try:
+            async with asyncio.timeout(limit_s):
+                return await self._first_read.wait()
+        except TimeoutError:
+            return False
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
@@ -81,6 +90,7 @@
                 self._knowledge.replace_all(view.facts, time.monotonic()),
             )
             self._revision = view.revision
+            self._first_read.set()
             return
         changes = await self._store.changes_after(
             self._revision,
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import dataclasses
-import functools
 import socket
-from typing import cast
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.tracing import Trace
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -51,6 +50,10 @@
     time_left_s: float
 
 
+class NotConnectedError(aiohttp.ClientError):
+    """No connection was made, so nothing was sent."""
+
+
 class TargetConnection(ResponseHandler):
     """A connection that does not hide damage from the client library."""
 
@@ -93,6 +96,49 @@
             asked.detach()
 
 
+class DirectConnector(aiohttp.BaseConnector):
+    """Connects to numeric addresses through the event loop alone.
+
+    The library's own connector takes a socket through steps that the loop
+    does not own; when a connection attempt is cancelled there, the loop may
+    touch a descriptor that belongs to another connection by then.
+    """
+
+    allowed_protocol_schema_set = frozenset(('http',))
+
+    def __init__(self, *, keep: bool) -> None:
+        """Keep idle connections or close each after its answer."""
+        if keep:
+            super().__init__(limit=0, keepalive_timeout=IDLE_LIMIT_S)
+        else:
+            super().__init__(limit=0, force_close=True)
+
+    async def _create_connection(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> ResponseHandler:
+        """Open a connection for the pool of the base class."""
+        loop = asyncio.get_running_loop()
+        host, port = req.url.raw_host or '', req.url.port or 0
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                transport, protocol = await loop.create_connection(
+                    lambda: TargetConnection(loop=loop),
+                    host,
+                    port,
+                )
+        except (OSError, TimeoutError) as error:
+            raise NotConnectedError(f'{host}:{port}: {error!r}') from error
+        transport.get_extra_info('socket').setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            UNACKNOWLEDGED_LIMIT_MS,
+        )
+        return protocol
+
+
 class TargetClient:
     """Keeps connections to targets and sends attempts over them."""
 
@@ -116,7 +162,7 @@
         try:
             async with asyncio.timeout(call.time_left_s):
                 return await self._exchange_once(session, call)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        except NotConnectedError:
             return AttemptNotRun(NotRunReason.NOT_REACHED)
         except TimeoutError:
             return AttemptLost('target.deadline')
@@ -171,44 +217,14 @@
 
 
 def _session(*, keep: bool) -> aiohttp.ClientSession:
-    loop = asyncio.get_running_loop()
-    if keep:
-        connector = aiohttp.TCPConnector(
-            limit=0,
-            keepalive_timeout=IDLE_LIMIT_S,
-            socket_factory=target_socket,
-        )
-    else:
-        connector = aiohttp.TCPConnector(
-            limit=0,
-            force_close=True,
-            socket_factory=target_socket,
-        )
-    # The library has no public way to choose the connection's class.
-    factory = functools.partial(TargetConnection, loop=loop)
-    connector._factory = cast(  # noqa: SLF001
-        functools.partial[ResponseHandler],
-        factory,
-    )
+    connector = DirectConnector(keep=keep)
     session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         trust_env=False,
-        timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
+        timeout=aiohttp.ClientTimeout(total=None),
     )
     # Otherwise the library sends some requests again by itself.
     session._retry_connection = False  # noqa: SLF001
     return session
-
-
-def target_socket(address: aiohttp.AddrInfoType) -> socket.socket:
-    """Make a socket that breaks when what it sent is not acknowledged."""
-    family, kind, protocol, _, _ = address
-    made = socket.socket(family, kind, protocol)
-    made.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        UNACKNOWLEDGED_LIMIT_MS,
-    )
-    return made
--- a/oriolestage/platform/__main__.py
+++ b/oriolestage/platform/__main__.py
@@ -11,6 +11,10 @@
 #: Exit code for settings that cannot be used.
 EXIT_BAD_SETTINGS = 2
 
+#: The HTTP library reads the certificates of all authorities when it is
+#: imported, which takes a tenth of a second; nothing here uses TLS.
+CERTIFICATES_VARIABLE = 'SSL_CERT_FILE'
+
 
 def main() -> int:
     """Run an entry host with the settings that the platform names."""
@@ -21,6 +25,7 @@
         sys.stderr.write(f'oriolestage: {error}\n')
         return EXIT_BAD_SETTINGS
     forbid_io_uring()
+    os.environ[CERTIFICATES_VARIABLE] = os.devnull
     start_logging()
     # Imported late, because the loop's library reads its switch early.
     import uvloop  # noqa: PLC0415
@@ -57,5 +62,4 @@
 
 
 if __name__ == '__main__':
-    os.environ.setdefault('PYTHONUNBUFFERED', '1')
     sys.exit(main())
--- a/oriolestage/relay/_request_run.py
+++ b/oriolestage/relay/_request_run.py
@@ -336,9 +336,13 @@
         )
         if part.service in outcome.not_sent:
             part.arrivals -= 1
-        else:
-            part.may_have_run += 1
-            part.reason = GiveUpReason.LATE
+            part.sheds += 1
+            part.reason = GiveUpReason.NO_ROOM
+            part.place_at = now + PLACE_AGAIN_S * part.sheds
+            part.given_up = part.sheds >= SHED_LIMIT and not part.live
+            return []
+        part.may_have_run += 1
+        part.reason = GiveUpReason.LATE
         self._repeat(part, now)
         return []
 
--- a/oriolestage/relay/tests/test_merge.py
+++ b/oriolestage/relay/tests/test_merge.py
@@ -18,7 +18,7 @@
 
     def test_cases(self) -> None:
         """Order, equal records, remainders and short bodies."""
-        cases = (
+        cases: tuple[tuple[list[bytes], list[int]], ...] = (
             ([_record(1), _record(3) + _record(2)], [3, 2]),
             ([_record(2) + _record(2), _record(2)], [2, 2]),
             ([_record(1) + b'rest'], [1]),
