Wait for changes of the store for three fifths of the contact time

Ruled out: a lost connection; the store answered the next call at once. Change: calls wait 0.6 of the contact time (3 s here). Result: test_store_follower is red with the old wait.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -121,7 +121,12 @@
         settings.budget,
         metrics,
     )
-    follower = StoreFollower(store, knowledge, directory)
+    follower = StoreFollower(
+        store,
+        knowledge,
+        directory,
+        settings.contact_s,
+    )
 
     def limits() -> CallerLimits:
         table = knowledge.table
--- a/oriolestage/entry/_settings.py
+++ b/oriolestage/entry/_settings.py
@@ -28,5 +28,8 @@
     store_address: str
     #: Time between a request to stop and the kill, in seconds.
     stop_grace_s: float
+    #: Time after which a host that reaches the store has to know what it
+    #: holds, in seconds.
+    contact_s: float
     budget: BudgetBounds
     warm_up: WarmUpBounds
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -16,9 +16,10 @@
 from oriolestage.relay._knowledge import BeliefChanged, Knowledge
 from oriolestage.relay._targets import TargetDirectory
 
-#: Longest wait of one call for changes, in seconds; below the store's bound
-#: of 30 s and its shortest history of 20 s.
-WATCH_WAIT_S = 18.0
+#: Longest wait of one call for changes, as a part of the time after which
+#: hosts must know what the store held when it became stable. A waiting call
+#: may miss changes while the store drops its history, without being cut.
+WATCH_PART = 0.6
 #: Pause after changes, so that changes in a row come in one answer, seconds.
 GATHER_PAUSE_S = 0.3
 #: First and longest pause after a failed call, in seconds.
@@ -40,8 +41,14 @@
         store: Store,
         knowledge: Knowledge,
         directory: TargetDirectory,
+        contact_s: float,
     ) -> None:
-        """Prepare to follow; nothing is read yet."""
+        """Prepare to follow; nothing is read yet.
+
+        ``contact_s`` is the time after which a host in touch with the store
+        has to know what it holds.
+        """
+        self._wait_s = contact_s * WATCH_PART
         self._store = store
         self._knowledge = knowledge
         self._directory = directory
@@ -94,7 +101,7 @@
             return
         changes = await self._store.changes_after(
             self._revision,
-            WATCH_WAIT_S,
+            self._wait_s,
         )
         self._note_answer()
         now = time.monotonic()
--- /dev/null
+++ b/oriolestage/entry/tests/test_store_follower.py
@@ -0,0 +1,139 @@
+"""Tests of following the store."""
+
+import asyncio
+import unittest
+
+from oriolestage.entry._ports import (
+    HistoryLostError,
+    StoreChanges,
+    StoreError,
+    StoreView,
+)
+from oriolestage.entry._store_follower import StoreFollower
+from oriolestage.relay._facts import (
+    ConfigurationStored,
+    HostRecord,
+    StoredFact,
+    TargetRemoved,
+    TargetStored,
+)
+from oriolestage.relay._knowledge import Knowledge
+from oriolestage.relay._peers import PeerBook
+from oriolestage.relay._rules import CallerLimits, build_table
+from oriolestage.relay.tests.builders import make_placement, make_record
+
+CONTACT_S = 5.0
+
+
+def _table(version: int) -> ConfigurationStored:
+    return ConfigurationStored(build_table(version, (), (), CallerLimits()))
+
+
+class ScriptedStore:
+    """A store that gives prepared answers, then waits for ever."""
+
+    def __init__(self, *steps: StoreView | StoreChanges | StoreError) -> None:
+        """Answer reads and watches with ``steps`` in order."""
+        self._steps = list(steps)
+        self.waits: list[float] = []
+        self.reads = 0
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+    async def read_all(self) -> StoreView:
+        """Give the next step, which has to be a view."""
+        self.reads += 1
+        step = await self._next()
+        assert isinstance(step, StoreView)
+        return step
+
+    async def changes_after(self, revision: int, wait_s: float) -> StoreChanges:
+        """Give the next step, which has to be changes."""
+        self.waits.append(wait_s)
+        step = await self._next()
+        assert isinstance(step, StoreChanges)
+        return step
+
+    async def open_lease(self, time_to_live_s: float) -> int:
+        """Give a lease."""
+        return 1
+
+    async def renew_lease(self, lease: int) -> None:
+        """Do nothing."""
+
+    async def end_lease(self, lease: int) -> None:
+        """Do nothing."""
+
+    async def register_host(self, record: HostRecord, lease: int) -> None:
+        """Do nothing."""
+
+    async def _next(self) -> StoreView | StoreChanges:
+        if not self._steps:
+            await asyncio.Event().wait()
+        step = self._steps.pop(0)
+        if isinstance(step, StoreError):
+            raise step
+        return step
+
+
+class StoreFollowerTest(unittest.IsolatedAsyncioTestCase):
+    """What the store holds is known in time, whatever it forgets."""
+
+    async def _follow(self, store: ScriptedStore) -> Knowledge:
+        placement, self._directory = make_placement()
+        knowledge = Knowledge(
+            self._directory,
+            placement,
+            PeerBook(placement.place),
+        )
+        follower = StoreFollower(store, knowledge, self._directory, CONTACT_S)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(1.2)
+        task.cancel()
+        return knowledge
+
+    async def test_short_waits(self) -> None:
+        """No call waits so long that missed changes matter."""
+        store = ScriptedStore(StoreView((_table(4),), 1))
+        await self._follow(store)
+        self.assertLess(store.waits[0] + 1, CONTACT_S)
+
+    async def test_history_lost(self) -> None:
+        """After lost history everything is read again."""
+        store = ScriptedStore(
+            StoreView((_table(4),), 1),
+            HistoryLostError('watch', 'store', 'lost'),
+            StoreView((_table(8),), 9),
+        )
+        knowledge = await self._follow(store)
+        self.assertEqual(store.reads, 2)
+        self.assertIsNotNone(knowledge.table)
+        if knowledge.table is not None:
+            self.assertEqual(knowledge.table.version, 8)
+
+    async def test_never_back(self) -> None:
+        """An older configuration never replaces a newer one."""
+        store = ScriptedStore(
+            StoreView((_table(8),), 1),
+            StoreChanges((_table(4),), 2),
+        )
+        knowledge = await self._follow(store)
+        if knowledge.table is not None:
+            self.assertEqual(knowledge.table.version, 8)
+
+    async def test_failed_calls(self) -> None:
+        """A failing store is asked again; what is known stays."""
+        facts: tuple[StoredFact, ...] = (
+            _table(4),
+            TargetStored(make_record('t-1')),
+            TargetStored(make_record('t-2')),
+        )
+        store = ScriptedStore(
+            StoreView(facts, 1),
+            StoreError('watch', 'store', 'reset'),
+            StoreChanges((TargetRemoved('t-2'),), 2),
+        )
+        await self._follow(store)
+        self.assertIsNotNone(self._directory.find('t-1'))
+        self.assertIsNone(self._directory.find('t-2'))
--- a/oriolestage/platform/_settings.py
+++ b/oriolestage/platform/_settings.py
@@ -14,6 +14,9 @@
 from oriolestage.relay._warm_up import WarmUpBounds
 
 
+MS_PER_S = 1000
+
+
 class _Endpoints(msgspec.Struct, frozen=True):
     # The address for callers.
     front: str
@@ -22,6 +25,7 @@
 
 class _Bounds(msgspec.Struct, frozen=True, rename='camel'):
     grace_s: float
+    contact_ms: float = 5000
     retry_budget: float = 0.2
     budget_window_s: float = msgspec.field(default=10, name='budgetWindowS')
     retry_slack: float = 52
@@ -82,6 +86,7 @@
         metrics_address=f'{document.ip}:{first_port + 1}',
         store_address=document.platform.address,
         stop_grace_s=bounds.grace_s,
+        contact_s=bounds.contact_ms / MS_PER_S,
         budget=BudgetBounds(
             ratio=bounds.retry_budget,
             window_s=bounds.budget_window_s,
