--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -24,7 +24,6 @@
 from oriolestage.relay._knowledge import Knowledge
 from oriolestage.relay._peers import PeerBook
 from oriolestage.relay._placement import Placement
-from oriolestage.relay._rules import CallerLimits
 from oriolestage.relay._targets import TargetDirectory
 
 #: Connections that may wait to be accepted.
@@ -90,15 +89,19 @@
         left = await _drain(host)
         for task in tasks:
             task.cancel()
-        host.peer_server.close()
-        host.peer_client.close()
-        await host.client.close()
-        await host.control.close()
-        await store.close()
+        await _close(host, store)
     log_event('stopped', {'step': 'stop', 'cut': left})
     return 0
 
 
+async def _close(host: EntryHost, store: Store) -> None:
+    host.peer_server.close()
+    host.peer_client.close()
+    await host.client.close()
+    await host.control.close()
+    await store.close()
+
+
 def _wire(
     settings: EntrySettings,
     store: Store,
@@ -128,13 +131,6 @@
         settings.contact_s,
     )
 
-    def limits() -> CallerLimits:
-        table = knowledge.table
-        return CallerLimits() if table is None else table.limits
-
-    def is_ready() -> bool:
-        return knowledge.table is not None and not stopping.is_set()
-
     metrics.add_gauge('in_flight', lambda: relay.in_flight)
     metrics.add_gauge('targets', lambda: len(directory))
     metrics.add_gauge('hosts', lambda: len(placement.hosts))
@@ -146,8 +142,11 @@
     return EntryHost(
         settings=settings,
         relay=relay,
-        callers=CallerServer(relay, exchange, limits),
-        control=ControlServer(is_ready, metrics),
+        callers=CallerServer(relay, exchange, lambda: knowledge.limits),
+        control=ControlServer(
+            lambda: knowledge.table is not None and not stopping.is_set(),
+            metrics,
+        ),
         follower=follower,
         registration=HostRegistration(
             store,
--- a/oriolestage/entry/_peer_client.py
+++ b/oriolestage/entry/_peer_client.py
@@ -33,6 +33,13 @@
 #: A stream on which nothing came for this time after a request is replaced,
 #: in seconds; a host answers even late batches sooner.
 SILENCE_S = 0.4
+#: Errors that end a stream.
+LINK_ERRORS = (
+    asyncio.IncompleteReadError,
+    OSError,
+    ValueError,
+    msgspec.DecodeError,
+)
 #: Unacknowledged bytes break a stream after this time, milliseconds.
 UNACKNOWLEDGED_LIMIT_MS = 2000
 
@@ -115,12 +122,7 @@
         try:
             while True:
                 self._take(decode_reply(await read_frame(reader)))
-        except (
-            asyncio.IncompleteReadError,
-            OSError,
-            ValueError,
-            msgspec.DecodeError,
-        ) as error:
+        except LINK_ERRORS as error:
             self.close(f'link.{type(error).__name__}')
 
     def _take(self, reply: GatherReply) -> None:
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -35,7 +35,7 @@
 from oriolestage.relay._targets import KnownTarget
 
 #: Attempts for other hosts are numbered apart from those for callers.
-FIRST_ATTEMPT = 1 << 40
+FIRST_ATTEMPT = 1_000_000_000_000
 MS_PER_S = 1000
 
 
@@ -63,7 +63,7 @@
         self._client = client
         self._attempts = itertools.count(FIRST_ATTEMPT)
         self._server: asyncio.Server | None = None
-        self._links: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, listening: socket.socket) -> None:
         """Serve batches on a bound socket."""
@@ -76,8 +76,8 @@
         """Stop serving."""
         if self._server is not None:
             self._server.close()
-        for link in self._links:
-            link.cancel()
+        for writer in tuple(self._writers):
+            writer.close()
 
     async def _serve(
         self,
@@ -85,10 +85,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Serve the requests on one stream until it ends."""
-        current = asyncio.current_task()
-        if current is not None:
-            self._links.add(current)
-            current.add_done_callback(self._links.discard)
+        self._writers.add(writer)
         running: dict[int, asyncio.Task[None]] = {}
         try:
             while True:
@@ -99,9 +96,17 @@
         except (ValueError, msgspec.DecodeError) as error:
             log_event('batch_rejected', {'step': 'peer', 'error': error})
         finally:
-            for task in running.values():
-                task.cancel()
-            writer.close()
+            self._end_link(writer, running)
+
+    def _end_link(
+        self,
+        writer: asyncio.StreamWriter,
+        running: dict[int, asyncio.Task[None]],
+    ) -> None:
+        for task in running.values():
+            task.cancel()
+        self._writers.discard(writer)
+        writer.close()
 
     def _take(
         self,
--- a/oriolestage/entry/_run_driver.py
+++ b/oriolestage/entry/_run_driver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import time
 from collections.abc import Awaitable, Callable, Coroutine
 
@@ -20,6 +21,7 @@
 
 #: Step of an attempt that failed in a way that no code foresees.
 CRASHED = 'driver.crash'
+CRASHED_BATCH = BatchLost(CRASHED, not_sent=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,7 +65,7 @@
         """Drive the run until its verdict."""
         actions = self.run.start(time.monotonic())
         while True:
-            verdict = self._do(actions)
+            verdict = self._carry_out(actions)
             if verdict is not None:
                 return verdict
             self._set_timer()
@@ -93,43 +95,41 @@
         """Start a task; ``crashed`` is its event if it fails unforeseen."""
         task = asyncio.create_task(work)
         self._tasks[number] = task
+        task.add_done_callback(
+            functools.partial(self._note_end, crashed=crashed),
+        )
 
-        def note_end(ended: asyncio.Task[None]) -> None:
-            if ended.cancelled() or ended.exception() is None:
-                return
-            error = repr(ended.exception())
-            log_event('attempt_crashed', {'step': 'driver', 'error': error})
-            self._inbox.put_nowait(crashed)
-
-        task.add_done_callback(note_end)
+    def _note_end(self, ended: asyncio.Task[None], crashed: _Event) -> None:
+        if ended.cancelled() or ended.exception() is None:
+            return
+        error = repr(ended.exception())
+        log_event('attempt_crashed', {'step': 'driver', 'error': error})
+        self._inbox.put_nowait(crashed)
 
-    def _do(self, actions: list[Action]) -> Verdict | None:
+    def _carry_out(self, actions: list[Action]) -> Verdict | None:
         verdict: Verdict | None = None
         for action in actions:
             match action:
                 case SendAttempt(attempt=attempt):
-                    lost = AttemptLost(CRASHED)
-                    self._start(
-                        attempt,
-                        self._attempt(action),
-                        _Outcome(attempt, lost),
-                    )
+                    lost = _Outcome(attempt, AttemptLost(CRASHED))
+                    self._start(attempt, self._attempt(action), lost)
                 case SendBatch(batch=batch):
                     self._start(
                         batch,
                         self._batch(action),
-                        _BatchOutcome(
-                            batch, BatchLost(CRASHED, not_sent=False)
-                        ),
+                        _BatchOutcome(batch, CRASHED_BATCH),
                     )
                 case CancelAttempt(attempt=attempt):
-                    task = self._tasks.pop(attempt, None)
-                    if task is not None:
-                        task.cancel()
+                    self._cancel(attempt)
                 case Finish(verdict=final):
                     verdict = final
         return verdict
 
+    def _cancel(self, number: int) -> None:
+        task = self._tasks.pop(number, None)
+        if task is not None:
+            task.cancel()
+
     async def _attempt(self, action: SendAttempt) -> None:
         outcome = await self._send(action)
         self._tasks.pop(action.attempt, None)
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -31,6 +31,8 @@
 LEASE_S = 8.0
 #: Time between renewals, in seconds.
 RENEWAL_S = 2.5
+#: Factors between which the time is drawn, so that hosts spread out.
+RENEWAL_SPREAD = (0.9, 1.1)
 
 
 class StoreFollower:
@@ -166,7 +168,7 @@
                 continue
             except StoreError as error:
                 log_event('registration_failed', {'error': error})
-            await asyncio.sleep(RENEWAL_S * random.uniform(0.9, 1.1))
+            await asyncio.sleep(RENEWAL_S * random.uniform(*RENEWAL_SPREAD))
 
     async def withdraw(self) -> None:
         """End the registration, so that other hosts stop counting on it."""
--- /dev/null
+++ b/oriolestage/entry/tests/test_caller_server.py
@@ -0,0 +1,162 @@
+"""Tests of what callers may send and what they are told."""
+
+import asyncio
+import socket
+import unittest
+
+from oriolestage.entry._caller_server import CallerServer
+from oriolestage.entry._relay import CallerRequest
+from oriolestage.platform._exchange import PlatformExchange
+from oriolestage.relay._answers import (
+    Delivered,
+    GiveUpReason,
+    Refused,
+    TargetAnswer,
+    Verdict,
+)
+from oriolestage.relay._rules import CallerLimits
+
+LIMITS = CallerLimits(header_bytes=512, body_bytes=64, idle_timeout_s=5)
+ANSWER = Delivered(TargetAnswer(200, (('Server-Stamp', 's'),), b'body', 's'))
+HEAD = 'Host: h.example\r\nAttempt-Id: a\r\nDeadline-Ms: 1000\r\n'
+
+
+class RecordingRelay:
+    """Answers all requests and keeps them."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self.requests: list[CallerRequest] = []
+        self.cancelled = 0
+        self.hold = False
+        self.verdict: Verdict = ANSWER
+
+    async def serve(self, request: CallerRequest) -> Verdict:
+        """Keep a request and answer it."""
+        self.requests.append(request)
+        if not self.hold:
+            return self.verdict
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return self.verdict
+
+
+class CallerServerTest(unittest.IsolatedAsyncioTestCase):
+    """Good requests are passed on unchanged, bad ones answered clearly."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a server."""
+        self._relay = RecordingRelay()
+        self._server = CallerServer(
+            self._relay,  # type: ignore[arg-type]
+            PlatformExchange(),
+            lambda: LIMITS,
+        )
+        listening = socket.create_server(('127.0.0.1', 0))
+        listening.setblocking(False)
+        await self._server.start(listening)
+        self._port = listening.getsockname()[1]
+
+    async def asyncTearDown(self) -> None:
+        """Stop the server."""
+        await self._server.close()
+
+    async def _ask(self, text: str) -> bytes:
+        """Send bytes and give all that comes back."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self._port)
+        writer.write(text.encode())
+        try:
+            async with asyncio.timeout(5):
+                answer = await reader.readuntil(b'\r\n\r\n')
+        except asyncio.IncompleteReadError as error:
+            answer = error.partial
+        finally:
+            writer.close()
+        return answer
+
+    async def test_passed_on_unchanged(self) -> None:
+        """Method, path, query, headers and body arrive as they were sent."""
+        path = '/a/%2F/../b?x=%20&y='
+        await self._ask(
+            f'POST {path} HTTP/1.1\r\n{HEAD}X-Own: 1\r\n'
+            'Content-Length: 4\r\n\r\nbody',
+        )
+        request = self._relay.requests[0]
+        self.assertEqual(request.method, 'POST')
+        self.assertEqual(request.path, path)
+        self.assertEqual(request.host, 'h.example')
+        self.assertEqual(request.body, b'body')
+        self.assertIn(('X-Own', '1'), request.headers)
+        self.assertEqual(request.facts.request_id, 'a')
+
+    async def test_chunked_body(self) -> None:
+        """A body in chunks is joined."""
+        await self._ask(
+            f'POST /a/ HTTP/1.1\r\n{HEAD}Transfer-Encoding: chunked\r\n\r\n'
+            '2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n',
+        )
+        self.assertEqual(self._relay.requests[0].body, b'body')
+
+    async def test_bad_input(self) -> None:
+        """Each kind of bad input has a clear status and goes nowhere."""
+        long_header = 'X-Long: ' + 'x' * 600
+        body = 'b' * 65
+        cases = (
+            ('no request at all\r\n\r\n', b'400'),
+            ('GET  HTTP/1.1\r\n\r\n', b'400'),
+            (f'GET /a/ HTTP/1.1\r\n{HEAD}{long_header}\r\n\r\n', b'400'),
+            (
+                f'POST /a/ HTTP/1.1\r\n{HEAD}Content-Length: 65\r\n\r\n{body}',
+                b'413',
+            ),
+            (
+                f'POST /a/ HTTP/1.1\r\n{HEAD}Transfer-Encoding: chunked\r\n'
+                f'\r\n41\r\n{body}\r\n0\r\n\r\n',
+                b'413',
+            ),
+            (
+                f'POST /a/ HTTP/1.1\r\n{HEAD}Content-Length: 4\r\n'
+                'Content-Length: 5\r\n\r\nbody',
+                b'400',
+            ),
+            (
+                f'POST /a/ HTTP/1.1\r\n{HEAD}Content-Length: 4\r\n'
+                'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+                b'400',
+            ),
+            ('GET /a/ HTTP/1.1\r\nAttempt-Id: a\r\n\r\n', b'400'),
+            ('GET /a/ HTTP/1.1\r\nHost: h\r\nDeadline-Ms: x\r\n\r\n', b'400'),
+        )
+        for text, status in cases:
+            with self.subTest(text=text[:90]):
+                answer = await self._ask(text)
+                self.assertIn(status, answer.partition(b'\r\n')[0])
+        self.assertEqual(self._relay.requests, [])
+
+    async def test_refusal(self) -> None:
+        """A refusal says when to come back."""
+        self._relay.verdict = Refused(GiveUpReason.NO_ROOM, 0.5)
+        answer = await self._ask(f'GET /a/ HTTP/1.1\r\n{HEAD}\r\n')
+        self.assertIn(b'503', answer)
+        self.assertIn(b'Retry-After: 0.500', answer)
+
+    async def test_caller_leaves(self) -> None:
+        """A caller that closes its connection stops the work."""
+        self._relay.hold = True
+        _, writer = await asyncio.open_connection('127.0.0.1', self._port)
+        writer.write(f'GET /a/ HTTP/1.1\r\n{HEAD}\r\n'.encode())
+        while not self._relay.requests:
+            await asyncio.sleep(0.01)
+        writer.close()
+        async with asyncio.timeout(2):
+            while not self._relay.cancelled:
+                await asyncio.sleep(0.01)
+
+    async def test_leaving_host(self) -> None:
+        """A host that stops asks callers to leave with their answer."""
+        self._server.leave()
+        answer = await self._ask(f'GET /a/ HTTP/1.1\r\n{HEAD}\r\n')
+        self.assertIn(b'Connection: close', answer)
--- /dev/null
+++ b/oriolestage/entry/tests/test_peer_link.py
@@ -0,0 +1,157 @@
+"""Tests of gathering through another host."""
+
+import asyncio
+import socket
+import unittest
+
+from oriolestage.entry._peer_client import PeerClient
+from oriolestage.entry._peer_messages import GatherRequest
+from oriolestage.entry._peer_server import PeerServer
+from oriolestage.entry._target_client import TargetCall
+from oriolestage.relay._answers import (
+    AttemptAnswered,
+    AttemptLost,
+    AttemptOutcome,
+    TargetAnswer,
+)
+from oriolestage.relay._knowledge import Knowledge
+from oriolestage.relay._peers import PeerBook
+from oriolestage.relay._run_types import BatchAnswered, BatchLost
+from oriolestage.relay.tests.builders import make_placement, shard_records
+
+SERVICES = tuple(f'shard-{number}' for number in range(4))
+
+
+class ScriptedTargets:
+    """Answers attempts at once, but for those named."""
+
+    def __init__(self) -> None:
+        """Start without peculiar targets."""
+        self.slow: set[str] = set()
+        self.broken: set[str] = set()
+        self.cancelled = 0
+
+    async def send(self, call: TargetCall) -> AttemptOutcome:
+        """Answer an attempt."""
+        if call.target in self.broken:
+            return AttemptLost('reset')
+        if call.target in self.slow:
+            try:
+                await asyncio.sleep(10)
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        body = call.target.encode().ljust(16, b'.')
+        return AttemptAnswered(TargetAnswer(200, (), body, call.target))
+
+
+def _request(**changes: object) -> GatherRequest:
+    facts: dict[str, object] = {
+        'number': 0,
+        'request_id': 'a',
+        'route': 'r',
+        'method': 'GET',
+        'path': '/x',
+        'headers': (),
+        'services': SERVICES,
+        'regions': (),
+        'top_records': 2,
+        'merged': True,
+        'late_s': 0.2,
+        'work_s': 0.01,
+        'time_left_s': 2.0,
+        **changes,
+    }
+    return GatherRequest(**facts)  # type: ignore[arg-type]
+
+
+class PeerLinkTest(unittest.IsolatedAsyncioTestCase):
+    """A host gathers what is in time and says what is not."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a host that knows the targets."""
+        placement, directory = make_placement('dc-a', shard_records(4))
+        knowledge = Knowledge(directory, placement, PeerBook(placement.place))
+        self._targets = ScriptedTargets()
+        self._server = PeerServer(
+            knowledge,
+            placement,
+            self._targets,  # type: ignore[arg-type]
+        )
+        listening = socket.create_server(('127.0.0.1', 0))
+        listening.setblocking(False)
+        await self._server.start(listening)
+        self._address = f'127.0.0.1:{listening.getsockname()[1]}'
+        self._client = PeerClient()
+
+    async def asyncTearDown(self) -> None:
+        """Stop the host."""
+        self._client.close()
+        self._server.close()
+
+    async def test_merged(self) -> None:
+        """The greatest records of all shards come with all signatures."""
+        answer = await self._client.gather(self._address, _request())
+        assert isinstance(answer, BatchAnswered)
+        self.assertEqual(set(answer.signatures), set(SERVICES))
+        self.assertEqual(len(answer.body), 32)
+        self.assertEqual(answer.bodies, {})
+
+    async def test_not_merged(self) -> None:
+        """Records come for each shard when they are not merged."""
+        answer = await self._client.gather(
+            self._address,
+            _request(merged=False),
+        )
+        assert isinstance(answer, BatchAnswered)
+        self.assertEqual(set(answer.bodies), set(SERVICES))
+
+    async def test_late_shard(self) -> None:
+        """The answer does not wait for a shard that its siblings passed."""
+        self._targets.slow = {'t-0-0', 't-0-1'}
+        answer = await self._client.gather(self._address, _request())
+        assert isinstance(answer, BatchAnswered)
+        self.assertEqual(set(answer.signatures), set(SERVICES[1:]))
+        self.assertEqual(answer.not_sent, frozenset())
+        await asyncio.sleep(0.01)
+        self.assertEqual(self._targets.cancelled, 1)
+
+    async def test_failed_shard(self) -> None:
+        """A lost shard is left out."""
+        self._targets.broken = {'t-0-0', 't-0-1'}
+        answer = await self._client.gather(self._address, _request())
+        assert isinstance(answer, BatchAnswered)
+        self.assertNotIn(SERVICES[0], answer.signatures)
+
+    async def test_unknown_service(self) -> None:
+        """A shard without a target is told as not sent."""
+        answer = await self._client.gather(
+            self._address,
+            _request(services=('shard-0', 'unknown')),
+        )
+        assert isinstance(answer, BatchAnswered)
+        self.assertEqual(answer.not_sent, {'unknown'})
+
+    async def test_cancel(self) -> None:
+        """Giving up a request stops its attempts and keeps the stream."""
+        self._targets.slow = {
+            f't-{one}-{two}' for one in range(4) for two in (0, 1)
+        }
+        asking = asyncio.create_task(
+            self._client.gather(self._address, _request(late_s=5.0)),
+        )
+        await asyncio.sleep(0.1)
+        asking.cancel()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self._targets.cancelled, 4)
+        self._targets.slow = set()
+        answer = await self._client.gather(self._address, _request())
+        self.assertIsInstance(answer, BatchAnswered)
+
+    async def test_host_gone(self) -> None:
+        """A host that is not there did not get the batch."""
+        self._server.close()
+        await asyncio.sleep(0.05)
+        answer = await self._client.gather('127.0.0.1:1', _request())
+        assert isinstance(answer, BatchLost)
+        self.assertTrue(answer.not_sent)
--- a/oriolestage/platform/__main__.py
+++ b/oriolestage/platform/__main__.py
@@ -1,11 +1,13 @@
 """The entry host on the platform: ``python3 -m oriolestage.platform``."""
 
+import functools
 import os
 import sys
+from pathlib import Path
 
 from oriolestage._event_loop import forbid_io_uring
 from oriolestage._logging import log_event, start_logging
-from oriolestage.entry._settings import EntrySettingsError
+from oriolestage.entry._settings import EntrySettings, EntrySettingsError
 from oriolestage.platform._settings import load_settings, settings_path
 
 #: Exit code for settings that cannot be used.
@@ -38,22 +40,13 @@
     )
     from oriolestage.platform._store import StoreClient  # noqa: PLC0415
 
-    def reload() -> None:
-        """Check the settings file again; its addresses hold until a stop."""
-        try:
-            changed = load_settings(path) != settings
-        except EntrySettingsError as error:
-            log_event('reload_failed', {'step': 'reload', 'error': error})
-            return
-        log_event('reloaded', {'step': 'reload', 'changed': changed})
-
     try:
         return uvloop.run(
             run_entry_host(
                 settings,
                 StoreClient(settings.store_address),
                 PlatformExchange(),
-                reload,
+                functools.partial(_reload, path, settings),
             ),
         )
     except EntrySettingsError as error:
@@ -61,5 +54,15 @@
         return EXIT_BAD_SETTINGS
 
 
+def _reload(path: Path, settings: EntrySettings) -> None:
+    """Check the settings file again; its addresses hold until a stop."""
+    try:
+        changed = load_settings(path) != settings
+    except EntrySettingsError as error:
+        log_event('reload_failed', {'step': 'reload', 'error': error})
+        return
+    log_event('reloaded', {'step': 'reload', 'changed': changed})
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/oriolestage/platform/_documents.py
+++ b/oriolestage/platform/_documents.py
@@ -75,7 +75,7 @@
     # For all callers together.
     max_connections: int = 0
     # Zero where a cold target has no bound of its own.
-    warmup_per_s: float = msgspec.field(default=0.0, name='warmupPerS')
+    warmup_per_s: float = msgspec.field(default=0, name='warmupPerS')
 
 
 class _Limits(msgspec.Struct, frozen=True, rename='camel'):
--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -56,7 +56,7 @@
 
 
 class _Range(msgspec.Struct, frozen=True, rename='camel'):
-    items: tuple[_Item, ...]
+    listed: tuple[_Item, ...] = msgspec.field(name='items')
     # The revision of the whole store, not of an item.
     store_revision: int
     has_more: bool = False
@@ -102,10 +102,10 @@
             # Pages are no snapshot: changes count from the first page on.
             if revision is None:
                 revision = page.store_revision
-            facts.extend(_facts(page.items))
-            if not page.has_more or not page.items:
+            facts.extend(_facts(page.listed))
+            if not page.has_more or not page.listed:
                 return StoreView(tuple(facts), revision)
-            after = page.items[-1].key
+            after = page.listed[-1].key
 
     async def changes_after(self, revision: int, wait_s: float) -> StoreChanges:
         """Wait for changes; raises :class:`HistoryLostError` too."""
@@ -226,9 +226,9 @@
         return self._session
 
 
-def _facts(items: Iterable[_Item]) -> list[StoredFact]:
+def _facts(stored: Iterable[_Item]) -> list[StoredFact]:
     facts: list[StoredFact] = []
-    for item in items:
+    for item in stored:
         fact = _fact(item)
         if fact is not None:
             facts.append(fact)
@@ -247,8 +247,7 @@
     address: aiohttp.AddrInfoType,
 ) -> socket.socket:
     """Make a socket whose silent death is noticed in seconds."""
-    family, kind, protocol, _, _ = address
-    made = socket.socket(family, kind, protocol)
+    made = socket.socket(*address[:3])
     made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, bound in (
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
--- /dev/null
+++ b/oriolestage/platform/tests/test_documents.py
@@ -0,0 +1,159 @@
+"""Tests of decoding what operators and targets write."""
+
+import json
+import unittest
+
+from oriolestage.platform._documents import decode_item, decode_removal
+from oriolestage.relay._facts import (
+    ConfigurationStored,
+    DataCentreClosed,
+    DataCentreOpened,
+    HostRemoved,
+    TargetRemoved,
+    TargetStored,
+    Unreadable,
+)
+from oriolestage.relay._rules import (
+    ShardGroup,
+    SingleService,
+    WeightedService,
+    WeightedServices,
+)
+
+ROUTE = {  # noqa: WPS407
+    'name': 'r-1',
+    'host': 'Search.example',
+    'pathPrefix': '/a/',
+    'routeType': 'idempotent',
+    'timeoutMs': 1200,
+    'targetLatencyMs': 124,
+    'priority': 2,
+    'maxAttempts': 2,
+    'allowedRegions': ['north'],
+}
+REGISTRATION = {  # noqa: WPS407
+    'service': 's-1',
+    'address': '10.0.0.1:80',
+    'zone': 'dc-a',
+    'version': 'v1',
+    'concurrencyLimit': 2,
+    'state': 'ready',
+    'warmupLeftMs': 1500,
+    'sequence': 4,
+    'born': 77,
+}
+
+
+def _configuration(**route: object) -> bytes:
+    document = {
+        'version': 7,
+        'routes': [{**ROUTE, **route}],
+        'services': [
+            {'name': 's-1', 'maxConnections': 25, 'warmupPerS': 3.5},
+        ],
+        'limits': {'maxBodyBytes': 9, 'idleTimeoutMs': 1500},
+        'unknown': True,
+    }
+    return json.dumps(document).encode()
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Configurations become routing tables."""
+
+    def test_destinations(self) -> None:
+        """Each of the three forms of a route has its own type."""
+        cases = (
+            ({'service': 's-1'}, SingleService('s-1')),
+            (
+                {'backends': [{'service': 's-1', 'weight': 3}]},
+                WeightedServices((WeightedService('s-1', 3),)),
+            ),
+            (
+                {'gather': ['s-1', 's-2'], 'topK': 5, 'minCoverage': 0.5},
+                ShardGroup(('s-1', 's-2'), 5, 0.5),
+            ),
+        )
+        for route, expected in cases:
+            with self.subTest(route=route):
+                fact = decode_item('op/config', _configuration(**route))
+                self.assertIsInstance(fact, ConfigurationStored)
+                if isinstance(fact, ConfigurationStored):
+                    rule = fact.table.find('search.example', '/a/x')
+                    self.assertIsNotNone(rule)
+                    if rule is not None:
+                        self.assertEqual(rule.destination, expected)
+
+    def test_fields(self) -> None:
+        """Units and names are those of the product."""
+        fact = decode_item('op/config', _configuration(service='s-1'))
+        assert isinstance(fact, ConfigurationStored)
+        rule = fact.table.rules['search.example'][0]
+        self.assertEqual(fact.table.version, 7)
+        self.assertEqual(rule.time_limit_s, 1.2)
+        self.assertEqual(rule.objective_s, 0.124)
+        self.assertEqual(rule.regions, {'north'})
+        self.assertTrue(rule.repeatable)
+        self.assertEqual(fact.table.services['s-1'].warm_up_rate, 3.5)
+        self.assertEqual(fact.table.limits.body_bytes, 9)
+        self.assertEqual(fact.table.limits.idle_timeout_s, 1.5)
+
+    def test_unreadable(self) -> None:
+        """What cannot be used is told with its key."""
+        cases = (
+            b'not json',
+            _configuration(),
+            _configuration(service='s-1', routeType='sometimes'),
+            b'{"version": 7}',
+        )
+        for content in cases:
+            with self.subTest(content=content[:40]):
+                fact = decode_item('op/config', content)
+                self.assertIsInstance(fact, Unreadable)
+
+
+class RegistrationTest(unittest.TestCase):
+    """Registrations become records of targets."""
+
+    def test_ready(self) -> None:
+        """All fields are taken over."""
+        fact = decode_item('servers/i-1', json.dumps(REGISTRATION).encode())
+        assert isinstance(fact, TargetStored)
+        self.assertEqual(fact.record.identity, 'i-1')
+        self.assertEqual(fact.record.warm_up_left_s, 1.5)
+        self.assertEqual(fact.record.started_ms, 77)
+        self.assertFalse(fact.record.draining)
+
+    def test_foreign_entries(self) -> None:
+        """Entries of another writer name no target."""
+        changes: tuple[dict[str, object], ...] = (
+            {'state': 'gone'},
+            {'concurrencyLimit': '2'},
+            {'concurrencyLimit': 0},
+            {'address': 'nowhere'},
+            {'service': None},
+            {'born': 'yesterday'},
+        )
+        for change in changes:
+            with self.subTest(change=change):
+                content = json.dumps({**REGISTRATION, **change}).encode()
+                fact = decode_item('servers/i-1', content)
+                self.assertIsInstance(fact, Unreadable)
+                if isinstance(fact, Unreadable):
+                    self.assertEqual(fact.target, 'i-1')
+
+    def test_other_keys(self) -> None:
+        """Keys tell what an item or its removal is about."""
+        self.assertEqual(
+            decode_item('op/evacuate/dc-a', b'{}'),
+            DataCentreClosed('dc-a'),
+        )
+        self.assertIsNone(decode_item('elsewhere/x', b'{}'))
+        cases = (
+            ('op/evacuate/dc-a', DataCentreOpened('dc-a')),
+            ('servers/i-1', TargetRemoved('i-1')),
+            ('hosts/h-1', HostRemoved('h-1')),
+            ('op/config', None),
+        )
+        for key, expected in cases:
+            with self.subTest(key=key):
+                self.assertEqual(decode_removal(key), expected)
--- /dev/null
+++ b/oriolestage/platform/tests/test_exchange.py
@@ -0,0 +1,118 @@
+"""Tests of requests and answers on the wire."""
+
+import unittest
+
+from oriolestage.platform._exchange import PlatformExchange
+from oriolestage.relay._answers import (
+    AttemptAnswered,
+    AttemptLost,
+    AttemptNotRun,
+    AttemptOutcome,
+    Delivered,
+    Failed,
+    Gathered,
+    GiveUpReason,
+    NotRunReason,
+    Refused,
+    TargetAnswer,
+)
+
+SIGNED = ('Server-Stamp', 's')
+OWN_ID = ('Attempt-Id', 'a')
+OTHER_ID = ('Attempt-Id', 'b')
+
+
+class PlatformExchangeTest(unittest.TestCase):
+    """The one place where names of the wire are known."""
+
+    def setUp(self) -> None:
+        """Have an exchange."""
+        self._exchange = PlatformExchange()
+
+    def test_request_facts(self) -> None:
+        """Identity and deadline are read; bad deadlines are told."""
+        facts = self._exchange.request_facts(
+            {'Attempt-Id': 'a', 'Deadline-Ms': '1500'},
+        )
+        self.assertEqual(facts.request_id, 'a')
+        self.assertEqual(facts.time_left_s, 1.5)
+        self.assertIsNone(self._exchange.request_facts({}).time_left_s)
+        for text in ('soon', '-1', ''):
+            with self.subTest(text=text), self.assertRaises(ValueError):
+                self._exchange.request_facts({'Deadline-Ms': text})
+
+    def test_target_headers(self) -> None:
+        """Headers of one connection stay; the rest goes on."""
+        headers = self._exchange.target_headers(
+            (
+                ('Host', 'h'),
+                OWN_ID,
+                ('X-Own', '1'),
+                ('Connection', 'keep-alive, X-Hop'),
+                ('X-Hop', '1'),
+                ('Transfer-Encoding', 'chunked'),
+                ('Content-Length', '4'),
+                ('Deadline-Ms', '1500'),
+                ('Target-Instance', 'forged'),
+            ),
+            'i-1',
+            0.25,
+        )
+        self.assertEqual(
+            headers,
+            [
+                ('Host', 'h'),
+                OWN_ID,
+                ('X-Own', '1'),
+                ('Deadline-Ms', '250'),
+                ('Target-Instance', 'i-1'),
+            ],
+        )
+
+    def test_outcomes(self) -> None:
+        """Only what a target says certainly did not run counts as that."""
+        shed = AttemptNotRun(NotRunReason.SHED)
+        other = AttemptNotRun(NotRunReason.OTHER_TARGET)
+        cases: tuple[
+            tuple[int, tuple[tuple[str, str], ...], AttemptOutcome | None],
+            ...,
+        ] = (
+            (200, (SIGNED, OWN_ID), None),
+            (200, (SIGNED,), None),
+            (500, (SIGNED, OWN_ID), None),
+            (503, (OWN_ID,), None),
+            (503, (OWN_ID, ('Not-Executed', '1')), shed),
+            (429, (OWN_ID, ('not-executed', '1')), shed),
+            (421, (), other),
+            (200, (SIGNED, OTHER_ID), AttemptLost('answer.other_request')),
+            (200, (OWN_ID,), AttemptLost('answer.unsigned')),
+        )
+        for status, headers, expected in cases:
+            signature = 's' if SIGNED in headers else ''
+            answer = TargetAnswer(status, headers, b'', signature)
+            with self.subTest(status=status, headers=headers):
+                self.assertEqual(
+                    self._exchange.outcome('a', answer),
+                    expected or AttemptAnswered(answer),
+                )
+
+    def test_responses(self) -> None:
+        """Each verdict has a status that promises what is true."""
+        answer = TargetAnswer(200, (SIGNED, ('Connection', 'close')), b'x', 's')
+        cases = (
+            (Delivered(answer), 200, 'Server-Stamp', 's'),
+            (Gathered(b'r', ('s', 't'), 1), 200, 'Part-Stamps', 's, t'),
+            (Gathered(b'r', ('s',), 1), 200, 'Missing-Shards', '1'),
+            (Refused(GiveUpReason.NO_ROOM, 0.5), 503, 'Retry-After', '0.500'),
+            (Refused(GiveUpReason.UNKNOWN_ROUTE, 0), 404, '', ''),
+            (Failed(GiveUpReason.LOST), 502, '', ''),
+            (Failed(GiveUpReason.DEADLINE), 504, '', ''),
+        )
+        for verdict, status, name, text in cases:
+            with self.subTest(verdict=verdict):
+                response = self._exchange.response(verdict, 'a')
+                headers = dict(response.headers)
+                self.assertEqual(response.status, status)
+                self.assertNotIn('Connection', headers)
+                if name:
+                    self.assertEqual(headers[name], text)
--- a/oriolestage/relay/_answers.py
+++ b/oriolestage/relay/_answers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from http import HTTPStatus
 
 
 class NotRunReason(enum.Enum):
@@ -26,7 +27,7 @@
     @property
     def success(self) -> bool:
         """Tell whether the target did what was asked."""
-        return 200 <= self.status < 300
+        return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/oriolestage/relay/_knowledge.py
+++ b/oriolestage/relay/_knowledge.py
@@ -21,7 +21,7 @@
 )
 from oriolestage.relay._peers import PeerBook
 from oriolestage.relay._placement import Placement
-from oriolestage.relay._rules import RoutingTable
+from oriolestage.relay._rules import CallerLimits, RoutingTable
 from oriolestage.relay._targets import TargetDirectory
 
 
@@ -56,6 +56,11 @@
         """The routing table in force; None before the first one."""
         return self._table
 
+    @property
+    def limits(self) -> CallerLimits:
+        """Bounds on callers in force."""
+        return CallerLimits() if self._table is None else self._table.limits
+
     def replace_all(
         self,
         facts: Iterable[StoredFact],
@@ -85,9 +90,8 @@
             changes.append(_change('target_missing', target=identity))
         changes.append(_change('targets_read', targets=len(records)))
         for fact in listed:
-            match fact:
-                case ConfigurationStored() | Unreadable():
-                    changes.extend(self.apply(fact, now))
+            if isinstance(fact, ConfigurationStored | Unreadable):
+                changes.extend(self.apply(fact, now))
         self._placement.forget_targets()
         return changes
 
@@ -159,15 +163,15 @@
         ]
 
     def _closed_changed(self) -> BeliefChanged:
-        self._directory.set_closed_data_centres(self._closed)
+        self._directory.close_data_centres(self._closed)
         return _change(
             'data_centres_closed',
             names=','.join(sorted(self._closed)) or 'none',
         )
 
     def _hosts_changed(self) -> BeliefChanged:
-        self._placement.set_hosts(self._hosts)
-        self._peers.set_hosts(self._hosts.values())
+        self._placement.share_with(self._hosts)
+        self._peers.replace_hosts(self._hosts.values())
         return _change('hosts_known', hosts=len(self._hosts))
 
 
--- a/oriolestage/relay/_peers.py
+++ b/oriolestage/relay/_peers.py
@@ -35,7 +35,7 @@
         self._place = place
         self._peers: dict[str, _Peer] = {}
 
-    def set_hosts(self, records: Iterable[HostRecord]) -> None:
+    def replace_hosts(self, records: Iterable[HostRecord]) -> None:
         """Set the registered hosts; what is known of them is kept."""
         kept: dict[str, _Peer] = {}
         for record in records:
--- a/oriolestage/relay/_placement.py
+++ b/oriolestage/relay/_placement.py
@@ -7,7 +7,7 @@
 """
 
 import dataclasses
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterator, Mapping
 
 from oriolestage.relay._delays import (
     PRIOR_OTHER_REGION_S,
@@ -109,7 +109,7 @@
         """Names of the hosts that share the targets, this one included."""
         return self._hosts
 
-    def set_hosts(self, names: Collection[str]) -> None:
+    def share_with(self, names: Collection[str]) -> None:
         """Set the hosts that share the targets."""
         self._hosts = tuple(sorted({*names, self.place.name}))
 
@@ -130,12 +130,7 @@
         """Choose the target from which an answer is expected first."""
         best: Chosen | None = None
         wait_s = float('inf')
-        for target in self._directory.usable(wanted.service):
-            if target.record.identity in excluded:
-                continue
-            region = self.place.region_of(target.record.data_centre)
-            if wanted.regions and region not in wanted.regions:
-                continue
+        for target in self._candidates(wanted, excluded):
             busy_s = self._busy_s(target, wanted, now)
             if busy_s > 0:
                 wait_s = min(wait_s, busy_s)
@@ -258,6 +253,20 @@
         """Note that a target could not be reached."""
         self._load(target).note_not_reached(attempt, now)
 
+    def _candidates(
+        self,
+        wanted: Wanted,
+        excluded: Collection[str],
+    ) -> Iterator[KnownTarget]:
+        """Give the targets that may serve, with or without room."""
+        for target in self._directory.usable(wanted.service):
+            if target.record.identity in excluded:
+                continue
+            region = self.place.region_of(target.record.data_centre)
+            if wanted.regions and region not in wanted.regions:
+                continue
+            yield target
+
     def _load(self, target: KnownTarget) -> TargetLoad:
         """Give what was seen of a target's present process."""
         name = _process(target)
--- a/oriolestage/relay/_request_run.py
+++ b/oriolestage/relay/_request_run.py
@@ -10,8 +10,8 @@
 shared budget), and services without a target (an early end).
 """
 
-import dataclasses
 from collections.abc import Callable
+from http import HTTPStatus
 
 from oriolestage.relay._answers import (
     AttemptAnswered,
@@ -22,7 +22,8 @@
     NotRunReason,
     TargetAnswer,
 )
-from oriolestage.relay._first_wave import Batch, plan_batches
+from oriolestage.relay._dispatch import Dispatch
+from oriolestage.relay._first_wave import Batch
 from oriolestage.relay._parts import RETRY_AFTER_S, Attempt, Part
 from oriolestage.relay._peers import PeerBook
 from oriolestage.relay._placement import Chosen, NoRoom, NoTarget, Placement
@@ -32,40 +33,24 @@
     BatchAnswered,
     BatchLost,
     BatchOutcome,
-    BatchPart,
-    CancelAttempt,
     Finish,
     PartRequest,
     RunTimes,
-    SendAttempt,
-    SendBatch,
 )
 from oriolestage.relay._stragglers import WorkWatch
 from oriolestage.relay._verdicts import least_parts, verdict_of
 
-#: Time for the work of another host on a batch, in seconds. Its reply tells
-#: which shards are late, so only a host that is lost exceeds this.
-PEER_MARGIN_S = 0.025
 #: Time between the end of a run and the caller's receipt, in seconds: the
 #: way to the caller, its connection's set-up and the work on the answer.
 DELIVERY_MARGIN_S = 0.017
 #: Time between two tries to place a part that has no room, in seconds.
 PLACE_AGAIN_S = 0.01
-MS_PER_S = 1000
+#: Statuses from here on are failures of the target.
+SERVER_ERRORS = 500
 #: Shed answers of one part after which it is given up.
 SHED_LIMIT = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Launch:
-    """An attempt that was decided on and is not sent yet."""
-
-    #: Position of the part.
-    position: int
-    placed: Chosen
-    hedge: bool = False
-
-
 class RequestRun:
     """Decides on the attempts of one request until it is over."""
 
@@ -83,20 +68,24 @@
         self._times = times
         self._placement = placement
         self._peers = peers
-        self._next_attempt = next_attempt
         self._parts = tuple(
             Part(position, part) for position, part in enumerate(parts)
         )
-        self._of_attempt: dict[int, Part] = {}
-        self._batches: dict[int, Batch] = {}
-        self._launches: list[_Launch] = []
         #: Merged records of batches.
         self._merged: list[bytes] = []
         self._watch = WorkWatch(len(parts), placement.work_s(rule.name))
         self._least = least_parts(rule.destination, len(parts))
         self._finished = False
         self._hedges = 0
-        self._sends = 0
+        self._dispatch = Dispatch(
+            rule=rule,
+            times=times,
+            parts=self._parts,
+            placement=placement,
+            peers=peers,
+            watch=self._watch,
+            next_attempt=next_attempt,
+        )
 
     @property
     def wake_at(self) -> float:
@@ -112,12 +101,12 @@
         """Send the first attempts, or refuse what cannot be served."""
         for part in self._parts:
             part.request.budget.note_needed(now)
-        actions = self._send_first_batches(now)
+        actions = self._dispatch.first_batches(now)
         for part in self._parts:
             self._place(part, now)
-        actions += self._launch(now)
+        actions += self._dispatch.flush(now)
         if self._hopeless():
-            self._drop_all(now)
+            self._dispatch.drop_all(now)
             for part in self._parts:
                 part.live.clear()
             return self._end(now)
@@ -130,7 +119,7 @@
         now: float,
     ) -> list[Action]:
         """Take in what became of an attempt at a target."""
-        part = self._of_attempt.pop(attempt, None)
+        part = self._dispatch.part_of(attempt)
         if part is None or self._finished:
             return []
         target = part.live.pop(attempt).target
@@ -138,7 +127,7 @@
             return []
         match outcome:
             case AttemptAnswered(answer=answer):
-                if answer.status >= 500:
+                if answer.status >= SERVER_ERRORS:
                     self._placement.note_failure(target, attempt, now)
                 else:
                     self._watch.note_answer(
@@ -161,7 +150,7 @@
                 part.may_have_run += 1
                 part.reason = GiveUpReason.LOST
         self._repeat(part, now)
-        return self._launch(now) + self._check_end(now)
+        return self._dispatch.flush(now) + self._check_end(now)
 
     def on_batch(
         self,
@@ -170,7 +159,7 @@
         now: float,
     ) -> list[Action]:
         """Take in what became of a batch."""
-        sent = self._batches.pop(batch, None)
+        sent = self._dispatch.take_batch(batch)
         if sent is None or self._finished:
             return []
         actions: list[Action] = []
@@ -188,12 +177,12 @@
                 self._peers.note_ended(sent.peer.name)
                 for position in sent.positions:
                     part = self._parts[position]
-                    self._drop_batched(part)
+                    self._dispatch.drop_batched(part)
                     part.arrivals -= not_sent
                     part.may_have_run += not not_sent
                     part.reason = GiveUpReason.LOST
                     self._repeat(part, now)
-        return actions + self._launch(now) + self._check_end(now)
+        return actions + self._dispatch.flush(now) + self._check_end(now)
 
     def on_time(self, now: float) -> list[Action]:
         """Do what is due by now."""
@@ -204,11 +193,11 @@
                 part.place_at = float('inf')
                 self._place(part, now)
             self._hedge(part, now)
-        return self._launch(now) + self._check_end(now)
+        return self._dispatch.flush(now) + self._check_end(now)
 
     def cancel(self, now: float) -> None:
         """End the run because the caller left."""
-        self._drop_all(now)
+        self._dispatch.drop_all(now)
         self._finished = True
 
     def summary(self) -> dict[str, object]:
@@ -216,7 +205,7 @@
         return {
             'parts': len(self._parts),
             'answered': self._answered(),
-            'sends': self._sends,
+            'sends': self._dispatch.sends,
             'hedges': self._hedges,
             'batches': len(self._merged),
             'lacking': ','.join(
@@ -226,85 +215,6 @@
             ),
         }
 
-    def _send_first_batches(self, now: float) -> list[Action]:
-        """Give the shards that go far to hosts near their targets."""
-        if not isinstance(self._rule.destination, ShardGroup):
-            return []
-        wants = tuple(part.request.wanted for part in self._parts)
-        planned = plan_batches(wants, self._placement, self._peers, now)
-        return [self._send_batch(batch, now, merged=True) for batch in planned]
-
-    def _launch(self, now: float) -> list[Action]:
-        """Send the attempts that were decided on.
-
-        Those to another region go through a host there: its connections to
-        its targets are open, and several shards take one request.
-        """
-        actions: list[Action] = []
-        far: dict[str, list[int]] = {}
-        for launch in self._launches:
-            region = self._far_region(launch.placed)
-            if region and self._peers.choose(region, now) is not None:
-                far.setdefault(region, []).append(launch.position)
-            else:
-                actions.append(self._send(launch, now))
-        self._launches.clear()
-        for region, positions in far.items():
-            peer = self._peers.choose(region, now)
-            if peer is not None:
-                batch = Batch(peer, region, tuple(positions))
-                actions.append(self._send_batch(batch, now, merged=False))
-        return actions
-
-    def _far_region(self, placed: Chosen) -> str:
-        """Give the region of a shard's target if it is another one."""
-        if not isinstance(self._rule.destination, ShardGroup):
-            return ''
-        place = self._placement.place
-        region = place.region_of(placed.target.record.data_centre)
-        return '' if region == place.region else region
-
-    def _send_batch(
-        self,
-        batch: Batch,
-        now: float,
-        *,
-        merged: bool,
-    ) -> SendBatch:
-        number = self._next_attempt()
-        way_s = self._placement.way_to_region_s(batch.region)
-        way_s += PEER_MARGIN_S
-        due_at = now + way_s + self._watch.late_s
-        self._batches[number] = dataclasses.replace(batch, due_at=due_at)
-        self._peers.note_sent(batch.peer.name)
-        sent: list[BatchPart] = []
-        for position in batch.positions:
-            part = self._parts[position]
-            attempt = self._next_attempt()
-            part.live[attempt] = Attempt(now, way_s, None, number)
-            part.arrivals += 1
-            part.history.append(self._step(batch.region, now))
-            part.tried.update(
-                target.record.identity
-                for target in self._placement.targets_in(
-                    part.service,
-                    batch.region,
-                )
-            )
-            sent.append(BatchPart(attempt, part.service))
-        self._sends += 1
-        return SendBatch(
-            batch=number,
-            peer=batch.peer,
-            parts=tuple(sent),
-            regions=frozenset((batch.region,)),
-            top_records=getattr(self._rule.destination, 'top_records', 0),
-            merged=merged,
-            late_s=self._watch.late_s,
-            work_s=self._watch.work_s,
-            deadline=self._times.deadline,
-        )
-
     def _on_batch_part(
         self,
         part: Part,
@@ -313,21 +223,26 @@
         now: float,
     ) -> list[Action]:
         """Take in one shard of an answered batch."""
-        self._drop_batched(part)
+        self._dispatch.drop_batched(part)
         signature = outcome.signatures.get(part.service)
         if signature is not None:
             body = outcome.bodies.get(part.service)
             # Merged records hold this shard, so what a hedge gave must not
             # be merged again.
             if part.answer is None or body is None:
-                part.answer = TargetAnswer(200, (), body or b'', signature)
+                part.answer = TargetAnswer(
+                    HTTPStatus.OK,
+                    (),
+                    body or b'',
+                    signature,
+                )
             self._placement.note_batched(
                 part.service,
                 batch.region,
                 now,
                 late=False,
             )
-            return self._drop_live(part, now)
+            return self._dispatch.drop_live(part, now)
         self._placement.note_batched(
             part.service,
             batch.region,
@@ -353,14 +268,14 @@
         now: float,
     ) -> list[Action]:
         gathers = isinstance(self._rule.destination, ShardGroup)
-        if answer.success or (answer.status < 500 and not gathers):
+        if answer.success or (answer.status < SERVER_ERRORS and not gathers):
             part.answer = answer
-            return self._drop_live(part, now) + self._check_end(now)
+            return self._dispatch.drop_live(part, now) + self._check_end(now)
         part.may_have_run += 1
         part.failure = answer
         part.reason = GiveUpReason.LOST
         self._repeat(part, now)
-        return self._launch(now) + self._check_end(now)
+        return self._dispatch.flush(now) + self._check_end(now)
 
     def _repeat(self, part: Part, now: float) -> None:
         """Try another target after a failed attempt, if it may be done."""
@@ -384,7 +299,7 @@
                     part.given_up = True
                     part.reason = GiveUpReason.NO_BUDGET
                     return
-                self._launches.append(_Launch(part.position, placed))
+                self._dispatch.queue(part, placed)
             case NoRoom(wait_s=wait_s):
                 part.room_after_s = max(RETRY_AFTER_S, wait_s)
                 part.reason = GiveUpReason.NO_ROOM
@@ -417,7 +332,7 @@
         if not self._in_time(placed, now) or not self._take_extra(part, now):
             return
         self._hedges += 1
-        self._launches.append(_Launch(part.position, placed, hedge=True))
+        self._dispatch.queue(part, placed, hedge=True)
 
     def _in_time(self, placed: Chosen, now: float) -> bool:
         """Tell whether a hedge can still be of use."""
@@ -436,26 +351,6 @@
             return False
         return budget.take(hosts, now)
 
-    def _send(self, launch: '_Launch', now: float) -> SendAttempt:
-        part = self._parts[launch.position]
-        placed = launch.placed
-        attempt = self._next_attempt()
-        way_s = self._placement.way_s(placed.target)
-        part.live[attempt] = Attempt(now, way_s, placed.target)
-        part.tried.add(placed.target.record.identity)
-        part.arrivals += 1
-        place = placed.target.record.data_centre
-        part.history.append(self._step(place, now))
-        self._sends += 1
-        self._of_attempt[attempt] = part
-        self._placement.note_sent(placed.target, attempt, now)
-        return SendAttempt(
-            attempt=attempt,
-            target=placed.target,
-            deadline=self._times.deadline,
-            hedge=launch.hedge,
-        )
-
     def _late_at(self, attempt: Attempt) -> float:
         """Time at which a second attempt is worth it."""
         if attempt.hedged or not self._rule.repeatable:
@@ -472,9 +367,6 @@
                 due_at = min(due_at, self._late_at(attempt))
         return due_at
 
-    def _step(self, place: str, now: float) -> str:
-        return f'{place}+{(now - self._times.started) * MS_PER_S:.0f}'
-
     def _cut_off_at(self) -> float:
         """Time at which an answer with enough shards is given."""
         if not isinstance(self._rule.destination, ShardGroup):
@@ -514,40 +406,4 @@
             late=now >= self._times.deadline,
         )
         self._watch.settle(self._placement, self._rule.name, now)
-        return [Finish(verdict), *self._drop_all(now)]
-
-    def _drop_live(self, part: Part, now: float) -> list[Action]:
-        """Give up the attempts of a part that are on their way."""
-        actions: list[Action] = []
-        for attempt, sent in tuple(part.live.items()):
-            if sent.target is None:
-                continue
-            part.live.pop(attempt)
-            self._of_attempt.pop(attempt, None)
-            self._placement.note_abandoned(
-                sent.target,
-                attempt,
-                self._watch.late_s,
-                now,
-            )
-            actions.append(CancelAttempt(attempt))
-        return actions
-
-    def _drop_batched(self, part: Part) -> None:
-        """Forget the attempt of a part that went in a batch."""
-        for attempt, sent in tuple(part.live.items()):
-            if sent.target is None:
-                part.live.pop(attempt)
-
-    def _drop_all(self, now: float) -> list[Action]:
-        """Give up everything that is on its way."""
-        actions: list[Action] = []
-        for part in self._parts:
-            actions.extend(self._drop_live(part, now))
-        for number, batch in self._batches.items():
-            if now >= batch.due_at:
-                self._peers.note_silent(batch.peer.name, now)
-            self._peers.note_ended(batch.peer.name)
-            actions.append(CancelAttempt(number))
-        self._batches.clear()
-        return actions
+        return [Finish(verdict), *self._dispatch.drop_all(now)]
--- a/oriolestage/relay/_rules.py
+++ b/oriolestage/relay/_rules.py
@@ -122,14 +122,14 @@
         version=version,
         rules={
             host: tuple(
-                sorted(
-                    listed,
-                    key=lambda rule: len(rule.path_prefix),
-                    reverse=True,
-                ),
+                sorted(listed, key=_prefix_length, reverse=True),
             )
             for host, listed in by_host.items()
         },
         services={service.name: service for service in services},
         limits=limits,
     )
+
+
+def _prefix_length(rule: RouteRule) -> int:
+    return len(rule.path_prefix)
--- a/oriolestage/relay/_stragglers.py
+++ b/oriolestage/relay/_stragglers.py
@@ -6,6 +6,7 @@
 answered, only a much longer wait than usual counts as late.
 """
 
+import itertools
 import math
 import statistics
 
@@ -62,7 +63,7 @@
 
     def note_work(self, worked_s: float, answers: int) -> None:
         """Note work that another host saw."""
-        self._worked.extend([worked_s] * answers)
+        self._worked.extend(itertools.repeat(worked_s, answers))
         if self.compared:
             sibling_s = statistics.median(self._worked)
             self._late_s = sibling_s * SIBLING_FACTOR + SIBLING_MARGIN_S
--- a/oriolestage/relay/_targets.py
+++ b/oriolestage/relay/_targets.py
@@ -128,7 +128,7 @@
             self._forget(identity)
         return expired
 
-    def set_closed_data_centres(self, names: Iterable[str]) -> None:
+    def close_data_centres(self, names: Iterable[str]) -> None:
         """Set the data centres that are out of service."""
         self._closed_data_centres = frozenset(names)
 
--- a/oriolestage/relay/_weights.py
+++ b/oriolestage/relay/_weights.py
@@ -23,10 +23,10 @@
         names = {choice.name for choice in choices}
         credits_left = self._credits.get(route)
         if credits_left is None or credits_left.keys() != names:
-            credits_left = dict.fromkeys(names, 0.0)
+            credits_left = dict.fromkeys(names, float(0))
             self._credits[route] = credits_left
         best = choices[0].name
-        total = 0.0
+        total: float = 0
         for choice in choices:
             total += choice.weight
             credits_left[choice.name] += choice.weight
--- a/oriolestage/relay/tests/builders.py
+++ b/oriolestage/relay/tests/builders.py
@@ -27,7 +27,6 @@
 from oriolestage.relay._run_types import (
     Action,
     BatchAnswered,
-    CancelAttempt,
     Finish,
     PartRequest,
     RunTimes,
@@ -137,7 +136,7 @@
 def make_peers(place: HostPlace) -> PeerBook:
     """Give a book with one other host in each data centre."""
     peers = PeerBook(place)
-    peers.set_hosts(
+    peers.replace_hosts(
         HostRecord(f'peer-{data_centre}', data_centre, f'{data_centre}:1')
         for data_centre in DATA_CENTRES
     )
@@ -148,6 +147,10 @@
 WorkOf = Callable[[TargetRecord, float, float], float]
 
 
+#: Events that are due: time, order and handler.
+_Queue = list[tuple[float, int, Callable[[float], list[Action]]]]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replayed:
     """What became of one replayed request."""
@@ -184,10 +187,10 @@
             data_centre,
             shard_records(),
         )
-        self.placement.set_hosts([f'host-{one}' for one in range(hosts)])
+        self.placement.share_with([f'host-{one}' for one in range(hosts)])
         self.peers = make_peers(self.placement.place)
         if not peers:
-            self.peers.set_hosts(())
+            self.peers.replace_hosts(())
         self._bounds = bounds or BudgetBounds()
         self._budgets: dict[str, ExtraBudget] = {}
         self._numbers = itertools.count(1)
@@ -200,26 +203,14 @@
         """Play one request whose work is ``usual_s`` at a usual target."""
         started = self.now
         run = self._run(started)
-        queue: list[tuple[float, int, Callable[[float], list[Action]]]] = []
-        cancelled: set[int] = set()
+        queue: _Queue = []
         before = self.attempts
         actions = run.start(started)
         while True:
-            for action in actions:
-                match action:
-                    case Finish(verdict=verdict):
-                        took_s = self.now - started
-                        return Replayed(
-                            verdict,
-                            took_s,
-                            self.attempts - before,
-                        )
-                    case CancelAttempt(attempt=number):
-                        cancelled.add(number)
-                    case SendAttempt():
-                        self._send(run, action, usual_s, queue)
-                    case SendBatch():
-                        self._batch(run, action, usual_s, queue)
+            verdict = self._carry_out(run, actions, usual_s, queue)
+            if verdict is not None:
+                attempts = self.attempts - before
+                return Replayed(verdict, self.now - started, attempts)
             if not queue or queue[0][0] > run.wake_at:
                 self.now = max(self.now, run.wake_at)
                 actions = run.on_time(self.now)
@@ -227,6 +218,23 @@
             self.now, _, handler = heapq.heappop(queue)
             actions = handler(self.now)
 
+    def _carry_out(
+        self,
+        run: RequestRun,
+        actions: list[Action],
+        usual_s: float,
+        queue: _Queue,
+    ) -> Verdict | None:
+        for action in actions:
+            match action:
+                case Finish(verdict=verdict):
+                    return verdict
+                case SendAttempt():
+                    self._send(run, action, usual_s, queue)
+                case SendBatch():
+                    self._batch(run, action, usual_s, queue)
+        return None
+
     def _run(self, now: float) -> RequestRun:
         destination = self._rule.destination
         names: tuple[str, ...] = ('shard-0',)
@@ -261,13 +269,14 @@
         run: RequestRun,
         action: SendAttempt,
         usual_s: float,
-        queue: list[tuple[float, int, Callable[[float], list[Action]]]],
+        queue: _Queue,
     ) -> None:
         self.attempts += 1
         record = action.target.record
         near = record.data_centre == self.placement.place.data_centre
         work_s = self._work_of(record, self.now, usual_s)
-        ends_at = self.now + work_s + (NEAR_S if near else FAR_S)
+        way_s = NEAR_S if near else FAR_S
+        ends_at = self.now + work_s + way_s
         outcome: AttemptOutcome = AttemptAnswered(make_answer())
         number = action.attempt
         heapq.heappush(
@@ -284,7 +293,7 @@
         run: RequestRun,
         action: SendBatch,
         usual_s: float,
-        queue: list[tuple[float, int, Callable[[float], list[Action]]]],
+        queue: _Queue,
     ) -> None:
         works: dict[str, float] = {}
         for part in action.parts:
--- a/oriolestage/relay/tests/test_limits.py
+++ b/oriolestage/relay/tests/test_limits.py
@@ -22,7 +22,7 @@
         for step in range(4000):
             now = step * 0.01
             budget = budgets[chance.randrange(len(budgets))]
-            if chance.random() < 0.5:
+            if chance.randrange(2):
                 budget.note_needed(now)
                 needed.append(now)
             for other in budgets:
--- a/oriolestage/relay/tests/test_targets.py
+++ b/oriolestage/relay/tests/test_targets.py
@@ -23,9 +23,9 @@
         """Draining targets and closed data centres get nothing."""
         self._directory.register(make_record('t-1', draining=True), 1)
         self.assertEqual(_names(self._directory), ['t-2'])
-        self._directory.set_closed_data_centres(['dc-b'])
+        self._directory.close_data_centres(['dc-b'])
         self.assertEqual(_names(self._directory), [])
-        self._directory.set_closed_data_centres([])
+        self._directory.close_data_centres([])
         self.assertEqual(_names(self._directory), ['t-2'])
 
     def test_new_process(self) -> None:
