Send late shards in further replies instead of giving them up

Change: a host sends what is in time at once and each late shard as it comes; the asking host may hedge it and otherwise keeps waiting. A shard that hosts have no room for is given up after four refusals.

--- a/oriolestage/entry/_peer_client.py
+++ b/oriolestage/entry/_peer_client.py
@@ -9,6 +9,7 @@
 import itertools
 import socket
 import time
+from collections.abc import AsyncGenerator
 
 import msgspec
 
@@ -53,7 +54,7 @@
         self._writer: asyncio.StreamWriter | None = None
         self._reading: asyncio.Task[None] | None = None
         self._opening = asyncio.Lock()
-        self._waiting: dict[int, asyncio.Future[BatchOutcome]] = {}
+        self._waiting: dict[int, asyncio.Queue[BatchOutcome]] = {}
         self._received_at = time.monotonic()
 
     async def open(self) -> None:
@@ -73,22 +74,29 @@
             self._reading = asyncio.create_task(self._read(reader))
             log_event('peer_linked', {'step': 'link', 'peer': self._address})
 
-    async def ask(self, request: GatherRequest) -> BatchOutcome:
-        """Send a request and wait for its reply."""
+    async def ask(
+        self,
+        request: GatherRequest,
+    ) -> AsyncGenerator[BatchOutcome, None]:
+        """Send a request; give its replies up to the final one."""
         writer = self._writer
         if writer is None:
-            return BatchLost('link.closed', not_sent=True)
+            yield BatchLost('link.closed', not_sent=True)
+            return
         sent_at = time.monotonic()
-        reply: asyncio.Future[BatchOutcome] = asyncio.Future()
-        self._waiting[request.number] = reply
+        replies: asyncio.Queue[BatchOutcome] = asyncio.Queue()
+        self._waiting[request.number] = replies
         writer.write(encode_frame(request))
+        final = False
         try:
-            return await reply
-        except asyncio.CancelledError:
-            self._give_up(request.number, sent_at)
-            raise
+            while not final:
+                outcome = await replies.get()
+                final = _is_final(outcome)
+                yield outcome
         finally:
             self._waiting.pop(request.number, None)
+            if not final:
+                self._give_up(request.number, sent_at)
 
     def close(self, step: str) -> None:
         """Close the stream; what waits for replies is lost."""
@@ -106,9 +114,8 @@
                 'waiting': len(self._waiting),
             },
         )
-        for reply in self._waiting.values():
-            if not reply.done():
-                reply.set_result(BatchLost(step, not_sent=False))
+        for replies in self._waiting.values():
+            replies.put_nowait(BatchLost(step, not_sent=False))
 
     def _give_up(self, number: int, sent_at: float) -> None:
         if self._writer is None:
@@ -128,19 +135,29 @@
     def _take(self, reply: GatherReply) -> None:
         self._received_at = time.monotonic()
         waiting = self._waiting.get(reply.number)
-        if waiting is None or waiting.done():
+        if waiting is None:
             return
-        waiting.set_result(
+        waiting.put_nowait(
             BatchAnswered(
                 signatures=reply.signatures,
                 body=reply.body,
                 bodies=reply.bodies,
                 not_sent=frozenset(reply.not_sent),
+                failed=frozenset(reply.failed),
+                final=reply.final,
                 work_s=reply.work_s,
             ),
         )
 
 
+def _is_final(outcome: BatchOutcome) -> bool:
+    match outcome:
+        case BatchAnswered(final=final):
+            return final
+        case BatchLost():
+            return True
+
+
 class PeerClient:
     """Keeps a stream to each other entry host."""
 
@@ -158,22 +175,24 @@
         self,
         address: str,
         request: GatherRequest,
-    ) -> BatchOutcome:
-        """Ask one host; cancelling the call makes it stop."""
+    ) -> AsyncGenerator[BatchOutcome, None]:
+        """Ask one host; give its replies.
+
+        Closing the iterator early makes the host stop.
+        """
         link = self._links.setdefault(address, _Link(address))
         try:
             await link.open()
         except (OSError, TimeoutError) as error:
-            return BatchLost(f'link.{type(error).__name__}', not_sent=True)
+            yield BatchLost(f'link.{type(error).__name__}', not_sent=True)
+            return
         numbered = msgspec.structs.replace(
             request,
             number=next(self._numbers),
         )
-        try:
-            async with asyncio.timeout(request.time_left_s):
-                return await link.ask(numbered)
-        except TimeoutError:
-            return BatchLost('link.deadline', not_sent=False)
+        async with contextlib.aclosing(link.ask(numbered)) as replies:
+            async for outcome in replies:
+                yield outcome
 
     async def prepare(self, addresses: set[str]) -> None:
         """Open the streams to known hosts and close those to others."""
--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -63,6 +63,10 @@
     bodies: dict[str, bytes]
     #: Services whose shards did not get the request.
     not_sent: tuple[str, ...]
+    #: Services whose shards ended without an answer.
+    failed: tuple[str, ...]
+    #: False if late shards may still follow in further replies.
+    final: bool
     #: Work of the shards that answered, in seconds.
     work_s: float
 
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -93,6 +93,9 @@
                 self._take(message, writer, running)
         except (asyncio.IncompleteReadError, OSError):
             return
+        except asyncio.CancelledError:
+            # The loop stops; its streams would report this as an error.
+            return
         except (ValueError, msgspec.DecodeError) as error:
             log_event('batch_rejected', {'step': 'peer', 'error': error})
         finally:
@@ -129,37 +132,41 @@
         request: GatherRequest,
         writer: asyncio.StreamWriter,
     ) -> None:
-        reply = await self._gather(request)
-        writer.write(encode_frame(reply))
-
-    async def _gather(self, request: GatherRequest) -> GatherReply:
+        """Send what is in time, then each late shard as it comes."""
         started = time.monotonic()
         watch = WorkWatch(len(request.services), request.work_s)
         chosen = self._choose(request, started)
-        tasks = {
+        pending = {
             asyncio.create_task(self._attempt(request, service, target, watch))
             for service, target in chosen.items()
         }
+        tasks = frozenset(pending)
+        not_sent = tuple(set(request.services) - chosen.keys())
         try:
-            shards = await _wait(tasks, watch, started, request.late_s)
+            shards = await _in_time(pending, watch, started, request.late_s)
+            _log_served(request, shards, len(chosen), watch, started)
+            reply = _reply(request, shards, watch.work_s)
+            while True:
+                final = not pending
+                writer.write(
+                    encode_frame(
+                        msgspec.structs.replace(
+                            reply,
+                            not_sent=not_sent,
+                            final=final,
+                        ),
+                    ),
+                )
+                if final:
+                    break
+                shards = await _next_done(pending)
+                late = msgspec.structs.replace(request, merged=False)
+                reply = _reply(late, shards, watch.work_s)
+                not_sent = ()
         finally:
             for task in tasks:
                 task.cancel()
-        watch.settle(self._placement, request.route, time.monotonic())
-        log_event(
-            'batch_served',
-            {
-                'id': request.request_id,
-                'route': request.route,
-                'shards': len(request.services),
-                'answered': sum(1 for shard in shards if shard.answer),
-                'sent': len(chosen),
-                'late_after_ms': watch.late_s * MS_PER_S,
-                'took_ms': (time.monotonic() - started) * MS_PER_S,
-            },
-        )
-        not_sent = tuple(set(request.services) - chosen.keys())
-        return _reply(request, shards, not_sent, watch.work_s)
+            watch.settle(self._placement, request.route, time.monotonic())
 
     def _choose(
         self,
@@ -244,39 +251,72 @@
         return None
 
 
-async def _wait(
-    tasks: set[asyncio.Task[_Shard]],
+async def _in_time(
+    pending: set[asyncio.Task[_Shard]],
     watch: WorkWatch,
     started: float,
     late_s: float,
 ) -> list[_Shard]:
-    """Wait until all shards are over or the others are late."""
-    pending = tasks
+    """Wait until all shards are over or the others are late.
+
+    Removes from ``pending`` what is over.
+    """
     shards: list[_Shard] = []
     while pending:
         limit_s = watch.late_s if watch.compared else late_s
         left_s = started + limit_s - time.monotonic()
         if left_s <= 0:
             break
-        done, pending = await asyncio.wait(
-            pending,
-            timeout=left_s,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        shards.extend(task.result() for task in done)
+        shards.extend(await _next_done(pending, left_s))
     return shards
 
 
+async def _next_done(
+    pending: set[asyncio.Task[_Shard]],
+    limit_s: float | None = None,
+) -> list[_Shard]:
+    """Wait for the next shards and remove them from ``pending``."""
+    done, _ = await asyncio.wait(
+        pending,
+        timeout=limit_s,
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    pending -= done
+    return [task.result() for task in done]
+
+
+def _log_served(
+    request: GatherRequest,
+    shards: list[_Shard],
+    sent: int,
+    watch: WorkWatch,
+    started: float,
+) -> None:
+    log_event(
+        'batch_served',
+        {
+            'id': request.request_id,
+            'route': request.route,
+            'shards': len(request.services),
+            'answered': sum(1 for shard in shards if shard.answer),
+            'sent': sent,
+            'late_after_ms': watch.late_s * MS_PER_S,
+            'took_ms': (time.monotonic() - started) * MS_PER_S,
+        },
+    )
+
+
 def _reply(
     request: GatherRequest,
     shards: list[_Shard],
-    not_sent: tuple[str, ...],
     work_s: float,
 ) -> GatherReply:
     signatures: dict[str, str] = {}
     bodies: dict[str, bytes] = {}
+    failed: list[str] = []
     for shard in shards:
         if shard.answer is None:
+            failed.append(shard.service)
             continue
         signatures[shard.service] = shard.answer.signature
         bodies[shard.service] = merge_records(
@@ -292,6 +332,8 @@
         signatures=signatures,
         body=body,
         bodies=bodies,
-        not_sent=not_sent,
+        not_sent=(),
+        failed=tuple(failed),
+        final=False,
         work_s=work_s,
     )
--- a/oriolestage/entry/_relay.py
+++ b/oriolestage/entry/_relay.py
@@ -1,9 +1,11 @@
 """Carries requests from callers to targets, as the decisions say."""
 
 import asyncio
+import contextlib
 import dataclasses
 import itertools
 import time
+from collections.abc import AsyncGenerator
 
 from oriolestage._logging import log_event
 from oriolestage.entry._metrics import EntryMetrics
@@ -229,39 +231,49 @@
         request: CallerRequest,
         rule: RouteRule,
         action: SendBatch,
-    ) -> BatchOutcome:
+    ) -> AsyncGenerator[BatchOutcome, None]:
         now = time.monotonic()
-        outcome = await self._peer_client.gather(
-            action.peer.peer_address,
-            GatherRequest(
-                number=0,
-                request_id=request.facts.request_id,
-                route=rule.name,
-                method=request.method,
-                path=request.path,
-                headers=request.headers,
-                services=tuple(part.service for part in action.parts),
-                regions=tuple(action.regions),
-                top_records=action.top_records,
-                merged=action.merged,
-                late_s=action.late_s,
-                work_s=action.work_s,
-                time_left_s=max(LEAST_TIME_S, action.deadline - now),
-            ),
+        asked = GatherRequest(
+            number=0,
+            request_id=request.facts.request_id,
+            route=rule.name,
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            services=tuple(part.service for part in action.parts),
+            regions=tuple(action.regions),
+            top_records=action.top_records,
+            merged=action.merged,
+            late_s=action.late_s,
+            work_s=action.work_s,
+            time_left_s=max(LEAST_TIME_S, action.deadline - now),
         )
-        self._metrics.note_batch(outcome)
+        address = action.peer.peer_address
+        gathering = self._peer_client.gather(address, asked)
+        async with contextlib.aclosing(gathering) as replies:
+            async for outcome in replies:
+                self._metrics.note_batch(outcome)
+                self._log_batch(request, action, outcome, now)
+                yield outcome
+
+    def _log_batch(
+        self,
+        request: CallerRequest,
+        action: SendBatch,
+        outcome: BatchOutcome,
+        sent_at: float,
+    ) -> None:
         log_event(
-            'batch_over',
+            'batch_reply',
             {
                 'id': request.facts.request_id,
                 'step': _batch_step(outcome),
                 'peer': action.peer.name,
                 'shards': len(action.parts),
                 'merged': action.merged,
-                'after_ms': (time.monotonic() - now) * MS_PER_S,
+                'after_ms': (time.monotonic() - sent_at) * MS_PER_S,
             },
         )
-        return outcome
 
     def _refuse(
         self,
--- a/oriolestage/entry/_run_driver.py
+++ b/oriolestage/entry/_run_driver.py
@@ -1,10 +1,11 @@
 """Does what the run of a request decides."""
 
 import asyncio
+import contextlib
 import dataclasses
 import functools
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import AsyncGenerator, Awaitable, Callable, Coroutine
 
 from oriolestage._logging import log_event
 from oriolestage.relay._answers import AttemptLost, AttemptOutcome, Verdict
@@ -51,7 +52,7 @@
         self,
         run: RequestRun,
         send: Callable[[SendAttempt], Awaitable[AttemptOutcome]],
-        send_batch: Callable[[SendBatch], Awaitable[BatchOutcome]],
+        send_batch: Callable[[SendBatch], AsyncGenerator[BatchOutcome, None]],
     ) -> None:
         """Prepare to drive ``run``."""
         self.run = run
@@ -136,9 +137,10 @@
         self._inbox.put_nowait(_Outcome(action.attempt, outcome))
 
     async def _batch(self, action: SendBatch) -> None:
-        outcome = await self._send_batch(action)
+        async with contextlib.aclosing(self._send_batch(action)) as replies:
+            async for outcome in replies:
+                self._inbox.put_nowait(_BatchOutcome(action.batch, outcome))
         self._tasks.pop(action.batch, None)
-        self._inbox.put_nowait(_BatchOutcome(action.batch, outcome))
 
     def _set_timer(self) -> None:
         if self._timer is not None:
--- a/oriolestage/entry/tests/test_peer_link.py
+++ b/oriolestage/entry/tests/test_peer_link.py
@@ -1,6 +1,7 @@
 """Tests of gathering through another host."""
 
 import asyncio
+import contextlib
 import socket
 import unittest
 
@@ -16,7 +17,7 @@
 )
 from oriolestage.relay._knowledge import Knowledge
 from oriolestage.relay._peers import PeerBook
-from oriolestage.relay._run_types import BatchAnswered, BatchLost
+from oriolestage.relay._run_types import BatchAnswered, BatchLost, BatchOutcome
 from oriolestage.relay.tests.builders import make_placement, shard_records
 
 SERVICES = tuple(f'shard-{number}' for number in range(4))
@@ -84,6 +85,11 @@
         self._address = f'127.0.0.1:{listening.getsockname()[1]}'
         self._client = PeerClient()
 
+    async def _first(self, request: GatherRequest) -> BatchOutcome:
+        gathering = self._client.gather(self._address, request)
+        async with contextlib.aclosing(gathering) as replies:
+            return await anext(replies)
+
     async def asyncTearDown(self) -> None:
         """Stop the host."""
         self._client.close()
@@ -91,7 +97,7 @@
 
     async def test_merged(self) -> None:
         """The greatest records of all shards come with all signatures."""
-        answer = await self._client.gather(self._address, _request())
+        answer = await self._first(_request())
         assert isinstance(answer, BatchAnswered)
         self.assertEqual(set(answer.signatures), set(SERVICES))
         self.assertEqual(len(answer.body), 32)
@@ -99,17 +105,14 @@
 
     async def test_not_merged(self) -> None:
         """Records come for each shard when they are not merged."""
-        answer = await self._client.gather(
-            self._address,
-            _request(merged=False),
-        )
+        answer = await self._first(_request(merged=False))
         assert isinstance(answer, BatchAnswered)
         self.assertEqual(set(answer.bodies), set(SERVICES))
 
     async def test_late_shard(self) -> None:
         """The answer does not wait for a shard that its siblings passed."""
         self._targets.slow = {'t-0-0', 't-0-1'}
-        answer = await self._client.gather(self._address, _request())
+        answer = await self._first(_request())
         assert isinstance(answer, BatchAnswered)
         self.assertEqual(set(answer.signatures), set(SERVICES[1:]))
         self.assertEqual(answer.not_sent, frozenset())
@@ -119,16 +122,13 @@
     async def test_failed_shard(self) -> None:
         """A lost shard is left out."""
         self._targets.broken = {'t-0-0', 't-0-1'}
-        answer = await self._client.gather(self._address, _request())
+        answer = await self._first(_request())
         assert isinstance(answer, BatchAnswered)
         self.assertNotIn(SERVICES[0], answer.signatures)
 
     async def test_unknown_service(self) -> None:
         """A shard without a target is told as not sent."""
-        answer = await self._client.gather(
-            self._address,
-            _request(services=('shard-0', 'unknown')),
-        )
+        answer = await self._first(_request(services=('shard-0', 'unknown')))
         assert isinstance(answer, BatchAnswered)
         self.assertEqual(answer.not_sent, {'unknown'})
 
@@ -138,20 +138,21 @@
             f't-{one}-{two}' for one in range(4) for two in (0, 1)
         }
         asking = asyncio.create_task(
-            self._client.gather(self._address, _request(late_s=5.0)),
+            self._first(_request(late_s=5.0)),
         )
         await asyncio.sleep(0.1)
         asking.cancel()
         await asyncio.sleep(0.1)
         self.assertEqual(self._targets.cancelled, 4)
         self._targets.slow = set()
-        answer = await self._client.gather(self._address, _request())
+        answer = await self._first(_request())
         self.assertIsInstance(answer, BatchAnswered)
 
     async def test_host_gone(self) -> None:
         """A host that is not there did not get the batch."""
         self._server.close()
         await asyncio.sleep(0.05)
-        answer = await self._client.gather('127.0.0.1:1', _request())
+        gathering = self._client.gather('127.0.0.1:1', _request())
+        answer = await anext(gathering)
         assert isinstance(answer, BatchLost)
         self.assertTrue(answer.not_sent)
--- /dev/null
+++ b/oriolestage/relay/_batch_replies.py
@@ -0,0 +1,178 @@
+"""Takes in what other hosts gathered for one request.
+
+A host answers a batch as soon as the shards that are in time are in, and
+sends the late ones afterwards; until then their attempts stay on their way.
+"""
+
+import dataclasses
+from http import HTTPStatus
+
+from oriolestage.relay._answers import GiveUpReason, TargetAnswer
+from oriolestage.relay._dispatch import Dispatch
+from oriolestage.relay._first_wave import Batch
+from oriolestage.relay._parts import SHED_LIMIT, Part
+from oriolestage.relay._peers import PeerBook
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._run_types import (
+    Action,
+    BatchAnswered,
+    BatchLost,
+    BatchOutcome,
+)
+from oriolestage.relay._stragglers import WorkWatch
+
+#: Time until a shard without room is placed again, times the refusals so
+#: far, in seconds.
+PLACE_AGAIN_S = 0.01
+
+
+@dataclasses.dataclass(slots=True)
+class BatchEffect:
+    """What a reply means for the request."""
+
+    actions: list[Action] = dataclasses.field(default_factory=list)
+    #: Parts that have no attempt on its way any more.
+    ended: list[Part] = dataclasses.field(default_factory=list)
+
+
+class BatchReplies:
+    """The replies of other hosts to one request's batches."""
+
+    def __init__(
+        self,
+        parts: tuple[Part, ...],
+        dispatch: Dispatch,
+        placement: Placement,
+        peers: PeerBook,
+        watch: WorkWatch,
+    ) -> None:
+        """Start without replies."""
+        #: Merged records, one entry for each merged batch.
+        self.merged: list[bytes] = []
+        self._parts = parts
+        self._dispatch = dispatch
+        self._placement = placement
+        self._peers = peers
+        self._watch = watch
+
+    def take(
+        self,
+        number: int,
+        outcome: BatchOutcome,
+        now: float,
+    ) -> BatchEffect:
+        """Take in one reply to a batch, or its loss."""
+        batch = self._dispatch.batch(number)
+        effect = BatchEffect()
+        if batch is None:
+            return effect
+        match outcome:
+            case BatchAnswered():
+                self._peers.note_answer(batch.peer.name)
+                if outcome.body:
+                    self.merged.append(outcome.body)
+                answers = len(outcome.signatures)
+                self._watch.note_work(outcome.work_s, answers)
+                for position in batch.positions:
+                    part = self._parts[position]
+                    self._take_part(part, number, batch, outcome, now, effect)
+                if outcome.final:
+                    self._end(number, batch)
+            case BatchLost(not_sent=not_sent):
+                self._peers.note_silent(batch.peer.name, now)
+                self._lose(number, batch, not_sent=not_sent, effect=effect)
+                self._end(number, batch)
+        return effect
+
+    def _take_part(
+        self,
+        part: Part,
+        number: int,
+        batch: Batch,
+        outcome: BatchAnswered,
+        now: float,
+        effect: BatchEffect,
+    ) -> None:
+        """Take in what a reply says of one shard, if anything."""
+        signature = outcome.signatures.get(part.service)
+        if signature is not None:
+            self._dispatch.drop_batched(part, number)
+            self._answer(part, signature, outcome)
+            self._note(part, batch, now, late=False)
+            effect.actions += self._dispatch.drop_live(part, now)
+            return
+        attempt = self._dispatch.batched(part, number)
+        if attempt is None:
+            return
+        if part.service in outcome.not_sent:
+            self._dispatch.drop_batched(part, number)
+            self._note(part, batch, now, late=True)
+            part.arrivals -= 1
+            part.sheds += 1
+            part.reason = GiveUpReason.NO_ROOM
+            part.place_at = now + PLACE_AGAIN_S * part.sheds
+            part.given_up = part.sheds >= SHED_LIMIT
+        elif part.service in outcome.failed:
+            self._dispatch.drop_batched(part, number)
+            part.may_have_run += 1
+            part.reason = GiveUpReason.LOST
+            effect.ended.append(part)
+        elif not attempt.late:
+            attempt.late = True
+            self._note(part, batch, now, late=True)
+
+    def _answer(
+        self,
+        part: Part,
+        signature: str,
+        outcome: BatchAnswered,
+    ) -> None:
+        body = outcome.bodies.get(part.service)
+        # Merged records hold this shard, so what a hedge gave must not be
+        # merged again.
+        if part.answer is None or body is None:
+            part.answer = TargetAnswer(
+                HTTPStatus.OK,
+                (),
+                body or b'',
+                signature,
+            )
+
+    def _note(
+        self,
+        part: Part,
+        batch: Batch,
+        now: float,
+        *,
+        late: bool,
+    ) -> None:
+        self._placement.note_batched(
+            part.service,
+            batch.region,
+            now,
+            late=late,
+        )
+
+    def _lose(
+        self,
+        number: int,
+        batch: Batch,
+        *,
+        not_sent: bool,
+        effect: BatchEffect,
+    ) -> None:
+        for position in batch.positions:
+            part = self._parts[position]
+            if self._dispatch.batched(part, number) is None:
+                continue
+            self._dispatch.drop_batched(part, number)
+            if not_sent:
+                part.arrivals -= 1
+            else:
+                part.may_have_run += 1
+            part.reason = GiveUpReason.LOST
+            effect.ended.append(part)
+
+    def _end(self, number: int, batch: Batch) -> None:
+        self._dispatch.forget_batch(number)
+        self._peers.note_ended(batch.peer.name)
--- a/oriolestage/relay/_dispatch.py
+++ b/oriolestage/relay/_dispatch.py
@@ -53,6 +53,7 @@
     ) -> None:
         """Start with nothing on its way."""
         self.sends = 0
+        self.batches = 0
         self._rule = rule
         self._times = times
         self._parts = parts
@@ -68,9 +69,20 @@
         """Give the part of an attempt that is over; None if it was dropped."""
         return self._of_attempt.pop(attempt, None)
 
-    def take_batch(self, number: int) -> Batch | None:
-        """Give a batch that is over; None if it was dropped."""
-        return self._batches.pop(number, None)
+    def batch(self, number: int) -> Batch | None:
+        """Give a batch that is on its way; None if it was dropped."""
+        return self._batches.get(number)
+
+    def batched(self, part: Part, number: int) -> Attempt | None:
+        """Give the attempt of a part in a batch, if it is on its way."""
+        for attempt in part.live.values():
+            if attempt.batch == number:
+                return attempt
+        return None
+
+    def forget_batch(self, number: int) -> None:
+        """Forget a batch that is over."""
+        self._batches.pop(number, None)
 
     def queue(
         self,
@@ -129,10 +141,10 @@
             actions.append(CancelAttempt(attempt))
         return actions
 
-    def drop_batched(self, part: Part) -> None:
-        """Forget the attempt of a part that went in a batch."""
+    def drop_batched(self, part: Part, number: int) -> None:
+        """Forget the attempt of a part in a batch."""
         for attempt, sent in tuple(part.live.items()):
-            if sent.target is None:
+            if sent.batch == number:
                 part.live.pop(attempt)
 
     def drop_all(self, now: float) -> list[Action]:
@@ -167,6 +179,7 @@
         way_s = self._placement.way_to_region_s(batch.region)
         way_s += PEER_MARGIN_S
         due_at = now + way_s + self._watch.late_s
+        self.batches += 1
         self._batches[number] = dataclasses.replace(batch, due_at=due_at)
         self._peers.note_sent(batch.peer.name)
         sent: list[BatchPart] = []
--- a/oriolestage/relay/_parts.py
+++ b/oriolestage/relay/_parts.py
@@ -8,6 +8,8 @@
 
 #: Shortest time to come back that is told to a caller, in seconds.
 RETRY_AFTER_S = 0.25
+#: Refused attempts of one part after which it is given up.
+SHED_LIMIT = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,6 +23,8 @@
     target: KnownTarget | None
     #: The batch in which another host got it; 0 if it went directly.
     batch: int = 0
+    #: True once another host told that it is late.
+    late: bool = False
     #: True once a second attempt was thought of.
     hedged: bool = False
 
--- a/oriolestage/relay/_request_run.py
+++ b/oriolestage/relay/_request_run.py
@@ -11,7 +11,6 @@
 """
 
 from collections.abc import Callable
-from http import HTTPStatus
 
 from oriolestage.relay._answers import (
     AttemptAnswered,
@@ -22,16 +21,14 @@
     NotRunReason,
     TargetAnswer,
 )
+from oriolestage.relay._batch_replies import BatchReplies
 from oriolestage.relay._dispatch import Dispatch
-from oriolestage.relay._first_wave import Batch
-from oriolestage.relay._parts import RETRY_AFTER_S, Attempt, Part
+from oriolestage.relay._parts import RETRY_AFTER_S, SHED_LIMIT, Attempt, Part
 from oriolestage.relay._peers import PeerBook
 from oriolestage.relay._placement import Chosen, NoRoom, NoTarget, Placement
 from oriolestage.relay._rules import RouteRule, ShardGroup
 from oriolestage.relay._run_types import (
     Action,
-    BatchAnswered,
-    BatchLost,
     BatchOutcome,
     Finish,
     PartRequest,
@@ -43,12 +40,8 @@
 #: Time between the end of a run and the caller's receipt, in seconds: the
 #: way to the caller, its connection's set-up and the work on the answer.
 DELIVERY_MARGIN_S = 0.017
-#: Time between two tries to place a part that has no room, in seconds.
-PLACE_AGAIN_S = 0.01
 #: Statuses from here on are failures of the target.
 SERVER_ERRORS = 500
-#: Shed answers of one part after which it is given up.
-SHED_LIMIT = 4
 
 
 class RequestRun:
@@ -67,12 +60,9 @@
         self._rule = rule
         self._times = times
         self._placement = placement
-        self._peers = peers
         self._parts = tuple(
             Part(position, part) for position, part in enumerate(parts)
         )
-        #: Merged records of batches.
-        self._merged: list[bytes] = []
         self._watch = WorkWatch(len(parts), placement.work_s(rule.name))
         self._least = least_parts(rule.destination, len(parts))
         self._finished = False
@@ -86,6 +76,18 @@
             watch=self._watch,
             next_attempt=next_attempt,
         )
+        self._replies = BatchReplies(
+            parts=self._parts,
+            dispatch=self._dispatch,
+            placement=placement,
+            peers=peers,
+            watch=self._watch,
+        )
+
+    @property
+    def sends(self) -> int:
+        """Attempts and batches sent so far."""
+        return self._dispatch.sends
 
     @property
     def wake_at(self) -> float:
@@ -158,31 +160,16 @@
         outcome: BatchOutcome,
         now: float,
     ) -> list[Action]:
-        """Take in what became of a batch."""
-        sent = self._dispatch.take_batch(batch)
-        if sent is None or self._finished:
+        """Take in a reply to a batch, or its loss."""
+        if self._finished:
             return []
-        actions: list[Action] = []
-        match outcome:
-            case BatchAnswered():
-                self._peers.note_answer(sent.peer.name)
-                self._merged.append(outcome.body)
-                answers = len(outcome.signatures)
-                self._watch.note_work(outcome.work_s, answers)
-                for position in sent.positions:
-                    part = self._parts[position]
-                    actions += self._on_batch_part(part, sent, outcome, now)
-            case BatchLost(not_sent=not_sent):
-                self._peers.note_silent(sent.peer.name, now)
-                self._peers.note_ended(sent.peer.name)
-                for position in sent.positions:
-                    part = self._parts[position]
-                    self._dispatch.drop_batched(part)
-                    part.arrivals -= not_sent
-                    part.may_have_run += not not_sent
-                    part.reason = GiveUpReason.LOST
-                    self._repeat(part, now)
-        return actions + self._dispatch.flush(now) + self._check_end(now)
+        effect = self._replies.take(batch, outcome, now)
+        for part in effect.ended:
+            self._repeat(part, now)
+        for part in self._parts:
+            self._hedge(part, now)
+        actions = effect.actions + self._dispatch.flush(now)
+        return actions + self._check_end(now)
 
     def on_time(self, now: float) -> list[Action]:
         """Do what is due by now."""
@@ -207,7 +194,7 @@
             'answered': self._answered(),
             'sends': self._dispatch.sends,
             'hedges': self._hedges,
-            'batches': len(self._merged),
+            'batches': self._dispatch.batches,
             'lacking': ','.join(
                 f'{part.service}:{part.reason.value}:{"/".join(part.history)}'
                 for part in self._parts
@@ -215,52 +202,6 @@
             ),
         }
 
-    def _on_batch_part(
-        self,
-        part: Part,
-        batch: Batch,
-        outcome: BatchAnswered,
-        now: float,
-    ) -> list[Action]:
-        """Take in one shard of an answered batch."""
-        self._dispatch.drop_batched(part)
-        signature = outcome.signatures.get(part.service)
-        if signature is not None:
-            body = outcome.bodies.get(part.service)
-            # Merged records hold this shard, so what a hedge gave must not
-            # be merged again.
-            if part.answer is None or body is None:
-                part.answer = TargetAnswer(
-                    HTTPStatus.OK,
-                    (),
-                    body or b'',
-                    signature,
-                )
-            self._placement.note_batched(
-                part.service,
-                batch.region,
-                now,
-                late=False,
-            )
-            return self._dispatch.drop_live(part, now)
-        self._placement.note_batched(
-            part.service,
-            batch.region,
-            now,
-            late=True,
-        )
-        if part.service in outcome.not_sent:
-            part.arrivals -= 1
-            part.sheds += 1
-            part.reason = GiveUpReason.NO_ROOM
-            part.place_at = now + PLACE_AGAIN_S * part.sheds
-            part.given_up = part.sheds >= SHED_LIMIT and not part.live
-            return []
-        part.may_have_run += 1
-        part.reason = GiveUpReason.LATE
-        self._repeat(part, now)
-        return []
-
     def _on_answer(
         self,
         part: Part,
@@ -303,7 +244,7 @@
             case NoRoom(wait_s=wait_s):
                 part.room_after_s = max(RETRY_AFTER_S, wait_s)
                 part.reason = GiveUpReason.NO_ROOM
-                part.place_at = now + max(PLACE_AGAIN_S, wait_s)
+                part.place_at = now + wait_s
                 part.given_up = part.place_at >= self._times.deadline
             case NoTarget():
                 part.given_up = True
@@ -355,6 +296,8 @@
         """Time at which a second attempt is worth it."""
         if attempt.hedged or not self._rule.repeatable:
             return float('inf')
+        if attempt.late:
+            return attempt.sent_at
         return attempt.sent_at + attempt.way_s + self._watch.late_s
 
     def _due_at(self, part: Part) -> float:
@@ -402,7 +345,7 @@
         verdict = verdict_of(
             self._rule.destination,
             self._parts,
-            self._merged,
+            self._replies.merged,
             late=now >= self._times.deadline,
         )
         self._watch.settle(self._placement, self._rule.name, now)
--- a/oriolestage/relay/_run_types.py
+++ b/oriolestage/relay/_run_types.py
@@ -96,6 +96,10 @@
     bodies: dict[str, bytes]
     #: Services whose shards certainly did not get the request.
     not_sent: frozenset[str]
+    #: Services whose shards ended without an answer.
+    failed: frozenset[str]
+    #: False if late shards may still be answered.
+    final: bool
     #: Work of the shards that answered, in seconds.
     work_s: float
 
--- a/oriolestage/relay/tests/builders.py
+++ b/oriolestage/relay/tests/builders.py
@@ -322,6 +322,8 @@
             body=merge_records([b'r' * 16 * len(in_time)], action.top_records),
             bodies=bodies,
             not_sent=frozenset(),
+            failed=frozenset(),
+            final=len(in_time) == len(works),
             work_s=usual_s,
         )
         number = action.batch
--- a/oriolestage/relay/tests/test_request_run.py
+++ b/oriolestage/relay/tests/test_request_run.py
@@ -226,6 +226,8 @@
             body=b'b' * 16,
             bodies=bodies,
             not_sent=frozenset(),
+            failed=frozenset(),
+            final=not lacking,
             work_s=0.01,
         )
 
@@ -287,6 +289,62 @@
         self.assertNotEqual(again[0].regions, batch.regions)
         self.assertFalse(again[0].merged)
 
+    def test_late_shard_follows(self) -> None:
+        """Without budget a late shard is waited for, not given up."""
+        rule = make_rule(make_group(least=1), objective_s=0.1)
+        empty = BudgetBounds(ratio=0, allowance=0)
+        self._run, self._first = _start(rule, shard_records(), empty)
+        self._answer_near(0.015)
+        batch = _batches(self._first)[0]
+        late = batch.parts[0].service
+        actions = self._run.on_batch(
+            batch.batch,
+            self._batch_reply(batch, frozenset((late,))),
+            0.06,
+        )
+        self.assertIsNone(_verdict(actions))
+        rest = BatchAnswered(
+            signatures={late: 'late'},
+            body=b'',
+            bodies={late: b'l' * 16},
+            not_sent=frozenset(),
+            failed=frozenset(),
+            final=True,
+            work_s=0.01,
+        )
+        verdict = _verdict(self._run.on_batch(batch.batch, rest, 0.3))
+        self.assertIsInstance(verdict, Gathered)
+        if isinstance(verdict, Gathered):
+            self.assertEqual(verdict.missing, 0)
+
+    def test_no_room_anywhere(self) -> None:
+        """Hosts that have no room do not get the shard for ever."""
+        rule = make_rule(make_group(least=1))
+        self._run, self._first = _start(rule, shard_records())
+        self._answer_near(0.015)
+        batches = _batches(self._first)
+        verdict: object = None
+        for step in range(40):
+            now = 0.06 + step * 0.05
+            actions: list[Action] = []
+            for batch in batches:
+                names = frozenset(part.service for part in batch.parts)
+                refusal = BatchAnswered(
+                    signatures={},
+                    body=b'',
+                    bodies={},
+                    not_sent=names,
+                    failed=frozenset(),
+                    final=True,
+                    work_s=0.01,
+                )
+                actions += self._run.on_batch(batch.batch, refusal, now)
+            actions += self._run.on_time(now)
+            verdict = verdict or _verdict(actions)
+            batches = _batches(actions)
+        self.assertIsNotNone(verdict)
+        self.assertLess(self._run.sends, 100)
+
     def test_lost_host(self) -> None:
         """A batch that was lost is sent again, and the host left alone."""
         self._answer_near(0.015)
