Listen to the streams of other hosts and ask the quickest one

Change: quiet streams are pinged; a host that missed a batch is left alone until its stream is heard again; hosts are ranked by the delay of their replies beyond way and work.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -37,7 +37,7 @@
 #: connect meanwhile wait; a reading takes some 20 ms.
 FIRST_READ_LIMIT_S = 0.4
 #: Time between two looks at the streams to other hosts, in seconds.
-LINK_CHECK_S = 1.0
+LINK_CHECK_S = 0.5
 #: Time between two looks at whether a stopping host is done, in seconds.
 STOP_CHECK_S = 0.05
 
@@ -180,9 +180,18 @@
 
 
 async def _keep_links(host: EntryHost) -> None:
-    """Keep streams to the hosts of other regions open."""
+    """Keep streams to the hosts of other regions open and listen to them."""
     while True:
-        await host.peer_client.prepare(host.peers.far_addresses())
+        addresses = host.peers.far_addresses()
+        streams = await host.peer_client.check(addresses)
+        now = time.monotonic()
+        for address, heard_at in streams.items():
+            if not host.peers.note_stream(address, heard_at, now):
+                continue
+            log_event(
+                'peer_heard' if host.peers.is_heard(address) else 'peer_silent',
+                {'step': 'link', 'peer': address, 'age_s': now - heard_at},
+            )
         await asyncio.sleep(LINK_CHECK_S)
 
 
--- a/oriolestage/entry/_peer_client.py
+++ b/oriolestage/entry/_peer_client.py
@@ -16,10 +16,12 @@
 from oriolestage._frames import read_frame
 from oriolestage._logging import log_event
 from oriolestage.entry._peer_messages import (
+    FromPeer,
     GatherCancel,
     GatherReply,
     GatherRequest,
-    decode_reply,
+    Ping,
+    decode_from_peer,
     encode_frame,
 )
 from oriolestage.relay._run_types import (
@@ -31,9 +33,11 @@
 #: Longest wait for a connection to another host, in seconds: a way there
 #: and back takes some 40 ms; a lost opening packet is repeated after 1 s.
 CONNECT_TIMEOUT_S = 0.3
-#: A stream on which nothing came for this time after a request is replaced,
-#: in seconds; a host answers even late batches sooner.
-SILENCE_S = 0.4
+#: A stream on which nothing came for this time is pinged, in seconds.
+QUIET_S = 0.4
+#: A stream whose ping is not answered for this time is replaced, in seconds;
+#: a way there and back takes some 40 ms, and a host may be busy.
+SILENCE_S = 0.9
 #: Errors that end a stream.
 LINK_ERRORS = (
     asyncio.IncompleteReadError,
@@ -56,6 +60,20 @@
         self._opening = asyncio.Lock()
         self._waiting: dict[int, asyncio.Queue[BatchOutcome]] = {}
         self._received_at = time.monotonic()
+        self._pinged_at = float('-inf')
+
+    def check(self) -> float:
+        """Ping a quiet stream; give the steady time it was last heard."""
+        now = time.monotonic()
+        if self._writer is None:
+            return float('-inf')
+        if self._received_at < self._pinged_at:
+            if now - self._pinged_at >= SILENCE_S:
+                self.close('link.silent')
+        elif now - self._received_at >= QUIET_S:
+            self._pinged_at = now
+            self._writer.write(encode_frame(Ping()))
+        return self._received_at
 
     async def open(self) -> None:
         """Open the stream if it is not; raises OSError or TimeoutError."""
@@ -71,6 +89,8 @@
                 UNACKNOWLEDGED_LIMIT_MS,
             )
             self._writer = writer
+            self._received_at = time.monotonic()
+            self._pinged_at = float('-inf')
             self._reading = asyncio.create_task(self._read(reader))
             log_event('peer_linked', {'step': 'link', 'peer': self._address})
 
@@ -83,7 +103,6 @@
         if writer is None:
             yield BatchLost('link.closed', not_sent=True)
             return
-        sent_at = time.monotonic()
         replies: asyncio.Queue[BatchOutcome] = asyncio.Queue()
         self._waiting[request.number] = replies
         writer.write(encode_frame(request))
@@ -96,7 +115,7 @@
         finally:
             self._waiting.pop(request.number, None)
             if not final:
-                self._give_up(request.number, sent_at)
+                self._give_up(request.number)
 
     def close(self, step: str) -> None:
         """Close the stream; what waits for replies is lost."""
@@ -117,23 +136,21 @@
         for replies in self._waiting.values():
             replies.put_nowait(BatchLost(step, not_sent=False))
 
-    def _give_up(self, number: int, sent_at: float) -> None:
-        if self._writer is None:
-            return
-        self._writer.write(encode_frame(GatherCancel(number)))
-        silent_s = time.monotonic() - max(sent_at, self._received_at)
-        if self._received_at < sent_at and silent_s > SILENCE_S:
-            self.close('link.silent')
+    def _give_up(self, number: int) -> None:
+        if self._writer is not None:
+            self._writer.write(encode_frame(GatherCancel(number)))
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
         try:
             while True:
-                self._take(decode_reply(await read_frame(reader)))
+                self._take(decode_from_peer(await read_frame(reader)))
         except LINK_ERRORS as error:
             self.close(f'link.{type(error).__name__}')
 
-    def _take(self, reply: GatherReply) -> None:
+    def _take(self, reply: FromPeer) -> None:
         self._received_at = time.monotonic()
+        if not isinstance(reply, GatherReply):
+            return
         waiting = self._waiting.get(reply.number)
         if waiting is None:
             return
@@ -194,11 +211,16 @@
             async for outcome in replies:
                 yield outcome
 
-    async def prepare(self, addresses: set[str]) -> None:
-        """Open the streams to known hosts and close those to others."""
+    async def check(self, addresses: set[str]) -> dict[str, float]:
+        """Give when each host was heard; open and close streams."""
         for address in self._links.keys() - addresses:
             self._links.pop(address).close('link.unregistered')
-        for address in addresses:
-            link = self._links.setdefault(address, _Link(address))
-            with contextlib.suppress(OSError, TimeoutError):
-                await link.open()
+        links = {
+            address: self._links.setdefault(address, _Link(address))
+            for address in addresses
+        }
+        await asyncio.gather(
+            *(link.open() for link in links.values()),
+            return_exceptions=True,
+        )
+        return {address: link.check() for address, link in links.items()}
--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -71,16 +71,27 @@
     work_s: float
 
 
-ToPeer = GatherRequest | GatherCancel
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag='ping'):
+    """Ask whether the stream is alive."""
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True, tag='pong'):
+    """The stream is alive."""
+
+
+ToPeer = GatherRequest | GatherCancel | Ping
+FromPeer = GatherReply | Pong
 
 _encoder = msgspec.msgpack.Encoder()
 _to_peer_decoder: msgspec.msgpack.Decoder[ToPeer] = msgspec.msgpack.Decoder(
     ToPeer,
 )
-_reply_decoder = msgspec.msgpack.Decoder(GatherReply)
+_from_peer_decoder: msgspec.msgpack.Decoder[FromPeer] = msgspec.msgpack.Decoder(
+    FromPeer
+)
 
 
-def encode_frame(message: ToPeer | GatherReply) -> bytes:
+def encode_frame(message: ToPeer | FromPeer) -> bytes:
     """Encode a message with its length."""
     return frame(_encoder.encode(message))
 
@@ -90,6 +101,6 @@
     return _to_peer_decoder.decode(payload)
 
 
-def decode_reply(payload: bytes) -> GatherReply:
-    """Decode a reply; raises ``msgspec.DecodeError``."""
-    return _reply_decoder.decode(payload)
+def decode_from_peer(payload: bytes) -> FromPeer:
+    """Decode a message of a host; raises ``msgspec.DecodeError``."""
+    return _from_peer_decoder.decode(payload)
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -15,6 +15,8 @@
     GatherCancel,
     GatherReply,
     GatherRequest,
+    Ping,
+    Pong,
     ToPeer,
     decode_to_peer,
     encode_frame,
@@ -122,6 +124,8 @@
                 task = asyncio.create_task(self._answer(message, writer))
                 running[number] = task
                 task.add_done_callback(lambda _: running.pop(number, None))
+            case Ping():
+                writer.write(encode_frame(Pong()))
             case GatherCancel(number=number):
                 cancelled = running.get(number)
                 if cancelled is not None:
@@ -141,28 +145,16 @@
             for service, target in chosen.items()
         }
         tasks = frozenset(pending)
-        not_sent = tuple(set(request.services) - chosen.keys())
         try:
             shards = await _in_time(pending, watch, started, request.late_s)
             _log_served(request, shards, len(chosen), watch, started)
-            reply = _reply(request, shards, watch.work_s)
-            while True:
-                final = not pending
-                writer.write(
-                    encode_frame(
-                        msgspec.structs.replace(
-                            reply,
-                            not_sent=not_sent,
-                            final=final,
-                        ),
-                    ),
-                )
-                if final:
-                    break
-                shards = await _next_done(pending)
-                late = msgspec.structs.replace(request, merged=False)
-                reply = _reply(late, shards, watch.work_s)
-                not_sent = ()
+            reply = msgspec.structs.replace(
+                _reply(request, shards, watch.work_s),
+                not_sent=tuple(set(request.services) - chosen.keys()),
+                final=not pending,
+            )
+            writer.write(encode_frame(reply))
+            await _send_late(request, pending, watch, writer)
         finally:
             for task in tasks:
                 task.cancel()
@@ -271,6 +263,23 @@
     return shards
 
 
+async def _send_late(
+    request: GatherRequest,
+    pending: set[asyncio.Task[_Shard]],
+    watch: WorkWatch,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Send each late shard as it comes, by itself."""
+    unmerged = msgspec.structs.replace(request, merged=False)
+    while pending:
+        shards = await _next_done(pending)
+        reply = msgspec.structs.replace(
+            _reply(unmerged, shards, watch.work_s),
+            final=not pending,
+        )
+        writer.write(encode_frame(reply))
+
+
 async def _next_done(
     pending: set[asyncio.Task[_Shard]],
     limit_s: float | None = None,
--- a/oriolestage/relay/_batch_replies.py
+++ b/oriolestage/relay/_batch_replies.py
@@ -68,7 +68,7 @@
             return effect
         match outcome:
             case BatchAnswered():
-                self._peers.note_answer(batch.peer.name)
+                self._note_reply(batch, outcome, now)
                 if outcome.body:
                     self.merged.append(outcome.body)
                 answers = len(outcome.signatures)
@@ -84,6 +84,21 @@
                 self._end(number, batch)
         return effect
 
+    def _note_reply(
+        self,
+        batch: Batch,
+        outcome: BatchAnswered,
+        now: float,
+    ) -> None:
+        if batch.replied:
+            return
+        batch.replied = True
+        waited_s = now - batch.sent_at - batch.way_s
+        worked_s = outcome.work_s
+        if not outcome.final:
+            worked_s = max(worked_s, self._watch.late_s)
+        self._peers.note_reply(batch.peer.name, waited_s - worked_s)
+
     def _take_part(
         self,
         part: Part,
--- a/oriolestage/relay/_dispatch.py
+++ b/oriolestage/relay/_dispatch.py
@@ -112,13 +112,13 @@
         far: dict[str, list[int]] = {}
         for launch in self._launches:
             region = self._far_region(launch.placed)
-            if region and self._peers.choose(region, now) is not None:
+            if region and self._peers.choose(region) is not None:
                 far.setdefault(region, []).append(launch.position)
             else:
                 actions.append(self._send(launch, now))
         self._launches.clear()
         for region, positions in far.items():
-            peer = self._peers.choose(region, now)
+            peer = self._peers.choose(region)
             if peer is not None:
                 batch = Batch(peer, region, tuple(positions))
                 actions.append(self._send_batch(batch, now, merged=False))
@@ -153,7 +153,7 @@
         for part in self._parts:
             actions.extend(self.drop_live(part, now))
         for number, batch in self._batches.items():
-            if now >= batch.due_at:
+            if now >= batch.due_at and not batch.replied:
                 self._peers.note_silent(batch.peer.name, now)
             self._peers.note_ended(batch.peer.name)
             actions.append(CancelAttempt(number))
@@ -177,10 +177,12 @@
     ) -> SendBatch:
         number = self._next_attempt()
         way_s = self._placement.way_to_region_s(batch.region)
+        batch.sent_at = now
+        batch.way_s = way_s
         way_s += PEER_MARGIN_S
-        due_at = now + way_s + self._watch.late_s
+        batch.due_at = now + way_s + self._watch.late_s
         self.batches += 1
-        self._batches[number] = dataclasses.replace(batch, due_at=due_at)
+        self._batches[number] = batch
         self._peers.note_sent(batch.peer.name)
         sent: list[BatchPart] = []
         for position in batch.positions:
--- a/oriolestage/relay/_first_wave.py
+++ b/oriolestage/relay/_first_wave.py
@@ -18,7 +18,7 @@
 REGION_SLACK_S = 0.008
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Batch:
     """Parts that one host of another region gathers."""
 
@@ -26,8 +26,14 @@
     region: str
     #: Positions of the parts.
     positions: tuple[int, ...]
-    #: Steady time by which the answer should be here.
+    #: Steady time at which it was sent, and by which the answer should be
+    #: here.
+    sent_at: float = 0
     due_at: float = float('inf')
+    #: Delay of the way there and back, in seconds.
+    way_s: float = 0
+    #: True once a reply came.
+    replied: bool = False
 
 
 def plan_batches(
@@ -46,7 +52,7 @@
             for position, regions in regions_of.items()
             if region in regions
         )
-        peer = peers.choose(region, now)
+        peer = peers.choose(region)
         if len(members) < SMALLEST_BATCH:
             break
         if peer is None:
--- a/oriolestage/relay/_peers.py
+++ b/oriolestage/relay/_peers.py
@@ -1,9 +1,10 @@
 """Which other entry hosts gather shards in their region for this one.
 
-Answers the load pattern in which each query needs a third of its shards from
+Answers two load patterns. Each query needs a third of its shards from
 another region: one request to a host there replaces an exchange across
-regions for each shard. A host that does not answer in time is left alone,
-and attempts go to the targets directly until it answers again.
+regions for each shard. And some hosts are slow or cut off: a host that did
+not answer in time is left alone until its stream is heard again, so that
+queries are not spent on trying it, and the quickest host is asked first.
 """
 
 import dataclasses
@@ -12,9 +13,18 @@
 from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._placement import HostPlace
 
-#: First and longest time for which a silent host is left alone, in seconds.
-BACKOFF_S = 0.5
-BACKOFF_LIMIT_S = 4.0
+#: Weight of the newest reply in a host's overhead.
+OVERHEAD_WEIGHT = 0.2
+#: Overhead assumed of a host before its first reply, in seconds.
+PRIOR_OVERHEAD_S = 0.006
+#: Overhead that one request on its way stands for, in seconds.
+OUTSTANDING_COST_S = 0.003
+#: Time for which a stream counts as heard, in seconds; quiet streams are
+#: pinged more often than that.
+STREAM_FRESH_S = 1.2
+#: Part by which an overhead returns to the prior with each look at the
+#: streams, so that a host that was slow is asked again.
+OVERHEAD_DECAY = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,9 +32,17 @@
     record: HostRecord
     region: str
     outstanding: int = 0
-    turns: int = 0
-    down_until: float = float('-inf')
-    backoff_s: float = BACKOFF_S
+    #: Delay of replies beyond the way and the work, in seconds.
+    overhead_s: float = PRIOR_OVERHEAD_S
+    #: False while the stream to the host is silent.
+    heard: bool = True
+    #: Steady time at which it was found silent.
+    silent_at: float = float('-inf')
+
+    @property
+    def cost_s(self) -> float:
+        """Delay to expect of one more request beyond way and work."""
+        return self.overhead_s + self.outstanding * OUTSTANDING_COST_S
 
 
 class PeerBook:
@@ -56,36 +74,39 @@
             if peer.region != self._place.region
         }
 
-    def choose(self, region: str, now: float) -> HostRecord | None:
+    def choose(self, region: str) -> HostRecord | None:
         """Choose a host of a region; None if none answers."""
         best: _Peer | None = None
         for peer in self._peers.values():
-            if peer.region != region or now < peer.down_until:
-                continue
-            if peer.backoff_s > BACKOFF_S and peer.outstanding:
+            if peer.region != region or not peer.heard:
                 continue
-            rank = (peer.outstanding, peer.turns)
-            if best is None or rank < (best.outstanding, best.turns):
+            if best is None or peer.cost_s < best.cost_s:
                 best = peer
         return None if best is None else best.record
 
+    def is_heard(self, address: str) -> bool:
+        """Tell whether the host at an address is heard."""
+        return any(
+            peer.heard
+            for peer in self._peers.values()
+            if peer.record.peer_address == address
+        )
+
     def note_sent(self, name: str) -> None:
         """Note a request to a host."""
         peer = self._peers.get(name)
         if peer is not None:
             peer.outstanding += 1
-            peer.turns += 1
 
-    def note_answer(self, name: str) -> None:
-        """Note that a host answered."""
+    def note_reply(self, name: str, overhead_s: float) -> None:
+        """Note a first reply and its delay beyond the way and the work."""
         peer = self._peers.get(name)
         if peer is not None:
-            peer.outstanding = max(0, peer.outstanding - 1)
-            peer.backoff_s = BACKOFF_S
-            peer.down_until = float('-inf')
+            sample = max(0, overhead_s)
+            peer.overhead_s += OVERHEAD_WEIGHT * (sample - peer.overhead_s)
 
     def note_ended(self, name: str) -> None:
-        """Note that a request was given up for another reason."""
+        """Note that nothing more of a request is on its way."""
         peer = self._peers.get(name)
         if peer is not None:
             peer.outstanding = max(0, peer.outstanding - 1)
@@ -93,7 +114,21 @@
     def note_silent(self, name: str, now: float) -> None:
         """Note that a host did not answer in time."""
         peer = self._peers.get(name)
-        if peer is None or now < peer.down_until:
-            return
-        peer.down_until = now + peer.backoff_s
-        peer.backoff_s = min(BACKOFF_LIMIT_S, peer.backoff_s * 2)
+        if peer is not None:
+            peer.heard = False
+            peer.silent_at = now
+
+    def note_stream(self, address: str, heard_at: float, now: float) -> bool:
+        """Note when a stream was last heard; tell whether that is news."""
+        for peer in self._peers.values():
+            if peer.record.peer_address != address:
+                continue
+            peer.overhead_s += OVERHEAD_DECAY * (
+                PRIOR_OVERHEAD_S - peer.overhead_s
+            )
+            fresh = now - heard_at < STREAM_FRESH_S
+            heard = fresh and heard_at > peer.silent_at
+            changed = peer.heard != heard
+            peer.heard = heard
+            return changed
+        return False
--- /dev/null
+++ b/oriolestage/relay/tests/test_peers.py
@@ -0,0 +1,65 @@
+"""Tests of the choice of other hosts."""
+
+import unittest
+
+from oriolestage.relay._facts import HostRecord
+from oriolestage.relay._peers import PeerBook
+from oriolestage.relay._placement import HostPlace
+from oriolestage.relay.tests.builders import REGIONS
+
+
+class PeerBookTest(unittest.TestCase):
+    """Quick hosts that are heard gather for this one."""
+
+    def setUp(self) -> None:
+        """Know two hosts of another region and one of this one."""
+        self._peers = PeerBook(HostPlace('host-1', 'dc-a', REGIONS))
+        self._peers.replace_hosts(
+            HostRecord(name, data_centre, f'{name}:1')
+            for name, data_centre in (
+                ('host-1', 'dc-a'),
+                ('near', 'dc-a'),
+                ('far-1', 'dc-b'),
+                ('far-2', 'dc-b'),
+            )
+        )
+
+    def _choose(self) -> str:
+        chosen = self._peers.choose('region-b')
+        return '' if chosen is None else chosen.name
+
+    def test_far_addresses(self) -> None:
+        """Streams are kept to hosts of other regions only."""
+        self.assertEqual(
+            self._peers.far_addresses(),
+            {'far-1:1', 'far-2:1'},
+        )
+
+    def test_spread(self) -> None:
+        """A host with a request on its way is not asked first."""
+        first = self._choose()
+        self._peers.note_sent(first)
+        self.assertNotEqual(self._choose(), first)
+
+    def test_slow_host(self) -> None:
+        """A host with slow replies is asked last, and again later."""
+        for _ in range(5):
+            self._peers.note_reply('far-1', 0.2)
+        for _ in range(8):
+            self.assertEqual(self._choose(), 'far-2')
+            self._peers.note_sent('far-2')
+        for step in range(80):
+            self._peers.note_stream('far-1:1', step, step)
+        self.assertEqual(self._choose(), 'far-1')
+
+    def test_silent_host(self) -> None:
+        """A silent host is left alone until its stream is heard."""
+        self._peers.note_silent('far-1', 10)
+        self._peers.note_silent('far-2', 10)
+        self.assertEqual(self._choose(), '')
+        self.assertFalse(self._peers.note_stream('far-2:1', 9.9, 10.1))
+        self.assertEqual(self._choose(), '')
+        self.assertTrue(self._peers.note_stream('far-2:1', 10.3, 10.5))
+        self.assertEqual(self._choose(), 'far-2')
+        self.assertTrue(self._peers.note_stream('far-2:1', 10.3, 12))
+        self.assertEqual(self._choose(), '')
