--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -80,7 +80,7 @@
     ):
         tasks = (
             asyncio.create_task(host.follower.run()),
-            asyncio.create_task(host.follower.expire_targets()),
+            asyncio.create_task(host.follower.expire()),
             asyncio.create_task(host.registration.run()),
             asyncio.create_task(_keep_links(host)),
         )
@@ -115,6 +115,12 @@
     knowledge = Knowledge(directory, placement, peers)
     client = TargetClient(exchange)
     peer_client = PeerClient()
+    follower = StoreFollower(
+        store,
+        knowledge,
+        directory,
+        settings.contact_s,
+    )
     relay = Relay(
         knowledge,
         placement,
@@ -123,14 +129,8 @@
         peer_client,
         settings.budget,
         metrics,
+        lambda: follower.age_s,
     )
-    follower = StoreFollower(
-        store,
-        knowledge,
-        directory,
-        settings.contact_s,
-    )
-
     metrics.add_gauge('in_flight', lambda: relay.in_flight)
     metrics.add_gauge('targets', lambda: len(directory))
     metrics.add_gauge('hosts', lambda: len(placement.hosts))
--- a/oriolestage/entry/_relay.py
+++ b/oriolestage/entry/_relay.py
@@ -5,7 +5,7 @@
 import dataclasses
 import itertools
 import time
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 
 from oriolestage._logging import log_event
 from oriolestage.entry._metrics import EntryMetrics
@@ -86,8 +86,13 @@
         peer_client: PeerClient,
         budget_bounds: BudgetBounds,
         metrics: EntryMetrics,
+        store_age_s: Callable[[], float],
     ) -> None:
-        """Prepare to serve; nothing is known yet."""
+        """Prepare to serve; nothing is known yet.
+
+        ``store_age_s`` gives the age of what is known from the store.
+        """
+        self._store_age_s = store_age_s
         self._knowledge = knowledge
         self._placement = placement
         self._peers = peers
@@ -291,6 +296,7 @@
                 'path': request.path,
                 'reason': reason.value,
                 'retry_after_s': retry_after_s,
+                'store_age_s': self._store_age_s(),
             },
         )
         return verdict
@@ -313,6 +319,7 @@
                 'version': table.version,
                 'outcome': _outcome_text(verdict),
                 'took_ms': took_s * MS_PER_S,
+                'store_age_s': self._store_age_s(),
                 'hosts': len(self._placement.hosts),
                 **driver.run.summary(),
             },
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -84,12 +84,14 @@
             except StoreError as error:
                 await self._note_failure(error)
 
-    async def expire_targets(self) -> None:
-        """Forget targets whose registrations did not come back."""
+    async def expire(self) -> None:
+        """Forget targets and hosts whose registrations did not return."""
         while True:
             await asyncio.sleep(GATHER_PAUSE_S)
-            for identity in self._directory.expire(time.monotonic()):
+            now = time.monotonic()
+            for identity in self._directory.expire(now):
                 log_event('target_expired', {'target': identity})
+            self._log(self._knowledge.expire_hosts(now))
 
     async def _step(self) -> None:
         if self._revision is None:
--- a/oriolestage/platform/_settings.py
+++ b/oriolestage/platform/_settings.py
@@ -15,6 +15,8 @@
 
 
 MS_PER_S = 1000
+#: Port of the metrics; the deploy file names it too.
+METRICS_PORT = 9464
 
 
 class _Endpoints(msgspec.Struct, frozen=True):
@@ -83,7 +85,7 @@
         caller_address=document.endpoints.front,
         ready_address=document.endpoints.ready,
         peer_address=f'{document.ip}:{first_port}',
-        metrics_address=f'{document.ip}:{first_port + 1}',
+        metrics_address=f'{document.ip}:{METRICS_PORT}',
         store_address=document.platform.address,
         stop_grace_s=bounds.grace_s,
         contact_s=bounds.contact_ms / MS_PER_S,
--- a/oriolestage/relay/_knowledge.py
+++ b/oriolestage/relay/_knowledge.py
@@ -24,6 +24,11 @@
 from oriolestage.relay._rules import CallerLimits, RoutingTable
 from oriolestage.relay._targets import TargetDirectory
 
+#: Time for which an unregistered host still counts, in seconds. What it
+#: spent of shared limits counts for their window of 10 s, and leases may
+#: lapse while hosts live and the store is away.
+HOST_KEPT_S = 12.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BeliefChanged:
@@ -49,6 +54,8 @@
         self._table: RoutingTable | None = None
         self._closed: set[str] = set()
         self._hosts: dict[str, HostRecord] = {}
+        #: Steady time at which the registration of a host went away.
+        self._left_at: dict[str, float] = {}
         self._unreadable: dict[str, str] = {}
 
     @property
@@ -71,18 +78,11 @@
         closed = {
             fact.name for fact in listed if isinstance(fact, DataCentreClosed)
         }
-        hosts = {
-            fact.record.name: fact.record
-            for fact in listed
-            if isinstance(fact, HostStored)
-        }
         changes: list[BeliefChanged] = []
         if closed != self._closed:
             self._closed = closed
             changes.append(self._closed_changed())
-        if hosts != self._hosts:
-            self._hosts = hosts
-            changes.append(self._hosts_changed())
+        changes += self._replace_hosts(listed, now)
         records = [
             fact.record for fact in listed if isinstance(fact, TargetStored)
         ]
@@ -127,11 +127,10 @@
                 self._closed.discard(name)
                 return [self._closed_changed()]
             case HostStored(record=host):
-                self._hosts[host.name] = host
-                return [self._hosts_changed()]
+                return self._apply_host(host)
             case HostRemoved(name=name):
-                self._hosts.pop(name, None)
-                return [self._hosts_changed()]
+                self._left_at.setdefault(name, now)
+                return [_change('host_unregistered', host=name)]
 
     def _apply_table(self, table: RoutingTable) -> list[BeliefChanged]:
         known = -1 if self._table is None else self._table.version
@@ -162,6 +161,40 @@
             _change('item_unreadable', key=fact.key, problem=fact.problem),
         ]
 
+    def expire_hosts(self, now: float) -> list[BeliefChanged]:
+        """Forget hosts that have been unregistered for long enough."""
+        expired = [
+            name
+            for name, left_at in self._left_at.items()
+            if now - left_at >= HOST_KEPT_S
+        ]
+        for name in expired:
+            self._left_at.pop(name)
+            self._hosts.pop(name, None)
+        return [self._hosts_changed()] if expired else []
+
+    def _replace_hosts(
+        self,
+        listed: Iterable[StoredFact],
+        now: float,
+    ) -> list[BeliefChanged]:
+        changes: list[BeliefChanged] = []
+        missing = set(self._hosts)
+        for fact in listed:
+            if isinstance(fact, HostStored):
+                missing.discard(fact.record.name)
+                changes += self._apply_host(fact.record)
+        for name in missing:
+            self._left_at.setdefault(name, now)
+        return changes
+
+    def _apply_host(self, host: HostRecord) -> list[BeliefChanged]:
+        self._left_at.pop(host.name, None)
+        if self._hosts.get(host.name) == host:
+            return []
+        self._hosts[host.name] = host
+        return [self._hosts_changed()]
+
     def _closed_changed(self) -> BeliefChanged:
         self._directory.close_data_centres(self._closed)
         return _change(
--- a/oriolestage/relay/_request_run.py
+++ b/oriolestage/relay/_request_run.py
@@ -40,6 +40,8 @@
 #: Time between the end of a run and the caller's receipt, in seconds: the
 #: way to the caller, its connection's set-up and the work on the answer.
 DELIVERY_MARGIN_S = 0.017
+#: Part of the objective for which a request may wait for room.
+HOLD_PART = 0.25
 #: Statuses from here on are failures of the target.
 SERVER_ERRORS = 500
 
@@ -245,7 +247,7 @@
                 part.room_after_s = max(RETRY_AFTER_S, wait_s)
                 part.reason = GiveUpReason.NO_ROOM
                 part.place_at = now + wait_s
-                part.given_up = part.place_at >= self._times.deadline
+                part.given_up = part.place_at >= self._hold_until()
             case NoTarget():
                 part.given_up = True
                 part.reason = GiveUpReason.NO_TARGET
@@ -310,6 +312,11 @@
                 due_at = min(due_at, self._late_at(attempt))
         return due_at
 
+    def _hold_until(self) -> float:
+        """Time until which a part may wait for room before it is refused."""
+        objective_s = self._times.objective - self._times.started
+        return self._times.started + objective_s * HOLD_PART
+
     def _cut_off_at(self) -> float:
         """Time at which an answer with enough shards is given."""
         if not isinstance(self._rule.destination, ShardGroup):
