--- a/oriolestage/daemon/_caller_metrics.py
+++ b/oriolestage/daemon/_caller_metrics.py
@@ -3,13 +3,13 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from hdrh.histogram import HdrHistogram
 from prometheus_client.core import (
     CounterMetricFamily,
     GaugeMetricFamily,
     Metric,
 )
 
+from oriolestage._latencies import RouteLatencies
 from oriolestage.core import (
     CallerOutcome,
     MayHaveRun,
@@ -18,12 +18,6 @@
     QueryAnswer,
 )
 
-MICROS_PER_SECOND = 1_000_000
-#: Largest latency recorded, in microseconds.
-LARGEST_LATENCY_US = 120_000_000
-#: Percentiles given in the metrics.
-PERCENTILES = (50.0, 99.0, 99.9)
-
 
 class CallerMetrics:
     """Collects what callers of this host experience."""
@@ -32,7 +26,7 @@
         """Start at zero; counts of the core are read from it."""
         self._core = core
         self._outcomes: Counter[str] = Counter()
-        self._latencies: dict[str, HdrHistogram] = {}
+        self._latencies = RouteLatencies()
 
     def count(self, outcome: str) -> None:
         """Count a request by how it ended."""
@@ -46,14 +40,10 @@
     ) -> None:
         """Count a request and record its latency."""
         self.count(_outcome_name(outcome))
-        histogram = self._latencies.get(route)
-        if histogram is None:
-            if isinstance(outcome, NotRun):
-                return
-            histogram = HdrHistogram(1, LARGEST_LATENCY_US, 2)
-            self._latencies[route] = histogram
-        micros = max(1, int(latency_s * MICROS_PER_SECOND))
-        histogram.record_value(min(micros, LARGEST_LATENCY_US))
+        first = not self._latencies.has_route(route)
+        if first and isinstance(outcome, NotRun):
+            return
+        self._latencies.record(route, latency_s)
 
     def collect(self) -> Iterable[Metric]:
         """Give all metrics in the form that the exposition writes."""
@@ -65,24 +55,9 @@
         for name, total in self._outcomes.items():
             outcomes.add_metric([name], total)
         yield outcomes
-        yield from self._latency_metrics()
+        yield self._latencies.metric()
         yield from self._core_metrics()
 
-    def _latency_metrics(self) -> Iterable[Metric]:
-        latency = GaugeMetricFamily(
-            'oriolestage_request_latency_seconds',
-            'Latency of caller requests by percentile.',
-            labels=['route', 'percentile'],
-        )
-        for route, histogram in self._latencies.items():
-            for percentile in PERCENTILES:
-                micros = histogram.get_value_at_percentile(percentile)
-                latency.add_metric(
-                    [route, str(percentile)],
-                    micros / MICROS_PER_SECOND,
-                )
-        yield latency
-
     def _core_metrics(self) -> Iterable[Metric]:
         core = self._core
         shard_requests = CounterMetricFamily(
--- /dev/null
+++ b/oriolestage/entry/_caller_request.py
@@ -0,0 +1,21 @@
+"""A caller's request as the entry host reads it."""
+
+import dataclasses
+
+from oriolestage.entry._ports import RequestFacts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One request as a caller sent it."""
+
+    facts: RequestFacts
+    method: str
+    #: Host name that the caller asks for.
+    host: str
+    #: Path and query, unchanged.
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    #: Steady time at which it was read.
+    arrived: float
--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -17,6 +17,7 @@
 from oriolestage.entry._peer_server import PeerServer
 from oriolestage.entry._ports import Exchange, Store
 from oriolestage.entry._relay import Relay
+from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._settings import EntrySettings, EntrySettingsError
 from oriolestage.entry._store_follower import HostRegistration, StoreFollower
 from oriolestage.entry._target_client import TargetClient
@@ -128,8 +129,7 @@
         client,
         peer_client,
         settings.budget,
-        metrics,
-        lambda: follower.age_s,
+        RequestLog(metrics, lambda: follower.age_s),
     )
     metrics.add_gauge('in_flight', lambda: relay.in_flight)
     metrics.add_gauge('targets', lambda: len(directory))
--- a/oriolestage/entry/_metrics.py
+++ b/oriolestage/entry/_metrics.py
@@ -3,13 +3,13 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from hdrh.histogram import HdrHistogram
 from prometheus_client.core import (
     CounterMetricFamily,
     GaugeMetricFamily,
     Metric,
 )
 
+from oriolestage._latencies import RouteLatencies
 from oriolestage.relay._answers import (
     AttemptAnswered,
     AttemptLost,
@@ -21,12 +21,6 @@
 )
 from oriolestage.relay._run_types import BatchLost, BatchOutcome
 
-MICROS_PER_SECOND = 1_000_000
-#: Largest latency recorded, in microseconds.
-LARGEST_LATENCY_US = 120_000_000
-#: Percentiles given in the metrics.
-PERCENTILES = (50.0, 90.0, 99.0, 99.9)
-
 
 class EntryMetrics:
     """Collects what callers and targets of this host experience."""
@@ -35,7 +29,7 @@
         """Start at zero."""
         self._requests: Counter[tuple[str, str]] = Counter()
         self._attempts: Counter[tuple[str, str]] = Counter()
-        self._latencies: dict[str, HdrHistogram] = {}
+        self._latencies = RouteLatencies()
         self._gauges: dict[str, Callable[[], float]] = {}
 
     def add_gauge(self, name: str, read: Callable[[], float]) -> None:
@@ -50,12 +44,7 @@
     ) -> None:
         """Count a request and record its latency."""
         self._requests[route, _verdict_name(verdict)] += 1
-        histogram = self._latencies.get(route)
-        if histogram is None:
-            histogram = HdrHistogram(1, LARGEST_LATENCY_US, 2)
-            self._latencies[route] = histogram
-        micros = max(1, int(took_s * MICROS_PER_SECOND))
-        histogram.record_value(min(micros, LARGEST_LATENCY_US))
+        self._latencies.record(route, took_s)
 
     def note_attempt(self, outcome: AttemptOutcome, *, hedge: bool) -> None:
         """Count an attempt at a target."""
@@ -85,25 +74,10 @@
         for labels, total in self._attempts.items():
             attempts.add_metric(labels, total)
         yield attempts
-        yield self._latency_metric()
+        yield self._latencies.metric()
         for name, read in self._gauges.items():
             yield GaugeMetricFamily(f'oriolestage_{name}', name, value=read())
 
-    def _latency_metric(self) -> Metric:
-        latency = GaugeMetricFamily(
-            'oriolestage_request_latency_seconds',
-            'Latency of caller requests by percentile.',
-            labels=['route', 'percentile'],
-        )
-        for route, histogram in self._latencies.items():
-            for percentile in PERCENTILES:
-                micros = histogram.get_value_at_percentile(percentile)
-                latency.add_metric(
-                    [route, str(percentile)],
-                    micros / MICROS_PER_SECOND,
-                )
-        return latency
-
 
 def _verdict_name(verdict: Verdict | str) -> str:
     match verdict:
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -1,7 +1,6 @@
 """Gathers shards in this region for other entry hosts."""
 
 import asyncio
-import dataclasses
 import itertools
 import socket
 import time
@@ -13,7 +12,6 @@
 from oriolestage._logging import log_event
 from oriolestage.entry._peer_messages import (
     GatherCancel,
-    GatherReply,
     GatherRequest,
     Ping,
     Pong,
@@ -21,6 +19,13 @@
     decode_to_peer,
     encode_frame,
 )
+from oriolestage.entry._shard_gathering import (
+    Shard,
+    log_served,
+    reply_of,
+    send_late,
+    shards_in_time,
+)
 from oriolestage.entry._target_client import TargetCall, TargetClient
 from oriolestage.relay._answers import (
     AttemptAnswered,
@@ -31,23 +36,13 @@
     TargetAnswer,
 )
 from oriolestage.relay._knowledge import Knowledge
-from oriolestage.relay._merge import merge_records
-from oriolestage.relay._placement import Chosen, Placement, Wanted
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._placement_types import Chosen, Wanted
 from oriolestage.relay._stragglers import WorkWatch
 from oriolestage.relay._targets import KnownTarget
 
 #: Attempts for other hosts are numbered apart from those for callers.
 FIRST_ATTEMPT = 1_000_000_000_000
-MS_PER_S = 1000
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Shard:
-    """One shard of a batch and what became of it."""
-
-    service: str
-    #: The answer; None if the shard failed.
-    answer: TargetAnswer | None
 
 
 class PeerServer:
@@ -146,15 +141,17 @@
         }
         tasks = frozenset(pending)
         try:
-            shards = await _in_time(pending, watch, started, request.late_s)
-            _log_served(request, shards, len(chosen), watch, started)
+            shards = await shards_in_time(
+                pending, watch, started, request.late_s
+            )
+            log_served(request, shards, len(chosen), watch, started)
             reply = msgspec.structs.replace(
-                _reply(request, shards, watch.work_s),
+                reply_of(request, shards, watch.work_s),
                 not_sent=tuple(set(request.services) - chosen.keys()),
                 final=not pending,
             )
             writer.write(encode_frame(reply))
-            await _send_late(request, pending, watch, writer)
+            await send_late(request, pending, watch, writer)
         finally:
             for task in tasks:
                 task.cancel()
@@ -188,7 +185,7 @@
         service: str,
         target: KnownTarget,
         watch: WorkWatch,
-    ) -> _Shard:
+    ) -> Shard:
         """Send to one target; give its answer if it is a success."""
         attempt = next(self._attempts)
         self._placement.note_sent(target, attempt, time.monotonic())
@@ -214,7 +211,7 @@
                 time.monotonic(),
             )
             raise
-        return _Shard(service, self._note(target, attempt, outcome, watch))
+        return Shard(service, self._note(target, attempt, outcome, watch))
 
     def _note(
         self,
@@ -241,108 +238,3 @@
                     {'step': step, 'peer': target.record.address},
                 )
         return None
-
-
-async def _in_time(
-    pending: set[asyncio.Task[_Shard]],
-    watch: WorkWatch,
-    started: float,
-    late_s: float,
-) -> list[_Shard]:
-    """Wait until all shards are over or the others are late.
-
-    Removes from ``pending`` what is over.
-    """
-    shards: list[_Shard] = []
-    while pending:
-        limit_s = watch.late_s if watch.compared else late_s
-        left_s = started + limit_s - time.monotonic()
-        if left_s <= 0:
-            break
-        shards.extend(await _next_done(pending, left_s))
-    return shards
-
-
-async def _send_late(
-    request: GatherRequest,
-    pending: set[asyncio.Task[_Shard]],
-    watch: WorkWatch,
-    writer: asyncio.StreamWriter,
-) -> None:
-    """Send each late shard as it comes, by itself."""
-    unmerged = msgspec.structs.replace(request, merged=False)
-    while pending:
-        shards = await _next_done(pending)
-        reply = msgspec.structs.replace(
-            _reply(unmerged, shards, watch.work_s),
-            final=not pending,
-        )
-        writer.write(encode_frame(reply))
-
-
-async def _next_done(
-    pending: set[asyncio.Task[_Shard]],
-    limit_s: float | None = None,
-) -> list[_Shard]:
-    """Wait for the next shards and remove them from ``pending``."""
-    done, _ = await asyncio.wait(
-        pending,
-        timeout=limit_s,
-        return_when=asyncio.FIRST_COMPLETED,
-    )
-    pending -= done
-    return [task.result() for task in done]
-
-
-def _log_served(
-    request: GatherRequest,
-    shards: list[_Shard],
-    sent: int,
-    watch: WorkWatch,
-    started: float,
-) -> None:
-    log_event(
-        'batch_served',
-        {
-            'id': request.request_id,
-            'route': request.route,
-            'shards': len(request.services),
-            'answered': sum(1 for shard in shards if shard.answer),
-            'sent': sent,
-            'late_after_ms': watch.late_s * MS_PER_S,
-            'took_ms': (time.monotonic() - started) * MS_PER_S,
-        },
-    )
-
-
-def _reply(
-    request: GatherRequest,
-    shards: list[_Shard],
-    work_s: float,
-) -> GatherReply:
-    signatures: dict[str, str] = {}
-    bodies: dict[str, bytes] = {}
-    failed: list[str] = []
-    for shard in shards:
-        if shard.answer is None:
-            failed.append(shard.service)
-            continue
-        signatures[shard.service] = shard.answer.signature
-        bodies[shard.service] = merge_records(
-            [shard.answer.body],
-            request.top_records,
-        )
-    body = b''
-    if request.merged:
-        body = merge_records(bodies.values(), request.top_records)
-        bodies = {}
-    return GatherReply(
-        number=request.number,
-        signatures=signatures,
-        body=body,
-        bodies=bodies,
-        not_sent=(),
-        failed=tuple(failed),
-        final=False,
-        work_s=work_s,
-    )
--- a/oriolestage/entry/_relay.py
+++ b/oriolestage/entry/_relay.py
@@ -2,22 +2,17 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import itertools
 import time
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator
 
-from oriolestage._logging import log_event
-from oriolestage.entry._metrics import EntryMetrics
+from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_messages import GatherRequest
-from oriolestage.entry._ports import RequestFacts
+from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._run_driver import RunDriver
 from oriolestage.entry._target_client import TargetCall, TargetClient
 from oriolestage.relay._answers import (
-    AttemptAnswered,
-    AttemptLost,
-    AttemptNotRun,
     AttemptOutcome,
     GiveUpReason,
     Refused,
@@ -26,7 +21,8 @@
 from oriolestage.relay._extra_budget import BudgetBounds, ExtraBudget
 from oriolestage.relay._knowledge import Knowledge
 from oriolestage.relay._peers import PeerBook
-from oriolestage.relay._placement import Placement, Wanted
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._placement_types import Wanted
 from oriolestage.relay._request_run import RequestRun
 from oriolestage.relay._rules import (
     RouteRule,
@@ -37,8 +33,6 @@
     WeightedServices,
 )
 from oriolestage.relay._run_types import (
-    BatchAnswered,
-    BatchLost,
     BatchOutcome,
     PartRequest,
     RunTimes,
@@ -53,27 +47,10 @@
 DEADLINE_MARGIN_S = 0.02
 #: Shortest time that is told to a target, in seconds.
 LEAST_TIME_S = 0.001
-MS_PER_S = 1000
 #: Services that the configuration does not describe.
 UNKNOWN_SERVICE = ServiceRule(name='', connection_limit=0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """One request as a caller sent it."""
-
-    facts: RequestFacts
-    method: str
-    #: Host name that the caller asks for.
-    host: str
-    #: Path and query, unchanged.
-    path: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    #: Steady time at which it was read.
-    arrived: float
-
-
 class Relay:
     """Serves callers' requests."""
 
@@ -85,21 +62,16 @@
         client: TargetClient,
         peer_client: PeerClient,
         budget_bounds: BudgetBounds,
-        metrics: EntryMetrics,
-        store_age_s: Callable[[], float],
+        log: RequestLog,
     ) -> None:
-        """Prepare to serve; nothing is known yet.
-
-        ``store_age_s`` gives the age of what is known from the store.
-        """
-        self._store_age_s = store_age_s
+        """Prepare to serve; nothing is known yet."""
+        self._log = log
         self._knowledge = knowledge
         self._placement = placement
         self._peers = peers
         self._client = client
         self._peer_client = peer_client
         self._budget_bounds = budget_bounds
-        self._metrics = metrics
         self._started_at = time.monotonic()
         self._budgets: dict[str, ExtraBudget] = {}
         self._turns = WeightedTurns()
@@ -152,11 +124,11 @@
             verdict = await driver.finish()
         except asyncio.CancelledError:
             run.cancel(time.monotonic())
-            self._note(request, rule, table, driver, 'caller_left')
+            self._note_done(request, rule, table, run, 'caller_left')
             raise
         finally:
             driver.cancel_all()
-        self._note(request, rule, table, driver, verdict)
+        self._note_done(request, rule, table, run, verdict)
         return verdict
 
     def _parts(
@@ -214,21 +186,7 @@
                 time_left_s=max(LEAST_TIME_S, action.deadline - sent_at),
             ),
         )
-        self._metrics.note_attempt(outcome, hedge=action.hedge)
-        problem = _problem(outcome)
-        if problem:
-            log_event(
-                'attempt_failed',
-                {
-                    'id': request.facts.request_id,
-                    'step': problem,
-                    'peer': record.address,
-                    'target': record.identity,
-                    'service': record.service,
-                    'hedge': action.hedge,
-                    'after_ms': (time.monotonic() - sent_at) * MS_PER_S,
-                },
-            )
+        self._log.note_attempt(request, action, outcome, sent_at)
         return outcome
 
     async def _send_batch(
@@ -257,27 +215,24 @@
         gathering = self._peer_client.gather(address, asked)
         async with contextlib.aclosing(gathering) as replies:
             async for outcome in replies:
-                self._metrics.note_batch(outcome)
-                self._log_batch(request, action, outcome, now)
+                self._log.note_batch(request, action, outcome, now)
                 yield outcome
 
-    def _log_batch(
+    def _note_done(
         self,
         request: CallerRequest,
-        action: SendBatch,
-        outcome: BatchOutcome,
-        sent_at: float,
+        rule: RouteRule,
+        table: RoutingTable,
+        run: RequestRun,
+        verdict: Verdict | str,
     ) -> None:
-        log_event(
-            'batch_reply',
-            {
-                'id': request.facts.request_id,
-                'step': _batch_step(outcome),
-                'peer': action.peer.name,
-                'shards': len(action.parts),
-                'merged': action.merged,
-                'after_ms': (time.monotonic() - sent_at) * MS_PER_S,
-            },
+        summary = {'hosts': len(self._placement.hosts), **run.summary()}
+        self._log.note_done(
+            request,
+            rule.name,
+            table.version,
+            verdict,
+            summary,
         )
 
     def _refuse(
@@ -287,44 +242,9 @@
         retry_after_s: float,
     ) -> Verdict:
         verdict = Refused(reason, retry_after_s)
-        self._metrics.note_request('none', verdict, 0)
-        log_event(
-            'request_refused',
-            {
-                'id': request.facts.request_id,
-                'host': request.host,
-                'path': request.path,
-                'reason': reason.value,
-                'retry_after_s': retry_after_s,
-                'store_age_s': self._store_age_s(),
-            },
-        )
+        self._log.note_refused(request, verdict)
         return verdict
 
-    def _note(
-        self,
-        request: CallerRequest,
-        rule: RouteRule,
-        table: RoutingTable,
-        driver: RunDriver,
-        verdict: Verdict | str,
-    ) -> None:
-        took_s = time.monotonic() - request.arrived
-        self._metrics.note_request(rule.name, verdict, took_s)
-        log_event(
-            'request_done',
-            {
-                'id': request.facts.request_id,
-                'route': rule.name,
-                'version': table.version,
-                'outcome': _outcome_text(verdict),
-                'took_ms': took_s * MS_PER_S,
-                'store_age_s': self._store_age_s(),
-                'hosts': len(self._placement.hosts),
-                **driver.run.summary(),
-            },
-        )
-
 
 def _times(rule: RouteRule, request: CallerRequest) -> RunTimes:
     limit_s = rule.time_limit_s
@@ -335,30 +255,3 @@
         objective=request.arrived + rule.objective_s,
         deadline=request.arrived + max(0, limit_s - DEADLINE_MARGIN_S),
     )
-
-
-def _problem(outcome: AttemptOutcome) -> str:
-    match outcome:
-        case AttemptNotRun(reason=reason):
-            return f'target.{reason.value}'
-        case AttemptLost(step=step):
-            return step
-        case AttemptAnswered(answer=answer) if not answer.success:
-            return f'target.status_{answer.status}'
-    return ''
-
-
-def _batch_step(outcome: BatchOutcome) -> str:
-    match outcome:
-        case BatchLost(step=step):
-            return step
-        case BatchAnswered(signatures=signatures):
-            return f'answered_{len(signatures)}'
-
-
-def _outcome_text(verdict: Verdict | str) -> str:
-    if isinstance(verdict, str):
-        return verdict
-    name = type(verdict).__name__.lower()
-    reason = getattr(verdict, 'reason', None)
-    return name if reason is None else f'{name}:{reason.value}'
--- a/oriolestage/entry/_settings.py
+++ b/oriolestage/entry/_settings.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from oriolestage.relay._extra_budget import BudgetBounds
-from oriolestage.relay._placement import HostPlace
+from oriolestage.relay._placement_types import HostPlace
 from oriolestage.relay._warm_up import WarmUpBounds
 
 
--- a/oriolestage/platform/_names.py
+++ b/oriolestage/platform/_names.py
@@ -9,8 +9,6 @@
 SHARD_SIGNATURES_HEADER = 'Part-Stamps'
 MISSING_SHARDS_HEADER = 'Missing-Shards'
 
-READY_PATH = '/oriolestage/readyz'
-STORE_ITEM_PATH = '/oriolestage/kv-key'
 STORE_RANGE_PATH = '/oriolestage/kv-range'
 STORE_WATCH_PATH = '/oriolestage/kv-watch'
 STORE_WRITE_PATH = '/oriolestage/kv-txn'
--- a/oriolestage/platform/_settings.py
+++ b/oriolestage/platform/_settings.py
@@ -10,7 +10,7 @@
 from oriolestage.entry._settings import EntrySettings, EntrySettingsError
 from oriolestage.platform import _names
 from oriolestage.relay._extra_budget import BudgetBounds
-from oriolestage.relay._placement import HostPlace
+from oriolestage.relay._placement_types import HostPlace
 from oriolestage.relay._warm_up import WarmUpBounds
 
 
--- a/oriolestage/entry/tests/test_caller_server.py
+++ b/oriolestage/platform/tests/test_caller_wire.py
@@ -5,7 +5,7 @@
 import unittest
 
 from oriolestage.entry._caller_server import CallerServer
-from oriolestage.entry._relay import CallerRequest
+from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.platform._exchange import PlatformExchange
 from oriolestage.relay._answers import (
     Delivered,
--- a/oriolestage/relay/_dispatch.py
+++ b/oriolestage/relay/_dispatch.py
@@ -10,7 +10,8 @@
 from oriolestage.relay._first_wave import Batch, plan_batches
 from oriolestage.relay._parts import Attempt, Part
 from oriolestage.relay._peers import PeerBook
-from oriolestage.relay._placement import Chosen, Placement
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._placement_types import Chosen
 from oriolestage.relay._rules import RouteRule, ShardGroup
 from oriolestage.relay._run_types import (
     Action,
--- a/oriolestage/relay/_first_wave.py
+++ b/oriolestage/relay/_first_wave.py
@@ -9,7 +9,8 @@
 
 from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._peers import PeerBook
-from oriolestage.relay._placement import Chosen, Placement, Wanted
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._placement_types import Chosen, Wanted
 
 #: Smallest number of shards that is worth a batch.
 SMALLEST_BATCH = 2
--- a/oriolestage/relay/_peers.py
+++ b/oriolestage/relay/_peers.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 
 from oriolestage.relay._facts import HostRecord
-from oriolestage.relay._placement import HostPlace
+from oriolestage.relay._placement_types import HostPlace
 
 #: Weight of the newest reply in a host's overhead.
 OVERHEAD_WEIGHT = 0.2
--- a/oriolestage/relay/_placement.py
+++ b/oriolestage/relay/_placement.py
@@ -6,8 +6,7 @@
 without room is passed over.
 """
 
-import dataclasses
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Collection, Iterator
 
 from oriolestage.relay._delays import (
     PRIOR_OTHER_REGION_S,
@@ -15,6 +14,14 @@
     PRIOR_SAME_REGION_S,
     DelayModel,
 )
+from oriolestage.relay._placement_types import (
+    Chosen,
+    HostPlace,
+    NoRoom,
+    NoTarget,
+    Placed,
+    Wanted,
+)
 from oriolestage.relay._target_load import TargetLoad
 from oriolestage.relay._targets import KnownTarget, TargetDirectory
 from oriolestage.relay._warm_up import WarmUpBounds, WarmUpPacer
@@ -27,65 +34,6 @@
 FULL_WAIT_S = 0.01
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HostPlace:
-    """Where this host stands."""
-
-    name: str
-    data_centre: str
-    #: Region of each data centre.
-    regions: Mapping[str, str]
-
-    @property
-    def region(self) -> str:
-        """Region of this host."""
-        return self.regions.get(self.data_centre, '')
-
-    def region_of(self, data_centre: str) -> str:
-        """Give the region of a data centre; empty if it is not known."""
-        return self.regions.get(data_centre, '')
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Wanted:
-    """What an attempt needs of its target."""
-
-    service: str
-    #: Route of the request; its requests take similar work.
-    route: str
-    #: Regions that may serve it; empty means all.
-    regions: frozenset[str] = frozenset()
-    #: Connections that a target accepts from all hosts; 0 means no limit.
-    connection_limit: int = 0
-    #: Requests a second that a cold target carries; 0 means no limit.
-    warm_up_rate: float = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Chosen:
-    """The target that an attempt goes to."""
-
-    target: KnownTarget
-    #: Expected delay of the answer, in seconds.
-    expected_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NoRoom:
-    """Targets exist, but none may take an attempt now."""
-
-    #: Time after which one may have room, in seconds.
-    wait_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NoTarget:
-    """The service has no usable target."""
-
-
-Placed = Chosen | NoRoom | NoTarget
-
-
 class Placement:
     """Chooses targets and keeps what was seen of them."""
 
--- a/oriolestage/relay/_request_run.py
+++ b/oriolestage/relay/_request_run.py
@@ -25,7 +25,8 @@
 from oriolestage.relay._dispatch import Dispatch
 from oriolestage.relay._parts import RETRY_AFTER_S, SHED_LIMIT, Attempt, Part
 from oriolestage.relay._peers import PeerBook
-from oriolestage.relay._placement import Chosen, NoRoom, NoTarget, Placement
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._placement_types import Chosen, NoRoom, NoTarget
 from oriolestage.relay._rules import RouteRule, ShardGroup
 from oriolestage.relay._run_types import (
     Action,
--- a/oriolestage/relay/_run_types.py
+++ b/oriolestage/relay/_run_types.py
@@ -5,7 +5,7 @@
 from oriolestage.relay._answers import Verdict
 from oriolestage.relay._extra_budget import ExtraBudget
 from oriolestage.relay._facts import HostRecord
-from oriolestage.relay._placement import Wanted
+from oriolestage.relay._placement_types import Wanted
 from oriolestage.relay._targets import KnownTarget
 
 
--- a/oriolestage/relay/tests/builders.py
+++ b/oriolestage/relay/tests/builders.py
@@ -16,7 +16,8 @@
 from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._merge import merge_records
 from oriolestage.relay._peers import PeerBook
-from oriolestage.relay._placement import HostPlace, Placement, Wanted
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._placement_types import HostPlace, Wanted
 from oriolestage.relay._request_run import RequestRun
 from oriolestage.relay._rules import (
     Destination,
--- a/oriolestage/relay/tests/test_peers.py
+++ b/oriolestage/relay/tests/test_peers.py
@@ -4,7 +4,7 @@
 
 from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._peers import PeerBook
-from oriolestage.relay._placement import HostPlace
+from oriolestage.relay._placement_types import HostPlace
 from oriolestage.relay.tests.builders import REGIONS
 
 
--- a/oriolestage/relay/tests/test_request_run.py
+++ b/oriolestage/relay/tests/test_request_run.py
@@ -14,7 +14,8 @@
     Refused,
 )
 from oriolestage.relay._extra_budget import BudgetBounds, ExtraBudget
-from oriolestage.relay._placement import Placement, Wanted
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._placement_types import Wanted
 from oriolestage.relay._request_run import RequestRun
 from oriolestage.relay._rules import RouteRule, ShardGroup
 from oriolestage.relay._run_types import (
