Wait for room with what may have run; refuse the rest soon

Change: the wait counts from the first lack of room and applies to parts that no target got; others wait until their deadline. Kept because a refusal has to be prompt and a failure must not come early.

--- a/oriolestage/relay/_parts.py
+++ b/oriolestage/relay/_parts.py
@@ -49,6 +49,8 @@
     sheds: int = 0
     #: Steady time at which a part without room is placed again.
     place_at: float = float('inf')
+    #: Steady time since which no target has room for its first attempt.
+    lacking_since: float = float('inf')
     given_up: bool = False
     reason: GiveUpReason = GiveUpReason.LATE
     #: Attempts as ``place+milliseconds`` from the start, for the log.
--- a/oriolestage/relay/_request_run.py
+++ b/oriolestage/relay/_request_run.py
@@ -248,7 +248,7 @@
                 part.room_after_s = max(RETRY_AFTER_S, wait_s)
                 part.reason = GiveUpReason.NO_ROOM
                 part.place_at = now + wait_s
-                part.given_up = part.place_at >= self._hold_until()
+                part.given_up = part.place_at >= self._hold_until(part, now)
             case NoTarget():
                 part.given_up = True
                 part.reason = GiveUpReason.NO_TARGET
@@ -313,10 +313,17 @@
                 due_at = min(due_at, self._late_at(attempt))
         return due_at
 
-    def _hold_until(self) -> float:
-        """Time until which a part may wait for room before it is refused."""
+    def _hold_until(self, part: Part, now: float) -> float:
+        """Time until which a part may wait for room.
+
+        What no target got is refused soon, so that the caller may go
+        elsewhere; what may have run cannot be refused any more.
+        """
+        if part.arrivals:
+            return self._times.deadline
+        part.lacking_since = min(part.lacking_since, now)
         objective_s = self._times.objective - self._times.started
-        return self._times.started + objective_s * HOLD_PART
+        return part.lacking_since + objective_s * HOLD_PART
 
     def _cut_off_at(self) -> float:
         """Time at which an answer with enough shards is given."""
--- a/oriolestage/relay/tests/test_request_run.py
+++ b/oriolestage/relay/tests/test_request_run.py
@@ -205,6 +205,21 @@
             verdict = _verdict(run.on_time(now))
         self.assertIsInstance(verdict, Refused)
 
+    def test_room_for_a_repeat_is_waited_for(self) -> None:
+        """What may have run waits for room until its deadline."""
+        rule = make_rule()
+        placement, directory = make_placement('dc-a', (make_record('t-1'),))
+        target = directory.find('t-1')
+        assert target is not None
+        run, actions = _start(rule, (make_record('t-1'),), None, placement)
+        sent = _sends(actions)[0]
+        placement.note_not_reached(target, 0, 0.1)
+        actions = run.on_outcome(sent.attempt, AttemptLost('reset'), 0.1)
+        self.assertIsNone(_verdict(actions))
+        while not _sends(actions):
+            self.assertIsNone(_verdict(actions))
+            actions = run.on_time(run.wake_at)
+
     def test_deadline(self) -> None:
         """At the deadline the request ends as one that may have run."""
         run, _ = _start(make_rule(repeatable=False), _three())
