Pass the body of a query on with its batches

Cause: read in review: a batch to another host left out the request's body, so a query with a body would have reached far targets without it. Change: the body travels with the batch; test_merged is red without it.

--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -21,6 +21,7 @@
     #: Path and query as the caller sent them.
     path: str
     headers: tuple[tuple[str, str], ...]
+    body: bytes
     services: tuple[str, ...]
     #: Regions whose targets may be used.
     regions: tuple[str, ...]
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -196,7 +196,7 @@
                     method=request.method,
                     path=request.path,
                     headers=request.headers,
-                    body=b'',
+                    body=request.body,
                     repeatable=True,
                     target=target.record.identity,
                     address=target.record.address,
--- a/oriolestage/entry/_relay.py
+++ b/oriolestage/entry/_relay.py
@@ -203,6 +203,7 @@
             method=request.method,
             path=request.path,
             headers=request.headers,
+            body=request.body,
             services=tuple(part.service for part in action.parts),
             regions=tuple(action.regions),
             top_records=action.top_records,
--- a/oriolestage/entry/tests/test_peer_link.py
+++ b/oriolestage/entry/tests/test_peer_link.py
@@ -31,9 +31,11 @@
         self.slow: set[str] = set()
         self.broken: set[str] = set()
         self.cancelled = 0
+        self.bodies: list[bytes] = []
 
     async def send(self, call: TargetCall) -> AttemptOutcome:
         """Answer an attempt."""
+        self.bodies.append(call.body)
         if call.target in self.broken:
             return AttemptLost('reset')
         if call.target in self.slow:
@@ -54,6 +56,7 @@
         'method': 'GET',
         'path': '/x',
         'headers': (),
+        'body': b'asked',
         'services': SERVICES,
         'regions': (),
         'top_records': 2,
@@ -102,6 +105,7 @@
         self.assertEqual(set(answer.signatures), set(SERVICES))
         self.assertEqual(len(answer.body), 32)
         self.assertEqual(answer.bodies, {})
+        self.assertEqual(self._targets.bodies, [b'asked'] * len(SERVICES))
 
     async def test_not_merged(self) -> None:
         """Records come for each shard when they are not merged."""
