--- a/oriolestage/entry/tests/test_peer_link.py
+++ b/oriolestage/entry/tests/test_peer_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import unittest
 
@@ -105,7 +106,10 @@
         self.assertEqual(set(answer.signatures), set(SERVICES))
         self.assertEqual(len(answer.body), 32)
         self.assertEqual(answer.bodies, {})
-        self.assertEqual(self._targets.bodies, [b'asked'] * len(SERVICES))
+        self.assertEqual(
+            self._targets.bodies,
+            list(itertools.repeat(b'asked', len(SERVICES))),
+        )
 
     async def test_not_merged(self) -> None:
         """Records come for each shard when they are not merged."""
