Split the decision core of the own interface by topic

Cause: 38 modules lay in one folder, so that the rule for a promise was hard to find by name. Change: subpackages queries, targets, membership, configuration and keys; moves and imports only. What stays at the root is shared: node, messages, effects, parameters, timers, charts, errors, the store's port.

--- a/benchmarks/compare_ways.py
+++ b/benchmarks/compare_ways.py
@@ -17,8 +17,8 @@
 import cyclopts
 
 from oriolestage.core import Parameters
-from oriolestage.core._ownership import OwnershipView
-from oriolestage.core._target_gate import TargetGate
+from oriolestage.core.targets._ownership import OwnershipView
+from oriolestage.core.targets._target_gate import TargetGate
 from scenarios.core_engine import CoreEngine
 from scenarios.language import parse_scenario
 from scenarios.observations import Observations
--- a/benchmarks/state_cost.py
+++ b/benchmarks/state_cost.py
@@ -18,8 +18,8 @@
     Target,
     encode_message,
 )
-from oriolestage.core._key_journal import Claim, JournalHead
 from oriolestage.core._messages import SyncReply
+from oriolestage.core.keys._key_journal import Claim, JournalHead
 
 #: Data centres at design size, and regions.
 DATA_CENTRES = 7
--- a/oriolestage/core/__init__.py
+++ b/oriolestage/core/__init__.py
@@ -1,38 +1,9 @@
 """The decisions of the query tier, without any input or output."""
 
-from oriolestage.core._caller_request import CallerRequest
 from oriolestage.core._charts import (
     StateChart,
     load_chart,
 )
-from oriolestage.core._configuration import (
-    KEY_SPACE_SIZE,
-    MAXIMUM_TIMEOUT_MS,
-    AnswerPolicy,
-    Change,
-    Configuration,
-    DataCentre,
-    PutRoute,
-    RemoveRoute,
-    ReplaceDocument,
-    RevisionRecord,
-    Route,
-    RouteKind,
-    Service,
-    SetDataCentreAccepting,
-    SetServiceAccepting,
-    SetTargetAccepting,
-    SetTargetLimits,
-    Target,
-    apply_change,
-    check_document,
-    serving_targets,
-)
-from oriolestage.core._coverage import (
-    coverage_of,
-    covered_keys,
-    keep_disjoint,
-)
 from oriolestage.core._effects import (
     AnswerCaller,
     CallTarget,
@@ -53,15 +24,6 @@
     ChangeRefusedError,
     OriolestageError,
 )
-from oriolestage.core._host_list import (
-    HostList,
-    ListedHost,
-)
-from oriolestage.core._idempotency_keys import (
-    key_created_ms,
-    make_key,
-)
-from oriolestage.core._in_force import InForceReport
 from oriolestage.core._messages import (
     DataMessage,
     GossipMessage,
@@ -73,7 +35,43 @@
     encode_message,
 )
 from oriolestage.core._node import NodeCore
-from oriolestage.core._operator_commands import (
+from oriolestage.core._parameters import (
+    Identity,
+    Parameters,
+)
+from oriolestage.core._store_port import (
+    StoreFound,
+    StoreMismatch,
+    StoreMissing,
+    StoreOutcome,
+    StoreUnreachable,
+    StoreWritten,
+)
+from oriolestage.core.configuration._configuration import (
+    KEY_SPACE_SIZE,
+    MAXIMUM_TIMEOUT_MS,
+    AnswerPolicy,
+    Change,
+    Configuration,
+    DataCentre,
+    PutRoute,
+    RemoveRoute,
+    ReplaceDocument,
+    RevisionRecord,
+    Route,
+    RouteKind,
+    Service,
+    SetDataCentreAccepting,
+    SetServiceAccepting,
+    SetTargetAccepting,
+    SetTargetLimits,
+    Target,
+    apply_change,
+    check_document,
+    serving_targets,
+)
+from oriolestage.core.configuration._in_force import InForceReport
+from oriolestage.core.configuration._operator_commands import (
     ChangeAccepted,
     ChangeConflict,
     ChangeOutcome,
@@ -81,7 +79,21 @@
     ChangeUnknown,
     OperatorCommand,
 )
-from oriolestage.core._outcomes import (
+from oriolestage.core.keys._idempotency_keys import (
+    key_created_ms,
+    make_key,
+)
+from oriolestage.core.membership._host_list import (
+    HostList,
+    ListedHost,
+)
+from oriolestage.core.queries._caller_request import CallerRequest
+from oriolestage.core.queries._coverage import (
+    coverage_of,
+    covered_keys,
+    keep_disjoint,
+)
+from oriolestage.core.queries._outcomes import (
     Answered,
     CallerOutcome,
     CommandAnswer,
@@ -93,19 +105,7 @@
     Reason,
     ShardOutcome,
 )
-from oriolestage.core._parameters import (
-    Identity,
-    Parameters,
-)
-from oriolestage.core._store_port import (
-    StoreFound,
-    StoreMismatch,
-    StoreMissing,
-    StoreOutcome,
-    StoreUnreachable,
-    StoreWritten,
-)
-from oriolestage.core._target_results import (
+from oriolestage.core.targets._target_results import (
     TargetAnswered,
     TargetConnectionLost,
     TargetFailed,
--- a/oriolestage/core/_effects.py
+++ b/oriolestage/core/_effects.py
@@ -7,9 +7,9 @@
 import dataclasses
 from collections.abc import Mapping
 
-from oriolestage.core._configuration import RevisionRecord, Target
 from oriolestage.core._messages import DataMessage, GossipMessage
-from oriolestage.core._outcomes import CallerOutcome
+from oriolestage.core.configuration._configuration import RevisionRecord, Target
+from oriolestage.core.queries._outcomes import CallerOutcome
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/oriolestage/core/_messages.py
+++ b/oriolestage/core/_messages.py
@@ -9,8 +9,11 @@
 
 import msgspec
 
-from oriolestage.core._configuration import Configuration, RevisionRecord
-from oriolestage.core._outcomes import CallerOutcome, ShardOutcome
+from oriolestage.core.configuration._configuration import (
+    Configuration,
+    RevisionRecord,
+)
+from oriolestage.core.queries._outcomes import CallerOutcome, ShardOutcome
 
 
 class MemberState(enum.IntEnum):
--- a/oriolestage/core/_node.py
+++ b/oriolestage/core/_node.py
@@ -8,19 +8,8 @@
 import random
 from collections.abc import Callable, Sequence
 
-from oriolestage.core._attempts import AttemptTable
-from oriolestage.core._caller_request import CallerRequest
 from oriolestage.core._charts import StateChart, load_chart
-from oriolestage.core._command_runner import CommandRunner
-from oriolestage.core._configuration import Route, RouteKind
-from oriolestage.core._configuration_keeper import ConfigurationKeeper
-from oriolestage.core._crashes import CrashRegister
 from oriolestage.core._effects import AnswerCaller, Effect, Outbox
-from oriolestage.core._freshness import Freshness
-from oriolestage.core._host_directory import HostDirectory
-from oriolestage.core._in_force import InForceReport, InForceSurveys
-from oriolestage.core._key_keeper import KeyKeeper
-from oriolestage.core._membership import Membership
 from oriolestage.core._messages import (
     Ack,
     AcquireTargets,
@@ -43,24 +32,40 @@
     TargetLeaving,
     TargetsReleased,
 )
-from oriolestage.core._operator_commands import (
-    ChangeOutcome,
-    OperatorCommand,
-    OperatorCommands,
-)
-from oriolestage.core._outcomes import NotRun, Reason
-from oriolestage.core._ownership import OwnershipView, PeerPort
 from oriolestage.core._parameters import Identity, Parameters
-from oriolestage.core._query_runner import QueryRunner
 from oriolestage.core._store_port import (
     StoreOutcome,
     StorePort,
 )
-from oriolestage.core._shard_sender import ShardSender
-from oriolestage.core._target_knowledge import TargetKnowledge
-from oriolestage.core._target_owner import TargetOwner
-from oriolestage.core._target_results import TargetResult, TargetSigns
 from oriolestage.core._timers import Timers
+from oriolestage.core.configuration._configuration import Route, RouteKind
+from oriolestage.core.configuration._configuration_keeper import (
+    ConfigurationKeeper,
+)
+from oriolestage.core.configuration._freshness import Freshness
+from oriolestage.core.configuration._in_force import (
+    InForceReport,
+    InForceSurveys,
+)
+from oriolestage.core.configuration._operator_commands import (
+    ChangeOutcome,
+    OperatorCommand,
+    OperatorCommands,
+)
+from oriolestage.core.keys._key_keeper import KeyKeeper
+from oriolestage.core.membership._host_directory import HostDirectory
+from oriolestage.core.membership._membership import Membership
+from oriolestage.core.queries._attempts import AttemptTable
+from oriolestage.core.queries._caller_request import CallerRequest
+from oriolestage.core.queries._command_runner import CommandRunner
+from oriolestage.core.queries._outcomes import NotRun, Reason
+from oriolestage.core.queries._query_runner import QueryRunner
+from oriolestage.core.queries._shard_sender import ShardSender
+from oriolestage.core.targets._crashes import CrashRegister
+from oriolestage.core.targets._ownership import OwnershipView, PeerPort
+from oriolestage.core.targets._target_knowledge import TargetKnowledge
+from oriolestage.core.targets._target_owner import TargetOwner
+from oriolestage.core.targets._target_results import TargetResult, TargetSigns
 
 #: Suggested wait while a host may not start new work, in milliseconds.
 UNREADY_RETRY_MS = 500
--- a/oriolestage/core/_store_port.py
+++ b/oriolestage/core/_store_port.py
@@ -10,8 +10,8 @@
     StoreWatch,
     StoreWrite,
 )
-from oriolestage.core._freshness import Freshness
 from oriolestage.core._timers import Timers
+from oriolestage.core.configuration._freshness import Freshness
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/oriolestage/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: changes, history, validity."""
--- a/oriolestage/core/_configuration_keeper.py
+++ b/oriolestage/core/configuration/_configuration_keeper.py
@@ -10,22 +10,15 @@
 
 import msgspec
 
-from oriolestage.core._configuration import (
-    Configuration,
-    RevisionRecord,
-    apply_change,
-)
+from oriolestage._rendezvous import rendezvous_rank
 from oriolestage.core._effects import Outbox, RevisionInForce, SendGossip
 from oriolestage.core._errors import ChangeRefusedError
-from oriolestage.core._index import ConfigurationIndex
-from oriolestage.core._membership import Membership
 from oriolestage.core._messages import (
     ConfigurationReply,
     ConfigurationRequest,
     MemberState,
 )
 from oriolestage.core._parameters import Parameters
-from oriolestage._rendezvous import rendezvous_rank
 from oriolestage.core._store_port import (
     StoreFound,
     StoreMissing,
@@ -34,6 +27,13 @@
     StoreWritten,
 )
 from oriolestage.core._timers import Timers
+from oriolestage.core.configuration._configuration import (
+    Configuration,
+    RevisionRecord,
+    apply_change,
+)
+from oriolestage.core.membership._membership import Membership
+from oriolestage.core.queries._index import ConfigurationIndex
 
 #: Records kept in memory for peers that lag and for the history.
 RECORDS_KEPT = 256
--- a/oriolestage/core/_in_force.py
+++ b/oriolestage/core/configuration/_in_force.py
@@ -6,13 +6,13 @@
 import msgspec
 
 from oriolestage.core._effects import Outbox, SendGossip
-from oriolestage.core._membership import Membership
 from oriolestage.core._messages import (
     MemberState,
     RevisionQuery,
     RevisionReport,
 )
 from oriolestage.core._timers import Timers
+from oriolestage.core.membership._membership import Membership
 
 #: Time between two rounds of questions, in seconds.
 ROUND_S = 0.2
--- a/oriolestage/core/_operator_commands.py
+++ b/oriolestage/core/configuration/_operator_commands.py
@@ -6,22 +6,8 @@
 import msgspec
 
 from oriolestage.core._charts import StateChart, load_chart
-from oriolestage.core._configuration import (
-    Change,
-    RevisionRecord,
-    apply_change,
-    describe_change,
-)
-from oriolestage.core._configuration_keeper import (
-    ConfigurationKeeper,
-    decode_record,
-    encode_record,
-    revision_key,
-)
 from oriolestage.core._effects import Outbox
 from oriolestage.core._errors import ChangeRefusedError
-from oriolestage.core._freshness import has_majority
-from oriolestage.core._membership import Membership
 from oriolestage.core._store_port import (
     StoreFound,
     StoreMismatch,
@@ -32,6 +18,20 @@
     StoreWritten,
 )
 from oriolestage.core._timers import Timers
+from oriolestage.core.configuration._configuration import (
+    Change,
+    RevisionRecord,
+    apply_change,
+    describe_change,
+)
+from oriolestage.core.configuration._configuration_keeper import (
+    ConfigurationKeeper,
+    decode_record,
+    encode_record,
+    revision_key,
+)
+from oriolestage.core.configuration._freshness import has_majority
+from oriolestage.core.membership._membership import Membership
 
 #: Time spent on finding out whether a write took effect, in seconds.
 SETTLE_LIMIT_S = 4.0
--- /dev/null
+++ b/oriolestage/core/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency keys and their journal."""
--- a/oriolestage/core/_key_keeper.py
+++ b/oriolestage/core/keys/_key_keeper.py
@@ -7,8 +7,12 @@
 import xxhash
 
 from oriolestage.core._effects import Outbox
-from oriolestage.core._idempotency_keys import key_created_ms
-from oriolestage.core._key_journal import (
+from oriolestage.core._messages import ClaimReply, ClaimRequest, ClaimResult
+from oriolestage.core._parameters import Parameters
+from oriolestage.core._store_port import StorePort
+from oriolestage.core._timers import Timers
+from oriolestage.core.keys._idempotency_keys import key_created_ms
+from oriolestage.core.keys._key_journal import (
     Claim,
     ClaimHeld,
     ClaimOutcome,
@@ -16,18 +20,14 @@
     ClaimUnavailable,
     KeyJournal,
 )
-from oriolestage.core._messages import ClaimReply, ClaimRequest, ClaimResult
-from oriolestage.core._outcomes import (
+from oriolestage.core.queries._outcomes import (
     CallerOutcome,
     CommandAnswer,
     MayHaveRun,
     NotRun,
     Reason,
 )
-from oriolestage.core._ownership import OwnershipView, PeerPort
-from oriolestage.core._parameters import Parameters
-from oriolestage.core._store_port import StorePort
-from oriolestage.core._timers import Timers
+from oriolestage.core.targets._ownership import OwnershipView, PeerPort
 
 #: Outcomes kept in memory to answer repeated requests.
 OUTCOMES_KEPT = 20_000
--- /dev/null
+++ b/oriolestage/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts are alive, and what they tell one another."""
--- a/oriolestage/core/_host_directory.py
+++ b/oriolestage/core/membership/_host_directory.py
@@ -8,12 +8,8 @@
 
 import msgspec
 
-from oriolestage.core._configuration_keeper import ConfigurationKeeper
 from oriolestage.core._effects import Outbox
-from oriolestage.core._host_list import HostList, decode_host_list
-from oriolestage.core._membership import Membership
 from oriolestage.core._messages import MemberState, TargetLeaving
-from oriolestage.core._ownership import OwnershipView, PeerPort
 from oriolestage.core._parameters import Parameters
 from oriolestage.core._store_port import (
     StoreFound,
@@ -21,6 +17,12 @@
     StorePort,
 )
 from oriolestage.core._timers import Timers
+from oriolestage.core.configuration._configuration_keeper import (
+    ConfigurationKeeper,
+)
+from oriolestage.core.membership._host_list import HostList, decode_host_list
+from oriolestage.core.membership._membership import Membership
+from oriolestage.core.targets._ownership import OwnershipView, PeerPort
 
 #: Period of introductions while no other member is known, in seconds.
 INTRODUCTION_PERIOD_S = 1.0
--- a/oriolestage/core/_membership.py
+++ b/oriolestage/core/membership/_membership.py
@@ -14,7 +14,6 @@
 import msgspec
 
 from oriolestage.core._effects import Outbox, SendGossip
-from oriolestage.core._freshness import Freshness
 from oriolestage.core._messages import (
     Ack,
     CrashMark,
@@ -27,9 +26,10 @@
     SyncReply,
     SyncRequest,
 )
-from oriolestage.core._news import NewsQueue
 from oriolestage.core._parameters import Identity, Parameters
 from oriolestage.core._timers import Timers
+from oriolestage.core.configuration._freshness import Freshness
+from oriolestage.core.membership._news import NewsQueue
 
 #: Age sent when the store was never seen, in milliseconds.
 NEVER_SEEN_AGE_MS = 3_600_000
--- /dev/null
+++ b/oriolestage/core/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Queries over all shards of a group, from plan to answer."""
--- a/oriolestage/core/_attempts.py
+++ b/oriolestage/core/queries/_attempts.py
@@ -8,12 +8,12 @@
     ShardReplies,
     ShardReply,
 )
-from oriolestage.core._outcomes import MayHaveRun, NotRun, Reason
-from oriolestage.core._owner_health import OwnerHealth
-from oriolestage.core._ownership import PeerPort
 from oriolestage.core._parameters import Parameters
-from oriolestage.core._target_knowledge import TargetKnowledge
 from oriolestage.core._timers import Timers
+from oriolestage.core.queries._outcomes import MayHaveRun, NotRun, Reason
+from oriolestage.core.targets._owner_health import OwnerHealth
+from oriolestage.core.targets._ownership import PeerPort
+from oriolestage.core.targets._target_knowledge import TargetKnowledge
 
 ReplyCallback = Callable[[ShardReply], None]
 
--- a/oriolestage/core/_command_runner.py
+++ b/oriolestage/core/queries/_command_runner.py
@@ -7,21 +7,25 @@
 
 import dataclasses
 
-from oriolestage.core._attempts import AttemptTable
-from oriolestage.core._caller_request import CallerRequest
-from oriolestage.core._configuration import Route, Target
-from oriolestage.core._configuration_keeper import ConfigurationKeeper
-from oriolestage.core._crashes import CrashRegister
+from oriolestage._rendezvous import rendezvous_owner
 from oriolestage.core._effects import AnswerCaller, Outbox
-from oriolestage.core._idempotency_keys import key_created_ms
-from oriolestage.core._key_keeper import slice_of_key
 from oriolestage.core._messages import (
     ClaimReply,
     ClaimRequest,
     ClaimResult,
     ShardReply,
 )
-from oriolestage.core._outcomes import (
+from oriolestage.core._parameters import Parameters
+from oriolestage.core._timers import Timers
+from oriolestage.core.configuration._configuration import Route, Target
+from oriolestage.core.configuration._configuration_keeper import (
+    ConfigurationKeeper,
+)
+from oriolestage.core.keys._idempotency_keys import key_created_ms
+from oriolestage.core.keys._key_keeper import slice_of_key
+from oriolestage.core.queries._attempts import AttemptTable
+from oriolestage.core.queries._caller_request import CallerRequest
+from oriolestage.core.queries._outcomes import (
     Answered,
     CallerOutcome,
     CommandAnswer,
@@ -29,12 +33,10 @@
     NotRun,
     Reason,
 )
-from oriolestage.core._ownership import OwnershipView, PeerPort
-from oriolestage.core._parameters import Parameters
-from oriolestage._rendezvous import rendezvous_owner
-from oriolestage.core._shard_sender import Dispatch, ShardSender
-from oriolestage.core._target_knowledge import TargetKnowledge
-from oriolestage.core._timers import Timers
+from oriolestage.core.queries._shard_sender import Dispatch, ShardSender
+from oriolestage.core.targets._crashes import CrashRegister
+from oriolestage.core.targets._ownership import OwnershipView, PeerPort
+from oriolestage.core.targets._target_knowledge import TargetKnowledge
 
 #: Time by which the entry answers ahead of the deadline, in seconds.
 ANSWER_MARGIN_S = 0.002
--- a/oriolestage/core/_coverage.py
+++ b/oriolestage/core/queries/_coverage.py
@@ -3,7 +3,7 @@
 import bisect
 from collections.abc import Iterable, Sequence
 
-from oriolestage.core._outcomes import Answered, Coverage, KeyRange
+from oriolestage.core.queries._outcomes import Answered, Coverage, KeyRange
 
 
 def keep_disjoint(answers: Iterable[Answered]) -> list[Answered]:
--- a/oriolestage/core/_index.py
+++ b/oriolestage/core/queries/_index.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
 
-from oriolestage.core._configuration import (
+from oriolestage.core.configuration._configuration import (
     Configuration,
     Route,
     Target,
--- a/oriolestage/core/_query.py
+++ b/oriolestage/core/queries/_query.py
@@ -3,14 +3,14 @@
 import dataclasses
 from collections.abc import Iterable
 
-from oriolestage.core._caller_request import CallerRequest
-from oriolestage.core._configuration import KEY_SPACE_SIZE, Route
-from oriolestage.core._coverage import (
+from oriolestage.core.configuration._configuration import KEY_SPACE_SIZE, Route
+from oriolestage.core.queries._caller_request import CallerRequest
+from oriolestage.core.queries._coverage import (
     coverage_of,
     covered_keys,
     keep_disjoint,
 )
-from oriolestage.core._outcomes import (
+from oriolestage.core.queries._outcomes import (
     Answered,
     CallerOutcome,
     KeyRange,
--- a/oriolestage/core/_query_runner.py
+++ b/oriolestage/core/queries/_query_runner.py
@@ -2,15 +2,22 @@
 
 from collections.abc import Iterable
 
-from oriolestage.core._attempts import AttemptTable
-from oriolestage.core._caller_request import CallerRequest
-from oriolestage.core._configuration import AnswerPolicy, Route, Target
-from oriolestage.core._configuration_keeper import ConfigurationKeeper
-from oriolestage.core._crashes import CrashRegister
 from oriolestage.core._effects import AnswerCaller, Outbox
-from oriolestage.core._extra_load import ExtraLoadBudget, HedgeDelay
 from oriolestage.core._messages import ShardEntry, ShardReply
-from oriolestage.core._outcomes import (
+from oriolestage.core._parameters import Parameters
+from oriolestage.core._timers import Timers
+from oriolestage.core.configuration._configuration import (
+    AnswerPolicy,
+    Route,
+    Target,
+)
+from oriolestage.core.configuration._configuration_keeper import (
+    ConfigurationKeeper,
+)
+from oriolestage.core.queries._attempts import AttemptTable
+from oriolestage.core.queries._caller_request import CallerRequest
+from oriolestage.core.queries._extra_load import ExtraLoadBudget, HedgeDelay
+from oriolestage.core.queries._outcomes import (
     Answered,
     CallerOutcome,
     MayHaveRun,
@@ -18,11 +25,10 @@
     QueryAnswer,
     Reason,
 )
-from oriolestage.core._parameters import Parameters
-from oriolestage.core._query import Query, ShardState
-from oriolestage.core._shard_sender import Dispatch, ShardSender
-from oriolestage.core._target_knowledge import TargetKnowledge
-from oriolestage.core._timers import Timers
+from oriolestage.core.queries._query import Query, ShardState
+from oriolestage.core.queries._shard_sender import Dispatch, ShardSender
+from oriolestage.core.targets._crashes import CrashRegister
+from oriolestage.core.targets._target_knowledge import TargetKnowledge
 
 #: Times that a query may start again on another snapshot.
 RESTART_LIMIT = 2
--- a/oriolestage/core/_shard_sender.py
+++ b/oriolestage/core/queries/_shard_sender.py
@@ -6,14 +6,16 @@
 import dataclasses
 from collections.abc import Iterable, Sequence
 
-from oriolestage.core._attempts import AttemptTable, ReplyCallback
-from oriolestage.core._caller_request import CallerRequest
-from oriolestage.core._configuration import Target
-from oriolestage.core._configuration_keeper import ConfigurationKeeper
 from oriolestage.core._messages import ShardBatch, ShardEntry
-from oriolestage.core._ownership import OwnershipView, PeerPort
-from oriolestage.core._target_knowledge import TargetKnowledge
 from oriolestage.core._timers import Timers
+from oriolestage.core.configuration._configuration import Target
+from oriolestage.core.configuration._configuration_keeper import (
+    ConfigurationKeeper,
+)
+from oriolestage.core.queries._attempts import AttemptTable, ReplyCallback
+from oriolestage.core.queries._caller_request import CallerRequest
+from oriolestage.core.targets._ownership import OwnershipView, PeerPort
+from oriolestage.core.targets._target_knowledge import TargetKnowledge
 
 _NOBODY: frozenset[str] = frozenset()
 
--- /dev/null
+++ b/oriolestage/core/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Owned targets: admission, life cycle, what is known of them."""
--- a/oriolestage/core/_crashes.py
+++ b/oriolestage/core/targets/_crashes.py
@@ -4,10 +4,10 @@
 from collections import OrderedDict
 
 from oriolestage.core._effects import Outbox
-from oriolestage.core._membership import Membership
 from oriolestage.core._messages import CrashMark
 from oriolestage.core._parameters import Parameters
 from oriolestage.core._timers import Timers
+from oriolestage.core.membership._membership import Membership
 
 #: Fingerprints remembered because a target answered them.
 SURVIVORS_KEPT = 20_000
--- a/oriolestage/core/_ownership.py
+++ b/oriolestage/core/targets/_ownership.py
@@ -7,12 +7,14 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable
 
-from oriolestage.core._configuration import Target
-from oriolestage.core._configuration_keeper import ConfigurationKeeper
+from oriolestage._rendezvous import rendezvous_owner
 from oriolestage.core._effects import Outbox, SendData
-from oriolestage.core._membership import Membership
 from oriolestage.core._messages import DataMessage, Member
-from oriolestage._rendezvous import rendezvous_owner
+from oriolestage.core.configuration._configuration import Target
+from oriolestage.core.configuration._configuration_keeper import (
+    ConfigurationKeeper,
+)
+from oriolestage.core.membership._membership import Membership
 
 
 class OwnershipView:
--- a/oriolestage/core/_target_owner.py
+++ b/oriolestage/core/targets/_target_owner.py
@@ -8,17 +8,12 @@
 import dataclasses
 from collections.abc import Callable, Sequence
 
-from oriolestage.core._configuration import Target
-from oriolestage.core._configuration_keeper import ConfigurationKeeper
-from oriolestage.core._crashes import CrashRegister
 from oriolestage.core._effects import (
     CallTarget,
     CancelTargetCall,
     Outbox,
     ProbeTarget,
 )
-from oriolestage.core._fair_queue import ShardTask
-from oriolestage.core._membership import Membership
 from oriolestage.core._messages import (
     AcquireTargets,
     CancelAttempts,
@@ -28,17 +23,25 @@
     ShardReply,
     TargetsReleased,
 )
-from oriolestage.core._outcomes import (
+from oriolestage.core._parameters import Parameters
+from oriolestage.core._timers import Timers
+from oriolestage.core.configuration._configuration import Target
+from oriolestage.core.configuration._configuration_keeper import (
+    ConfigurationKeeper,
+)
+from oriolestage.core.membership._membership import Membership
+from oriolestage.core.queries._outcomes import (
     Answered,
     MayHaveRun,
     NotRun,
     Reason,
     ShardOutcome,
 )
-from oriolestage.core._ownership import OwnershipView, PeerPort
-from oriolestage.core._parameters import Parameters
-from oriolestage.core._target_gate import TargetGate
-from oriolestage.core._target_results import (
+from oriolestage.core.targets._crashes import CrashRegister
+from oriolestage.core.targets._fair_queue import ShardTask
+from oriolestage.core.targets._ownership import OwnershipView, PeerPort
+from oriolestage.core.targets._target_gate import TargetGate
+from oriolestage.core.targets._target_results import (
     TargetAnswered,
     TargetConnectionLost,
     TargetFailed,
@@ -48,7 +51,6 @@
     TargetSigns,
     TargetTimedOut,
 )
-from oriolestage.core._timers import Timers
 
 #: Time kept back for the way home of an answer, in seconds.
 HOP_MARGIN_S = 0.005
--- a/oriolestage/core/_target_results.py
+++ b/oriolestage/core/targets/_target_results.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from oriolestage.core._outcomes import KeyRange
+from oriolestage.core.queries._outcomes import KeyRange
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/oriolestage/core/tests/test_fair_queue.py
+++ b/oriolestage/core/tests/test_fair_queue.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from oriolestage.core._fair_queue import FairQueue, ShardTask
 from oriolestage.core._messages import ShardBatch, ShardEntry
+from oriolestage.core.targets._fair_queue import FairQueue, ShardTask
 
 
 def task(caller: str, attempt: int) -> ShardTask:
--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -10,8 +10,8 @@
 from multidict import CIMultiDict
 
 from oriolestage._logging import log_event
-from oriolestage.entry._ports import Exchange
 from oriolestage.entry._caller_request import CallerRequest
+from oriolestage.entry._ports import Exchange
 from oriolestage.entry._relay import Relay
 from oriolestage.relay._connection_ages import ConnectionAges
 from oriolestage.relay._rules import CallerLimits
--- a/oriolestage/platform/_documents.py
+++ b/oriolestage/platform/_documents.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from oriolestage.platform import _names
 from oriolestage.relay._facts import (
     ConfigurationStored,
     DataCentreClosed,
@@ -18,7 +19,6 @@
     TargetStored,
     Unreadable,
 )
-from oriolestage.platform import _names
 from oriolestage.relay._rules import (
     CallerLimits,
     Destination,
--- a/oriolestage/platform/_settings.py
+++ b/oriolestage/platform/_settings.py
@@ -13,7 +13,6 @@
 from oriolestage.relay._placement_types import HostPlace
 from oriolestage.relay._warm_up import WarmUpBounds
 
-
 MS_PER_S = 1000
 #: Port of the metrics; the deploy file names it too.
 METRICS_PORT = 9464
--- a/oriolestage/platform/tests/test_caller_wire.py
+++ b/oriolestage/platform/tests/test_caller_wire.py
@@ -4,8 +4,8 @@
 import socket
 import unittest
 
-from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._caller_request import CallerRequest
+from oriolestage.entry._caller_server import CallerServer
 from oriolestage.platform._exchange import PlatformExchange
 from oriolestage.relay._answers import (
     Delivered,
--- a/scenarios/switches.py
+++ b/scenarios/switches.py
@@ -1,12 +1,12 @@
 """Switches mechanisms off, to show that scenarios notice their absence."""
 
-from contextlib import AbstractContextManager, ExitStack
 import dataclasses
 from collections.abc import Iterator
+from contextlib import AbstractContextManager, ExitStack
 from unittest import mock
 
 from oriolestage.core import NotRun, Parameters, Reason
-from oriolestage.core._query import Query
+from oriolestage.core.queries._query import Query
 
 #: Never reached, to switch a limit off.
 NEVER = 10**9
