--- a/scenarios/switches.py
+++ b/scenarios/switches.py
@@ -52,16 +52,18 @@
                 True,
             )
         case 'snapshot':
-            yield mock.patch(f'{_CORE}._query.Query.outcome', _torn_outcome)
             yield mock.patch(
-                f'{_CORE}._query_runner.QueryRunner._settle_snapshot',
+                f'{_CORE}.queries._query.Query.outcome', _torn_outcome
+            )
+            yield mock.patch(
+                f'{_CORE}.queries._query_runner.QueryRunner._settle_snapshot',
                 return_value=False,
             )
         case 'coverage':
-            yield mock.patch(f'{_CORE}._query.keep_disjoint', list)
+            yield mock.patch(f'{_CORE}.queries._query.keep_disjoint', list)
         case 'leaving':
             yield mock.patch(
-                f'{_CORE}._target_owner.TargetOwner.on_listed',
+                f'{_CORE}.targets._target_owner.TargetOwner.on_listed',
             )
         case 'draining':
             yield mock.patch(f'{_CORE}._node.NodeCore.drained', True)
@@ -69,7 +71,7 @@
             yield mock.patch('scenarios.core_engine.STOP_NOTICE_S', 0)
         case 'may_have_run':
             yield mock.patch(
-                f'{_CORE}._target_owner.TargetOwner._may_have_run',
+                f'{_CORE}.targets._target_owner.TargetOwner._may_have_run',
                 _claim_not_run,
             )
         case _:
