Decline shards without room at once and skip hosts behind the store

Two hosts are cut from the store from second 1 to 13; new shards take over meanwhile. The other hosts still gathered through the cut ones, which know no target of the new shards and said so only with the rest of their reply, 60 ms later; the shard then went to the same region up to four times. From second 12 on, shards without room bounced between regions in the same way until the query failed. Ruled out: lack of budget (no `no_budget` in the log), targets that were left alone (none before second 10; the failures begin at 8). Change: a host names shards that it has no room or no target for in a reply of its own, at once. The asking host remembers that for the shard's targets in that region. Replies tell the revision and age of the host's view of the store; a host that did not hear the store for 3.5 s longer and lacks a revision is not asked. Targets that are left alone, or answer again, are logged. What was seen of targets moves from the placement to a module of its own. The median of a query's work no longer needs `statistics`.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -21,6 +21,7 @@
 from oriolestage.entry._settings import EntrySettings, EntrySettingsError
 from oriolestage.entry._store_follower import HostRegistration, StoreFollower
 from oriolestage.entry._target_client import TargetClient
+from oriolestage.relay._beliefs import BeliefChanged
 from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._knowledge import Knowledge
 from oriolestage.relay._peers import PeerBook
@@ -111,7 +112,12 @@
     stopping = asyncio.Event()
     metrics = EntryMetrics()
     directory = TargetDirectory()
-    placement = Placement(settings.place, directory, settings.warm_up)
+    placement = Placement(
+        settings.place,
+        directory,
+        settings.warm_up,
+        _log_belief,
+    )
     peers = PeerBook(settings.place)
     knowledge = Knowledge(directory, placement, peers)
     client = TargetClient(exchange)
@@ -159,7 +165,12 @@
         client=client,
         peers=peers,
         peer_client=peer_client,
-        peer_server=PeerServer(knowledge, placement, client),
+        peer_server=PeerServer(
+            knowledge,
+            placement,
+            client,
+            lambda: follower.freshness,
+        ),
         stopping=stopping,
     )
 
@@ -185,12 +196,21 @@
         addresses = host.peers.far_addresses()
         streams = await host.peer_client.check(addresses)
         now = time.monotonic()
-        for address, heard_at in streams.items():
-            if not host.peers.note_stream(address, heard_at, now):
+        own = host.follower.freshness
+        for address, link in streams.items():
+            state = host.peers.note_link(address, link, own, now)
+            if state is None:
                 continue
             log_event(
-                'peer_heard' if host.peers.is_heard(address) else 'peer_silent',
-                {'step': 'link', 'peer': address, 'age_s': now - heard_at},
+                f'peer_{state.value}',
+                {
+                    'step': 'link',
+                    'peer': address,
+                    'heard_ago_s': now - link.heard_at,
+                    'revision': link.freshness.revision,
+                    'own_revision': own.revision,
+                    'store_age_s': link.freshness.age_s,
+                },
             )
         await asyncio.sleep(LINK_CHECK_S)
 
@@ -213,6 +233,10 @@
     return left
 
 
+def _log_belief(change: BeliefChanged) -> None:
+    log_event(change.event, dict(change.fields))
+
+
 def _log_loop_error(
     _: asyncio.AbstractEventLoop,
     context: dict[str, object],
--- a/oriolestage/entry/_metrics.py
+++ b/oriolestage/entry/_metrics.py
@@ -19,7 +19,11 @@
     Refused,
     Verdict,
 )
-from oriolestage.relay._run_types import BatchLost, BatchOutcome
+from oriolestage.relay._run_types import (
+    BatchDeclined,
+    BatchLost,
+    BatchOutcome,
+)
 
 
 class EntryMetrics:
@@ -53,8 +57,7 @@
 
     def note_batch(self, outcome: BatchOutcome) -> None:
         """Count a batch that another host gathered."""
-        name = 'lost' if isinstance(outcome, BatchLost) else 'answered'
-        self._attempts['batch', name] += 1
+        self._attempts['batch', _batch_name(outcome)] += 1
 
     def collect(self) -> Iterable[Metric]:
         """Give all metrics in the form that the exposition writes."""
@@ -90,6 +93,15 @@
     return 'answered'
 
 
+def _batch_name(outcome: BatchOutcome) -> str:
+    match outcome:
+        case BatchLost():
+            return 'lost'
+        case BatchDeclined():
+            return 'declined'
+    return 'answered'
+
+
 def _attempt_name(outcome: AttemptOutcome) -> str:
     match outcome:
         case AttemptAnswered(answer=answer):
--- a/oriolestage/entry/_peer_client.py
+++ b/oriolestage/entry/_peer_client.py
@@ -18,14 +18,19 @@
 from oriolestage.entry._peer_messages import (
     FromPeer,
     GatherCancel,
+    GatherDeclined,
     GatherReply,
     GatherRequest,
     Ping,
+    Pong,
     decode_from_peer,
     encode_frame,
 )
+from oriolestage.relay._beliefs import Freshness
+from oriolestage.relay._peers import LinkState
 from oriolestage.relay._run_types import (
     BatchAnswered,
+    BatchDeclined,
     BatchLost,
     BatchOutcome,
 )
@@ -47,6 +52,7 @@
 )
 #: Unacknowledged bytes break a stream after this time, milliseconds.
 UNACKNOWLEDGED_LIMIT_MS = 2000
+MS_PER_S = 1000
 
 
 class _Link:
@@ -61,19 +67,20 @@
         self._waiting: dict[int, asyncio.Queue[BatchOutcome]] = {}
         self._received_at = time.monotonic()
         self._pinged_at = float('-inf')
+        self._freshness = Freshness(0, 0)
 
-    def check(self) -> float:
-        """Ping a quiet stream; give the steady time it was last heard."""
+    def check(self) -> LinkState:
+        """Ping a quiet stream; give what was last heard on it."""
         now = time.monotonic()
         if self._writer is None:
-            return float('-inf')
+            return LinkState(float('-inf'), self._freshness)
         if self._received_at < self._pinged_at:
             if now - self._pinged_at >= SILENCE_S:
                 self.close('link.silent')
         elif now - self._received_at >= QUIET_S:
             self._pinged_at = now
             self._writer.write(encode_frame(Ping()))
-        return self._received_at
+        return LinkState(self._received_at, self._freshness)
 
     async def open(self) -> None:
         """Open the stream if it is not; raises OSError or TimeoutError."""
@@ -149,27 +156,36 @@
 
     def _take(self, reply: FromPeer) -> None:
         self._received_at = time.monotonic()
-        if not isinstance(reply, GatherReply):
+        self._freshness = Freshness(reply.revision, reply.age_ms / MS_PER_S)
+        if isinstance(reply, Pong):
             return
         waiting = self._waiting.get(reply.number)
-        if waiting is None:
-            return
-        waiting.put_nowait(
-            BatchAnswered(
+        if waiting is not None:
+            waiting.put_nowait(_outcome_of(reply))
+
+
+def _outcome_of(reply: GatherReply | GatherDeclined) -> BatchOutcome:
+    match reply:
+        case GatherReply():
+            return BatchAnswered(
                 signatures=reply.signatures,
                 body=reply.body,
                 bodies=reply.bodies,
-                not_sent=frozenset(reply.not_sent),
                 failed=frozenset(reply.failed),
                 final=reply.final,
                 work_s=reply.work_s,
-            ),
-        )
+            )
+        case GatherDeclined():
+            waits = reply.room_after_ms.items()
+            return BatchDeclined(
+                {service: wait_ms / MS_PER_S for service, wait_ms in waits},
+                final=reply.final,
+            )
 
 
 def _is_final(outcome: BatchOutcome) -> bool:
     match outcome:
-        case BatchAnswered(final=final):
+        case BatchAnswered(final=final) | BatchDeclined(final=final):
             return final
         case BatchLost():
             return True
@@ -211,8 +227,8 @@
             async for outcome in replies:
                 yield outcome
 
-    async def check(self, addresses: set[str]) -> dict[str, float]:
-        """Give when each host was heard; open and close streams."""
+    async def check(self, addresses: set[str]) -> dict[str, LinkState]:
+        """Give what was heard of each host; open and close streams."""
         for address in self._links.keys() - addresses:
             self._links.pop(address).close('link.unregistered')
         links = {
--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -62,14 +62,33 @@
     body: bytes
     #: The greatest records of each shard by service, if they are not.
     bodies: dict[str, bytes]
-    #: Services whose shards did not get the request.
-    not_sent: tuple[str, ...]
     #: Services whose shards ended without an answer.
     failed: tuple[str, ...]
     #: False if late shards may still follow in further replies.
     final: bool
     #: Work of the shards that answered, in seconds.
     work_s: float
+    #: Last revision of the store that the host knows, and the time since
+    #: the store last answered it, in milliseconds.
+    revision: int
+    age_ms: int
+
+
+class GatherDeclined(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='declined',
+):
+    """Shards that do not get the request."""
+
+    number: int
+    #: Time after which a shard may have room, in milliseconds, by service.
+    room_after_ms: dict[str, int]
+    #: True if no other shard got the request either.
+    final: bool
+    revision: int
+    age_ms: int
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag='ping'):
@@ -79,9 +98,12 @@
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag='pong'):
     """The stream is alive."""
 
+    revision: int
+    age_ms: int
+
 
 ToPeer = GatherRequest | GatherCancel | Ping
-FromPeer = GatherReply | Pong
+FromPeer = GatherReply | GatherDeclined | Pong
 
 _encoder = msgspec.msgpack.Encoder()
 _to_peer_decoder: msgspec.msgpack.Decoder[ToPeer] = msgspec.msgpack.Decoder(
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -4,7 +4,7 @@
 import itertools
 import socket
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -20,9 +20,9 @@
     encode_frame,
 )
 from oriolestage.entry._shard_gathering import (
+    ReplyWriter,
     Shard,
     log_served,
-    reply_of,
     send_late,
     shards_in_time,
 )
@@ -35,14 +35,24 @@
     NotRunReason,
     TargetAnswer,
 )
+from oriolestage.relay._beliefs import Freshness
 from oriolestage.relay._knowledge import Knowledge
 from oriolestage.relay._placement import Placement
-from oriolestage.relay._placement_types import Chosen, Wanted
+from oriolestage.relay._placement_types import (
+    Chosen,
+    NoRoom,
+    NoTarget,
+    Wanted,
+)
 from oriolestage.relay._stragglers import WorkWatch
 from oriolestage.relay._targets import KnownTarget
 
 #: Attempts for other hosts are numbered apart from those for callers.
 FIRST_ATTEMPT = 1_000_000_000_000
+#: Time for which a service without a target here is not asked for again, in
+#: seconds: registrations take some tenths of a second to reach all hosts.
+NO_TARGET_WAIT_S = 0.5
+MS_PER_S = 1000
 
 
 class PeerServer:
@@ -53,8 +63,10 @@
         knowledge: Knowledge,
         placement: Placement,
         client: TargetClient,
+        freshness: Callable[[], Freshness],
     ) -> None:
-        """Prepare the server."""
+        """Prepare the server; replies tell ``freshness``."""
+        self._freshness = freshness
         self._knowledge = knowledge
         self._placement = placement
         self._client = client
@@ -120,21 +132,31 @@
                 running[number] = task
                 task.add_done_callback(lambda _: running.pop(number, None))
             case Ping():
-                writer.write(encode_frame(Pong()))
+                writer.write(encode_frame(self._pong()))
             case GatherCancel(number=number):
                 cancelled = running.get(number)
                 if cancelled is not None:
                     cancelled.cancel()
 
+    def _pong(self) -> Pong:
+        freshness = self._freshness()
+        return Pong(freshness.revision, int(freshness.age_s * MS_PER_S))
+
     async def _answer(
         self,
         request: GatherRequest,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Send what is in time, then each late shard as it comes."""
+        """Send what is in time, then each late shard as it comes.
+
+        Shards without room are declined at once.
+        """
         started = time.monotonic()
         watch = WorkWatch(len(request.services), request.work_s)
-        chosen = self._choose(request, started)
+        replies = ReplyWriter(request, writer, self._freshness)
+        chosen, declined = self._choose(request, started)
+        if declined:
+            replies.decline(declined, final=not chosen)
         pending = {
             asyncio.create_task(self._attempt(request, service, target, watch))
             for service, target in chosen.items()
@@ -145,13 +167,14 @@
                 pending, watch, started, request.late_s
             )
             log_served(request, shards, len(chosen), watch, started)
-            reply = msgspec.structs.replace(
-                reply_of(request, shards, watch.work_s),
-                not_sent=tuple(set(request.services) - chosen.keys()),
-                final=not pending,
-            )
-            writer.write(encode_frame(reply))
-            await send_late(request, pending, watch, writer)
+            if shards or pending:
+                replies.answer(
+                    shards,
+                    watch.work_s,
+                    merged=request.merged,
+                    final=not pending,
+                )
+            await send_late(pending, watch, replies)
         finally:
             for task in tasks:
                 task.cancel()
@@ -161,10 +184,14 @@
         self,
         request: GatherRequest,
         now: float,
-    ) -> Mapping[str, KnownTarget]:
-        """Choose a target for each shard that has one with room."""
+    ) -> tuple[Mapping[str, KnownTarget], Mapping[str, float]]:
+        """Choose a target for each shard that has one with room.
+
+        For the others give the time after which one may have, in seconds.
+        """
         table = self._knowledge.table
         chosen: dict[str, KnownTarget] = {}
+        declined: dict[str, float] = {}
         for service in request.services:
             rule = None if table is None else table.services.get(service)
             wanted = Wanted(
@@ -175,9 +202,14 @@
                 warm_up_rate=0 if rule is None else rule.warm_up_rate,
             )
             placed = self._placement.choose(wanted, (), now)
-            if isinstance(placed, Chosen):
-                chosen[service] = placed.target
-        return chosen
+            match placed:
+                case Chosen(target=target):
+                    chosen[service] = target
+                case NoRoom(wait_s=wait_s):
+                    declined[service] = wait_s
+                case NoTarget():
+                    declined[service] = NO_TARGET_WAIT_S
+        return chosen, declined
 
     async def _attempt(
         self,
@@ -204,7 +236,7 @@
                 ),
             )
         except asyncio.CancelledError:
-            self._placement.note_abandoned(
+            self._placement.seen.note_abandoned(
                 target,
                 attempt,
                 watch.late_s,
@@ -223,16 +255,18 @@
         now = time.monotonic()
         match outcome:
             case AttemptAnswered(answer=answer) if answer.success:
-                worked_s = self._placement.note_answer(target, attempt, now)
+                worked_s = self._placement.seen.note_answer(
+                    target, attempt, now
+                )
                 watch.note_answer(target, worked_s)
                 return answer
             case AttemptAnswered() | AttemptNotRun(reason=NotRunReason.SHED):
-                self._placement.note_failure(target, attempt, now)
+                self._placement.seen.note_failure(target, attempt, now)
             case AttemptNotRun(reason=reason):
-                self._placement.note_not_reached(target, attempt, now)
+                self._placement.seen.note_not_reached(target, attempt, now)
                 target.replaced |= reason == NotRunReason.OTHER_TARGET
             case AttemptLost(step=step):
-                self._placement.note_lost(target, attempt, now)
+                self._placement.seen.note_lost(target, attempt, now)
                 log_event(
                     'attempt_failed',
                     {'step': step, 'peer': target.record.address},
--- a/oriolestage/entry/_request_log.py
+++ b/oriolestage/entry/_request_log.py
@@ -16,6 +16,7 @@
 )
 from oriolestage.relay._run_types import (
     BatchAnswered,
+    BatchDeclined,
     BatchLost,
     BatchOutcome,
     SendAttempt,
@@ -144,6 +145,8 @@
             return step
         case BatchAnswered(signatures=signatures):
             return f'answered_{len(signatures)}'
+        case BatchDeclined(room_after_s=room_after_s):
+            return f'declined_{len(room_after_s)}'
 
 
 def _outcome_text(verdict: Verdict | str) -> str:
--- a/oriolestage/entry/_shard_gathering.py
+++ b/oriolestage/entry/_shard_gathering.py
@@ -2,17 +2,19 @@
 
 import asyncio
 import dataclasses
+import math
 import time
-
-import msgspec
+from collections.abc import Callable, Mapping
 
 from oriolestage._logging import log_event
 from oriolestage.entry._peer_messages import (
+    GatherDeclined,
     GatherReply,
     GatherRequest,
     encode_frame,
 )
 from oriolestage.relay._answers import TargetAnswer
+from oriolestage.relay._beliefs import Freshness
 from oriolestage.relay._merge import merge_records
 from oriolestage.relay._stragglers import WorkWatch
 
@@ -48,23 +50,6 @@
     return shards
 
 
-async def send_late(
-    request: GatherRequest,
-    pending: set[asyncio.Task[Shard]],
-    watch: WorkWatch,
-    writer: asyncio.StreamWriter,
-) -> None:
-    """Send each late shard as it comes, by itself."""
-    unmerged = msgspec.structs.replace(request, merged=False)
-    while pending:
-        shards = await _next_done(pending)
-        reply = msgspec.structs.replace(
-            reply_of(unmerged, shards, watch.work_s),
-            final=not pending,
-        )
-        writer.write(encode_frame(reply))
-
-
 async def _next_done(
     pending: set[asyncio.Task[Shard]],
     limit_s: float | None = None,
@@ -101,35 +86,93 @@
     )
 
 
-def reply_of(
-    request: GatherRequest,
-    shards: list[Shard],
-    work_s: float,
-) -> GatherReply:
-    """Give the reply for the shards that are over."""
-    signatures: dict[str, str] = {}
-    bodies: dict[str, bytes] = {}
-    failed: list[str] = []
-    for shard in shards:
-        if shard.answer is None:
-            failed.append(shard.service)
-            continue
-        signatures[shard.service] = shard.answer.signature
-        bodies[shard.service] = merge_records(
-            [shard.answer.body],
-            request.top_records,
+class ReplyWriter:
+    """Writes the replies to one batch on its stream."""
+
+    def __init__(
+        self,
+        request: GatherRequest,
+        writer: asyncio.StreamWriter,
+        freshness: Callable[[], Freshness],
+    ) -> None:
+        """Reply to ``request``; replies tell how new this host's view is."""
+        self._request = request
+        self._writer = writer
+        self._freshness = freshness
+
+    def decline(
+        self, room_after_s: Mapping[str, float], *, final: bool
+    ) -> None:
+        """Name the shards that do not get the request."""
+        freshness = self._freshness()
+        self._write(
+            GatherDeclined(
+                number=self._request.number,
+                room_after_ms={
+                    service: math.ceil(wait_s * MS_PER_S)
+                    for service, wait_s in room_after_s.items()
+                },
+                final=final,
+                revision=freshness.revision,
+                age_ms=int(freshness.age_s * MS_PER_S),
+            ),
+        )
+
+    def answer(
+        self,
+        shards: list[Shard],
+        work_s: float,
+        *,
+        merged: bool,
+        final: bool,
+    ) -> None:
+        """Give the records and signatures of the shards that are over."""
+        signatures: dict[str, str] = {}
+        bodies: dict[str, bytes] = {}
+        failed: list[str] = []
+        for shard in shards:
+            if shard.answer is None:
+                failed.append(shard.service)
+                continue
+            signatures[shard.service] = shard.answer.signature
+            bodies[shard.service] = merge_records(
+                [shard.answer.body],
+                self._request.top_records,
+            )
+        body = b''
+        if merged:
+            body = merge_records(bodies.values(), self._request.top_records)
+            bodies = {}
+        freshness = self._freshness()
+        self._write(
+            GatherReply(
+                number=self._request.number,
+                signatures=signatures,
+                body=body,
+                bodies=bodies,
+                failed=tuple(failed),
+                final=final,
+                work_s=work_s,
+                revision=freshness.revision,
+                age_ms=int(freshness.age_s * MS_PER_S),
+            ),
+        )
+
+    def _write(self, reply: GatherReply | GatherDeclined) -> None:
+        self._writer.write(encode_frame(reply))
+
+
+async def send_late(
+    pending: set[asyncio.Task[Shard]],
+    watch: WorkWatch,
+    replies: ReplyWriter,
+) -> None:
+    """Send each late shard as it comes, by itself."""
+    while pending:
+        shards = await _next_done(pending)
+        replies.answer(
+            shards,
+            watch.work_s,
+            merged=False,
+            final=not pending,
         )
-    body = b''
-    if request.merged:
-        body = merge_records(bodies.values(), request.top_records)
-        bodies = {}
-    return GatherReply(
-        number=request.number,
-        signatures=signatures,
-        body=body,
-        bodies=bodies,
-        not_sent=(),
-        failed=tuple(failed),
-        final=False,
-        work_s=work_s,
-    )
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -13,7 +13,8 @@
     StoreError,
 )
 from oriolestage.relay._facts import HostRecord
-from oriolestage.relay._knowledge import BeliefChanged, Knowledge
+from oriolestage.relay._beliefs import BeliefChanged, Freshness
+from oriolestage.relay._knowledge import Knowledge
 from oriolestage.relay._targets import TargetDirectory
 
 #: Longest wait of one call for changes, as a part of the time after which
@@ -55,6 +56,7 @@
         self._knowledge = knowledge
         self._directory = directory
         self._revision: int | None = None
+        self._known_revision = 0
         self._answered_at = time.monotonic()
         self._lost_since: float | None = None
         self._pause_s = RETRY_PAUSE_S
@@ -65,6 +67,11 @@
         """Time since the store last answered or was known to listen."""
         return time.monotonic() - self._answered_at
 
+    @property
+    def freshness(self) -> Freshness:
+        """How new the knowledge is; revision 0 before the first reading."""
+        return Freshness(self._known_revision, self.age_s)
+
     async def first_read(self, limit_s: float) -> bool:
         """Wait until the store was read; tell whether it was in time."""
         try:
@@ -100,7 +107,7 @@
             self._log(
                 self._knowledge.replace_all(view.facts, time.monotonic()),
             )
-            self._revision = view.revision
+            self._note_revision(view.revision)
             self._first_read.set()
             return
         changes = await self._store.changes_after(
@@ -111,10 +118,14 @@
         now = time.monotonic()
         for fact in changes.facts:
             self._log(self._knowledge.apply(fact, now))
-        self._revision = changes.revision
+        self._note_revision(changes.revision)
         if changes.facts:
             await asyncio.sleep(GATHER_PAUSE_S)
 
+    def _note_revision(self, revision: int) -> None:
+        self._revision = revision
+        self._known_revision = revision
+
     def _note_answer(self) -> None:
         now = time.monotonic()
         self._pause_s = RETRY_PAUSE_S
--- a/oriolestage/relay/_batch_replies.py
+++ b/oriolestage/relay/_batch_replies.py
@@ -10,21 +10,18 @@
 from oriolestage.relay._answers import GiveUpReason, TargetAnswer
 from oriolestage.relay._dispatch import Dispatch
 from oriolestage.relay._first_wave import Batch
-from oriolestage.relay._parts import SHED_LIMIT, Part
+from oriolestage.relay._parts import Part
 from oriolestage.relay._peers import PeerBook
 from oriolestage.relay._placement import Placement
 from oriolestage.relay._run_types import (
     Action,
     BatchAnswered,
+    BatchDeclined,
     BatchLost,
     BatchOutcome,
 )
 from oriolestage.relay._stragglers import WorkWatch
 
-#: Time until a shard without room is placed again, times the refusals so
-#: far, in seconds.
-PLACE_AGAIN_S = 0.01
-
 
 @dataclasses.dataclass(slots=True)
 class BatchEffect:
@@ -78,6 +75,11 @@
                     self._take_part(part, number, batch, outcome, now, effect)
                 if outcome.final:
                     self._end(number, batch)
+            case BatchDeclined():
+                batch.replied = True
+                self._decline(number, batch, outcome, now, effect)
+                if outcome.final:
+                    self._end(number, batch)
             case BatchLost(not_sent=not_sent):
                 self._peers.note_silent(batch.peer.name, now)
                 self._lose(number, batch, not_sent=not_sent, effect=effect)
@@ -119,15 +121,7 @@
         attempt = self._dispatch.batched(part, number)
         if attempt is None:
             return
-        if part.service in outcome.not_sent:
-            self._dispatch.drop_batched(part, number)
-            self._note(part, batch, now, late=True)
-            part.arrivals -= 1
-            part.sheds += 1
-            part.reason = GiveUpReason.NO_ROOM
-            part.place_at = now + PLACE_AGAIN_S * part.sheds
-            part.given_up = part.sheds >= SHED_LIMIT
-        elif part.service in outcome.failed:
+        if part.service in outcome.failed:
             self._dispatch.drop_batched(part, number)
             part.may_have_run += 1
             part.reason = GiveUpReason.LOST
@@ -168,6 +162,33 @@
             late=late,
         )
 
+    def _decline(
+        self,
+        number: int,
+        batch: Batch,
+        outcome: BatchDeclined,
+        now: float,
+        effect: BatchEffect,
+    ) -> None:
+        """Place shards elsewhere that have no room in the region."""
+        for position in batch.positions:
+            part = self._parts[position]
+            room_after_s = outcome.room_after_s.get(part.service)
+            if room_after_s is None:
+                continue
+            self._placement.note_declined(
+                part.service,
+                batch.region,
+                room_after_s,
+                now,
+            )
+            if self._dispatch.batched(part, number) is None:
+                continue
+            self._dispatch.drop_batched(part, number)
+            part.arrivals -= 1
+            part.reason = GiveUpReason.NO_ROOM
+            effect.ended.append(part)
+
     def _lose(
         self,
         number: int,
--- /dev/null
+++ b/oriolestage/relay/_beliefs.py
@@ -0,0 +1,21 @@
+"""Changes of what a host believes, for its log."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BeliefChanged:
+    """A change of what the host believes, with what decided it."""
+
+    event: str
+    fields: tuple[tuple[str, object], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Freshness:
+    """How new a host's knowledge of the store is."""
+
+    #: Last revision of the store that the host took in.
+    revision: int
+    #: Time since the store last answered the host, in seconds.
+    age_s: float
--- a/oriolestage/relay/_dispatch.py
+++ b/oriolestage/relay/_dispatch.py
@@ -133,7 +133,7 @@
                 continue
             part.live.pop(attempt)
             self._of_attempt.pop(attempt, None)
-            self._placement.note_abandoned(
+            self._placement.seen.note_abandoned(
                 sent.target,
                 attempt,
                 self._watch.late_s,
@@ -177,7 +177,7 @@
         merged: bool,
     ) -> SendBatch:
         number = self._next_attempt()
-        way_s = self._placement.way_to_region_s(batch.region)
+        way_s = self._placement.seen.way_to_region_s(batch.region)
         batch.sent_at = now
         batch.way_s = way_s
         way_s += PEER_MARGIN_S
@@ -217,7 +217,7 @@
         part = self._parts[launch.position]
         placed = launch.placed
         attempt = self._next_attempt()
-        way_s = self._placement.way_s(placed.target)
+        way_s = self._placement.seen.way_s(placed.target)
         part.live[attempt] = Attempt(now, way_s, placed.target)
         part.tried.add(placed.target.record.identity)
         part.arrivals += 1
--- a/oriolestage/relay/_knowledge.py
+++ b/oriolestage/relay/_knowledge.py
@@ -4,9 +4,9 @@
 never gives way to an older version.
 """
 
-import dataclasses
 from collections.abc import Iterable
 
+from oriolestage.relay._beliefs import BeliefChanged
 from oriolestage.relay._facts import (
     ConfigurationStored,
     DataCentreClosed,
@@ -30,14 +30,6 @@
 HOST_KEPT_S = 12.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BeliefChanged:
-    """A change of what the host believes, for its log."""
-
-    event: str
-    fields: tuple[tuple[str, object], ...]
-
-
 class Knowledge:
     """Takes in facts and answers what they add up to."""
 
--- a/oriolestage/relay/_peers.py
+++ b/oriolestage/relay/_peers.py
@@ -4,12 +4,16 @@
 another region: one request to a host there replaces an exchange across
 regions for each shard. And some hosts are slow or cut off: a host that did
 not answer in time is left alone until its stream is heard again, so that
-queries are not spent on trying it, and the quickest host is asked first.
+queries are not spent on trying it, and the quickest host is asked first. A
+host that lost the store does not know new targets: it is not asked while it
+is behind this one.
 """
 
 import dataclasses
+import enum
 from collections.abc import Iterable
 
+from oriolestage.relay._beliefs import Freshness
 from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._placement_types import HostPlace
 
@@ -27,6 +31,29 @@
 OVERHEAD_DECAY = 0.1
 
 
+#: A host is behind if it did not hear the store for this much longer than
+#: this one, in seconds, and lacks a revision. Watches are answered or end
+#: within that time.
+BEHIND_S = 3.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkState:
+    """What was last heard on the stream to a host."""
+
+    #: Steady time at which anything was heard.
+    heard_at: float
+    freshness: Freshness
+
+
+class PeerState(enum.Enum):
+    """Whether another host can gather for this one."""
+
+    HEARD = 'heard'
+    SILENT = 'silent'
+    BEHIND = 'behind'
+
+
 @dataclasses.dataclass(slots=True)
 class _Peer:
     record: HostRecord
@@ -38,6 +65,15 @@
     heard: bool = True
     #: Steady time at which it was found silent.
     silent_at: float = float('-inf')
+    #: True while it lacks revisions of the store that this host knows.
+    behind: bool = False
+
+    @property
+    def state(self) -> PeerState:
+        """Whether the host can be asked."""
+        if not self.heard:
+            return PeerState.SILENT
+        return PeerState.BEHIND if self.behind else PeerState.HEARD
 
     @property
     def cost_s(self) -> float:
@@ -78,20 +114,12 @@
         """Choose a host of a region; None if none answers."""
         best: _Peer | None = None
         for peer in self._peers.values():
-            if peer.region != region or not peer.heard:
+            if peer.region != region or peer.state != PeerState.HEARD:
                 continue
             if best is None or peer.cost_s < best.cost_s:
                 best = peer
         return None if best is None else best.record
 
-    def is_heard(self, address: str) -> bool:
-        """Tell whether the host at an address is heard."""
-        return any(
-            peer.heard
-            for peer in self._peers.values()
-            if peer.record.peer_address == address
-        )
-
     def note_sent(self, name: str) -> None:
         """Note a request to a host."""
         peer = self._peers.get(name)
@@ -118,17 +146,28 @@
             peer.heard = False
             peer.silent_at = now
 
-    def note_stream(self, address: str, heard_at: float, now: float) -> bool:
-        """Note when a stream was last heard; tell whether that is news."""
+    def note_link(
+        self,
+        address: str,
+        link: LinkState,
+        own: Freshness,
+        now: float,
+    ) -> PeerState | None:
+        """Note what was heard on a stream; give the state if it changed."""
         for peer in self._peers.values():
             if peer.record.peer_address != address:
                 continue
             peer.overhead_s += OVERHEAD_DECAY * (
                 PRIOR_OVERHEAD_S - peer.overhead_s
             )
-            fresh = now - heard_at < STREAM_FRESH_S
-            heard = fresh and heard_at > peer.silent_at
-            changed = peer.heard != heard
-            peer.heard = heard
-            return changed
-        return False
+            before = peer.state
+            fresh = now - link.heard_at < STREAM_FRESH_S
+            peer.heard = fresh and link.heard_at > peer.silent_at
+            peer.behind = _is_behind(link.freshness, own)
+            return None if peer.state == before else peer.state
+        return None
+
+
+def _is_behind(other: Freshness, own: Freshness) -> bool:
+    lacks = other.revision < own.revision
+    return lacks and other.age_s > own.age_s + BEHIND_S
--- a/oriolestage/relay/_request_run.py
+++ b/oriolestage/relay/_request_run.py
@@ -66,7 +66,7 @@
         self._parts = tuple(
             Part(position, part) for position, part in enumerate(parts)
         )
-        self._watch = WorkWatch(len(parts), placement.work_s(rule.name))
+        self._watch = WorkWatch(len(parts), placement.seen.work_s(rule.name))
         self._least = least_parts(rule.destination, len(parts))
         self._finished = False
         self._hedges = 0
@@ -133,25 +133,25 @@
         match outcome:
             case AttemptAnswered(answer=answer):
                 if answer.status >= SERVER_ERRORS:
-                    self._placement.note_failure(target, attempt, now)
+                    self._placement.seen.note_failure(target, attempt, now)
                 else:
                     self._watch.note_answer(
                         target,
-                        self._placement.note_answer(target, attempt, now),
+                        self._placement.seen.note_answer(target, attempt, now),
                     )
                 return self._on_answer(part, answer, now)
             case AttemptNotRun(reason=NotRunReason.SHED):
-                self._placement.note_failure(target, attempt, now)
+                self._placement.seen.note_failure(target, attempt, now)
                 part.sheds += 1
                 part.reason = GiveUpReason.SHED
             case AttemptNotRun(reason=reason):
-                self._placement.note_not_reached(target, attempt, now)
+                self._placement.seen.note_not_reached(target, attempt, now)
                 if reason == NotRunReason.OTHER_TARGET:
                     target.replaced = True
                 else:
                     part.arrivals -= 1
             case AttemptLost():
-                self._placement.note_lost(target, attempt, now)
+                self._placement.seen.note_lost(target, attempt, now)
                 part.may_have_run += 1
                 part.reason = GiveUpReason.LOST
         self._repeat(part, now)
--- a/oriolestage/relay/_run_types.py
+++ b/oriolestage/relay/_run_types.py
@@ -1,6 +1,7 @@
 """What a run of a request is given and what it asks for."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from oriolestage.relay._answers import Verdict
 from oriolestage.relay._extra_budget import ExtraBudget
@@ -94,8 +95,6 @@
     body: bytes
     #: The greatest records of each shard by service, if they are not.
     bodies: dict[str, bytes]
-    #: Services whose shards certainly did not get the request.
-    not_sent: frozenset[str]
     #: Services whose shards ended without an answer.
     failed: frozenset[str]
     #: False if late shards may still be answered.
@@ -104,6 +103,19 @@
     work_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BatchDeclined:
+    """Shards that the other host has no room or no target for.
+
+    They certainly did not get the request.
+    """
+
+    #: Time after which a shard may have room, in seconds, by service.
+    room_after_s: Mapping[str, float]
+    #: True if nothing else of the batch follows.
+    final: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BatchLost:
     """The other host gave no answer; its shards may have run."""
@@ -114,4 +126,4 @@
     not_sent: bool
 
 
-BatchOutcome = BatchAnswered | BatchLost
+BatchOutcome = BatchAnswered | BatchDeclined | BatchLost
--- a/oriolestage/relay/_stragglers.py
+++ b/oriolestage/relay/_stragglers.py
@@ -6,9 +6,8 @@
 answered, only a much longer wait than usual counts as late.
 """
 
-import itertools
+import bisect
 import math
-import statistics
 
 from oriolestage.relay._placement import Placement
 from oriolestage.relay._targets import KnownTarget
@@ -34,6 +33,7 @@
         """Start without answers; ``usual_s`` is the route's usual work."""
         self._parts = parts
         self._usual_s = usual_s
+        #: In rising order.
         self._worked: list[float] = []
         self._by_target: list[tuple[KnownTarget, float]] = []
         self._late_s = self._usual_late_s()
@@ -54,7 +54,7 @@
         """Work of this request, in seconds; usual work before answers."""
         if not self._worked:
             return self._usual_s
-        return statistics.median(self._worked)
+        return self._median_s()
 
     def note_answer(self, target: KnownTarget, worked_s: float) -> None:
         """Note the work that a target's answer took."""
@@ -63,9 +63,10 @@
 
     def note_work(self, worked_s: float, answers: int) -> None:
         """Note work that another host saw."""
-        self._worked.extend(itertools.repeat(worked_s, answers))
+        for _ in range(answers):
+            bisect.insort(self._worked, worked_s)
         if self.compared:
-            sibling_s = statistics.median(self._worked)
+            sibling_s = self._median_s()
             self._late_s = sibling_s * SIBLING_FACTOR + SIBLING_MARGIN_S
 
     def settle(self, placement: Placement, route: str, now: float) -> None:
@@ -76,8 +77,15 @@
         if self._parts == 1:
             work_s = self._usual_s
         for target, worked_s in self._by_target:
-            placement.note_slowness(target, worked_s / work_s, now)
-        placement.note_work(route, self.work_s)
+            placement.seen.note_slowness(target, worked_s / work_s, now)
+        placement.seen.note_work(route, self.work_s)
+
+    def _median_s(self) -> float:
+        # The statistics module takes a tenth of the start to import.
+        middle = len(self._worked) // 2
+        if len(self._worked) % 2:
+            return self._worked[middle]
+        return (self._worked[middle - 1] + self._worked[middle]) / 2
 
     def _usual_late_s(self) -> float:
         factor = USUAL_FACTOR_SINGLE
--- a/oriolestage/relay/_target_load.py
+++ b/oriolestage/relay/_target_load.py
@@ -47,6 +47,7 @@
         self._silent_since = float('-inf')
         self._paused_until = float('-inf')
         self._down_until = float('-inf')
+        self._full_until = float('-inf')
         self._backoff_s = BACKOFF_S
 
     @property
@@ -59,6 +60,16 @@
         """Steady time until which the target is left alone."""
         return self._down_until
 
+    @property
+    def left_alone(self) -> bool:
+        """Tell whether it was lost and has not answered since."""
+        return self._backoff_s > BACKOFF_S
+
+    @property
+    def full_until(self) -> float:
+        """Steady time until which another host found no room at it."""
+        return self._full_until
+
     def is_down(self, now: float) -> bool:
         """Tell whether the target gets no work now.
 
@@ -66,7 +77,7 @@
         """
         if now < self._down_until:
             return True
-        return self._backoff_s > BACKOFF_S and bool(self._outstanding)
+        return self.left_alone and bool(self._outstanding)
 
     def slowness(self, now: float) -> float:
         """Give how many times the usual work the target takes."""
@@ -131,6 +142,10 @@
         self._slowness = min(LATE_SLOWNESS_LIMIT, doubled)
         self._slowness_at = now
 
+    def note_full(self, until: float) -> None:
+        """Note that another host has no room for attempts at the target."""
+        self._full_until = max(self._full_until, until)
+
     def note_abandoned(self, attempt: int, now: float, late_s: float) -> None:
         """Note an attempt that was given up; it was late after ``late_s``."""
         sent_at = self._outstanding.pop(attempt, now)
--- a/trial/processes.py
+++ b/trial/processes.py
@@ -33,6 +33,8 @@
 READY_TIMEOUT_S = 30.0
 #: Longest wait for a process to end by itself, in seconds.
 END_TIMEOUT_S = 20.0
+#: Log lines of a process that a failed test shows.
+SHOWN_LOG_LINES = 40
 
 
 class Trial:
@@ -237,6 +239,13 @@
         """Give one process of the trial."""
         return self._processes[name]
 
+    def describe(self, name: str) -> str:
+        """Give exit code and last log lines of one process."""
+        log = (self._folder / f'{name}.log').read_text('utf-8', 'replace')
+        last_lines = '\n'.join(log.splitlines()[-SHOWN_LOG_LINES:])
+        code = self._processes[name].returncode
+        return f'{name}: exit code {code}, last log lines:\n{last_lines}'
+
     async def kill(self, name: str) -> None:
         """End one process without warning."""
         process = self._processes.pop(name)
