--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -7,8 +7,6 @@
 import time
 from collections.abc import Callable
 
-import aiomisc
-
 from oriolestage._logging import log_event
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._control_server import ControlServer
@@ -20,6 +18,7 @@
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._settings import EntrySettings, EntrySettingsError
 from oriolestage.entry._store_follower import HostRegistration, StoreFollower
+from oriolestage.entry._supervision import keep_running
 from oriolestage.entry._target_client import TargetClient
 from oriolestage.relay._beliefs import BeliefChanged
 from oriolestage.relay._facts import HostRecord
@@ -75,23 +74,21 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.set_exception_handler(_log_loop_error)
     host = _wire(settings, store, exchange)
-    async with aiomisc.entrypoint(
-        catch_signals=(),
-        log_config=False,
-        pool_size=1,
-    ):
-        tasks = (
-            asyncio.create_task(host.follower.run()),
-            asyncio.create_task(host.follower.expire()),
-            asyncio.create_task(host.registration.run()),
-            asyncio.create_task(_keep_links(host)),
-        )
-        await _listen(host)
-        await stop.wait()
-        left = await _drain(host)
-        for task in tasks:
-            task.cancel()
-        await _close(host, store)
+    works = (
+        ('follow_store', host.follower.run),
+        ('expire', host.follower.expire),
+        ('register', host.registration.run),
+        ('links', lambda: _keep_links(host)),
+    )
+    tasks = [
+        asyncio.create_task(keep_running(name, work)) for name, work in works
+    ]
+    await _listen(host)
+    await stop.wait()
+    left = await _drain(host)
+    for task in tasks:
+        task.cancel()
+    await _close(host, store)
     log_event('stopped', {'step': 'stop', 'cut': left})
     return 0
 
--- /dev/null
+++ b/oriolestage/entry/tests/test_supervision.py
@@ -0,0 +1,29 @@
+"""Tests of keeping background work running."""
+
+import asyncio
+import unittest
+
+from oriolestage.entry._supervision import RESTART_PAUSE_S, keep_running
+
+
+class KeepRunningTest(unittest.IsolatedAsyncioTestCase):
+    """Work that fails is logged and starts again."""
+
+    async def test_failed_work(self) -> None:
+        """An unforeseen error does not end the work for good."""
+        runs = asyncio.Queue[int]()
+
+        async def work() -> None:
+            runs.put_nowait(1)
+            if runs.qsize() < 2:
+                raise ValueError('unforeseen')
+            await asyncio.Event().wait()
+
+        kept = asyncio.create_task(keep_running('work', work))
+        async with asyncio.timeout(RESTART_PAUSE_S * 10):
+            while runs.qsize() < 2:
+                await asyncio.sleep(RESTART_PAUSE_S / 10)
+        self.assertFalse(kept.done())
+        kept.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await kept
--- a/oriolestage/platform/__main__.py
+++ b/oriolestage/platform/__main__.py
@@ -1,67 +1,17 @@
 """The entry host on the platform: ``python3 -m oriolestage.platform``."""
 
-import functools
-import os
+import gc
 import sys
-from pathlib import Path
-
-from oriolestage._event_loop import forbid_io_uring
-from oriolestage._logging import log_event, start_logging
-from oriolestage.entry._settings import EntrySettings, EntrySettingsError
-from oriolestage.platform._settings import load_settings, settings_path
-
-#: Exit code for settings that cannot be used.
-EXIT_BAD_SETTINGS = 2
-
-#: The HTTP library reads the certificates of all authorities when it is
-#: imported, which takes a tenth of a second; nothing here uses TLS.
-CERTIFICATES_VARIABLE = 'SSL_CERT_FILE'
 
 
 def main() -> int:
-    """Run an entry host with the settings that the platform names."""
-    try:
-        path = settings_path()
-        settings = load_settings(path)
-    except EntrySettingsError as error:
-        sys.stderr.write(f'oriolestage: {error}\n')
-        return EXIT_BAD_SETTINGS
-    forbid_io_uring()
-    os.environ[CERTIFICATES_VARIABLE] = os.devnull
-    start_logging()
-    # Imported late, because the loop's library reads its switch early.
-    import uvloop  # noqa: PLC0415
-
-    from oriolestage.entry._composition import (  # noqa: PLC0415
-        run_entry_host,
-    )
-    from oriolestage.platform._exchange import (  # noqa: PLC0415
-        PlatformExchange,
-    )
-    from oriolestage.platform._store import StoreClient  # noqa: PLC0415
-
-    try:
-        return uvloop.run(
-            run_entry_host(
-                settings,
-                StoreClient(settings.store_address),
-                PlatformExchange(),
-                functools.partial(_reload, path, settings),
-            ),
-        )
-    except EntrySettingsError as error:
-        log_event('start_failed', {'step': 'start', 'error': error})
-        return EXIT_BAD_SETTINGS
-
+    """Run an entry host; give the exit code."""
+    # A host that was killed serves again the sooner the less its start takes,
+    # and collections during the imports take a fifth of it.
+    gc.disable()
+    from oriolestage.platform._program import run_program  # noqa: PLC0415
 
-def _reload(path: Path, settings: EntrySettings) -> None:
-    """Check the settings file again; its addresses hold until a stop."""
-    try:
-        changed = load_settings(path) != settings
-    except EntrySettingsError as error:
-        log_event('reload_failed', {'step': 'reload', 'error': error})
-        return
-    log_event('reloaded', {'step': 'reload', 'changed': changed})
+    return run_program()
 
 
 if __name__ == '__main__':
--- a/oriolestage/relay/_stragglers.py
+++ b/oriolestage/relay/_stragglers.py
@@ -81,7 +81,6 @@
         placement.seen.note_work(route, self.work_s)
 
     def _median_s(self) -> float:
-        # The statistics module takes a tenth of the start to import.
         middle = len(self._worked) // 2
         if len(self._worked) % 2:
             return self._worked[middle]
