Lengthen the time without work once for attempts that fail together

When a target fell silent, each attempt that was on its way doubled the time for which it is left alone: 0.25, 0.5, 1, 2 s within 100 ms (log lines `target_left_alone`), though the target was only slow. Ruled out: one target that is silent for seconds (targets at fault answered other hosts meanwhile). Change: an attempt that was sent before the target was left alone does not count again.

--- a/oriolestage/relay/_target_load.py
+++ b/oriolestage/relay/_target_load.py
@@ -47,6 +47,7 @@
         self._silent_since = float('-inf')
         self._paused_until = float('-inf')
         self._down_until = float('-inf')
+        self._left_alone_at = float('-inf')
         self._full_until = float('-inf')
         self._backoff_s = BACKOFF_S
 
@@ -157,7 +158,7 @@
         self._silent_run += 1
         silent_s = now - self._silent_since
         if self._silent_run >= SILENT_RUN and silent_s >= SILENCE_S:
-            self._leave_alone(now)
+            self._leave_alone(sent_at, now)
 
     def note_lost(self, attempt: int, now: float) -> None:
         """Note a broken connection or a damaged answer."""
@@ -166,11 +167,19 @@
 
     def note_not_reached(self, attempt: int, now: float) -> None:
         """Note that no connection could be made."""
-        self._outstanding.pop(attempt, None)
+        sent_at = self._outstanding.pop(attempt, now)
         self._note_failure(now, failed=True)
-        self._leave_alone(now)
+        self._leave_alone(sent_at, now)
+
+    def _leave_alone(self, sent_at: float, now: float) -> None:
+        """Give the target no work for a while, longer each time.
 
-    def _leave_alone(self, now: float) -> None:
+        Attempts that were on their way when it was left alone before tell
+        nothing new.
+        """
+        if sent_at <= self._left_alone_at:
+            return
+        self._left_alone_at = now
         self._down_until = now + self._backoff_s
         self._backoff_s = min(BACKOFF_LIMIT_S, self._backoff_s * 2)
 
--- a/oriolestage/relay/tests/test_target_load.py
+++ b/oriolestage/relay/tests/test_target_load.py
@@ -3,7 +3,10 @@
 import unittest
 
 from oriolestage.relay._target_load import (
+    BACKOFF_S,
     LATE_SLOWNESS_LIMIT,
+    SILENCE_S,
+    SILENT_RUN,
     TargetLoad,
 )
 
@@ -67,6 +70,23 @@
         self._load.note_not_reached(2, 2)
         self.assertGreater(self._load.down_until - 2, first)
 
+    def test_not_reached_together(self) -> None:
+        """Attempts that fail together do not lengthen the time."""
+        for attempt in range(4):
+            self._load.note_sent(attempt, 1)
+        for attempt in range(4):
+            self._load.note_not_reached(attempt, 1.3)
+        self.assertAlmostEqual(self._load.down_until - 1.3, BACKOFF_S)
+
+    def test_silent_together(self) -> None:
+        """Attempts given up after the target was left alone count once."""
+        for attempt in range(SILENT_RUN + 3):
+            self._load.note_sent(attempt, 1 + attempt * 0.01)
+        given_up = 1 + SILENCE_S
+        for attempt in range(SILENT_RUN + 3):
+            self._load.note_abandoned(attempt, given_up, 0.02)
+        self.assertAlmostEqual(self._load.down_until - given_up, BACKOFF_S)
+
     def test_tried_one_at_a_time(self) -> None:
         """A target that was left alone gets one attempt, then more."""
         self._load.note_not_reached(1, 1)
