Listen for callers before the rest of the program is imported

Ruled out: answering earlier (the store has to be read first). Change: the socket for callers is opened as soon as the settings are read. When only one host is down, its callers wait for up to 0.15 s in place of going elsewhere at once; the balancer takes a killed host out after 2 s.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -10,13 +10,14 @@
 from oriolestage._logging import log_event
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._control_server import ControlServer
+from oriolestage.entry._listening import listen_on
 from oriolestage.entry._metrics import EntryMetrics
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_server import PeerServer
 from oriolestage.entry._ports import Exchange, Store
 from oriolestage.entry._relay import Relay
 from oriolestage.entry._request_log import RequestLog
-from oriolestage.entry._settings import EntrySettings, EntrySettingsError
+from oriolestage.entry._settings import EntrySettings
 from oriolestage.entry._store_follower import HostRegistration, StoreFollower
 from oriolestage.entry._supervision import keep_running
 from oriolestage.entry._target_client import TargetClient
@@ -27,8 +28,6 @@
 from oriolestage.relay._placement import Placement
 from oriolestage.relay._targets import TargetDirectory
 
-#: Connections that may wait to be accepted.
-BACKLOG = 1024
 #: Time in which the balancer notices that a host is not ready: two checks a
 #: second apart and their answers, in seconds.
 NOTICE_S = 2.6
@@ -65,8 +64,12 @@
     store: Store,
     exchange: Exchange,
     reload: Callable[[], None],
+    callers: socket.socket,
 ) -> int:
-    """Run one entry host until it is told to stop; give the exit code."""
+    """Run one entry host until it is told to stop; give the exit code.
+
+    ``callers`` listens already; it is served once the store was read.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -83,7 +86,7 @@
     tasks = [
         asyncio.create_task(keep_running(name, work)) for name, work in works
     ]
-    await _listen(host)
+    await _listen(host, callers)
     await stop.wait()
     left = await _drain(host)
     for task in tasks:
@@ -172,13 +175,12 @@
     )
 
 
-async def _listen(host: EntryHost) -> None:
+async def _listen(host: EntryHost, callers: socket.socket) -> None:
     """Accept callers once the store was read, or could not be."""
     settings = host.settings
-    callers = _bind(settings.caller_address)
-    await host.peer_server.start(_bind(settings.peer_address))
-    await host.control.start(_bind(settings.ready_address), ready=True)
-    await host.control.start(_bind(settings.metrics_address), ready=False)
+    await host.peer_server.start(listen_on(settings.peer_address))
+    await host.control.start(listen_on(settings.ready_address), ready=True)
+    await host.control.start(listen_on(settings.metrics_address), ready=False)
     read = await host.follower.first_read(FIRST_READ_LIMIT_S)
     await host.callers.start(callers)
     log_event(
@@ -246,16 +248,3 @@
             'error': repr(context.get('exception')),
         },
     )
-
-
-def _bind(address: str) -> socket.socket:
-    host, _, port = address.rpartition(':')
-    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        listening.bind((host, int(port)))
-    except OSError as error:
-        raise EntrySettingsError(f'{address}: {error.strerror}') from error
-    listening.listen(BACKLOG)
-    listening.setblocking(False)
-    return listening
--- a/oriolestage/platform/_program.py
+++ b/oriolestage/platform/_program.py
@@ -8,6 +8,7 @@
 
 from oriolestage._event_loop import forbid_io_uring
 from oriolestage._logging import log_event, start_logging
+from oriolestage.entry._listening import listen_on
 from oriolestage.entry._settings import EntrySettings, EntrySettingsError
 from oriolestage.platform._settings import load_settings, settings_path
 
@@ -27,6 +28,9 @@
     try:
         path = settings_path()
         settings = load_settings(path)
+        # Callers that come while the rest is imported wait for 0.15 s; when
+        # all hosts were killed, no other host takes them meanwhile.
+        callers = listen_on(settings.caller_address)
     except EntrySettingsError as error:
         sys.stderr.write(f'oriolestage: {error}\n')
         return EXIT_BAD_SETTINGS
@@ -54,6 +58,7 @@
                 StoreClient(settings.store_address),
                 PlatformExchange(),
                 functools.partial(_reload, path, settings),
+                callers,
             ),
         )
     except EntrySettingsError as error:
