Refuse requests that crash targets

Ruled out: counting broken connections alone. Change: a broken connection counts once the target is seen to be down, and only if no target answered that request. After two distinct targets it is refused as not run, with the time that is left. Proofs are shared through the store.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -21,7 +21,9 @@
 from oriolestage.entry._store_follower import HostRegistration, StoreFollower
 from oriolestage.entry._supervision import keep_running
 from oriolestage.entry._target_client import TargetClient
+from oriolestage.entry._watched_targets import CrashReporter, WatchedTargets
 from oriolestage.relay._beliefs import BeliefChanged
+from oriolestage.relay._crash_watch import CrashWatch
 from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._knowledge import Knowledge
 from oriolestage.relay._peers import PeerBook
@@ -52,6 +54,7 @@
     control: ControlServer
     follower: StoreFollower
     registration: HostRegistration
+    crash_reporter: CrashReporter
     client: TargetClient
     peers: PeerBook
     peer_client: PeerClient
@@ -81,6 +84,7 @@
         ('follow_store', host.follower.run),
         ('expire', host.follower.expire),
         ('register', host.registration.run),
+        ('report_crashes', host.crash_reporter.run),
         ('links', lambda: _keep_links(host)),
     )
     tasks = [
@@ -119,8 +123,10 @@
         _log_belief,
     )
     peers = PeerBook(settings.place)
-    knowledge = Knowledge(directory, placement, peers)
+    crashes = CrashWatch(_log_belief)
+    knowledge = Knowledge(directory, placement, peers, crashes)
     client = TargetClient(exchange)
+    targets = WatchedTargets(client, crashes)
     peer_client = PeerClient()
     follower = StoreFollower(
         store,
@@ -132,7 +138,8 @@
         knowledge,
         placement,
         peers,
-        client,
+        targets,
+        crashes,
         peer_client,
         settings.budget,
         RequestLog(metrics, lambda: follower.age_s),
@@ -162,13 +169,14 @@
                 settings.peer_address,
             ),
         ),
+        crash_reporter=CrashReporter(store, crashes),
         client=client,
         peers=peers,
         peer_client=peer_client,
         peer_server=PeerServer(
             knowledge,
             placement,
-            client,
+            targets,
             lambda: follower.freshness,
         ),
         stopping=stopping,
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -26,7 +26,11 @@
     send_late,
     shards_in_time,
 )
-from oriolestage.entry._target_client import TargetCall, TargetClient
+from oriolestage.entry._target_client import TargetCall
+from oriolestage.entry._watched_targets import (
+    Targets,
+    fingerprint_from_headers,
+)
 from oriolestage.relay._answers import (
     AttemptAnswered,
     AttemptLost,
@@ -62,14 +66,14 @@
         self,
         knowledge: Knowledge,
         placement: Placement,
-        client: TargetClient,
+        targets: Targets,
         freshness: Callable[[], Freshness],
     ) -> None:
         """Prepare the server; replies tell ``freshness``."""
         self._freshness = freshness
         self._knowledge = knowledge
         self._placement = placement
-        self._client = client
+        self._targets = targets
         self._attempts = itertools.count(FIRST_ATTEMPT)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -224,7 +228,7 @@
         attempt = next(self._attempts)
         self._placement.note_sent(target, attempt, time.monotonic())
         try:
-            outcome = await self._client.send(
+            outcome = await self._targets.send(
                 TargetCall(
                     request_id=request.request_id,
                     method=request.method,
@@ -235,6 +239,12 @@
                     target=target.record.identity,
                     address=target.record.address,
                     time_left_s=request.time_left_s,
+                    fingerprint=fingerprint_from_headers(
+                        request.method,
+                        request.headers,
+                        request.path,
+                        request.body,
+                    ),
                 ),
             )
         except asyncio.CancelledError:
--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -1,10 +1,11 @@
 """The ports of the entry host: types and calls of what lies outside it."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 from oriolestage.relay._answers import AttemptOutcome, TargetAnswer, Verdict
+from oriolestage.relay._crash_watch import CrashReport
 from oriolestage.relay._facts import HostRecord, StoredFact
 
 
@@ -71,6 +72,13 @@
     async def register_host(self, record: HostRecord, lease: int) -> None:
         """Register this host for as long as its lease lives."""
 
+    async def report_crashes(
+        self,
+        reports: Sequence[CrashReport],
+        lease: int,
+    ) -> None:
+        """Tell the other hosts of at most 32 crashes."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestFacts:
--- a/oriolestage/entry/_relay.py
+++ b/oriolestage/entry/_relay.py
@@ -11,13 +11,15 @@
 from oriolestage.entry._peer_messages import GatherRequest
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._run_driver import RunDriver
-from oriolestage.entry._target_client import TargetCall, TargetClient
+from oriolestage.entry._target_client import TargetCall
+from oriolestage.entry._watched_targets import Targets
 from oriolestage.relay._answers import (
     AttemptOutcome,
     GiveUpReason,
     Refused,
     Verdict,
 )
+from oriolestage.relay._crash_watch import CrashWatch, fingerprint_of
 from oriolestage.relay._extra_budget import BudgetBounds, ExtraBudget
 from oriolestage.relay._knowledge import Knowledge
 from oriolestage.relay._peers import PeerBook
@@ -59,7 +61,8 @@
         knowledge: Knowledge,
         placement: Placement,
         peers: PeerBook,
-        client: TargetClient,
+        targets: Targets,
+        crashes: CrashWatch,
         peer_client: PeerClient,
         budget_bounds: BudgetBounds,
         log: RequestLog,
@@ -69,7 +72,8 @@
         self._knowledge = knowledge
         self._placement = placement
         self._peers = peers
-        self._client = client
+        self._targets = targets
+        self._crashes = crashes
         self._peer_client = peer_client
         self._budget_bounds = budget_bounds
         self._started_at = time.monotonic()
@@ -95,6 +99,12 @@
         rule = table.find(request.host, request.path.partition('?')[0])
         if rule is None:
             return self._refuse(request, GiveUpReason.UNKNOWN_ROUTE, 0)
+        left_s = self._crashes.quarantine_left_s(
+            _fingerprint(request),
+            request.arrived,
+        )
+        if left_s > 0:
+            return self._refuse(request, GiveUpReason.QUARANTINED, left_s)
         self._in_flight += 1
         try:
             return await self._run(request, table, rule)
@@ -173,7 +183,7 @@
     ) -> AttemptOutcome:
         record = action.target.record
         sent_at = time.monotonic()
-        outcome = await self._client.send(
+        outcome = await self._targets.send(
             TargetCall(
                 request_id=request.facts.request_id,
                 method=request.method,
@@ -184,6 +194,7 @@
                 target=record.identity,
                 address=record.address,
                 time_left_s=max(LEAST_TIME_S, action.deadline - sent_at),
+                fingerprint=_fingerprint(request),
             ),
         )
         self._log.note_attempt(request, action, outcome, sent_at)
@@ -248,6 +259,15 @@
         return verdict
 
 
+def _fingerprint(request: CallerRequest) -> int:
+    return fingerprint_of(
+        request.method,
+        request.host,
+        request.path,
+        request.body,
+    )
+
+
 def _times(rule: RouteRule, request: CallerRequest) -> RunTimes:
     limit_s = rule.time_limit_s
     if request.facts.time_left_s is not None:
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -48,6 +48,8 @@
     target: str
     address: str
     time_left_s: float
+    #: The same for a request that comes again.
+    fingerprint: int
 
 
 class NotConnectedError(aiohttp.ClientError):
@@ -167,7 +169,8 @@
         except TimeoutError:
             return AttemptLost('target.deadline')
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return AttemptLost(f'target.{type(error).__name__}')
+            broken = isinstance(error, aiohttp.ClientError | OSError)
+            return AttemptLost(f'target.{type(error).__name__}', broken)
 
     async def _exchange_once(
         self,
--- a/oriolestage/entry/tests/test_peer_link.py
+++ b/oriolestage/entry/tests/test_peer_link.py
@@ -25,7 +25,11 @@
     BatchLost,
     BatchOutcome,
 )
-from oriolestage.relay.tests.builders import make_placement, shard_records
+from oriolestage.relay.tests.builders import (
+    make_crash_watch,
+    make_placement,
+    shard_records,
+)
 
 SERVICES = tuple(f'shard-{number}' for number in range(4))
 
@@ -84,12 +88,14 @@
     async def asyncSetUp(self) -> None:
         """Start a host that knows the targets."""
         placement, directory = make_placement('dc-a', shard_records(4))
-        knowledge = Knowledge(directory, placement, PeerBook(placement.place))
+        knowledge = Knowledge(
+            directory, placement, PeerBook(placement.place), make_crash_watch()
+        )
         self._targets = ScriptedTargets()
         self._server = PeerServer(
             knowledge,
             placement,
-            self._targets,  # type: ignore[arg-type]
+            self._targets,
             lambda: Freshness(revision=7, age_s=0.5),
         )
         listening = socket.create_server(('127.0.0.1', 0))
--- a/oriolestage/entry/tests/test_store_follower.py
+++ b/oriolestage/entry/tests/test_store_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Sequence
 
 from oriolestage.entry._ports import (
     HistoryLostError,
@@ -10,6 +11,7 @@
     StoreView,
 )
 from oriolestage.entry._store_follower import StoreFollower
+from oriolestage.relay._crash_watch import CrashReport
 from oriolestage.relay._facts import (
     ConfigurationStored,
     HostRecord,
@@ -20,7 +22,11 @@
 from oriolestage.relay._knowledge import Knowledge
 from oriolestage.relay._peers import PeerBook
 from oriolestage.relay._rules import CallerLimits, build_table
-from oriolestage.relay.tests.builders import make_placement, make_record
+from oriolestage.relay.tests.builders import (
+    make_crash_watch,
+    make_placement,
+    make_record,
+)
 
 CONTACT_S = 5.0
 
@@ -68,6 +74,13 @@
     async def register_host(self, record: HostRecord, lease: int) -> None:
         """Do nothing."""
 
+    async def report_crashes(
+        self,
+        reports: Sequence[CrashReport],
+        lease: int,
+    ) -> None:
+        """Do nothing."""
+
     async def _next(self) -> StoreView | StoreChanges:
         if not self._steps:
             await asyncio.Event().wait()
@@ -86,6 +99,7 @@
             self._directory,
             placement,
             PeerBook(placement.place),
+            make_crash_watch(),
         )
         follower = StoreFollower(store, knowledge, self._directory, CONTACT_S)
         task = asyncio.create_task(follower.run())
--- /dev/null
+++ b/oriolestage/entry/tests/test_watched_targets.py
@@ -0,0 +1,148 @@
+"""Tests of refusing requests that crash targets."""
+
+import asyncio
+import time
+import unittest
+from collections.abc import Sequence
+
+from oriolestage.entry._caller_request import CallerRequest
+from oriolestage.entry._metrics import EntryMetrics
+from oriolestage.entry._peer_client import PeerClient
+from oriolestage.entry._ports import RequestFacts, StoreError
+from oriolestage.entry._relay import Relay
+from oriolestage.entry._request_log import RequestLog
+from oriolestage.entry._target_client import TargetCall
+from oriolestage.entry._watched_targets import (
+    REPORT_PAUSE_S,
+    CrashReporter,
+    WatchedTargets,
+)
+from oriolestage.relay._answers import (
+    AttemptLost,
+    AttemptOutcome,
+    Failed,
+    GiveUpReason,
+    Refused,
+    Verdict,
+)
+from oriolestage.relay._crash_watch import QUARANTINE_S, CrashReport
+from oriolestage.relay._extra_budget import BudgetBounds
+from oriolestage.relay._facts import ConfigurationStored, TargetRemoved
+from oriolestage.relay._knowledge import Knowledge
+from oriolestage.relay._peers import PeerBook
+from oriolestage.relay._rules import CallerLimits, build_table
+from oriolestage.relay.tests.builders import (
+    make_crash_watch,
+    make_placement,
+    make_record,
+    make_rule,
+)
+
+
+class CrashingTargets:
+    """Breaks the connection of each attempt."""
+
+    def __init__(self) -> None:
+        """Start without attempts."""
+        self.crashed: list[str] = []
+
+    async def send(self, call: TargetCall) -> AttemptOutcome:
+        """Break the connection."""
+        self.crashed.append(call.target)
+        return AttemptLost('target.ClientOSError', broken=True)
+
+
+class QuarantineTest(unittest.IsolatedAsyncioTestCase):
+    """A request that crashed two targets is refused as not run."""
+
+    def setUp(self) -> None:
+        """Know four targets of one service."""
+        records = tuple(make_record(f't-{one}') for one in range(4))
+        placement, directory = make_placement(records=records)
+        peers = PeerBook(placement.place)
+        self._targets = CrashingTargets()
+        crashes = make_crash_watch()
+        self._knowledge = Knowledge(directory, placement, peers, crashes)
+        rule = make_rule(repeatable=False)
+        table = build_table(1, (rule,), (), CallerLimits())
+        self._knowledge.apply(ConfigurationStored(table), 0)
+        self._relay = Relay(
+            self._knowledge,
+            placement,
+            peers,
+            WatchedTargets(self._targets, crashes),
+            crashes,
+            PeerClient(),
+            BudgetBounds(),
+            RequestLog(EntryMetrics(), float),
+        )
+
+    async def _ask(self, path: str) -> Verdict:
+        return await self._relay.serve(
+            CallerRequest(
+                facts=RequestFacts('a', 1.0),
+                method='POST',
+                host='search.example',
+                path=path,
+                headers=(('Host', 'search.example'),),
+                body=b'poison',
+                arrived=time.monotonic(),
+            ),
+        )
+
+    async def test_refused(self) -> None:
+        """It gets no further target; others do."""
+        for _ in range(2):
+            verdict = await self._ask('/rota/poison')
+            self.assertIsInstance(verdict, Failed)
+            crashed = self._targets.crashed[-1]
+            self._knowledge.apply(TargetRemoved(crashed), time.monotonic())
+        verdict = await self._ask('/rota/poison')
+        assert isinstance(verdict, Refused)
+        self.assertEqual(verdict.reason, GiveUpReason.QUARANTINED)
+        self.assertAlmostEqual(verdict.retry_after_s, QUARANTINE_S, delta=2)
+        self.assertEqual(len(self._targets.crashed), 2)
+        await self._ask('/rota/other')
+        self.assertEqual(len(self._targets.crashed), 3)
+
+
+class RecordingStore:
+    """Takes reports, but for the first if told so."""
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self.reported: list[CrashReport] = []
+        self.failures = 0
+
+    async def open_lease(self, time_to_live_s: float) -> int:
+        """Give a lease or fail."""
+        if self.failures:
+            self.failures -= 1
+            raise StoreError('store.kv-lease', 'store:1', 'status 503')
+        return 1
+
+    async def report_crashes(
+        self,
+        reports: Sequence[CrashReport],
+        lease: int,
+    ) -> None:
+        """Take reports."""
+        self.reported.extend(reports)
+
+
+class CrashReporterTest(unittest.IsolatedAsyncioTestCase):
+    """What a host has proved goes into the store."""
+
+    async def test_store_fails_once(self) -> None:
+        """A failed report does not stop later ones."""
+        store = RecordingStore()
+        store.failures = 1
+        watch = make_crash_watch()
+        reporter = CrashReporter(store, watch)  # type: ignore[arg-type]
+        running = asyncio.create_task(reporter.run())
+        for number in range(2):
+            watch.note_broken(number, 't-1', 1)
+            watch.note_down('t-1', 1)
+            await asyncio.sleep(REPORT_PAUSE_S * 1.5)
+        running.cancel()
+        self.assertEqual(store.reported, [CrashReport(1, 't-1')])
--- a/oriolestage/platform/_documents.py
+++ b/oriolestage/platform/_documents.py
@@ -7,8 +7,10 @@
 import msgspec
 
 from oriolestage.platform import _names
+from oriolestage.relay._crash_watch import CrashReport
 from oriolestage.relay._facts import (
     ConfigurationStored,
+    CrashStored,
     DataCentreClosed,
     DataCentreOpened,
     HostRecord,
@@ -40,6 +42,8 @@
 #: Kinds of route.
 KIND_REPEATABLE = 'idempotent'
 KIND_ONCE = 'non_idempotent'
+#: Base of the fingerprints in keys of our own.
+HEXADECIMAL = 16
 #: Attempts for a route that names none.
 DEFAULT_ATTEMPTS = 1
 
@@ -141,6 +145,11 @@
     )
 
 
+def crash_key(report: CrashReport) -> str:
+    """Give the key under which a crash is reported."""
+    return f'{_names.CRASH_PREFIX}{report.fingerprint:016x}/{report.target}'
+
+
 def _decode(key: str, content: bytes) -> StoredFact | None:
     if key == _names.CONFIGURATION_KEY:
         document = msgspec.json.decode(content, type=_Configuration)
@@ -157,6 +166,11 @@
         return HostStored(
             HostRecord(name, host.data_centre, host.peer_address),
         )
+    if key.startswith(_names.CRASH_PREFIX):
+        fingerprint, _, target = key.removeprefix(
+            _names.CRASH_PREFIX,
+        ).partition('/')
+        return CrashStored(CrashReport(int(fingerprint, HEXADECIMAL), target))
     return None
 
 
--- a/oriolestage/platform/_names.py
+++ b/oriolestage/platform/_names.py
@@ -21,5 +21,6 @@
 TARGET_PREFIX = 'servers/'
 #: Keys of our own; the platform leaves their layout to us.
 HOST_PREFIX = 'hosts/'
+CRASH_PREFIX = 'crashes/'
 
 SETTINGS_VARIABLE = 'ORIOLESTAGE_SETTINGS'
--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -3,7 +3,7 @@
 import base64
 import json
 import socket
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from http import HTTPStatus
 from typing import TypeVar
 
@@ -19,10 +19,12 @@
 )
 from oriolestage.platform import _names
 from oriolestage.platform._documents import (
+    crash_key,
     decode_item,
     decode_removal,
     encode_host,
 )
+from oriolestage.relay._crash_watch import CrashReport
 from oriolestage.relay._facts import HostRecord, StoredFact
 
 MS_PER_S = 1000
@@ -43,6 +45,7 @@
     _names.CLOSED_DATA_CENTRE_PREFIX,
     _names.TARGET_PREFIX,
     _names.HOST_PREFIX,
+    _names.CRASH_PREFIX,
 )
 #: Prefix of all keys: one watch follows everything.
 ALL_KEYS = ''
@@ -145,22 +148,34 @@
 
     async def register_host(self, record: HostRecord, lease: int) -> None:
         """Register this host for as long as its lease lives."""
+        key = f'{_names.HOST_PREFIX}{record.name}'
+        await self._write({key: encode_host(record)}, lease)
+
+    async def report_crashes(
+        self,
+        reports: Sequence[CrashReport],
+        lease: int,
+    ) -> None:
+        """Tell the other hosts of requests that make targets crash."""
+        await self._write(
+            {crash_key(report): b'' for report in reports},
+            lease,
+        )
+
+    async def _write(self, documents: Mapping[str, bytes], lease: int) -> None:
+        """Write at most 32 items, all or none, under a lease."""
+        writes = [
+            {
+                'key': key,
+                'value': base64.b64encode(content).decode(),
+                'lease': lease,
+            }
+            for key, content in documents.items()
+        ]
         await self._call(
             'POST',
             _names.STORE_WRITE_PATH,
-            content={
-                'expectedRev': [],
-                'writes': [
-                    {
-                        'key': f'{_names.HOST_PREFIX}{record.name}',
-                        'value': base64.b64encode(
-                            encode_host(record),
-                        ).decode(),
-                        'lease': lease,
-                    },
-                ],
-                'remove': [],
-            },
+            content={'expectedRev': [], 'writes': writes, 'remove': []},
         )
 
     async def _call(
--- a/oriolestage/platform/tests/test_store.py
+++ b/oriolestage/platform/tests/test_store.py
@@ -14,7 +14,9 @@
     StoreError,
 )
 from oriolestage.platform._store import StoreClient
+from oriolestage.relay._crash_watch import CrashReport
 from oriolestage.relay._facts import (
+    CrashStored,
     DataCentreClosed,
     HostRecord,
     TargetRemoved,
@@ -108,6 +110,19 @@
         with self.assertRaises(LeaseEndedError):
             await self._client.renew_lease(lease)
 
+    async def test_crash_reports(self) -> None:
+        """A report that is written is read as the same report."""
+        report = CrashReport(0x1F, 'i-1')
+        self._answers = [(200, {'revision': 8})]
+        await self._client.report_crashes([report], 7)
+        written = json.loads(self._asked[0][2])['writes'][0]
+        self.assertEqual(written['lease'], 7)
+        item = {'key': written['key'], 'value': written['value']}
+        page = {'items': [item], 'storeRevision': 8}
+        self._answers = [(200, page)]
+        view = await self._client.read_all()
+        self.assertEqual(view.facts, (CrashStored(report),))
+
     async def test_nobody_there(self) -> None:
         """A store that is not there is a failed call, not an answer."""
         await self._runner.cleanup()
--- a/oriolestage/platform/tests/test_target_wire.py
+++ b/oriolestage/platform/tests/test_target_wire.py
@@ -90,6 +90,7 @@
         'repeatable': True,
         'target': 'i-1',
         'time_left_s': 2.0,
+        'fingerprint': 1,
         **changes,
     }
     return TargetCall(**facts)  # type: ignore[arg-type]
--- a/oriolestage/relay/_answers.py
+++ b/oriolestage/relay/_answers.py
@@ -50,6 +50,8 @@
 
     #: Step at which it was lost, with the error.
     step: str
+    #: True if the connection broke, as it does when the target crashes.
+    broken: bool = False
 
 
 AttemptOutcome = AttemptAnswered | AttemptNotRun | AttemptLost
@@ -69,6 +71,7 @@
     DEADLINE = 'deadline'
     OVERLOADED = 'overloaded'
     STOPPING = 'stopping'
+    QUARANTINED = 'quarantined'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/oriolestage/relay/_facts.py
+++ b/oriolestage/relay/_facts.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from oriolestage.relay._crash_watch import CrashReport
 from oriolestage.relay._rules import RoutingTable
 from oriolestage.relay._targets import TargetRecord
 
@@ -65,6 +66,13 @@
     name: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashStored:
+    """An entry host proved that a request makes targets crash."""
+
+    report: CrashReport
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unreadable:
     """An item that cannot be used; nothing is believed of it."""
@@ -83,5 +91,6 @@
     | DataCentreOpened
     | HostStored
     | HostRemoved
+    | CrashStored
     | Unreadable
 )
--- a/oriolestage/relay/_knowledge.py
+++ b/oriolestage/relay/_knowledge.py
@@ -7,8 +7,10 @@
 from collections.abc import Iterable
 
 from oriolestage.relay._beliefs import BeliefChanged
+from oriolestage.relay._crash_watch import CrashWatch
 from oriolestage.relay._facts import (
     ConfigurationStored,
+    CrashStored,
     DataCentreClosed,
     DataCentreOpened,
     HostRecord,
@@ -38,8 +40,10 @@
         directory: TargetDirectory,
         placement: Placement,
         peers: PeerBook,
+        crashes: CrashWatch,
     ) -> None:
         """Start without a configuration."""
+        self._crashes = crashes
         self._peers = peers
         self._directory = directory
         self._placement = placement
@@ -82,7 +86,10 @@
             changes.append(_change('target_missing', target=identity))
         changes.append(_change('targets_read', targets=len(records)))
         for fact in listed:
-            if isinstance(fact, ConfigurationStored | Unreadable):
+            if isinstance(
+                fact,
+                ConfigurationStored | CrashStored | Unreadable,
+            ):
                 changes.extend(self.apply(fact, now))
         self._placement.forget_targets()
         return changes
@@ -93,7 +100,10 @@
             case ConfigurationStored(table=table):
                 return self._apply_table(table)
             case TargetStored(record=record):
+                known = self._directory.find(record.identity)
                 added = self._directory.register(record, now)
+                if added and known is not None:
+                    self._crashes.note_down(record.identity, now)
                 return [
                     _change(
                         'target_registered',
@@ -105,11 +115,17 @@
                     ),
                 ]
             case TargetRemoved(identity=identity):
+                known = self._directory.find(identity)
                 at_once = self._directory.remove(identity, now)
+                if known is not None and not known.record.draining:
+                    self._crashes.note_down(identity, now)
                 self._placement.forget_targets()
                 return [
                     _change('target_removed', target=identity, now=at_once),
                 ]
+            case CrashStored(report=report):
+                self._crashes.note_reported(report, now)
+                return []
             case Unreadable():
                 return self._apply_unreadable(fact, now)
             case DataCentreClosed(name=name):
--- a/oriolestage/relay/tests/builders.py
+++ b/oriolestage/relay/tests/builders.py
@@ -12,6 +12,7 @@
     TargetAnswer,
     Verdict,
 )
+from oriolestage.relay._crash_watch import CrashWatch
 from oriolestage.relay._extra_budget import BudgetBounds, ExtraBudget
 from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._merge import merge_records
@@ -119,6 +120,11 @@
     return placement, directory
 
 
+def make_crash_watch() -> CrashWatch:
+    """Give a watch for requests that crash targets."""
+    return CrashWatch(lambda _: None)
+
+
 def shard_records(shards: int = 20) -> tuple[TargetRecord, ...]:
     """Give two targets a shard, spread over the data centres in turn."""
     records: list[TargetRecord] = []
--- a/oriolestage/relay/tests/test_knowledge.py
+++ b/oriolestage/relay/tests/test_knowledge.py
@@ -13,7 +13,11 @@
 )
 from oriolestage.relay._knowledge import HOST_KEPT_S, Knowledge
 from oriolestage.relay._peers import PeerBook
-from oriolestage.relay.tests.builders import make_placement, make_record
+from oriolestage.relay.tests.builders import (
+    make_crash_watch,
+    make_placement,
+    make_record,
+)
 
 
 class KnowledgeTest(unittest.TestCase):
@@ -26,6 +30,7 @@
             self._directory,
             self._placement,
             PeerBook(self._placement.place),
+            make_crash_watch(),
         )
         self._other = HostRecord('host-2', 'dc-b', 'b:1')
         self._knowledge.apply(HostStored(self._other), 0)
