Bound how long a caller may take over a request's head and body

Cause: the operators' limit on the time for a head was read and not kept: a connection that sent a byte now and then, or none, stayed open for ever. The limit on a head's length held for each line, not for all of them. Ruled out: the library's own time-outs (it has them only between requests). Change: a head has to be complete within the operators' time from its first byte and within their length, else 408 or 431 and the connection ends; a connection without a request ends after the idle time. A body has to come within the caller's deadline and the idle time, else 408: it has not run.

--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -10,14 +10,13 @@
 from multidict import CIMultiDict
 
 from oriolestage._logging import log_event
+from oriolestage.entry._caller_connection import CallerConnection
 from oriolestage.entry._caller_request import CallerRequest
-from oriolestage.entry._ports import Exchange
+from oriolestage.entry._ports import Exchange, RequestFacts
 from oriolestage.entry._relay import Relay
 from oriolestage.relay._connection_ages import ConnectionAges
 from oriolestage.relay._rules import CallerLimits
 
-#: Time for which bytes of a refused body are read, in seconds.
-LINGER_S = 1.0
 #: Answer to a caller that waits before it sends a body.
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -27,7 +26,7 @@
 
 
 class _HttpServer(web.Server):
-    """Notes when each connection was opened."""
+    """Makes connections that keep the limits in force."""
 
     def __init__(
         self,
@@ -35,39 +34,12 @@
         limits: CallerLimits,
     ) -> None:
         """Keep the limits that are in force now for new connections."""
-        super().__init__(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            auto_decompress=False,
-            keepalive_timeout=limits.idle_timeout_s,
-            lingering_time=LINGER_S,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-        )
-        self._opened_at: dict[web.RequestHandler, float] = {}
-
-    def connection_made(
-        self,
-        handler: web.RequestHandler,
-        transport: asyncio.Transport,
-    ) -> None:
-        """Note a new connection."""
-        self._opened_at[handler] = time.monotonic()
-        super().connection_made(handler, transport)
-
-    def connection_lost(
-        self,
-        handler: web.RequestHandler,
-        exc: BaseException | None = None,
-    ) -> None:
-        """Forget a connection."""
-        self._opened_at.pop(handler, None)
-        super().connection_lost(handler, exc)
+        super().__init__(handler, handler_cancellation=True)
+        self._limits = limits
 
-    def opened_at(self, handler: web.RequestHandler) -> float | None:
-        """Give the steady time at which a connection was opened."""
-        return self._opened_at.get(handler)
+    def __call__(self) -> CallerConnection:
+        """Make the handler of a new connection."""
+        return CallerConnection(self, asyncio.get_running_loop(), self._limits)
 
 
 class CallerServer:
@@ -131,12 +103,9 @@
         return response
 
     def _is_old(self, connection: web.RequestHandler) -> bool:
-        now = time.monotonic()
-        for server in self._servers.values():
-            opened_at = server.opened_at(connection)
-            if opened_at is not None:
-                return self._ages.expired(opened_at, now)
-        return False
+        if not isinstance(connection, CallerConnection):
+            return False
+        return self._ages.expired(connection.opened_at, time.monotonic())
 
     async def _answer(
         self,
@@ -152,13 +121,14 @@
         except ValueError as error:
             return _bad_request(request, str(error))
         try:
-            body = await self._read_body(request)
+            async with asyncio.timeout(self._body_limit_s(facts)):
+                body = await self._read_body(request)
         except BodyTooLargeError:
-            log_event(
-                'request_rejected',
-                {'id': facts.request_id, 'reason': 'body_too_large'},
-            )
-            return web.Response(status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            return _reject(facts.request_id, 'body_too_large', status)
+        except TimeoutError:
+            status = HTTPStatus.REQUEST_TIMEOUT
+            return _reject(facts.request_id, 'body_too_slow', status)
         verdict = await self._relay.serve(
             CallerRequest(
                 facts=facts,
@@ -181,6 +151,13 @@
             body=answer.body,
         )
 
+    def _body_limit_s(self, facts: RequestFacts) -> float:
+        """Give the time in which a body has to come, in seconds."""
+        idle_s = self._limits().idle_timeout_s
+        if facts.time_left_s is None:
+            return idle_s
+        return min(idle_s, facts.time_left_s)
+
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         if not request.can_read_body:
             return b''
@@ -199,6 +176,18 @@
         return b''.join(chunks)
 
 
+def _reject(
+    request_id: str,
+    reason: str,
+    status: HTTPStatus,
+) -> web.Response:
+    """Refuse a request whose body did not come as it has to."""
+    log_event('request_rejected', {'id': request_id, 'reason': reason})
+    response = web.Response(status=status)
+    response.force_close()
+    return response
+
+
 def _bad_request(request: web.BaseRequest, problem: str) -> web.Response:
     log_event(
         'request_rejected',
--- a/oriolestage/platform/tests/test_caller_wire.py
+++ b/oriolestage/platform/tests/test_caller_wire.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import socket
-import unittest
+from unittest import IsolatedAsyncioTestCase, mock
 
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.platform._exchange import PlatformExchange
+from oriolestage.relay import _connection_ages
 from oriolestage.relay._answers import (
     Delivered,
     GiveUpReason,
@@ -16,7 +17,12 @@
 )
 from oriolestage.relay._rules import CallerLimits
 
-LIMITS = CallerLimits(header_bytes=512, body_bytes=64, idle_timeout_s=5)
+LIMITS = CallerLimits(
+    header_bytes=512,
+    body_bytes=64,
+    header_timeout_s=0.3,
+    idle_timeout_s=1.5,
+)
 ANSWER = Delivered(TargetAnswer(200, (('Server-Stamp', 's'),), b'body', 's'))
 HEAD = 'Host: h.example\r\nAttempt-Id: a\r\nDeadline-Ms: 1000\r\n'
 
@@ -44,11 +50,15 @@
         return self.verdict
 
 
-class CallerServerTest(unittest.IsolatedAsyncioTestCase):
+class CallerServerTest(IsolatedAsyncioTestCase):
     """Good requests are passed on unchanged, bad ones answered clearly."""
 
     async def asyncSetUp(self) -> None:
         """Start a server."""
+        # Otherwise connections end with their first answer.
+        settled = mock.patch(f'{_connection_ages.__name__}.SETTLING_S', 0)
+        settled.start()
+        self.addCleanup(settled.stop)
         self._relay = RecordingRelay()
         self._server = CallerServer(
             self._relay,  # type: ignore[arg-type]
@@ -136,6 +146,48 @@
                 self.assertIn(status, answer.partition(b'\r\n')[0])
         self.assertEqual(self._relay.requests, [])
 
+    async def test_slow_head(self) -> None:
+        """A head that does not end in time is refused, and not run."""
+        answer = await self._ask('GET /a/ HTTP/1.1\r\nHost: h')
+        self.assertIn(b'408', answer.partition(b'\r\n')[0])
+        self.assertIn(b'Connection: close', answer)
+        self.assertEqual(self._relay.requests, [])
+
+    async def test_second_head_is_slow(self) -> None:
+        """The time counts from the first byte of each request."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self._port)
+        writer.write(f'GET /a/ HTTP/1.1\r\n{HEAD}\r\n'.encode())
+        await reader.readuntil(ANSWER.answer.body)
+        await asyncio.sleep(LIMITS.header_timeout_s * 1.5)
+        writer.write(f'GET /a/ HTTP/1.1\r\n{HEAD}\r\n'.encode())
+        await reader.readuntil(ANSWER.answer.body)
+        writer.write(b'GET')
+        async with asyncio.timeout(5):
+            self.assertIn(b' 408 ', await reader.readline())
+        writer.close()
+
+    async def test_slow_body(self) -> None:
+        """A body that does not come in time is refused, and not run."""
+        answer = await self._ask(
+            'POST /a/ HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 200\r\n'
+            'Content-Length: 4\r\n\r\nbo',
+        )
+        self.assertIn(b'408', answer.partition(b'\r\n')[0])
+        self.assertEqual(self._relay.requests, [])
+
+    async def test_long_head(self) -> None:
+        """Many short lines are bounded like one long one."""
+        lines = ''.join(f'X-{one}: {"x" * 40}\r\n' for one in range(30))
+        answer = await self._ask(f'GET /a/ HTTP/1.1\r\n{HEAD}{lines}')
+        self.assertIn(b'431', answer.partition(b'\r\n')[0])
+
+    async def test_nothing_sent(self) -> None:
+        """A connection without a request is closed after the idle time."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self._port)
+        async with asyncio.timeout(LIMITS.idle_timeout_s * 3):
+            self.assertEqual(await reader.read(), b'')
+        writer.close()
+
     async def test_refusal(self) -> None:
         """A refusal says when to come back."""
         self._relay.verdict = Refused(GiveUpReason.NO_ROOM, 0.5)
