Split the run of a request and name the cause of a refusal

And a query that was refused because one shard has no target was logged as `refused:late`: the reason was that of the first shard without an answer, which was only unfinished. Change: `_progress` says how far a request is, `_attempt_policy` decides on attempts and hedges, `_request_run` takes in outcomes. The cause is taken from shards that were given up. test_cause_of_refusal is red without that.

--- /dev/null
+++ b/oriolestage/relay/_attempt_policy.py
@@ -0,0 +1,134 @@
+"""When a part of a request gets an attempt, another one, or a hedge.
+
+Load patterns answered: targets that pause or slow down while a query waits
+for all shards (a hedge when a shard is late), targets that shed or fail
+(another target, under the shared budget), and services without room (a short
+wait, then an early end).
+"""
+
+from oriolestage.relay._answers import GiveUpReason
+from oriolestage.relay._dispatch import Dispatch
+from oriolestage.relay._parts import RETRY_AFTER_S, SHED_LIMIT, Attempt, Part
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._placement_types import Chosen, NoRoom, NoTarget, Placed
+from oriolestage.relay._progress import Progress
+from oriolestage.relay._stragglers import WorkWatch
+
+#: Part of the objective for which a request may wait for room.
+HOLD_PART = 0.25
+
+
+class AttemptPolicy:
+    """Decides on the attempts of the parts of one request."""
+
+    def __init__(
+        self,
+        progress: Progress,
+        placement: Placement,
+        dispatch: Dispatch,
+        watch: WorkWatch,
+    ) -> None:
+        """Queue what is decided with ``dispatch``."""
+        self.hedges = 0
+        self._progress = progress
+        self._rule = progress.rule
+        self._placement = placement
+        self._dispatch = dispatch
+        self._watch = watch
+
+    def due_at(self, part: Part) -> float:
+        """Time at which something is due for a part."""
+        if part.answer is not None:
+            return float('inf')
+        due_at = part.place_at
+        if len(part.live) == 1:
+            for attempt in part.live.values():
+                due_at = min(due_at, self._late_at(attempt))
+        return due_at
+
+    def place(self, part: Part, now: float) -> None:
+        """Decide on an attempt of a part that has none on its way."""
+        if part.live or part.over:
+            return
+        placed = self._choose(part, now)
+        match placed:
+            case Chosen():
+                if part.arrivals and not self._take_extra(part, now):
+                    part.give_up(GiveUpReason.NO_BUDGET)
+                    return
+                self._dispatch.queue(part, placed)
+            case NoRoom(wait_s=wait_s):
+                part.room_after_s = max(RETRY_AFTER_S, wait_s)
+                part.reason = GiveUpReason.NO_ROOM
+                part.place_at = now + wait_s
+                part.given_up = part.place_at >= self._hold_until(part, now)
+            case NoTarget():
+                part.give_up(GiveUpReason.NO_TARGET)
+
+    def repeat(self, part: Part, now: float) -> None:
+        """Try another target after a failed attempt, if it may be done."""
+        if part.live or part.answer is not None:
+            return
+        once = not self._rule.repeatable and part.may_have_run
+        spent = part.may_have_run >= self._rule.attempts_limit
+        if once or spent or part.sheds >= SHED_LIMIT:
+            part.given_up = True
+            return
+        self.place(part, now)
+
+    def hedge(self, part: Part, now: float) -> None:
+        """Decide on a second attempt when the first takes too long."""
+        if part.answer is not None or len(part.live) != 1:
+            return
+        attempt = next(iter(part.live.values()))
+        if self._late_at(attempt) > now:
+            return
+        attempt.hedged = True
+        if part.may_have_run + 1 >= self._rule.attempts_limit:
+            return
+        placed = self._placement.choose(part.request.wanted, part.tried, now)
+        if not isinstance(placed, Chosen):
+            return
+        if not self._progress.in_time(now + placed.expected_s):
+            return
+        if not self._take_extra(part, now):
+            return
+        self.hedges += 1
+        self._dispatch.queue(part, placed, hedge=True)
+
+    def _choose(self, part: Part, now: float) -> Placed:
+        """Choose a target not tried yet, else any."""
+        placed = self._placement.choose(part.request.wanted, part.tried, now)
+        if part.tried and not isinstance(placed, Chosen):
+            return self._placement.choose(part.request.wanted, (), now)
+        return placed
+
+    def _take_extra(self, part: Part, now: float) -> bool:
+        """Take an extra attempt; the last ones are for answers at all."""
+        hosts = len(self._placement.hosts)
+        budget = part.request.budget
+        if self._progress.optional and budget.scarce(hosts, now):
+            return False
+        return budget.take(hosts, now)
+
+    def _late_at(self, attempt: Attempt) -> float:
+        """Time at which a second attempt is worth it."""
+        if attempt.hedged or not self._rule.repeatable:
+            return float('inf')
+        if attempt.late:
+            return attempt.sent_at
+        return attempt.sent_at + attempt.way_s + self._watch.late_s
+
+    def _hold_until(self, part: Part, now: float) -> float:
+        """Time until which a part may wait for room.
+
+        What no target got is refused soon, so that the caller may go
+        elsewhere; what may have run cannot be refused any more.
+        """
+        times = self._progress.times
+        if part.arrivals:
+            return times.deadline
+        part.lacking_since = min(part.lacking_since, now)
+        return (
+            part.lacking_since + (times.objective - times.started) * HOLD_PART
+        )
--- a/oriolestage/relay/_parts.py
+++ b/oriolestage/relay/_parts.py
@@ -67,3 +67,8 @@
     def over(self) -> bool:
         """Tell whether nothing more can come of the part."""
         return self.answer is not None or (self.given_up and not self.live)
+
+    def give_up(self, reason: GiveUpReason) -> None:
+        """Make no further attempt."""
+        self.given_up = True
+        self.reason = reason
--- /dev/null
+++ b/oriolestage/relay/_progress.py
@@ -0,0 +1,73 @@
+"""How far a request is: what is answered, what can still be, what is due."""
+
+from oriolestage.relay._parts import Part
+from oriolestage.relay._rules import RouteRule, ShardGroup
+from oriolestage.relay._run_types import RunTimes
+from oriolestage.relay._verdicts import least_parts
+
+#: Time between the end of a run and the caller's receipt, in seconds: the
+#: way to the caller, its connection's set-up and the work on the answer.
+DELIVERY_MARGIN_S = 0.017
+
+
+class Progress:
+    """The parts of one request against its rule and its times."""
+
+    def __init__(
+        self,
+        rule: RouteRule,
+        times: RunTimes,
+        parts: tuple[Part, ...],
+    ) -> None:
+        """Look at ``parts``, which others change."""
+        self.rule = rule
+        self.times = times
+        self.parts = parts
+        self._least = least_parts(rule.destination, len(parts))
+
+    @property
+    def answered(self) -> int:
+        """Number of parts that have an answer."""
+        return sum(1 for part in self.parts if part.answer is not None)
+
+    @property
+    def enough(self) -> bool:
+        """Tell whether the answers so far make an answer."""
+        return self.answered >= self._least
+
+    @property
+    def optional(self) -> bool:
+        """Tell whether the answer could do without what lacks."""
+        lacking = len(self.parts) - self.answered
+        return lacking <= len(self.parts) - self._least
+
+    @property
+    def over(self) -> bool:
+        """Tell whether nothing more can come of any part."""
+        return all(part.over for part in self.parts)
+
+    @property
+    def hopeless(self) -> bool:
+        """Tell whether too few parts can still be answered."""
+        possible = sum(
+            1 for part in self.parts if part.answer is not None or not part.over
+        )
+        return possible < self._least
+
+    @property
+    def cut_off_at(self) -> float:
+        """Time at which an answer with enough shards is given."""
+        if not isinstance(self.rule.destination, ShardGroup):
+            return float('inf')
+        return self.times.objective - DELIVERY_MARGIN_S
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether the request ends now."""
+        if self.over or self.hopeless or now >= self.times.deadline:
+            return True
+        return now >= self.cut_off_at and self.enough
+
+    def in_time(self, answered_at: float) -> bool:
+        """Tell whether an answer at that time could still be of use."""
+        limit = self.cut_off_at if self.enough else self.times.deadline
+        return answered_at < limit
--- a/oriolestage/relay/_request_run.py
+++ b/oriolestage/relay/_request_run.py
@@ -1,13 +1,9 @@
-"""The life of one request: which attempts are made and when it ends.
+"""The life of one request, from its first attempts to its verdict.
 
 A request has one part for each service that it needs: one for a single
 service, one for each shard of a group. The run is told of outcomes and of
 the time, and gives actions. It does no input or output and reads no clock.
-
-Load patterns answered: targets that pause or slow down while a query waits
-for all shards (hedges, then an answer with the shards that are in just
-before the objective), targets that shed or fail (another target, under the
-shared budget), and services without a target (an early end).
+An answer with enough shards is given just before the objective.
 """
 
 from collections.abc import Callable
@@ -21,12 +17,13 @@
     NotRunReason,
     TargetAnswer,
 )
+from oriolestage.relay._attempt_policy import AttemptPolicy
 from oriolestage.relay._batch_replies import BatchReplies
 from oriolestage.relay._dispatch import Dispatch
-from oriolestage.relay._parts import RETRY_AFTER_S, SHED_LIMIT, Attempt, Part
+from oriolestage.relay._parts import Part
 from oriolestage.relay._peers import PeerBook
 from oriolestage.relay._placement import Placement
-from oriolestage.relay._placement_types import Chosen, NoRoom, NoTarget
+from oriolestage.relay._progress import Progress
 from oriolestage.relay._rules import RouteRule, ShardGroup
 from oriolestage.relay._run_types import (
     Action,
@@ -36,13 +33,9 @@
     RunTimes,
 )
 from oriolestage.relay._stragglers import WorkWatch
-from oriolestage.relay._verdicts import least_parts, verdict_of
+from oriolestage.relay._targets import KnownTarget
+from oriolestage.relay._verdicts import verdict_of
 
-#: Time between the end of a run and the caller's receipt, in seconds: the
-#: way to the caller, its connection's set-up and the work on the answer.
-DELIVERY_MARGIN_S = 0.017
-#: Part of the objective for which a request may wait for room.
-HOLD_PART = 0.25
 #: Statuses from here on are failures of the target.
 SERVER_ERRORS = 500
 
@@ -66,10 +59,9 @@
         self._parts = tuple(
             Part(position, part) for position, part in enumerate(parts)
         )
+        self._progress = Progress(rule, times, self._parts)
         self._watch = WorkWatch(len(parts), placement.seen.work_s(rule.name))
-        self._least = least_parts(rule.destination, len(parts))
         self._finished = False
-        self._hedges = 0
         #: Merged records, one entry for each merged batch.
         self._merged: list[bytes] = []
         self._dispatch = Dispatch(
@@ -82,6 +74,12 @@
             merged=self._merged,
             next_attempt=next_attempt,
         )
+        self._policy = AttemptPolicy(
+            self._progress,
+            placement,
+            self._dispatch,
+            self._watch,
+        )
         self._replies = BatchReplies(
             parts=self._parts,
             dispatch=self._dispatch,
@@ -100,10 +98,10 @@
     def wake_at(self) -> float:
         """Steady time at which ``on_time`` is due."""
         wake_at = self._times.deadline
-        if self._answered() >= self._least:
-            wake_at = min(wake_at, self._cut_off_at())
+        if self._progress.enough:
+            wake_at = min(wake_at, self._progress.cut_off_at)
         for part in self._parts:
-            wake_at = min(wake_at, self._due_at(part))
+            wake_at = min(wake_at, self._policy.due_at(part))
         return wake_at
 
     def start(self, now: float) -> list[Action]:
@@ -112,9 +110,9 @@
             part.request.budget.note_needed(now)
         actions = self._dispatch.first_batches(now)
         for part in self._parts:
-            self._place(part, now)
+            self._policy.place(part, now)
         actions += self._dispatch.flush(now)
-        if self._hopeless():
+        if self._progress.hopeless:
             self._dispatch.drop_all(now)
             for part in self._parts:
                 part.live.clear()
@@ -136,29 +134,14 @@
             return []
         match outcome:
             case AttemptAnswered(answer=answer):
-                if answer.status >= SERVER_ERRORS:
-                    self._placement.seen.note_failure(target, attempt, now)
-                else:
-                    self._watch.note_answer(
-                        target,
-                        self._placement.seen.note_answer(target, attempt, now),
-                    )
-                return self._on_answer(part, answer, now)
-            case AttemptNotRun(reason=NotRunReason.SHED):
-                self._placement.seen.note_failure(target, attempt, now)
-                part.sheds += 1
-                part.reason = GiveUpReason.SHED
+                return self._on_answer(part, target, attempt, answer, now)
             case AttemptNotRun(reason=reason):
-                self._placement.seen.note_not_reached(target, attempt, now)
-                if reason == NotRunReason.OTHER_TARGET:
-                    target.replaced = True
-                else:
-                    part.arrivals -= 1
+                self._on_not_run(part, target, attempt, reason, now)
             case AttemptLost():
                 self._placement.seen.note_lost(target, attempt, now)
                 part.may_have_run += 1
                 part.reason = GiveUpReason.LOST
-        self._repeat(part, now)
+        self._policy.repeat(part, now)
         return self._dispatch.flush(now) + self._check_end(now)
 
     def on_batch(
@@ -172,9 +155,9 @@
             return []
         effect = self._replies.take(batch, outcome, now)
         for part in effect.ended:
-            self._repeat(part, now)
+            self._policy.repeat(part, now)
         for part in self._parts:
-            self._hedge(part, now)
+            self._policy.hedge(part, now)
         actions = effect.actions + self._dispatch.flush(now)
         return actions + self._check_end(now)
 
@@ -185,8 +168,8 @@
         for part in self._parts:
             if part.place_at <= now:
                 part.place_at = float('inf')
-                self._place(part, now)
-            self._hedge(part, now)
+                self._policy.place(part, now)
+            self._policy.hedge(part, now)
         return self._dispatch.flush(now) + self._check_end(now)
 
     def cancel(self, now: float) -> None:
@@ -198,9 +181,9 @@
         """Give what was done, for the log."""
         return {
             'parts': len(self._parts),
-            'answered': self._answered(),
+            'answered': self._progress.answered,
             'sends': self._dispatch.sends,
-            'hedges': self._hedges,
+            'hedges': self._policy.hedges,
             'batches': self._dispatch.batches,
             'lacking': ','.join(
                 f'{part.service}:{part.reason.value}:{"/".join(part.history)}'
@@ -212,9 +195,17 @@
     def _on_answer(
         self,
         part: Part,
+        target: KnownTarget,
+        attempt: int,
         answer: TargetAnswer,
         now: float,
     ) -> list[Action]:
+        seen = self._placement.seen
+        if answer.status >= SERVER_ERRORS:
+            seen.note_failure(target, attempt, now)
+        else:
+            worked_s = seen.note_answer(target, attempt, now)
+            self._watch.note_answer(target, worked_s)
         gathers = isinstance(self._rule.destination, ShardGroup)
         if answer.success or (answer.status < SERVER_ERRORS and not gathers):
             part.answer = answer
@@ -222,142 +213,35 @@
         part.may_have_run += 1
         part.failure = answer
         part.reason = GiveUpReason.LOST
-        self._repeat(part, now)
+        self._policy.repeat(part, now)
         return self._dispatch.flush(now) + self._check_end(now)
 
-    def _repeat(self, part: Part, now: float) -> None:
-        """Try another target after a failed attempt, if it may be done."""
-        if part.live or part.answer is not None:
-            return
-        once = not self._rule.repeatable and part.may_have_run
-        spent = part.may_have_run >= self._rule.attempts_limit
-        if once or spent or part.sheds >= SHED_LIMIT:
-            part.given_up = True
-            return
-        self._place(part, now)
-
-    def _place(self, part: Part, now: float) -> None:
-        """Decide on an attempt of a part that has none on its way."""
-        if part.live or part.over:
-            return
-        placed = self._choose(part, now)
-        match placed:
-            case Chosen():
-                if part.arrivals and not self._take_extra(part, now):
-                    part.given_up = True
-                    part.reason = GiveUpReason.NO_BUDGET
-                    return
-                self._dispatch.queue(part, placed)
-            case NoRoom(wait_s=wait_s):
-                part.room_after_s = max(RETRY_AFTER_S, wait_s)
-                part.reason = GiveUpReason.NO_ROOM
-                part.place_at = now + wait_s
-                part.given_up = part.place_at >= self._hold_until(part, now)
-            case NoTarget():
-                part.given_up = True
-                part.reason = GiveUpReason.NO_TARGET
-
-    def _choose(self, part: Part, now: float) -> Chosen | NoRoom | NoTarget:
-        """Choose a target not tried yet, else any."""
-        placed = self._placement.choose(part.request.wanted, part.tried, now)
-        if part.tried and not isinstance(placed, Chosen):
-            return self._placement.choose(part.request.wanted, (), now)
-        return placed
-
-    def _hedge(self, part: Part, now: float) -> None:
-        """Decide on a second attempt when the first takes too long."""
-        if part.answer is not None or len(part.live) != 1:
-            return
-        attempt = next(iter(part.live.values()))
-        if self._late_at(attempt) > now:
-            return
-        attempt.hedged = True
-        if part.may_have_run + 1 >= self._rule.attempts_limit:
-            return
-        placed = self._placement.choose(part.request.wanted, part.tried, now)
-        if not isinstance(placed, Chosen):
-            return
-        if not self._in_time(placed, now) or not self._take_extra(part, now):
-            return
-        self._hedges += 1
-        self._dispatch.queue(part, placed, hedge=True)
-
-    def _in_time(self, placed: Chosen, now: float) -> bool:
-        """Tell whether a hedge can still be of use."""
-        answered_at = now + placed.expected_s
-        if self._answered() >= self._least:
-            return answered_at < self._cut_off_at()
-        return answered_at < self._times.deadline
-
-    def _take_extra(self, part: Part, now: float) -> bool:
-        """Take an extra attempt; the last ones are for answers at all."""
-        hosts = len(self._placement.hosts)
-        lacking = len(self._parts) - self._answered()
-        optional = lacking <= len(self._parts) - self._least
-        budget = part.request.budget
-        if optional and budget.scarce(hosts, now):
-            return False
-        return budget.take(hosts, now)
-
-    def _late_at(self, attempt: Attempt) -> float:
-        """Time at which a second attempt is worth it."""
-        if attempt.hedged or not self._rule.repeatable:
-            return float('inf')
-        if attempt.late:
-            return attempt.sent_at
-        return attempt.sent_at + attempt.way_s + self._watch.late_s
-
-    def _due_at(self, part: Part) -> float:
-        """Time at which something is due for a part."""
-        if part.answer is not None:
-            return float('inf')
-        due_at = part.place_at
-        if len(part.live) == 1:
-            for attempt in part.live.values():
-                due_at = min(due_at, self._late_at(attempt))
-        return due_at
-
-    def _hold_until(self, part: Part, now: float) -> float:
-        """Time until which a part may wait for room.
-
-        What no target got is refused soon, so that the caller may go
-        elsewhere; what may have run cannot be refused any more.
-        """
-        if part.arrivals:
-            return self._times.deadline
-        part.lacking_since = min(part.lacking_since, now)
-        objective_s = self._times.objective - self._times.started
-        return part.lacking_since + objective_s * HOLD_PART
-
-    def _cut_off_at(self) -> float:
-        """Time at which an answer with enough shards is given."""
-        if not isinstance(self._rule.destination, ShardGroup):
-            return float('inf')
-        return self._times.objective - DELIVERY_MARGIN_S
-
-    def _answered(self) -> int:
-        return sum(1 for part in self._parts if part.answer is not None)
-
-    def _hopeless(self) -> bool:
-        """Tell whether too few parts can still be answered."""
-        possible = sum(
-            1
-            for part in self._parts
-            if part.answer is not None or not part.over
-        )
-        return possible < self._least
+    def _on_not_run(
+        self,
+        part: Part,
+        target: KnownTarget,
+        attempt: int,
+        reason: NotRunReason,
+        now: float,
+    ) -> None:
+        seen = self._placement.seen
+        match reason:
+            case NotRunReason.SHED:
+                seen.note_failure(target, attempt, now)
+                part.sheds += 1
+                part.reason = GiveUpReason.SHED
+            case NotRunReason.OTHER_TARGET:
+                seen.note_not_reached(target, attempt, now)
+                target.replaced = True
+            case NotRunReason.NOT_REACHED:
+                seen.note_not_reached(target, attempt, now)
+                part.arrivals -= 1
 
     def _check_end(self, now: float) -> list[Action]:
         """End the request if it is whole, late, or cannot become better."""
-        if self._finished:
+        if self._finished or not self._progress.is_due(now):
             return []
-        if all(part.over for part in self._parts) or self._hopeless():
-            return self._end(now)
-        if now >= self._times.deadline:
-            return self._end(now)
-        if now >= self._cut_off_at() and self._answered() >= self._least:
-            return self._end(now)
-        return []
+        return self._end(now)
 
     def _end(self, now: float) -> list[Action]:
         self._finished = True
--- a/oriolestage/relay/_verdicts.py
+++ b/oriolestage/relay/_verdicts.py
@@ -72,7 +72,9 @@
         for part in parts
     )
     lacking = [part for part in parts if part.answer is None]
-    reason = GiveUpReason.DEADLINE if late else lacking[0].reason
+    # Parts that were given up are the cause; others may only be unfinished.
+    causes = [part for part in lacking if part.given_up] or lacking
+    reason = GiveUpReason.DEADLINE if late else causes[0].reason
     if started:
         return Failed(reason)
     return Refused(reason, max(part.room_after_s for part in lacking))
--- a/oriolestage/relay/tests/test_request_run.py
+++ b/oriolestage/relay/tests/test_request_run.py
@@ -10,6 +10,7 @@
     Delivered,
     Failed,
     Gathered,
+    GiveUpReason,
     NotRunReason,
     Refused,
 )
@@ -435,6 +436,16 @@
         self.assertIsInstance(_verdict(actions), Refused)
         self.assertEqual(_sends(actions), [])
 
+    def test_cause_of_refusal(self) -> None:
+        """A refusal names the shard that cannot be answered."""
+        records = [
+            record for record in shard_records() if record.service != 'shard-19'
+        ]
+        _, actions = _start(make_rule(make_group(least=1)), tuple(records))
+        verdict = _verdict(actions)
+        assert isinstance(verdict, Refused)
+        self.assertEqual(verdict.reason, GiveUpReason.NO_TARGET)
+
     def test_failure_is_no_shard(self) -> None:
         """A target's failure is not merged, even if it is signed."""
         sent = _sends(self._first)[0]
