Keep streams to three hosts of each region in place of all

Every host kept a stream to each of the 56 hosts of other regions and pinged it 2.5 times a second; at 620 nodes that alone would be some 100 KB/s of the 2 KB/s that control may take. Ruled out: the batches themselves (0.002 GB remain with them). Change: a host talks to three hosts of each other region, chosen by rendezvous hashing, and to up to six while some of them are not heard. Sites with two hosts a region are as before. test_few_links is red without it.

--- a/oriolestage/relay/_peers.py
+++ b/oriolestage/relay/_peers.py
@@ -11,8 +11,9 @@
 
 import dataclasses
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
+from oriolestage._rendezvous import rendezvous_rank
 from oriolestage.relay._beliefs import Freshness
 from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._placement_types import HostPlace
@@ -31,6 +32,12 @@
 OVERHEAD_DECAY = 0.1
 
 
+#: Hosts of each other region that one host keeps a stream to. Streams are
+#: pinged, so their number must not grow with that of the hosts; rendezvous
+#: hashing spreads them over the hosts of a region.
+LINKED_PEERS = 3
+#: Streams to one region while some of its hosts are not heard.
+MOST_LINKED = 6
 #: A host is behind if it did not hear the store for this much longer than
 #: this one, in seconds, and lacks a revision. Watches are answered or end
 #: within that time.
@@ -88,6 +95,8 @@
         """Start without other hosts."""
         self._place = place
         self._peers: dict[str, _Peer] = {}
+        #: Peers of each other region, the preferred ones first.
+        self._ranked: dict[str, list[_Peer]] = {}
 
     def replace_hosts(self, records: Iterable[HostRecord]) -> None:
         """Set the registered hosts; what is known of them is kept."""
@@ -101,20 +110,25 @@
                 known = _Peer(record, region)
             kept[record.name] = known
         self._peers = kept
+        self._ranked = {}
+        for name in rendezvous_rank(self._place.name, kept):
+            peer = kept[name]
+            if peer.region != self._place.region:
+                self._ranked.setdefault(peer.region, []).append(peer)
 
     def far_addresses(self) -> set[str]:
-        """Give the addresses of the hosts of other regions."""
+        """Give the addresses of the hosts of other regions to talk to."""
         return {
             peer.record.peer_address
-            for peer in self._peers.values()
-            if peer.region != self._place.region
+            for region in self._ranked
+            for peer in self._linked(region)
         }
 
     def choose(self, region: str) -> HostRecord | None:
         """Choose a host of a region; None if none answers."""
         best: _Peer | None = None
-        for peer in self._peers.values():
-            if peer.region != region or peer.state != PeerState.HEARD:
+        for peer in self._linked(region):
+            if peer.state != PeerState.HEARD:
                 continue
             if best is None or peer.cost_s < best.cost_s:
                 best = peer
@@ -167,6 +181,15 @@
             return None if peer.state == before else peer.state
         return None
 
+    def _linked(self, region: str) -> Iterator[_Peer]:
+        """Give the hosts of a region that this one keeps a stream to."""
+        heard = 0
+        for peer in self._ranked.get(region, [])[:MOST_LINKED]:
+            yield peer
+            heard += peer.state == PeerState.HEARD
+            if heard == LINKED_PEERS:
+                return
+
 
 def _is_behind(other: Freshness, own: Freshness) -> bool:
     lacks = other.revision < own.revision
--- a/oriolestage/relay/tests/test_peers.py
+++ b/oriolestage/relay/tests/test_peers.py
@@ -1,11 +1,14 @@
 """Tests of the choice of other hosts."""
 
 import unittest
+from collections import Counter
 
 from oriolestage.relay._beliefs import Freshness
 from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._peers import (
     BEHIND_S,
+    LINKED_PEERS,
+    MOST_LINKED,
     LinkState,
     PeerBook,
     PeerState,
@@ -54,6 +57,40 @@
             {'far-1:1', 'far-2:1'},
         )
 
+    def test_few_links(self) -> None:
+        """Streams do not grow with the hosts, and avoid silent ones."""
+        self._peers.replace_hosts(
+            HostRecord(f'far-{number}', 'dc-b', f'far-{number}:1')
+            for number in range(40)
+        )
+        linked = self._peers.far_addresses()
+        self.assertEqual(len(linked), LINKED_PEERS)
+        silent = sorted(linked)[0].removesuffix(':1')
+        self._peers.note_silent(silent, 1)
+        self.assertEqual(
+            len(self._peers.far_addresses()),
+            LINKED_PEERS + 1,
+        )
+        for address in self._peers.far_addresses():
+            self._peers.note_silent(address.removesuffix(':1'), 1)
+        for _ in range(9):
+            self._peers.far_addresses()
+        self.assertLessEqual(len(self._peers.far_addresses()), MOST_LINKED)
+
+    def test_links_are_spread(self) -> None:
+        """No host is linked to by many more than its share of others."""
+        records = [
+            HostRecord(f'far-{number}', 'dc-b', f'far-{number}:1')
+            for number in range(30)
+        ]
+        links: Counter[str] = Counter()
+        for number in range(60):
+            book = PeerBook(HostPlace(f'host-{number}', 'dc-a', REGIONS))
+            book.replace_hosts(records)
+            links.update(book.far_addresses())
+        mean = 60 * LINKED_PEERS / len(records)
+        self.assertLess(max(links.values()), 3 * mean)
+
     def test_spread(self) -> None:
         """A host with a request on its way is not asked first."""
         first = self._choose()
