Split the owner of targets by what it decides

Change: _owned_targets takes targets up and gives them up, _target_calls sends calls and says what results mean, _shard_replies answers entry hosts, _target_owner admits. The switches of the scenarios name the new places.

--- a/oriolestage/core/_message_router.py
+++ b/oriolestage/core/_message_router.py
@@ -72,11 +72,11 @@
             case CancelAttempts():
                 parts.owner.on_cancel(message)
             case AcquireTargets():
-                parts.owner.on_acquire(message)
+                parts.owner.owned.on_acquire(message)
             case TargetsReleased():
-                parts.owner.on_released(message)
+                parts.owner.owned.on_released(message)
             case TargetLeaving(target=target, leaving=leaving):
-                parts.owner.on_listed(target, leaving=leaving)
+                parts.owner.owned.on_listed(target, leaving=leaving)
             case ClaimRequest():
                 parts.keys.on_claim(message)
             case ClaimReply():
--- a/oriolestage/core/_node.py
+++ b/oriolestage/core/_node.py
@@ -217,7 +217,7 @@
     ) -> None:
         """Take in what a target's status page told."""
         self._enter(now)
-        self._parts.owner.on_probe_result(target, signs)
+        self._parts.owner.owned.on_probe_result(target, signs)
 
     def on_store_outcome(
         self,
@@ -259,7 +259,7 @@
         self._parts.outbox.log(
             'pause_detected', step='clock', late_s=round(late_s, 3)
         )
-        self._parts.owner.drop_all('paused')
+        self._parts.owner.owned.drop_all('paused')
         self._view_seen = -1
         self._parts.membership.on_pause()
 
@@ -278,7 +278,7 @@
             self._parts.parameters.leaving_probe_period_s,
             self._probe_leaving_targets,
         )
-        self._parts.owner.probe_leaving()
+        self._parts.owner.owned.probe_leaving()
 
     def _settle(self) -> None:
         """Handle local messages and changes of view until none is left."""
@@ -296,4 +296,4 @@
             return
         self._view_seen = view
         self._seen_revision = revision
-        self._parts.owner.refresh()
+        self._parts.owner.owned.refresh()
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -12,8 +12,8 @@
     Store,
     StoreError,
 )
-from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._beliefs import BeliefChanged, Freshness
+from oriolestage.relay._facts import HostRecord
 from oriolestage.relay._knowledge import Knowledge
 from oriolestage.relay._targets import TargetDirectory
 
--- a/oriolestage/views.py
+++ b/oriolestage/views.py
@@ -72,7 +72,7 @@
 
 def view_of(core: NodeCore) -> NodeView:
     """Take a picture of a core."""
-    gates = {gate.target.name: gate for gate in core.owner.gates}
+    gates = {gate.target.name: gate for gate in core.owner.owned.gates}
     index = core.configuration.index
     targets: list[TargetView] = []
     for target in index.document.targets:
--- a/scenarios/switches.py
+++ b/scenarios/switches.py
@@ -63,7 +63,7 @@
             yield mock.patch(f'{_CORE}.queries._query.keep_disjoint', list)
         case 'leaving':
             yield mock.patch(
-                f'{_CORE}.targets._target_owner.TargetOwner.on_listed',
+                f'{_CORE}.targets._owned_targets.OwnedTargets.on_listed',
             )
         case 'draining':
             yield mock.patch(f'{_CORE}._node.NodeCore.drained', True)
@@ -71,7 +71,7 @@
             yield mock.patch('scenarios.core_engine.STOP_NOTICE_S', 0)
         case 'may_have_run':
             yield mock.patch(
-                f'{_CORE}.targets._target_owner.TargetOwner._may_have_run',
+                f'{_CORE}.targets._target_calls.TargetCalls._may_have_run',
                 _claim_not_run,
             )
         case _:
@@ -93,6 +93,6 @@
     return _whole_outcome(query)
 
 
-def _claim_not_run(owner, call, reason):
+def _claim_not_run(calls, call, reason):
     """Claim that lost work was not run, as if that were known."""
     return NotRun(Reason.TARGET_LOST, 'switch', call.task.entry.target)
