--- a/oriolestage/core/queries/_command_runner.py
+++ b/oriolestage/core/queries/_command_runner.py
@@ -120,8 +120,6 @@
         if command is not None and not command.attempt:
             self._end(command, self._not_run(command, Reason.CANCELLED))
 
-    # Claims.
-
     def _claim(self, command: _Command) -> None:
         self._claim_number += 1
         command.claim = self._claim_number
@@ -197,8 +195,6 @@
             ClaimResult(self._peers.me, key, outcome),
         )
 
-    # Dispatch.
-
     def _dispatch(self, command: _Command) -> None:
         if command.ended:
             return
@@ -275,8 +271,6 @@
         self._knowledge.note_unavailable(target.name, until)
         self._dispatch(command)
 
-    # Ending.
-
     def _on_deadline(self, command: _Command) -> None:
         if command.ended:
             return
--- a/scenarios/switches.py
+++ b/scenarios/switches.py
@@ -56,7 +56,7 @@
                 f'{_CORE}.queries._query.Query.outcome', _torn_outcome
             )
             yield mock.patch(
-                f'{_CORE}.queries._query_runner.QueryRunner._settle_snapshot',
+                f'{_CORE}.queries._snapshots.SnapshotKeeper.settle',
                 return_value=False,
             )
         case 'coverage':
