Split membership into its table, its probes and its headers

Change: _member_table keeps states and suspicions, _prober probes, _gossip_headers writes and takes what every message carries; _membership answers messages and is what others ask.

--- /dev/null
+++ b/oriolestage/core/membership/_prober.py
@@ -0,0 +1,179 @@
+"""Probes members in shuffled rounds and suspects those that are silent."""
+
+import dataclasses
+import random
+
+import msgspec
+
+from oriolestage.core._effects import Outbox, SendGossip
+from oriolestage.core._messages import MemberState, Ping, PingRequest
+from oriolestage.core._parameters import Parameters
+from oriolestage.core._timers import Timers
+from oriolestage.core.membership._gossip_headers import GossipHeaders
+from oriolestage.core.membership._member_table import MemberTable
+
+
+@dataclasses.dataclass(slots=True)
+class Probe:
+    """A probe without an answer."""
+
+    subject: str
+    sent_at: float
+    #: Set when this host probes on behalf of another one.
+    relayed_for: str = ''
+    relayed_sequence: int = 0
+
+
+class Prober:
+    """Sends the probes of this host."""
+
+    def __init__(
+        self,
+        parameters: Parameters,
+        randomness: random.Random,
+        outbox: Outbox,
+        timers: Timers,
+        table: MemberTable,
+        headers: GossipHeaders,
+    ) -> None:
+        """Start without probes."""
+        self._parameters = parameters
+        self._random = randomness
+        self._outbox = outbox
+        self._timers = timers
+        self._table = table
+        self._headers = headers
+        self._round: list[str] = []
+        self._probes: dict[int, Probe] = {}
+        self._sequence = 0
+
+    def take(self, sequence: int) -> Probe | None:
+        """Take the probe that an answer belongs to."""
+        return self._probes.pop(sequence, None)
+
+    def forget_all(self) -> None:
+        """Forget all probes, as if none had been sent."""
+        self._probes.clear()
+
+    def start(self) -> None:
+        """Begin probing."""
+        now = self._timers.now
+        offset = self._random.random() * self._parameters.probe_period_s
+        self._timers.call_at(now + offset, self._probe_next)
+        self._timers.call_at(
+            now + self._parameters.dead_probe_period_s,
+            self._probe_dead,
+        )
+
+    def random_names(self, count: int, without: str = '') -> list[str]:
+        """Draw members that are not dead, this host left out."""
+        names = [
+            member.name
+            for member in self._table.members
+            if member.state < MemberState.DEAD
+            and member.name not in {self._table.me.name, without}
+        ]
+        return self._random.sample(names, min(count, len(names)))
+
+    def _probe_next(self) -> None:
+        now = self._timers.now
+        self._timers.call_at(
+            now + self._parameters.probe_period_s,
+            self._probe_next,
+        )
+        self._forget_old_probes(now)
+        while self._round:
+            subject = self._round.pop()
+            member = self._table.get(subject)
+            if member is None or member.state >= MemberState.DEAD:
+                continue
+            self._probe(subject)
+            return
+        self._round = self.random_names(len(self._table))
+        if self._round:
+            self._probe(self._round.pop())
+
+    def _forget_old_probes(self, now: float) -> None:
+        horizon = now - 2 * self._parameters.freshness_limit_s
+        for sequence, probe in tuple(self._probes.items()):
+            if probe.sent_at >= horizon:
+                break
+            self._probes.pop(sequence)
+
+    def _probe(self, subject: str) -> None:
+        now = self._timers.now
+        sequence = self.ping(subject)
+        self._timers.call_at(
+            now + self._parameters.probe_timeout_s,
+            lambda: self._relay_probe(sequence),
+        )
+        self._timers.call_at(
+            now + self._parameters.probe_period_s,
+            lambda: self._end_probe(sequence),
+        )
+
+    def _probe_dead(self) -> None:
+        now = self._timers.now
+        self._timers.call_at(
+            now + self._parameters.dead_probe_period_s,
+            self._probe_dead,
+        )
+        dead = self._table.in_states(MemberState.DEAD)
+        if dead:
+            member = self._random.choice(dead)
+            self._table.news.add(member.name, len(self._table))
+            self.ping(member.name)
+
+    def ping(
+        self,
+        subject: str,
+        relayed_for: str = '',
+        relayed_sequence: int = 0,
+    ) -> int:
+        """Probe a member; give the number of the probe."""
+        self._sequence += 1
+        self._probes[self._sequence] = Probe(
+            subject,
+            self._timers.now,
+            relayed_for,
+            relayed_sequence,
+        )
+        member = self._table[subject]
+        ping = Ping(self._headers.write(subject), self._sequence, relayed_for)
+        self._outbox.add(SendGossip(member.gossip_address, ping))
+        return self._sequence
+
+    def _relay_probe(self, sequence: int) -> None:
+        probe = self._probes.get(sequence)
+        if probe is None:
+            return
+        relays = self.random_names(
+            self._parameters.relay_count,
+            without=probe.subject,
+        )
+        for name in relays:
+            request = PingRequest(
+                self._headers.write(name),
+                sequence,
+                probe.subject,
+            )
+            self._outbox.add(
+                SendGossip(self._table[name].gossip_address, request),
+            )
+
+    def _end_probe(self, sequence: int) -> None:
+        probe = self._probes.get(sequence)
+        if probe is None:
+            return
+        member = self._table.get(probe.subject)
+        if member is None or member.state >= MemberState.SUSPECT:
+            return
+        if member.state is MemberState.LEAVING:
+            # It said that it goes, so it no longer counts for a majority.
+            self._table.store(
+                msgspec.structs.replace(member, state=MemberState.REMOVED),
+            )
+            return
+        self._table.store(
+            msgspec.structs.replace(member, state=MemberState.SUSPECT),
+        )
