Split the configuration document from its changes and checks

Change: _changes and _document_checks beside _configuration; importers name the module that holds what they use.

--- a/oriolestage/core/__init__.py
+++ b/oriolestage/core/__init__.py
@@ -47,29 +47,33 @@
     StoreUnreachable,
     StoreWritten,
 )
-from oriolestage.core.configuration._configuration import (
-    KEY_SPACE_SIZE,
-    MAXIMUM_TIMEOUT_MS,
-    AnswerPolicy,
+from oriolestage.core.configuration._changes import (
     Change,
-    Configuration,
-    DataCentre,
     PutRoute,
     RemoveRoute,
     ReplaceDocument,
     RevisionRecord,
-    Route,
-    RouteKind,
-    Service,
     SetDataCentreAccepting,
     SetServiceAccepting,
     SetTargetAccepting,
     SetTargetLimits,
-    Target,
     apply_change,
-    check_document,
+)
+from oriolestage.core.configuration._configuration import (
+    KEY_SPACE_SIZE,
+    AnswerPolicy,
+    Configuration,
+    DataCentre,
+    Route,
+    RouteKind,
+    Service,
+    Target,
     serving_targets,
 )
+from oriolestage.core.configuration._document_checks import (
+    MAXIMUM_TIMEOUT_MS,
+    check_document,
+)
 from oriolestage.core.configuration._in_force import InForceReport
 from oriolestage.core.configuration._operator_commands import (
     ChangeAccepted,
--- a/oriolestage/core/_messages.py
+++ b/oriolestage/core/_messages.py
@@ -9,9 +9,11 @@
 
 import msgspec
 
+from oriolestage.core.configuration._changes import (
+    RevisionRecord,
+)
 from oriolestage.core.configuration._configuration import (
     Configuration,
-    RevisionRecord,
 )
 from oriolestage.core.queries._outcomes import CallerOutcome, ShardOutcome
 
--- a/oriolestage/core/_node.py
+++ b/oriolestage/core/_node.py
@@ -18,7 +18,10 @@
 from oriolestage.core._store_port import (
     StoreOutcome,
 )
-from oriolestage.core.configuration._configuration import Route, RouteKind
+from oriolestage.core.configuration._configuration import (
+    Route,
+    RouteKind,
+)
 from oriolestage.core.configuration._configuration_keeper import (
     ConfigurationKeeper,
 )
--- a/oriolestage/core/configuration/_operator_commands.py
+++ b/oriolestage/core/configuration/_operator_commands.py
@@ -18,7 +18,7 @@
     StoreWritten,
 )
 from oriolestage.core._timers import Timers
-from oriolestage.core.configuration._configuration import (
+from oriolestage.core.configuration._changes import (
     Change,
     RevisionRecord,
     apply_change,
