Take the scenarios' engine apart and end its import circle

Change: core_world holds time, hosts and what was seen and imports neither; core_network carries out effects with delays and cuts; core_engine runs.

--- /dev/null
+++ b/scenarios/core_network.py
@@ -0,0 +1,248 @@
+"""The network between hosts, targets and the store of a scenario."""
+
+import functools
+from collections.abc import Mapping
+
+from oriolestage.core import (
+    AnswerCaller,
+    CallTarget,
+    CancelTargetCall,
+    Effect,
+    NodeCore,
+    ProbeTarget,
+    ReadHostList,
+    RevisionInForce,
+    SendData,
+    SendGossip,
+    StoreRead,
+    StoreWatch,
+    StoreWrite,
+    TargetTimedOut,
+)
+from scenarios.core_world import CoreHost, CoreWorld
+from scenarios.fake_callers import FakeCallers
+from scenarios.fake_store import FakeStore
+from scenarios.fake_target import FakeTarget
+from scenarios.observations import RevisionSeen
+from scenarios.steps import Cut, Heal
+from trial.layout import GOSSIP_PORT
+
+#: One-way delays within and between regions, in seconds.
+NEAR_S = 0.0005
+FAR_S = 0.02
+#: Largest random addition to a delay, as a share of it.
+JITTER = 0.5
+
+
+class CoreNetwork:
+    """Carries out the effects of cores, with delays and cuts."""
+
+    def __init__(
+        self,
+        world: CoreWorld,
+        store: FakeStore,
+        targets: Mapping[str, FakeTarget],
+        callers: FakeCallers,
+    ) -> None:
+        """Connect everything; nothing is cut."""
+        self._world = world
+        self._store = store
+        self._targets = targets
+        self._callers = callers
+        self._cuts: set[tuple[str, str]] = set()
+        self._links: dict[tuple[str, str], float] = {}
+        self._by_address = {
+            host.address(GOSSIP_PORT): host.name for host in world.layout.hosts
+        }
+
+    def cut(self, cut: Cut) -> None:
+        """Cut a link, both ways or one way."""
+        self._cuts.add((cut.one, cut.other))
+        if not cut.one_way:
+            self._cuts.add((cut.other, cut.one))
+
+    def heal(self, healed: Heal) -> None:
+        """Mend a link in both directions."""
+        self._cuts -= {
+            (healed.one, healed.other),
+            (healed.other, healed.one),
+        }
+
+    def carry_out(
+        self,
+        host: CoreHost,
+        core: NodeCore,
+        effect: Effect,
+    ) -> None:
+        """Carry out an effect of a core."""
+        match effect:
+            case SendGossip(address=address):
+                self._send_gossip(host, self._by_address[address], effect)
+            case SendData(peer=peer):
+                self._send_data(host, core, peer, effect)
+            case CallTarget():
+                self._call_target(host, core, effect)
+            case CancelTargetCall(call=call):
+                self._world.call_later(
+                    NEAR_S,
+                    functools.partial(self._cancel, host.process, call),
+                )
+            case ProbeTarget(target=probed):
+                self._probe(host, core, probed.name)
+            case StoreRead() | StoreWrite() | StoreWatch() | ReadHostList():
+                self._call_store(host, core, effect)
+            case AnswerCaller():
+                self._callers.on_answer(host, effect)
+            case RevisionInForce(revision=revision, record=record):
+                command = record.command_id if record else ''
+                self._world.seen.revisions.append(
+                    RevisionSeen(host.process, revision, command),
+                )
+
+    def _delay_s(self, one: str, other: str) -> float:
+        base_s = NEAR_S if one == other else FAR_S
+        return base_s * (1 + JITTER * self._world.random.random())
+
+    def _is_cut(self, sender: str, receiver: str) -> bool:
+        return (sender, receiver) in self._cuts
+
+    def _send_gossip(
+        self,
+        host: CoreHost,
+        receiver: str,
+        effect: SendGossip,
+    ) -> None:
+        other = self._world.hosts[receiver]
+        peer = other.core
+        if peer is None or self._is_cut(host.name, receiver):
+            return
+        message = effect.message
+        self._world.call_later(
+            self._delay_s(host.data_centre, other.data_centre),
+            lambda: self._world.on_host(
+                other,
+                peer,
+                lambda: peer.on_gossip(self._world.now, message),
+            ),
+        )
+
+    def _send_data(
+        self,
+        host: CoreHost,
+        core: NodeCore,
+        receiver: str,
+        effect: SendData,
+    ) -> None:
+        other = self._world.hosts[receiver]
+        peer = other.core
+        message = effect.message
+        if peer is None:
+            self._world.call_later(
+                NEAR_S,
+                lambda: self._world.on_host(
+                    host,
+                    core,
+                    lambda: core.on_data_not_sent(
+                        self._world.now, receiver, message
+                    ),
+                ),
+            )
+            return
+        if self._is_cut(host.name, receiver):
+            return
+        # One stream for each pair keeps its order.
+        link = (host.process, other.process)
+        delay_s = self._delay_s(host.data_centre, other.data_centre)
+        arrives_at = max(self._world.now + delay_s, self._links.get(link, 0))
+        self._links[link] = arrives_at
+        self._world.call_later(
+            arrives_at - self._world.now,
+            lambda: self._world.on_host(
+                other,
+                peer,
+                lambda: peer.on_data(self._world.now, message),
+            ),
+        )
+
+    def _call_target(
+        self,
+        host: CoreHost,
+        core: NodeCore,
+        effect: CallTarget,
+    ) -> None:
+        target = self._targets[effect.target.name]
+        process = host.process
+        answered: list[bool] = []
+        delay_s = self._delay_s(
+            host.data_centre,
+            effect.target.data_centre,
+        )
+
+        def reply(outcome) -> None:
+            if answered:
+                return
+            answered.append(True)
+            self._world.call_later(
+                delay_s,
+                lambda: self._world.on_host(
+                    host,
+                    core,
+                    lambda: core.on_target_result(
+                        self._world.now,
+                        effect.call,
+                        outcome,
+                    ),
+                ),
+            )
+
+        self._world.call_later(
+            delay_s,
+            lambda: target.call(
+                process,
+                effect,
+                self._world.since_origin(),
+                reply,
+            ),
+        )
+        self._world.call_later(
+            effect.patience_ms / 1000,
+            lambda: reply(TargetTimedOut()),
+        )
+
+    def _cancel(self, process: str, call: int) -> None:
+        for target in self._targets.values():
+            target.cancel(process, call)
+
+    def _probe(self, host: CoreHost, core: NodeCore, name: str) -> None:
+        target = self._targets[name]
+        if not target.running:
+            return
+        signs = target.signs()
+        self._world.call_later(
+            FAR_S,
+            lambda: self._world.on_host(
+                host,
+                core,
+                lambda: core.on_probe_result(self._world.now, name, signs),
+            ),
+        )
+
+    def _call_store(
+        self,
+        host: CoreHost,
+        core: NodeCore,
+        effect: StoreRead | StoreWrite | StoreWatch | ReadHostList,
+    ) -> None:
+        self._store.call(
+            effect,
+            cut=self._is_cut(host.name, 'store'),
+            reply=lambda outcome: self._world.on_host(
+                host,
+                core,
+                lambda: core.on_store_outcome(
+                    self._world.now,
+                    effect.operation,
+                    outcome,
+                ),
+            ),
+        )
--- a/scenarios/fake_callers.py
+++ b/scenarios/fake_callers.py
@@ -7,7 +7,6 @@
 import dataclasses
 import functools
 import json
-import typing
 
 import msgspec
 
@@ -18,13 +17,11 @@
     make_key,
 )
 from oriolestage.views import caller_view
+from scenarios.core_world import CoreHost, CoreWorld
 from scenarios.observations import Answer
 from scenarios.steps import Scenario
 from trial.load import DISTINCT_QUERIES, KEY_BITS, Served, judge
 
-if typing.TYPE_CHECKING:
-    from scenarios.core_engine import CoreEngine, CoreHost
-
 #: Time that a caller gives the tier, in milliseconds.
 TIMEOUT_MS = 1000
 #: Time after which a caller sends again through another host, in seconds.
@@ -56,9 +53,9 @@
 class FakeCallers:
     """Sends the load of a scenario and notes the answers."""
 
-    def __init__(self, engine: 'CoreEngine') -> None:
-        """Act within ``engine``."""
-        self._engine = engine
+    def __init__(self, world: CoreWorld) -> None:
+        """Act within ``world``."""
+        self._world = world
         self._sendings: dict[str, _Sending] = {}
         self._number = 0
         self._running = False
@@ -80,16 +77,16 @@
         body = b'{"query": "crash", "poison": 1}'
         route = next(
             route.name
-            for route in self._engine.layout.configuration.routes
+            for route in self._world.layout.configuration.routes
             if route.kind is RouteKind.QUERY
         )
         for number in range(times):
-            self._engine.call_later(
+            self._world.call_later(
                 number,
                 functools.partial(self._send, route, body, '', '', SENDINGS),
             )
 
-    def on_answer(self, host: 'CoreHost', effect: AnswerCaller) -> None:
+    def on_answer(self, host: CoreHost, effect: AnswerCaller) -> None:
         """Take the answer of a host."""
         sending = self._sendings.get(effect.request_id)
         if sending is None or sending.ended:
@@ -125,27 +122,27 @@
     def _next(self, scenario: Scenario) -> None:
         if not self._running:
             return
-        self._engine.call_later(
-            self._engine.random.expovariate(scenario.rate),
+        self._world.call_later(
+            self._world.random.expovariate(scenario.rate),
             lambda: self._next(scenario),
         )
         kinds = {'query': RouteKind.QUERY, 'command': RouteKind.COMMAND}
         wanted = kinds.get(scenario.load_kind)
         routes = [
             route
-            for route in self._engine.layout.configuration.routes
+            for route in self._world.layout.configuration.routes
             if wanted in {None, route.kind}
         ]
-        self._send_new(self._engine.random.choice(routes))
+        self._send_new(self._world.random.choice(routes))
 
     def _send_new(self, route) -> None:
-        randomness = self._engine.random
+        randomness = self._world.random
         if route.kind is RouteKind.QUERY:
             query = {'query': randomness.randrange(DISTINCT_QUERIES)}
             self._send(route.name, json.dumps(query).encode(), '', '', 1)
             return
         booking = randomness.randbytes(8).hex()
-        created_ms = 1_700_000_000_000 + int(self._engine.now * 1000)
+        created_ms = 1_700_000_000_000 + int(self._world.now * 1000)
         key = make_key(created_ms, randomness.getrandbits(KEY_BITS))
         body = {'booking': booking}
         self._send(route.name, json.dumps(body).encode(), key, booking, 1)
@@ -159,12 +156,12 @@
         count: int,
     ) -> None:
         if not self._ready:
-            now = self._engine.since_origin()
+            now = self._world.since_origin()
             refused = _Sending('', route, body, key, booking, now, count)
             self._note('', refused, NO_HOST, '', 0, 0)
             return
-        name = self._engine.random.choice(self._ready)
-        host = self._engine.hosts[name]
+        name = self._world.random.choice(self._ready)
+        host = self._world.hosts[name]
         core = host.core
         self._number += 1
         request_id = f'request-{self._number}'
@@ -174,11 +171,11 @@
             body,
             key,
             booking,
-            self._engine.since_origin(),
+            self._world.since_origin(),
             count,
         )
         self._sendings[request_id] = sending
-        self._engine.call_later(
+        self._world.call_later(
             PATIENCE_S,
             lambda: self._give_up(request_id, sending),
         )
@@ -192,23 +189,23 @@
             TIMEOUT_MS,
             key,
         )
-        self._engine.on_host(
+        self._world.on_host(
             host,
             core,
-            lambda: core.on_caller_request(self._engine.now, request),
+            lambda: core.on_caller_request(self._world.now, request),
         )
 
     def _give_up(self, request_id: str, sending: _Sending) -> None:
         if sending.ended:
             return
         sending.ended = True
-        host = self._engine.hosts[sending.host]
+        host = self._world.hosts[sending.host]
         core = host.core
         if core is not None:
-            self._engine.on_host(
+            self._world.on_host(
                 host,
                 core,
-                lambda: core.on_caller_gone(self._engine.now, request_id),
+                lambda: core.on_caller_gone(self._world.now, request_id),
             )
         self._note(request_id, sending, NO_ANSWER, '', 0, 0)
         self._send_again(sending)
@@ -216,7 +213,7 @@
     def _send_again(self, sending: _Sending) -> None:
         if not sending.key or sending.count >= SENDINGS:
             return
-        self._engine.call_later(
+        self._world.call_later(
             RESEND_S,
             lambda: self._send(
                 sending.route,
@@ -236,7 +233,7 @@
         share: float,
         wait_ms: int,
     ) -> None:
-        now = self._engine.since_origin()
+        now = self._world.since_origin()
         served = Served(
             sending.route,
             now,
@@ -247,14 +244,14 @@
             share,
             wait_ms,
         )
-        self._engine.seen.answers.append(
+        self._world.seen.answers.append(
             Answer(request_id, sending.booking, sending.sent_at, served),
         )
 
     def _check_hosts(self) -> None:
         self._ready = [
             host.name
-            for host in self._engine.hosts.values()
+            for host in self._world.hosts.values()
             if host.core is not None and not host.frozen and host.core.ready
         ]
-        self._engine.call_later(CHECK_PERIOD_S, self._check_hosts)
+        self._world.call_later(CHECK_PERIOD_S, self._check_hosts)
--- a/scenarios/fake_operators.py
+++ b/scenarios/fake_operators.py
@@ -1,7 +1,5 @@
 """Operators who type commands, on injected time."""
 
-import typing
-
 from oriolestage.core import (
     ChangeAccepted,
     ChangeOutcome,
@@ -10,12 +8,10 @@
     ReplaceDocument,
 )
 from oriolestage.tool import parse_command
+from scenarios.core_world import CoreHost, CoreWorld
 from scenarios.observations import OperatorAnswer
 from scenarios.steps import Operate
 
-if typing.TYPE_CHECKING:
-    from scenarios.core_engine import CoreEngine, CoreHost
-
 #: Names of outcomes as scenario files write them.
 OUTCOME_NAMES = (
     ('ChangeAccepted', 'accepted'),
@@ -28,9 +24,9 @@
 class FakeOperators:
     """Sends changes to hosts and notes what came of them."""
 
-    def __init__(self, engine: 'CoreEngine') -> None:
-        """Act within ``engine``."""
-        self._engine = engine
+    def __init__(self, world: CoreWorld) -> None:
+        """Act within ``world``."""
+        self._world = world
         self._commands = 0
 
     def apply_document(self, document: Configuration) -> None:
@@ -56,18 +52,18 @@
             0,
         )
         core.on_operator_command(
-            self._engine.now,
+            self._world.now,
             command,
             lambda outcome: self._note(operator, outcome),
         )
-        self._engine.settle(host)
+        self._world.settle(host)
 
-    def _host(self, through: str) -> 'CoreHost':
+    def _host(self, through: str) -> CoreHost:
         if through:
-            return self._engine.hosts[through]
+            return self._world.hosts[through]
         running = [
             host
-            for host in self._engine.hosts.values()
+            for host in self._world.hosts.values()
             if host.core is not None and not host.frozen
         ]
         return running[0]
@@ -77,10 +73,10 @@
         if isinstance(outcome, ChangeAccepted):
             revision = outcome.revision
         name = dict(OUTCOME_NAMES)[type(outcome).__name__]
-        self._engine.seen.operators.append(
+        self._world.seen.operators.append(
             OperatorAnswer(
                 operator,
-                self._engine.since_origin(),
+                self._world.since_origin(),
                 name,
                 revision,
             ),
