--- a/benchmarks/state_cost.py
+++ b/benchmarks/state_cost.py
@@ -19,7 +19,10 @@
     encode_message,
 )
 from oriolestage.core._messages import SyncReply
-from oriolestage.core.keys._key_journal import Claim, JournalHead
+from oriolestage.core.keys._claims import (
+    Claim,
+    JournalHead,
+)
 
 #: Data centres at design size, and regions.
 DATA_CENTRES = 7
--- a/oriolestage/core/keys/_key_journal.py
+++ b/oriolestage/core/keys/_key_journal.py
@@ -23,6 +23,15 @@
     StoreWritten,
 )
 from oriolestage.core._timers import Timers
+from oriolestage.core.keys._claims import (
+    Claim,
+    ClaimCallback,
+    ClaimHeld,
+    ClaimTaken,
+    ClaimUnavailable,
+    JournalHead,
+    decode_claims,
+)
 
 #: Time that a key outlives its retention, for clocks that differ, seconds.
 CLOCK_SKEW_S = 60.0
@@ -34,46 +43,6 @@
 SETTLE_PERIOD_S = 0.1
 
 
-class Claim(msgspec.Struct, frozen=True, array_like=True):
-    """The durable fact that one key was claimed."""
-
-    key: str
-    fingerprint: int
-    #: Identifies the keeper's process and the claim within it.
-    holder: str
-    #: When the caller made the key, in milliseconds since the epoch.
-    created_ms: int
-
-
-class JournalHead(msgspec.Struct, frozen=True, array_like=True):
-    """The value under the head key of a slice."""
-
-    claims: tuple[Claim, ...] = ()
-    #: Keys of sealed segments with older claims, oldest first.
-    segments: tuple[str, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimHeld:
-    """The claim took effect; its holder may run the work once."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimTaken:
-    """The key was claimed before."""
-
-    claim: Claim
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimUnavailable:
-    """The store did not confirm the claim; the work was not run."""
-
-
-ClaimOutcome = ClaimHeld | ClaimTaken | ClaimUnavailable
-ClaimCallback = Callable[[ClaimOutcome], None]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Waiting:
     claim: Claim
@@ -128,8 +97,6 @@
             return
         self._write_batch()
 
-    # Loading.
-
     def _on_head(self, outcome: StoreOutcome) -> None:
         match outcome:
             case StoreFound(content=content, version=version):
@@ -157,7 +124,7 @@
     def _on_segment(self, outcome: StoreOutcome, left: list[str]) -> None:
         match outcome:
             case StoreFound(content=content):
-                for claim in _decode_claims(content):
+                for claim in decode_claims(content):
                     self._known[claim.key] = claim
             case StoreMissing():
                 # A segment disappears only after its retention.
@@ -190,8 +157,6 @@
             else:
                 waiting.callback(ClaimTaken(found))
 
-    # Writing.
-
     def _write_batch(self) -> None:
         batch: list[_Waiting] = []
         fresh: dict[str, Claim] = {}
@@ -269,8 +234,6 @@
             return
         self._settle_later()
 
-    # Sealing.
-
     def _seal(self) -> None:
         """Move the claims of the head into a segment of their own."""
         name = f'{self._segment_prefix}/{self._version:012d}'
@@ -319,7 +282,3 @@
         self._busy = False
         for waiting in failed:
             waiting.callback(ClaimUnavailable())
-
-
-def _decode_claims(content: bytes) -> tuple[Claim, ...]:
-    return msgspec.msgpack.decode(content, type=tuple[Claim, ...])
--- a/oriolestage/core/keys/_key_keeper.py
+++ b/oriolestage/core/keys/_key_keeper.py
@@ -11,13 +11,15 @@
 from oriolestage.core._parameters import Parameters
 from oriolestage.core._store_port import StorePort
 from oriolestage.core._timers import Timers
-from oriolestage.core.keys._idempotency_keys import key_created_ms
-from oriolestage.core.keys._key_journal import (
+from oriolestage.core.keys._claims import (
     Claim,
     ClaimHeld,
     ClaimOutcome,
     ClaimTaken,
     ClaimUnavailable,
+)
+from oriolestage.core.keys._idempotency_keys import key_created_ms
+from oriolestage.core.keys._key_journal import (
     KeyJournal,
 )
 from oriolestage.core.queries._outcomes import (
--- a/oriolestage/core/queries/_command_runner.py
+++ b/oriolestage/core/queries/_command_runner.py
@@ -5,8 +5,6 @@
 started the work.
 """
 
-import dataclasses
-
 from oriolestage._rendezvous import rendezvous_owner
 from oriolestage.core._effects import AnswerCaller, Outbox
 from oriolestage.core._messages import (
@@ -28,6 +26,7 @@
 from oriolestage.core.keys._key_keeper import slice_of_key
 from oriolestage.core.queries._attempts import AttemptTable
 from oriolestage.core.queries._caller_request import CallerRequest
+from oriolestage.core.queries._command import Command
 from oriolestage.core.queries._outcomes import (
     Answered,
     CallerOutcome,
@@ -49,21 +48,6 @@
 NO_TARGET_RETRY_MS = 1000
 
 
-@dataclasses.dataclass(slots=True)
-class _Command:
-    request: CallerRequest
-    route: Route
-    service: str
-    deadline: float
-    #: Number of the claim, 0 for requests without a key.
-    claim: int = 0
-    granted: bool = False
-    attempt: int = 0
-    dispatches: int = 0
-    failure: NotRun | None = None
-    ended: bool = False
-
-
 class CommandRunner:
     """Keeps all requests that run at most once and came in here."""
 
@@ -91,8 +75,8 @@
         self._knowledge = knowledge
         self._attempts = attempts
         self._sender = sender
-        self._commands: dict[str, _Command] = {}
-        self._claims: dict[int, _Command] = {}
+        self._commands: dict[str, Command] = {}
+        self._claims: dict[int, Command] = {}
         self._claim_keys: dict[int, str] = {}
         self._claim_number = 0
 
@@ -108,7 +92,7 @@
         services = self._keeper.index.services_of(route.group)
         placing = request.idempotency_key or str(request.fingerprint)
         service = rendezvous_owner(placing, services)
-        command = _Command(request, route, service, deadline)
+        command = Command(request, route, service, deadline)
         self._commands[request.request_id] = command
         self._timers.call_at(deadline, lambda: self._on_deadline(command))
         if request.idempotency_key:
@@ -123,7 +107,7 @@
         if command is not None and not command.attempt:
             self._end(command, self._not_run(command, Reason.CANCELLED))
 
-    def _claim(self, command: _Command) -> None:
+    def _claim(self, command: Command) -> None:
         self._claim_number += 1
         command.claim = self._claim_number
         key = command.request.idempotency_key
@@ -164,7 +148,7 @@
 
     def _on_claim_refused(
         self,
-        command: _Command,
+        command: Command,
         outcome: CallerOutcome | None,
     ) -> None:
         if isinstance(outcome, NotRun) and outcome.reason is Reason.NOT_OWNER:
@@ -177,7 +161,7 @@
             outcome = self._not_run(command, Reason.STORE_UNAVAILABLE)
         self._end(command, outcome)
 
-    def _claim_again(self, command: _Command) -> None:
+    def _claim_again(self, command: Command) -> None:
         if not command.ended:
             self._claim(command)
 
@@ -198,7 +182,7 @@
             ClaimResult(self._peers.me, key, outcome),
         )
 
-    def _dispatch(self, command: _Command) -> None:
+    def _dispatch(self, command: Command) -> None:
         if command.ended:
             return
         target = self._sender.choose(command.service, 0)
@@ -214,13 +198,13 @@
             return
         self._dispatch_later(command, at - self._timers.now)
 
-    def _dispatch_later(self, command: _Command, delay_s: float) -> None:
+    def _dispatch_later(self, command: Command, delay_s: float) -> None:
         self._timers.call_after(
             max(REDISPATCH_FLOOR_S, delay_s),
             lambda: self._dispatch(command),
         )
 
-    def _send(self, command: _Command, target: Target) -> None:
+    def _send(self, command: Command, target: Target) -> None:
         command.dispatches += 1
         entry = self._sender.register(
             target,
@@ -238,7 +222,7 @@
 
     def _on_reply(
         self,
-        command: _Command,
+        command: Command,
         target: Target,
         reply: ShardReply,
     ) -> None:
@@ -261,7 +245,7 @@
 
     def _on_not_run(
         self,
-        command: _Command,
+        command: Command,
         target: Target,
         refusal: NotRun,
     ) -> None:
@@ -274,7 +258,7 @@
         self._knowledge.note_unavailable(target.name, until)
         self._dispatch(command)
 
-    def _on_deadline(self, command: _Command) -> None:
+    def _on_deadline(self, command: Command) -> None:
         if command.ended:
             return
         if command.attempt:
@@ -288,7 +272,7 @@
             outcome = self._not_run(command, Reason.DEADLINE)
         self._end(command, outcome)
 
-    def _end(self, command: _Command, outcome: CallerOutcome) -> None:
+    def _end(self, command: Command, outcome: CallerOutcome) -> None:
         command.ended = True
         request = command.request
         self._commands.pop(request.request_id, None)
@@ -296,7 +280,7 @@
             self._report(request.idempotency_key, outcome)
         self._outbox.add(AnswerCaller(request.request_id, outcome))
 
-    def _not_run(self, command: _Command, reason: Reason) -> NotRun:
+    def _not_run(self, command: Command, reason: Reason) -> NotRun:
         return NotRun(
             reason,
             'entry.dispatch',
--- a/scenarios/process_engine.py
+++ b/scenarios/process_engine.py
@@ -1,13 +1,9 @@
 """Runs a scenario on real processes on loopback addresses."""
 
 import asyncio
-import itertools
-import json
-import re
 import signal
 import time
 from collections.abc import Mapping
-from pathlib import Path
 
 import aiohttp
 
@@ -15,10 +11,8 @@
     Answer,
     Observations,
     OperatorAnswer,
-    Overload,
-    RevisionSeen,
-    Run,
 )
+from scenarios.process_logs import ProcessLogs
 from scenarios.steps import (
     Action,
     CrashRequest,
@@ -53,13 +47,8 @@
     (5, 'unknown'),
     (6, 'accepted'),
 )
-#: Characters that the daemon appends to a caller's request identifier.
-SUFFIX_LENGTH = 9
 #: Length of a caller's patience, in seconds.
 CLIENT_TIMEOUT_S = 2.0
-_REVISION = re.compile(
-    r'event=revision_in_force .*revision=(\d+)(?:.* command_id=(\w+))?',
-)
 _TARGET_SIGNS = (
     (TargetSign.COLD, {'cold': True}),
     (TargetSign.LEAVES, {'leaving': True}),
@@ -229,9 +218,8 @@
             address = trial.target(name).target.address
             await post(f'http://{address}/control', _target_control(action))
 
-    # What was seen.
-
     def _collect(self, trial: Trial, load: LoadGenerator) -> None:
+        logs = ProcessLogs(self._seen, self._origin)
         for sending in load.results.sendings:
             self._seen.answers.append(
                 Answer(
@@ -244,48 +232,10 @@
         for placed in self._layout.targets:
             target = placed.target
             log = trial.folder / f'{target.name}.jsonl'
-            self._collect_target(target.name, target.data_centre, log)
+            logs.collect_target(target.name, target.data_centre, log)
         for host in self._layout.hosts:
             log = trial.folder / f'{host.name}.log'
-            self._collect_revisions(host.name, log)
-
-    def _collect_target(self, name: str, centre: str, log: Path) -> None:
-        if not log.exists():
-            return
-        for text in log.read_text().splitlines():
-            line = json.loads(text)
-            run = Run(
-                name,
-                centre,
-                line['request'][:-SUFFIX_LENGTH],
-                line['booking'],
-                line['at'] - self._origin,
-            )
-            overload = Overload(name, run.at, line['in_flight'], 0)
-            match line['kind']:
-                case 'received':
-                    self._seen.received.append(run)
-                case 'ran':
-                    self._seen.runs.append(run)
-                case 'over_slots':
-                    self._seen.slot_overloads.append(overload)
-                case 'over_cold':
-                    self._seen.cold_overloads.append(overload)
-                case 'crashed':
-                    self._seen.crashed.add(name)
-
-    def _collect_revisions(self, host: str, log: Path) -> None:
-        starts = itertools.count()
-        process = ''
-        for line in log.read_text().splitlines():
-            if 'event=started' in line:
-                process = f'{host}/{next(starts)}'
-            found = _REVISION.search(line)
-            if found:
-                revision = int(found.group(1))
-                seen = RevisionSeen(process, revision, found.group(2) or '')
-                self._seen.revisions.append(seen)
-                self._seen.final_revisions[host] = revision
+            logs.collect_revisions(host.name, log)
 
 
 def _target_control(
