--- a/oriolestage/core/__init__.py
+++ b/oriolestage/core/__init__.py
@@ -1,9 +1,6 @@
 """The decisions of the query tier, without any input or output."""
 
-from oriolestage.core._charts import (
-    StateChart,
-    load_chart,
-)
+from oriolestage.core._charts import StateChart, load_chart
 from oriolestage.core._effects import (
     AnswerCaller,
     CallTarget,
@@ -20,10 +17,7 @@
     StoreWatch,
     StoreWrite,
 )
-from oriolestage.core._errors import (
-    ChangeRefusedError,
-    OriolestageError,
-)
+from oriolestage.core._errors import ChangeRefusedError, OriolestageError
 from oriolestage.core._messages import (
     DataMessage,
     GossipMessage,
@@ -35,10 +29,7 @@
     encode_message,
 )
 from oriolestage.core._node import NodeCore
-from oriolestage.core._parameters import (
-    Identity,
-    Parameters,
-)
+from oriolestage.core._parameters import Identity, Parameters
 from oriolestage.core._store_port import (
     StoreFound,
     StoreMismatch,
@@ -83,14 +74,8 @@
     ChangeUnknown,
     OperatorCommand,
 )
-from oriolestage.core.keys._idempotency_keys import (
-    key_created_ms,
-    make_key,
-)
-from oriolestage.core.membership._host_list import (
-    HostList,
-    ListedHost,
-)
+from oriolestage.core.keys._idempotency_keys import key_created_ms, make_key
+from oriolestage.core.membership._host_list import HostList, ListedHost
 from oriolestage.core.queries._caller_request import CallerRequest
 from oriolestage.core.queries._coverage import (
     coverage_of,
--- a/oriolestage/core/_effects.py
+++ b/oriolestage/core/_effects.py
@@ -8,12 +8,8 @@
 from collections.abc import Mapping
 
 from oriolestage.core._messages import DataMessage, GossipMessage
-from oriolestage.core.configuration._changes import (
-    RevisionRecord,
-)
-from oriolestage.core.configuration._configuration import (
-    Target,
-)
+from oriolestage.core.configuration._changes import RevisionRecord
+from oriolestage.core.configuration._configuration import Target
 from oriolestage.core.queries._outcomes import CallerOutcome
 
 
--- a/oriolestage/core/_messages.py
+++ b/oriolestage/core/_messages.py
@@ -9,12 +9,8 @@
 
 import msgspec
 
-from oriolestage.core.configuration._changes import (
-    RevisionRecord,
-)
-from oriolestage.core.configuration._configuration import (
-    Configuration,
-)
+from oriolestage.core.configuration._changes import RevisionRecord
+from oriolestage.core.configuration._configuration import Configuration
 from oriolestage.core.queries._outcomes import CallerOutcome, ShardOutcome
 
 
--- a/oriolestage/core/_node.py
+++ b/oriolestage/core/_node.py
@@ -15,19 +15,12 @@
 from oriolestage.core._node_life import NodeLife
 from oriolestage.core._node_parts import wire_parts
 from oriolestage.core._parameters import Identity, Parameters
-from oriolestage.core._store_port import (
-    StoreOutcome,
-)
-from oriolestage.core.configuration._configuration import (
-    Route,
-    RouteKind,
-)
+from oriolestage.core._store_port import StoreOutcome
+from oriolestage.core.configuration._configuration import Route, RouteKind
 from oriolestage.core.configuration._configuration_keeper import (
     ConfigurationKeeper,
 )
-from oriolestage.core.configuration._in_force import (
-    InForceReport,
-)
+from oriolestage.core.configuration._in_force import InForceReport
 from oriolestage.core.configuration._operator_commands import (
     ChangeOutcome,
     OperatorCommand,
--- a/oriolestage/core/configuration/_configuration_keeper.py
+++ b/oriolestage/core/configuration/_configuration_keeper.py
@@ -27,13 +27,8 @@
     StoreWritten,
 )
 from oriolestage.core._timers import Timers
-from oriolestage.core.configuration._changes import (
-    RevisionRecord,
-    apply_change,
-)
-from oriolestage.core.configuration._configuration import (
-    Configuration,
-)
+from oriolestage.core.configuration._changes import RevisionRecord, apply_change
+from oriolestage.core.configuration._configuration import Configuration
 from oriolestage.core.membership._membership import Membership
 from oriolestage.core.queries._index import ConfigurationIndex
 
--- a/oriolestage/core/keys/_key_keeper.py
+++ b/oriolestage/core/keys/_key_keeper.py
@@ -19,9 +19,7 @@
     ClaimUnavailable,
 )
 from oriolestage.core.keys._idempotency_keys import key_created_ms
-from oriolestage.core.keys._key_journal import (
-    KeyJournal,
-)
+from oriolestage.core.keys._key_journal import KeyJournal
 from oriolestage.core.queries._outcomes import (
     CallerOutcome,
     CommandAnswer,
--- a/oriolestage/core/membership/_host_directory.py
+++ b/oriolestage/core/membership/_host_directory.py
@@ -11,11 +11,7 @@
 from oriolestage.core._effects import Outbox
 from oriolestage.core._messages import MemberState, TargetLeaving
 from oriolestage.core._parameters import Parameters
-from oriolestage.core._store_port import (
-    StoreFound,
-    StoreOutcome,
-    StorePort,
-)
+from oriolestage.core._store_port import StoreFound, StoreOutcome, StorePort
 from oriolestage.core._timers import Timers
 from oriolestage.core.configuration._configuration_keeper import (
     ConfigurationKeeper,
--- a/oriolestage/core/queries/_attempts.py
+++ b/oriolestage/core/queries/_attempts.py
@@ -3,11 +3,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-from oriolestage.core._messages import (
-    CancelAttempts,
-    ShardReplies,
-    ShardReply,
-)
+from oriolestage.core._messages import CancelAttempts, ShardReplies, ShardReply
 from oriolestage.core._parameters import Parameters
 from oriolestage.core._timers import Timers
 from oriolestage.core.queries._outcomes import MayHaveRun, NotRun, Reason
--- a/oriolestage/core/queries/_command_runner.py
+++ b/oriolestage/core/queries/_command_runner.py
@@ -15,10 +15,7 @@
 )
 from oriolestage.core._parameters import Parameters
 from oriolestage.core._timers import Timers
-from oriolestage.core.configuration._configuration import (
-    Route,
-    Target,
-)
+from oriolestage.core.configuration._configuration import Route, Target
 from oriolestage.core.configuration._configuration_keeper import (
     ConfigurationKeeper,
 )
--- a/oriolestage/core/queries/_overload.py
+++ b/oriolestage/core/queries/_early_ends.py
@@ -1,7 +1,8 @@
-"""Ends queries early when a shard has no target with room.
+"""Ends queries early that cannot be served or must not run.
 
-What is left of the targets' time then goes to queries that can still be
-whole, and the caller hears at once when to come back.
+When a shard has no target with room, what is left of the targets' time goes
+to queries that can still be whole. The caller hears at once when to come
+back.
 """
 
 from collections.abc import Iterable
@@ -39,3 +40,14 @@
             return outcome
         return shard.failure
     return None
+
+
+def quarantine_outcome(query: Query, retry_after_ms: int) -> CallerOutcome:
+    """Give the outcome of a query that makes targets crash."""
+    refusal = MayHaveRun if query.ran_somewhere() else NotRun
+    return refusal(
+        Reason.QUARANTINED,
+        'entry.dispatch',
+        query.route.group,
+        retry_after_ms=retry_after_ms,
+    )
--- a/oriolestage/core/queries/_query.py
+++ b/oriolestage/core/queries/_query.py
@@ -3,10 +3,7 @@
 import dataclasses
 from collections.abc import Iterable
 
-from oriolestage.core.configuration._configuration import (
-    KEY_SPACE_SIZE,
-    Route,
-)
+from oriolestage.core.configuration._configuration import KEY_SPACE_SIZE, Route
 from oriolestage.core.queries._caller_request import CallerRequest
 from oriolestage.core.queries._coverage import (
     coverage_of,
--- a/oriolestage/core/queries/_query_runner.py
+++ b/oriolestage/core/queries/_query_runner.py
@@ -16,6 +16,10 @@
 )
 from oriolestage.core.queries._attempts import AttemptTable
 from oriolestage.core.queries._caller_request import CallerRequest
+from oriolestage.core.queries._early_ends import (
+    overload_outcome,
+    quarantine_outcome,
+)
 from oriolestage.core.queries._extra_load import ExtraLoadBudget
 from oriolestage.core.queries._outcomes import (
     Answered,
@@ -24,7 +28,6 @@
     NotRun,
     Reason,
 )
-from oriolestage.core.queries._overload import overload_outcome
 from oriolestage.core.queries._query import Query, ShardState
 from oriolestage.core.queries._shard_dispatcher import (
     REDISPATCH_FLOOR_S,
@@ -119,10 +122,7 @@
         )
         query.version = self._snapshots.best_version(query)
         self._queries[request.request_id] = query
-        self._timers.call_at(
-            query.deadline,
-            lambda: self._finish(query),
-        )
+        self._timers.call_at(query.deadline, lambda: self._finish(query))
         if route.policy is AnswerPolicy.LATENCY:
             answer_by = now + route.answer_by_ms / 1000 - ANSWER_MARGIN_S
             self._timers.call_at(answer_by, lambda: self._finish(query))
@@ -274,16 +274,7 @@
         self._finish(query)
 
     def _give_up_all(self, query: Query, retry_after_ms: int) -> None:
-        refusal = MayHaveRun if query.ran_somewhere() else NotRun
-        self._end(
-            query,
-            refusal(
-                Reason.QUARANTINED,
-                'entry.dispatch',
-                query.route.group,
-                retry_after_ms=retry_after_ms,
-            ),
-        )
+        self._end(query, quarantine_outcome(query, retry_after_ms))
 
     def _end_if_overloaded(
         self,
--- a/oriolestage/core/queries/_shard_dispatcher.py
+++ b/oriolestage/core/queries/_shard_dispatcher.py
@@ -5,9 +5,7 @@
 from oriolestage.core._messages import ShardEntry, ShardReply
 from oriolestage.core._parameters import Parameters
 from oriolestage.core._timers import Timers
-from oriolestage.core.configuration._configuration import (
-    Target,
-)
+from oriolestage.core.configuration._configuration import Target
 from oriolestage.core.configuration._configuration_keeper import (
     ConfigurationKeeper,
 )
--- a/oriolestage/core/queries/_shard_sender.py
+++ b/oriolestage/core/queries/_shard_sender.py
@@ -8,9 +8,7 @@
 
 from oriolestage.core._messages import ShardBatch, ShardEntry
 from oriolestage.core._timers import Timers
-from oriolestage.core.configuration._configuration import (
-    Target,
-)
+from oriolestage.core.configuration._configuration import Target
 from oriolestage.core.configuration._configuration_keeper import (
     ConfigurationKeeper,
 )
--- a/oriolestage/core/targets/_ownership.py
+++ b/oriolestage/core/targets/_ownership.py
@@ -10,9 +10,7 @@
 from oriolestage._rendezvous import rendezvous_owner
 from oriolestage.core._effects import Outbox, SendData
 from oriolestage.core._messages import DataMessage, Member
-from oriolestage.core.configuration._configuration import (
-    Target,
-)
+from oriolestage.core.configuration._configuration import Target
 from oriolestage.core.configuration._configuration_keeper import (
     ConfigurationKeeper,
 )
--- a/oriolestage/core/targets/_target_gate.py
+++ b/oriolestage/core/targets/_target_gate.py
@@ -7,9 +7,7 @@
 
 from oriolestage.core._charts import StateChart, load_chart
 from oriolestage.core._parameters import Parameters
-from oriolestage.core.configuration._configuration import (
-    Target,
-)
+from oriolestage.core.configuration._configuration import Target
 from oriolestage.core.targets._fair_queue import FairQueue
 from oriolestage.core.targets._target_results import TargetSigns
 
--- a/oriolestage/core/targets/_target_knowledge.py
+++ b/oriolestage/core/targets/_target_knowledge.py
@@ -4,9 +4,7 @@
 import random
 from collections.abc import Sequence
 
-from oriolestage.core.configuration._configuration import (
-    Target,
-)
+from oriolestage.core.configuration._configuration import Target
 
 #: Weight of the newest latency in the running mean.
 LATENCY_WEIGHT = 0.2
--- a/oriolestage/core/targets/_target_owner.py
+++ b/oriolestage/core/targets/_target_owner.py
@@ -23,10 +23,7 @@
     OwnedTargets,
 )
 from oriolestage.core.targets._ownership import OwnershipView, PeerPort
-from oriolestage.core.targets._target_calls import (
-    FAILURE_RETRY_MS,
-    TargetCalls,
-)
+from oriolestage.core.targets._target_calls import FAILURE_RETRY_MS, TargetCalls
 from oriolestage.core.targets._target_gate import TargetGate
 from oriolestage.core.targets._target_results import TargetResult
 
--- a/oriolestage/core/tests/test_membership_counts.py
+++ b/oriolestage/core/tests/test_membership_counts.py
@@ -3,13 +3,7 @@
 import random
 import unittest
 
-from oriolestage.core import (
-    Identity,
-    Member,
-    MemberState,
-    NodeCore,
-    Parameters,
-)
+from oriolestage.core import Identity, Member, MemberState, NodeCore, Parameters
 
 
 def new_core() -> NodeCore:
--- a/scenarios/core_engine.py
+++ b/scenarios/core_engine.py
@@ -30,12 +30,7 @@
     TargetVersions,
     Thaw,
 )
-from trial.layout import (
-    GOSSIP_PORT,
-    association,
-    franchise,
-    make_layout,
-)
+from trial.layout import GOSSIP_PORT, association, franchise, make_layout
 
 #: Wall-clock time of the start, in milliseconds since the epoch.
 EPOCH_MS = 1_700_000_000_000
--- a/scenarios/fake_callers.py
+++ b/scenarios/fake_callers.py
@@ -10,12 +10,7 @@
 
 import msgspec
 
-from oriolestage.core import (
-    AnswerCaller,
-    CallerRequest,
-    RouteKind,
-    make_key,
-)
+from oriolestage.core import AnswerCaller, CallerRequest, RouteKind, make_key
 from oriolestage.views import caller_view
 from scenarios.core_world import CoreHost, CoreWorld
 from scenarios.observations import Answer
--- a/scenarios/process_engine.py
+++ b/scenarios/process_engine.py
@@ -7,11 +7,7 @@
 
 import aiohttp
 
-from scenarios.observations import (
-    Answer,
-    Observations,
-    OperatorAnswer,
-)
+from scenarios.observations import Answer, Observations, OperatorAnswer
 from scenarios.process_logs import ProcessLogs
 from scenarios.steps import (
     Action,
