--- a/trial/processes.py
+++ b/trial/processes.py
@@ -13,6 +13,7 @@
 import yaml
 
 from oriolestage.tool import dump_document
+from trial.exclusive import exclusive_addresses
 from trial.layout import (
     BALANCER_IP,
     BALANCER_PORT,
@@ -318,16 +319,18 @@
     freshness_limit: str = '3s',
 ):
     """Run a trial and end all of its processes afterwards."""
-    with tempfile.TemporaryDirectory(prefix='oriolestage-') as temporary:
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(exclusive_addresses())
+        temporary = stack.enter_context(
+            tempfile.TemporaryDirectory(prefix='oriolestage-'),
+        )
         folder = keep_logs or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
         trial = Trial(layout, folder)
         trial.freshness_limit = freshness_limit
-        try:
-            await trial.start()
-            yield trial
-        finally:
-            await trial.close()
+        stack.push_async_callback(trial.close)
+        await trial.start()
+        yield trial
 
 
 async def wait_for_http(url: str) -> None:
