Count only records that stay in the answer for the floor

A hedge may answer a shard of a merged batch that has not come yet; when the batch comes, its records replace those of the hedge. Until then the hedge's records raised the floor that other shards are asked with. If the two targets gave different records, those shards left out records that belong in the answer: it would not hold the greatest ones. Ruled out: late shards at the other host (their floor is that of records already sent, which stay). Change: shards of a batch whose merged records are awaited do not count.

--- a/oriolestage/relay/_batch_replies.py
+++ b/oriolestage/relay/_batch_replies.py
@@ -66,6 +66,7 @@
         match outcome:
             case BatchAnswered():
                 self._note_reply(batch, outcome, now)
+                batch.awaits_merged = False
                 if outcome.body:
                     self._merged.append(outcome.body)
                 answers = len(outcome.signatures)
--- a/oriolestage/relay/_dispatch.py
+++ b/oriolestage/relay/_dispatch.py
@@ -186,6 +186,7 @@
         way_s = self._placement.seen.way_to_region_s(batch.region)
         batch.sent_at = now
         batch.way_s = way_s
+        batch.awaits_merged = merged
         way_s += PEER_MARGIN_S
         batch.due_at = now + way_s + self._watch.late_s
         self.batches += 1
@@ -221,12 +222,22 @@
         )
 
     def _floor(self) -> bytes:
-        """Give the record that those of further shards must exceed."""
+        """Give the record that those of further shards must exceed.
+
+        Only records that stay in the answer count: what a hedge gave for a
+        shard of a merged batch is taken out again when that batch comes.
+        """
         destination = self._rule.destination
         if not isinstance(destination, ShardGroup):
             return b''
+        replaceable: set[int] = set()
+        for batch in self._batches.values():
+            if batch.awaits_merged:
+                replaceable.update(batch.positions)
         bodies = [
-            part.answer.body for part in self._parts if part.answer is not None
+            part.answer.body
+            for part in self._parts
+            if part.answer is not None and part.position not in replaceable
         ]
         return floor_of([*bodies, *self._merged], destination.top_records)
 
--- a/oriolestage/relay/_first_wave.py
+++ b/oriolestage/relay/_first_wave.py
@@ -33,6 +33,8 @@
     due_at: float = float('inf')
     #: Delay of the way there and back, in seconds.
     way_s: float = 0
+    #: True until its merged records came; they replace what hedges gave.
+    awaits_merged: bool = False
     #: True once a reply came.
     replied: bool = False
 
--- a/oriolestage/relay/tests/test_request_run.py
+++ b/oriolestage/relay/tests/test_request_run.py
@@ -307,6 +307,45 @@
         if isinstance(verdict, Gathered):
             self.assertEqual(len(set(verdict.signatures)), 20)
 
+    def test_floor_outlives_a_hedge(self) -> None:
+        """Records that may yet be taken out again do not raise the floor.
+
+        A hedge answers a shard of a merged batch that has not come yet. Its
+        records give way to those of the batch, so what other shards are asked
+        for must not depend on them.
+        """
+        records = shard_records()
+        placement, directory = make_placement(
+            'dc-a',
+            tuple(one for one in records if one.identity != 't-0-1'),
+        )
+        run, first = _start(self._rule, (), known=placement)
+        lost: list[SendAttempt] = []
+        for sent in _sends(first):
+            if sent.target.record.service == 'shard-0':
+                lost.append(sent)
+                continue
+            answered = AttemptAnswered(make_answer())
+            run.on_outcome(sent.attempt, answered, 0.015)
+        hedge = _batches(run.on_time(0.12))[0]
+        hedged = hedge.parts[0].service
+        run.on_batch(
+            hedge.batch,
+            BatchAnswered(
+                signatures={hedged: 'hedge'},
+                body=b'',
+                bodies={hedged: b'z' * 80},
+                failed=frozenset(),
+                final=False,
+                work_s=0.01,
+            ),
+            0.13,
+        )
+        for record in records:
+            directory.register(record, 0.13)
+        again = run.on_outcome(lost[0].attempt, AttemptLost('reset'), 0.131)
+        self.assertEqual(_batches(again)[0].floor, b'r' * 16)
+
     def test_late_shard_is_asked_elsewhere(self) -> None:
         """A shard that a host reports late goes to another region."""
         self._answer_near(0.015)
