Do not ask hosts to gather that have read nothing of the store

Cause: found by reading the change again. A host that starts while the store is away knows no target and declines all shards; the asking host then takes the targets of that region for full for half a second, again and again. Such a host was not behind by the rule, as its knowledge has no age yet. Ruled out: marking nothing full on such a refusal (the shard would be sent to the same host until the deadline). Change: a host that lacks revisions and has none itself is behind. A stream is pinged as it opens, so that this is known after one way there and back.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -208,15 +208,16 @@
             state = host.peers.note_link(address, link, own, now)
             if state is None:
                 continue
+            known = link.freshness
             log_event(
                 f'peer_{state.value}',
                 {
                     'step': 'link',
                     'peer': address,
                     'heard_ago_s': now - link.heard_at,
-                    'revision': link.freshness.revision,
+                    'revision': 'unknown' if known is None else known.revision,
                     'own_revision': own.revision,
-                    'store_age_s': link.freshness.age_s,
+                    'store_age_s': 'unknown' if known is None else known.age_s,
                 },
             )
         await asyncio.sleep(LINK_CHECK_S)
--- a/oriolestage/entry/_peer_client.py
+++ b/oriolestage/entry/_peer_client.py
@@ -67,7 +67,7 @@
         self._waiting: dict[int, asyncio.Queue[BatchOutcome]] = {}
         self._received_at = time.monotonic()
         self._pinged_at = float('-inf')
-        self._freshness = Freshness(0, 0)
+        self._freshness: Freshness | None = None
 
     def check(self) -> LinkState:
         """Ping a quiet stream; give what was last heard on it."""
@@ -98,9 +98,12 @@
             self._frames = FrameWriter(writer)
             self._received_at = time.monotonic()
             self._pinged_at = float('-inf')
+            self._freshness = None
             self._reading = asyncio.create_task(
                 self._read(FrameReader(reader)),
             )
+            # The answer tells early how new the host's knowledge is.
+            self._frames.write(encode(Ping()))
             log_event('peer_linked', {'step': 'link', 'peer': self._address})
 
     async def ask(
--- a/oriolestage/relay/_peers.py
+++ b/oriolestage/relay/_peers.py
@@ -5,8 +5,8 @@
 regions for each shard. And some hosts are slow or cut off: a host that did
 not answer in time is left alone until its stream is heard again, so that
 queries are not spent on trying it, and the quickest host is asked first. A
-host that lost the store does not know new targets: it is not asked while it
-is behind this one.
+host that lost the store, or did not read it yet, does not know all targets:
+it is not asked while it is behind this one.
 """
 
 import dataclasses
@@ -50,7 +50,8 @@
 
     #: Steady time at which anything was heard.
     heard_at: float
-    freshness: Freshness
+    #: How new its knowledge is; None before it said so.
+    freshness: Freshness | None
 
 
 class PeerState(enum.Enum):
@@ -191,6 +192,8 @@
                 return
 
 
-def _is_behind(other: Freshness, own: Freshness) -> bool:
-    lacks = other.revision < own.revision
-    return lacks and other.age_s > own.age_s + BEHIND_S
+def _is_behind(other: Freshness | None, own: Freshness) -> bool:
+    if other is None or other.revision >= own.revision:
+        return False
+    # A host that could not read the store since its start knows no target.
+    return not other.revision or other.age_s > own.age_s + BEHIND_S
--- a/oriolestage/relay/tests/test_peers.py
+++ b/oriolestage/relay/tests/test_peers.py
@@ -41,7 +41,7 @@
         name: str,
         heard_at: float,
         now: float,
-        freshness: Freshness = KNOWN,
+        freshness: Freshness | None = KNOWN,
     ) -> PeerState | None:
         link = LinkState(heard_at, freshness)
         return self._peers.note_link(f'{name}:1', link, KNOWN, now)
@@ -129,11 +129,18 @@
         self.assertEqual(self._hear('far-2', 2, 2), PeerState.HEARD)
         self.assertEqual(self._choose(), 'far-2')
 
+    def test_host_without_knowledge(self) -> None:
+        """A host that started while the store was away is not asked."""
+        nothing = Freshness(revision=0, age_s=0.2)
+        self.assertEqual(self._hear('far-1', 1, 1, nothing), PeerState.BEHIND)
+        self.assertEqual(self._choose(), 'far-2')
+
     def test_not_behind(self) -> None:
         """Nothing is missed while nothing changes, or for a moment."""
         for name, freshness in (
             ('nothing changed', Freshness(KNOWN.revision, 60)),
             ('on its way', Freshness(KNOWN.revision - 1, 0.2)),
+            ('not told yet', None),
         ):
             with self.subTest(name):
                 self.assertIsNone(self._hear('far-1', 1, 1, freshness))
