State once what a shard needs, and name a request once

Cause: read as a newcomer would. What an attempt needs of a target was built in two places, each with its own stand-in for an unknown service. Ages were turned into milliseconds in three places. `connections` of the caller server was used by nothing, and a connection without a request was logged as a slow head. Change: `relay._wants` gives what an attempt needs; the fingerprint is part of the caller's request and computed once a batch at the other host; `Freshness` tells its age in milliseconds; `no_request` is a reason of its own.

--- a/oriolestage/entry/_caller_connection.py
+++ b/oriolestage/entry/_caller_connection.py
@@ -62,7 +62,7 @@
         """Wait for the first request for as long as between two."""
         super().connection_made(transport)
         self._round_trip_s = round_trip_s(transport)
-        self._start_head_timer(self._limits.idle_timeout_s)
+        self._start_head_timer(self._limits.idle_timeout_s, 'no_request')
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection."""
@@ -78,7 +78,10 @@
             return
         if not self._head_bytes:
             self._stop_head_timer()
-            self._start_head_timer(self._limits.header_timeout_s)
+            self._start_head_timer(
+                self._limits.header_timeout_s,
+                'head_too_slow',
+            )
         self._head_bytes += len(data)
         if self._head_bytes > self._limits.header_bytes:
             self._refuse_head(
@@ -95,12 +98,12 @@
             return not self._request_count
         return not self._waiter.done()
 
-    def _start_head_timer(self, limit_s: float) -> None:
+    def _start_head_timer(self, limit_s: float, reason: str) -> None:
         self._head_timer = self._loop.call_later(
             limit_s,
             self._refuse_head,
             HTTPStatus.REQUEST_TIMEOUT,
-            'head_too_slow',
+            reason,
         )
 
     def _stop_head_timer(self) -> None:
--- a/oriolestage/entry/_caller_request.py
+++ b/oriolestage/entry/_caller_request.py
@@ -22,3 +22,5 @@
     #: Time that it and its answer spend on the way, connection set-up
     #: included, in seconds.
     way_s: float
+    #: The same for a request that comes again.
+    fingerprint: int
--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -16,6 +16,7 @@
 from oriolestage.entry._relay import Relay
 from oriolestage.entry._round_trips import USUAL_ROUND_TRIP_S
 from oriolestage.relay._connection_ages import ConnectionAges
+from oriolestage.relay._crash_watch import fingerprint_of
 from oriolestage.relay._rules import CallerLimits
 
 #: Answer to a caller that waits before it sends a body.
@@ -61,11 +62,6 @@
         self._servers: dict[CallerLimits, _HttpServer] = {}
         self._listener: asyncio.Server | None = None
 
-    @property
-    def connections(self) -> int:
-        """Open connections of callers."""
-        return sum(len(server.connections) for server in self._servers.values())
-
     async def start(self, listening: socket.socket) -> None:
         """Accept callers on a bound socket."""
         loop = asyncio.get_running_loop()
@@ -142,6 +138,7 @@
                 body=body,
                 arrived=arrived,
                 way_s=_way_s(request.protocol),
+                fingerprint=fingerprint_of(request.method, host, path, body),
             ),
         )
         answer = self._exchange.response(verdict, facts.request_id)
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -46,17 +46,16 @@
     Chosen,
     NoRoom,
     NoTarget,
-    Wanted,
 )
 from oriolestage.relay._stragglers import WorkWatch
 from oriolestage.relay._targets import KnownTarget
+from oriolestage.relay._wants import wanted_of
 
 #: Attempts for other hosts are numbered apart from those for callers.
 FIRST_ATTEMPT = 1_000_000_000_000
 #: Time for which a service without a target here is not asked for again, in
 #: seconds: registrations take some tenths of a second to reach all hosts.
 NO_TARGET_WAIT_S = 0.5
-MS_PER_S = 1000
 
 
 class PeerServer:
@@ -146,7 +145,7 @@
 
     def _pong(self) -> Pong:
         freshness = self._freshness()
-        return Pong(freshness.revision, int(freshness.age_s * MS_PER_S))
+        return Pong(freshness.revision, freshness.age_ms)
 
     async def _answer(
         self,
@@ -163,8 +162,16 @@
         chosen, declined = self._choose(request, started)
         if declined:
             replies.decline(declined, final=not chosen)
+        fingerprint = fingerprint_from_headers(
+            request.method,
+            request.headers,
+            request.path,
+            request.body,
+        )
         pending = {
-            asyncio.create_task(self._attempt(request, service, target, watch))
+            asyncio.create_task(
+                self._attempt(request, fingerprint, service, target, watch),
+            )
             for service, target in chosen.items()
         }
         tasks = frozenset(pending)
@@ -196,17 +203,11 @@
         For the others give the time after which one may have, in seconds.
         """
         table = self._knowledge.table
+        regions = frozenset(request.regions)
         chosen: dict[str, KnownTarget] = {}
         declined: dict[str, float] = {}
         for service in request.services:
-            rule = None if table is None else table.services.get(service)
-            wanted = Wanted(
-                service=service,
-                route=request.route,
-                regions=frozenset(request.regions),
-                connection_limit=0 if rule is None else rule.connection_limit,
-                warm_up_rate=0 if rule is None else rule.warm_up_rate,
-            )
+            wanted = wanted_of(table, service, request.route, regions)
             placed = self._placement.choose(wanted, (), now)
             match placed:
                 case Chosen(target=target):
@@ -220,6 +221,7 @@
     async def _attempt(
         self,
         request: GatherRequest,
+        fingerprint: int,
         service: str,
         target: KnownTarget,
         watch: WorkWatch,
@@ -239,12 +241,7 @@
                     target=target.record.identity,
                     address=target.record.address,
                     time_left_s=request.time_left_s,
-                    fingerprint=fingerprint_from_headers(
-                        request.method,
-                        request.headers,
-                        request.path,
-                        request.body,
-                    ),
+                    fingerprint=fingerprint,
                 ),
             )
         except asyncio.CancelledError:
--- a/oriolestage/entry/_relay.py
+++ b/oriolestage/entry/_relay.py
@@ -19,17 +19,15 @@
     Refused,
     Verdict,
 )
-from oriolestage.relay._crash_watch import CrashWatch, fingerprint_of
+from oriolestage.relay._crash_watch import CrashWatch
 from oriolestage.relay._extra_budget import BudgetBounds, ExtraBudget
 from oriolestage.relay._knowledge import Knowledge
 from oriolestage.relay._peers import PeerBook
 from oriolestage.relay._placement import Placement
-from oriolestage.relay._placement_types import Wanted
 from oriolestage.relay._request_run import RequestRun
 from oriolestage.relay._rules import (
     RouteRule,
     RoutingTable,
-    ServiceRule,
     ShardGroup,
     SingleService,
     WeightedServices,
@@ -41,6 +39,7 @@
     SendAttempt,
     SendBatch,
 )
+from oriolestage.relay._wants import wanted_of
 from oriolestage.relay._weights import WeightedTurns
 
 #: Time to come back for a caller while there is no configuration, seconds.
@@ -49,8 +48,6 @@
 DEADLINE_MARGIN_S = 0.02
 #: Shortest time that is told to a target, in seconds.
 LEAST_TIME_S = 0.001
-#: Services that the configuration does not describe.
-UNKNOWN_SERVICE = ServiceRule(name='', connection_limit=0)
 
 
 class Relay:
@@ -100,7 +97,7 @@
         if rule is None:
             return self._refuse(request, GiveUpReason.UNKNOWN_ROUTE, 0)
         left_s = self._crashes.quarantine_left_s(
-            _fingerprint(request),
+            request.fingerprint,
             request.arrived,
         )
         if left_s > 0:
@@ -161,18 +158,11 @@
         rule: RouteRule,
         table: RoutingTable,
     ) -> PartRequest:
-        service = table.services.get(name, UNKNOWN_SERVICE)
         budget = self._budgets.get(name)
         if budget is None:
             budget = ExtraBudget(self._budget_bounds, self._started_at)
             self._budgets[name] = budget
-        wanted = Wanted(
-            service=name,
-            route=rule.name,
-            regions=rule.regions,
-            connection_limit=service.connection_limit,
-            warm_up_rate=service.warm_up_rate,
-        )
+        wanted = wanted_of(table, name, rule.name, rule.regions)
         return PartRequest(wanted, budget)
 
     async def _send(
@@ -194,7 +184,7 @@
                 target=record.identity,
                 address=record.address,
                 time_left_s=max(LEAST_TIME_S, action.deadline - sent_at),
-                fingerprint=_fingerprint(request),
+                fingerprint=request.fingerprint,
             ),
         )
         self._log.note_attempt(request, action, outcome, sent_at)
@@ -259,15 +249,6 @@
         return verdict
 
 
-def _fingerprint(request: CallerRequest) -> int:
-    return fingerprint_of(
-        request.method,
-        request.host,
-        request.path,
-        request.body,
-    )
-
-
 def _times(rule: RouteRule, request: CallerRequest) -> RunTimes:
     limit_s = rule.time_limit_s
     if request.facts.time_left_s is not None:
--- a/oriolestage/entry/_shard_gathering.py
+++ b/oriolestage/entry/_shard_gathering.py
@@ -116,7 +116,7 @@
                 },
                 final=final,
                 revision=freshness.revision,
-                age_ms=int(freshness.age_s * MS_PER_S),
+                age_ms=freshness.age_ms,
             ),
         )
 
@@ -155,7 +155,7 @@
                 final=final,
                 work_s=work_s,
                 revision=freshness.revision,
-                age_ms=int(freshness.age_s * MS_PER_S),
+                age_ms=freshness.age_ms,
             ),
         )
 
--- a/oriolestage/entry/tests/test_relay.py
+++ b/oriolestage/entry/tests/test_relay.py
@@ -80,6 +80,7 @@
                 body=b'',
                 arrived=arrived,
                 way_s=WAY_S,
+                fingerprint=1,
             ),
         )
         took_s = time.monotonic() - arrived
--- a/oriolestage/entry/tests/test_watched_targets.py
+++ b/oriolestage/entry/tests/test_watched_targets.py
@@ -25,7 +25,11 @@
     Refused,
     Verdict,
 )
-from oriolestage.relay._crash_watch import QUARANTINE_S, CrashReport
+from oriolestage.relay._crash_watch import (
+    QUARANTINE_S,
+    CrashReport,
+    fingerprint_of,
+)
 from oriolestage.relay._extra_budget import BudgetBounds
 from oriolestage.relay._facts import ConfigurationStored, TargetRemoved
 from oriolestage.relay._knowledge import Knowledge
@@ -88,6 +92,7 @@
                 body=b'poison',
                 arrived=time.monotonic(),
                 way_s=0,
+                fingerprint=fingerprint_of('POST', 'search.example', path, b''),
             ),
         )
 
--- a/oriolestage/relay/_beliefs.py
+++ b/oriolestage/relay/_beliefs.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+MS_PER_S = 1000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BeliefChanged:
@@ -19,3 +21,8 @@
     revision: int
     #: Time since the store last answered the host, in seconds.
     age_s: float
+
+    @property
+    def age_ms(self) -> int:
+        """The age in whole milliseconds, as hosts tell it to each other."""
+        return int(self.age_s * MS_PER_S)
