Split the tests of runs and the builders by what they build

Change: queries over shards have test_gather_run.py, the start of runs runs.py, replays replay.py; calls to a trial's processes http_calls.py.

--- a/oriolestage/relay/tests/builders.py
+++ b/oriolestage/relay/tests/builders.py
@@ -1,40 +1,22 @@
 """Builders of test data for the decisions on requests."""
 
 import dataclasses
-import heapq
-import itertools
-import random
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 from oriolestage.relay._answers import (
-    AttemptAnswered,
-    AttemptOutcome,
     TargetAnswer,
-    Verdict,
 )
 from oriolestage.relay._crash_watch import CrashWatch
-from oriolestage.relay._extra_budget import BudgetBounds, ExtraBudget
 from oriolestage.relay._facts import HostRecord
-from oriolestage.relay._merge import merge_records
 from oriolestage.relay._peers import PeerBook
 from oriolestage.relay._placement import Placement
-from oriolestage.relay._placement_types import HostPlace, Wanted
-from oriolestage.relay._request_run import RequestRun
+from oriolestage.relay._placement_types import HostPlace
 from oriolestage.relay._rules import (
     Destination,
     RouteRule,
     ShardGroup,
     SingleService,
 )
-from oriolestage.relay._run_types import (
-    Action,
-    BatchAnswered,
-    Finish,
-    PartRequest,
-    RunTimes,
-    SendAttempt,
-    SendBatch,
-)
 from oriolestage.relay._targets import TargetDirectory, TargetRecord
 from oriolestage.relay._warm_up import WarmUpBounds
 
@@ -149,215 +131,3 @@
         for data_centre in DATA_CENTRES
     )
     return peers
-
-
-#: Gives the work of a target from its record, the time and the usual work.
-WorkOf = Callable[[TargetRecord, float, float], float]
-
-
-#: Events that are due: time, order and handler.
-_Queue = list[tuple[float, int, Callable[[float], list[Action]]]]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Replayed:
-    """What became of one replayed request."""
-
-    verdict: Verdict
-    #: Time from its arrival to the verdict, in seconds.
-    took_s: float
-    #: Attempts that targets got.
-    attempts: int
-
-
-class Replay:
-    """Replays requests on one host against targets with given delays.
-
-    Attempts and batches end after the way and the work; nothing else of the
-    network is modelled. Requests follow each other without overlap unless
-    the work of targets says otherwise.
-    """
-
-    def __init__(
-        self,
-        work_of: WorkOf,
-        *,
-        rule: RouteRule,
-        bounds: BudgetBounds | None = None,
-        peers: bool = True,
-        hosts: int = 1,
-        data_centre: str = 'dc-a',
-    ) -> None:
-        """Prepare a host that knows two targets of each shard."""
-        self._work_of = work_of
-        self._rule = rule
-        self.placement, self.directory = make_placement(
-            data_centre,
-            shard_records(),
-        )
-        self.placement.share_with([f'host-{one}' for one in range(hosts)])
-        self.peers = make_peers(self.placement.place)
-        if not peers:
-            self.peers.replace_hosts(())
-        self._bounds = bounds or BudgetBounds()
-        self._budgets: dict[str, ExtraBudget] = {}
-        self._numbers = itertools.count(1)
-        self._order = itertools.count()
-        self.now = 100.0
-        self.needed = 0
-        self.attempts = 0
-
-    def play(self, usual_s: float) -> Replayed:
-        """Play one request whose work is ``usual_s`` at a usual target."""
-        started = self.now
-        run = self._run(started)
-        queue: _Queue = []
-        before = self.attempts
-        actions = run.start(started)
-        while True:
-            verdict = self._carry_out(run, actions, usual_s, queue)
-            if verdict is not None:
-                attempts = self.attempts - before
-                return Replayed(verdict, self.now - started, attempts)
-            if not queue or queue[0][0] > run.wake_at:
-                self.now = max(self.now, run.wake_at)
-                actions = run.on_time(self.now)
-                continue
-            self.now, _, handler = heapq.heappop(queue)
-            actions = handler(self.now)
-
-    def _carry_out(
-        self,
-        run: RequestRun,
-        actions: list[Action],
-        usual_s: float,
-        queue: _Queue,
-    ) -> Verdict | None:
-        for action in actions:
-            match action:
-                case Finish(verdict=verdict):
-                    return verdict
-                case SendAttempt():
-                    self._send(run, action, usual_s, queue)
-                case SendBatch():
-                    self._batch(run, action, usual_s, queue)
-        return None
-
-    def _run(self, now: float) -> RequestRun:
-        destination = self._rule.destination
-        names: tuple[str, ...] = ('shard-0',)
-        if isinstance(destination, ShardGroup):
-            names = destination.services
-        self.needed += len(names)
-        parts = tuple(
-            PartRequest(
-                Wanted(name, self._rule.name),
-                self._budgets.setdefault(
-                    name,
-                    ExtraBudget(self._bounds, now - 60),
-                ),
-            )
-            for name in names
-        )
-        return RequestRun(
-            rule=self._rule,
-            parts=parts,
-            times=RunTimes(
-                started=now,
-                objective=now + self._rule.objective_s,
-                deadline=now + self._rule.time_limit_s,
-            ),
-            placement=self.placement,
-            peers=self.peers,
-            next_attempt=lambda: next(self._numbers),
-        )
-
-    def _send(
-        self,
-        run: RequestRun,
-        action: SendAttempt,
-        usual_s: float,
-        queue: _Queue,
-    ) -> None:
-        self.attempts += 1
-        record = action.target.record
-        near = record.data_centre == self.placement.place.data_centre
-        work_s = self._work_of(record, self.now, usual_s)
-        way_s = NEAR_S if near else FAR_S
-        ends_at = self.now + work_s + way_s
-        outcome: AttemptOutcome = AttemptAnswered(make_answer())
-        number = action.attempt
-        heapq.heappush(
-            queue,
-            (
-                ends_at,
-                next(self._order),
-                lambda now: run.on_outcome(number, outcome, now),
-            ),
-        )
-
-    def _batch(
-        self,
-        run: RequestRun,
-        action: SendBatch,
-        usual_s: float,
-        queue: _Queue,
-    ) -> None:
-        works: dict[str, float] = {}
-        for part in action.parts:
-            self.attempts += 1
-            target = self.placement.targets_in(
-                part.service,
-                next(iter(action.regions)),
-            )[0]
-            works[part.service] = self._work_of(
-                target.record,
-                self.now + FAR_S / 2,
-                usual_s,
-            )
-        late_s = max(action.late_s, usual_s * 2)
-        in_time = {
-            name: work_s for name, work_s in works.items() if work_s <= late_s
-        }
-        waited_s = max(works.values())
-        if len(in_time) < len(works):
-            waited_s = late_s
-        bodies: dict[str, bytes] = {}
-        if not action.merged:
-            bodies = dict.fromkeys(in_time, b'r' * 16)
-        outcome = BatchAnswered(
-            signatures=dict.fromkeys(in_time, 'signed'),
-            body=merge_records([b'r' * 16 * len(in_time)], action.top_records),
-            bodies=bodies,
-            failed=frozenset(),
-            final=len(in_time) == len(works),
-            work_s=usual_s,
-        )
-        number = action.batch
-        heapq.heappush(
-            queue,
-            (
-                self.now + FAR_S + waited_s,
-                next(self._order),
-                lambda now: run.on_batch(number, outcome, now),
-            ),
-        )
-
-
-def pausing_targets(
-    seed: int,
-    every_s: float = 4.5,
-    lasts_s: float = 0.2,
-) -> WorkOf:
-    """Give work of targets that pause at times of their own."""
-    chance = random.Random(seed)
-    phases: dict[str, float] = {}
-
-    def work_of(record: TargetRecord, now: float, usual_s: float) -> float:
-        phase = phases.setdefault(record.identity, chance.random() * every_s)
-        into_s = (now + phase) % every_s
-        if into_s < lasts_s:
-            return lasts_s - into_s + usual_s
-        return usual_s * chance.uniform(0.9, 1.1)
-
-    return work_of
--- /dev/null
+++ b/oriolestage/relay/tests/runs.py
@@ -0,0 +1,69 @@
+"""Starts runs of requests and picks from their actions."""
+
+import itertools
+
+from oriolestage.relay._extra_budget import BudgetBounds, ExtraBudget
+from oriolestage.relay._placement import Placement
+from oriolestage.relay._placement_types import Wanted
+from oriolestage.relay._request_run import RequestRun
+from oriolestage.relay._rules import RouteRule, ShardGroup
+from oriolestage.relay._run_types import (
+    Action,
+    Finish,
+    PartRequest,
+    RunTimes,
+    SendAttempt,
+    SendBatch,
+)
+from oriolestage.relay._targets import TargetRecord
+from oriolestage.relay.tests.builders import (
+    make_peers,
+    make_placement,
+)
+
+
+def start_run(
+    rule: RouteRule,
+    records: tuple[TargetRecord, ...],
+    bounds: BudgetBounds | None = None,
+    known: Placement | None = None,
+) -> tuple[RequestRun, list[Action]]:
+    """Start a run at time 0; give it and its first actions."""
+    placement = known or make_placement('dc-a', records)[0]
+    names: tuple[str, ...] = ('shard-0',)
+    if isinstance(rule.destination, ShardGroup):
+        names = rule.destination.services
+    numbers = itertools.count(1)
+    run = RequestRun(
+        rule=rule,
+        parts=tuple(
+            PartRequest(
+                Wanted(name, rule.name),
+                ExtraBudget(bounds or BudgetBounds(), -60),
+            )
+            for name in names
+        ),
+        times=RunTimes(0, rule.objective_s, rule.time_limit_s),
+        placement=placement,
+        peers=make_peers(placement.place),
+        next_attempt=lambda: next(numbers),
+    )
+    return run, run.start(0)
+
+
+def sends_of(actions: list[Action]) -> list[SendAttempt]:
+    """Give the attempts among actions."""
+    return [action for action in actions if isinstance(action, SendAttempt)]
+
+
+def batches_of(actions: list[Action]) -> list[SendBatch]:
+    """Give the batches among actions."""
+    return [action for action in actions if isinstance(action, SendBatch)]
+
+
+def verdict_in(actions: list[Action]) -> object:
+    """Give the verdict among actions; None if there is none."""
+    for action in actions:
+        if isinstance(action, Finish):
+            return action.verdict
+    return None
--- /dev/null
+++ b/oriolestage/relay/tests/test_gather_run.py
@@ -0,0 +1,303 @@
+"""Tests of queries over many shards."""
+
+import unittest
+
+from oriolestage.relay._answers import (
+    AttemptAnswered,
+    AttemptLost,
+    Gathered,
+    GiveUpReason,
+    Refused,
+)
+from oriolestage.relay._extra_budget import BudgetBounds
+from oriolestage.relay._run_types import (
+    Action,
+    BatchAnswered,
+    BatchDeclined,
+    BatchLost,
+    SendAttempt,
+    SendBatch,
+)
+from oriolestage.relay.tests.builders import (
+    make_answer,
+    make_group,
+    make_placement,
+    make_rule,
+    shard_records,
+)
+from oriolestage.relay.tests.runs import (
+    batches_of,
+    sends_of,
+    start_run,
+    verdict_in,
+)
+
+#: Answer of a target that failed.
+SERVER_ERROR = 500
+
+
+class GatherTest(unittest.TestCase):
+    """Queries over many shards."""
+
+    def setUp(self) -> None:
+        """Start a query with two thirds of its shards near."""
+        self._rule = make_rule(make_group())
+        self._run, self._first = start_run(self._rule, shard_records())
+
+    def _answer_near(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for sent in sends_of(self._first):
+            actions = self._run.on_outcome(
+                sent.attempt,
+                AttemptAnswered(make_answer(signature=str(sent.attempt))),
+                now,
+            )
+        return actions
+
+    def _batch_reply(
+        self,
+        batch: SendBatch,
+        lacking: frozenset[str] = frozenset(),
+    ) -> BatchAnswered:
+        names = [part.service for part in batch.parts]
+        answered = {name: f'b-{name}' for name in names if name not in lacking}
+        bodies = {} if batch.merged else dict.fromkeys(answered, b'b' * 16)
+        return BatchAnswered(
+            signatures=answered,
+            body=b'b' * 16,
+            bodies=bodies,
+            failed=frozenset(),
+            final=not lacking,
+            work_s=0.01,
+        )
+
+    def test_far_shards_go_in_one_batch(self) -> None:
+        """Shards without a near target share one request."""
+        batches = batches_of(self._first)
+        self.assertEqual(len(batches), 1)
+        self.assertTrue(batches[0].merged)
+        near = sends_of(self._first)
+        self.assertEqual(len(near) + len(batches[0].parts), 20)
+
+    def test_whole_answer(self) -> None:
+        """All signatures are there once and nothing is missing."""
+        self._answer_near(0.015)
+        batch = batches_of(self._first)[0]
+        ended = self._run.on_batch(
+            batch.batch,
+            self._batch_reply(batch),
+            0.06,
+        )
+        verdict = verdict_in(ended)
+        self.assertIsInstance(verdict, Gathered)
+        if isinstance(verdict, Gathered):
+            self.assertEqual(verdict.missing, 0)
+            self.assertEqual(len(set(verdict.signatures)), 20)
+            self.assertEqual(len(verdict.body), 5 * 16)
+
+    def test_merged_shard_is_not_merged_again(self) -> None:
+        """What a hedge gave gives way to records that hold the shard."""
+        batch = batches_of(self._first)[0]
+        self._answer_near(0.015)
+        hedges = self._run.on_time(self._run.wake_at)
+        second = batches_of(hedges)[0]
+        self.assertFalse(second.merged)
+        self._run.on_batch(second.batch, self._batch_reply(second), 0.1)
+        ended = self._run.on_batch(
+            batch.batch,
+            self._batch_reply(batch),
+            0.11,
+        )
+        verdict = verdict_in(ended) or verdict_in(
+            self._run.on_time(self._rule.objective_s),
+        )
+        if isinstance(verdict, Gathered):
+            self.assertEqual(len(set(verdict.signatures)), 20)
+
+    def test_floor_outlives_a_hedge(self) -> None:
+        """Records that may yet be taken out again do not raise the floor.
+
+        A hedge answers a shard of a merged batch that has not come yet. Its
+        records give way to those of the batch, so what other shards are asked
+        for must not depend on them.
+        """
+        records = shard_records()
+        placement, directory = make_placement(
+            'dc-a',
+            tuple(one for one in records if one.identity != 't-0-1'),
+        )
+        run, first = start_run(self._rule, (), known=placement)
+        lost: list[SendAttempt] = []
+        for sent in sends_of(first):
+            if sent.target.record.service == 'shard-0':
+                lost.append(sent)
+                continue
+            answered = AttemptAnswered(make_answer())
+            run.on_outcome(sent.attempt, answered, 0.015)
+        hedge = batches_of(run.on_time(0.12))[0]
+        hedged = hedge.parts[0].service
+        run.on_batch(
+            hedge.batch,
+            BatchAnswered(
+                signatures={hedged: 'hedge'},
+                body=b'',
+                bodies={hedged: b'z' * 80},
+                failed=frozenset(),
+                final=False,
+                work_s=0.01,
+            ),
+            0.13,
+        )
+        for record in records:
+            directory.register(record, 0.13)
+        again = run.on_outcome(lost[0].attempt, AttemptLost('reset'), 0.131)
+        self.assertEqual(batches_of(again)[0].floor, b'r' * 16)
+
+    def test_late_shard_is_asked_elsewhere(self) -> None:
+        """A shard that a host reports late goes to another region."""
+        self._answer_near(0.015)
+        batch = batches_of(self._first)[0]
+        late = batch.parts[0].service
+        actions = self._run.on_batch(
+            batch.batch,
+            self._batch_reply(batch, frozenset((late,))),
+            0.06,
+        )
+        again = batches_of(actions)
+        self.assertEqual([part.service for part in again[0].parts], [late])
+        self.assertNotEqual(again[0].regions, batch.regions)
+        self.assertFalse(again[0].merged)
+
+    def test_late_shard_follows(self) -> None:
+        """Without budget a late shard is waited for, not given up."""
+        rule = make_rule(make_group(least=1), objective_s=0.1)
+        empty = BudgetBounds(ratio=0, allowance=0)
+        self._run, self._first = start_run(rule, shard_records(), empty)
+        self._answer_near(0.015)
+        batch = batches_of(self._first)[0]
+        late = batch.parts[0].service
+        actions = self._run.on_batch(
+            batch.batch,
+            self._batch_reply(batch, frozenset((late,))),
+            0.06,
+        )
+        self.assertIsNone(verdict_in(actions))
+        rest = BatchAnswered(
+            signatures={late: 'late'},
+            body=b'',
+            bodies={late: b'l' * 16},
+            failed=frozenset(),
+            final=True,
+            work_s=0.01,
+        )
+        verdict = verdict_in(self._run.on_batch(batch.batch, rest, 0.3))
+        self.assertIsInstance(verdict, Gathered)
+        if isinstance(verdict, Gathered):
+            self.assertEqual(verdict.missing, 0)
+
+    def test_no_room_anywhere(self) -> None:
+        """Hosts that have no room do not get the shard for ever."""
+        rule = make_rule(make_group(least=1))
+        self._run, self._first = start_run(rule, shard_records())
+        self._answer_near(0.015)
+        batches = batches_of(self._first)
+        verdict: object = None
+        for step in range(40):
+            now = 0.06 + step * 0.05
+            actions: list[Action] = []
+            for batch in batches:
+                names = frozenset(part.service for part in batch.parts)
+                refusal = BatchDeclined(
+                    dict.fromkeys(names, 0.01),
+                    final=True,
+                )
+                actions += self._run.on_batch(batch.batch, refusal, now)
+            actions += self._run.on_time(now)
+            verdict = verdict or verdict_in(actions)
+            batches = batches_of(actions)
+        self.assertIsNotNone(verdict)
+        self.assertLess(self._run.sends, 100)
+
+    def test_declined(self) -> None:
+        """A declined shard goes elsewhere at once and is not sent back."""
+        self._answer_near(0.015)
+        batch = batches_of(self._first)[0]
+        declined = batch.parts[0].service
+        actions = self._run.on_batch(
+            batch.batch,
+            BatchDeclined({declined: 0.01}, final=False),
+            0.025,
+        )
+        again = batches_of(actions)
+        services = {part.service for one in again for part in one.parts}
+        sent = {
+            action.target.record.service
+            for action in actions
+            if isinstance(action, SendAttempt)
+        }
+        self.assertEqual(services | sent, {declined})
+        for one in again:
+            self.assertFalse(one.regions & batch.regions)
+
+    def test_lost_host(self) -> None:
+        """A batch that was lost is sent again, and the host left alone."""
+        self._answer_near(0.015)
+        batch = batches_of(self._first)[0]
+        actions = self._run.on_batch(
+            batch.batch,
+            BatchLost('reset', not_sent=True),
+            0.05,
+        )
+        self.assertTrue(batches_of(actions) or sends_of(actions))
+        for again in batches_of(actions):
+            self.assertNotEqual(again.peer.name, batch.peer.name)
+
+    def test_cut_off_before_objective(self) -> None:
+        """Enough shards are answered before the objective, not after it."""
+        self._answer_near(0.015)
+        batch = batches_of(self._first)[0]
+        lacking = frozenset(part.service for part in batch.parts[:2])
+        self._run.on_batch(
+            batch.batch,
+            self._batch_reply(batch, lacking),
+            0.06,
+        )
+        verdict: object = None
+        while verdict is None:
+            now = self._run.wake_at
+            verdict = verdict_in(self._run.on_time(now))
+        self.assertLess(now, self._rule.objective_s)
+        self.assertIsInstance(verdict, Gathered)
+        if isinstance(verdict, Gathered):
+            self.assertEqual(verdict.missing, 2)
+
+    def test_too_few_shards_possible(self) -> None:
+        """A query that cannot reach its coverage is refused at once."""
+        records = tuple(
+            record
+            for record in shard_records()
+            if record.service not in {'shard-0', 'shard-1', 'shard-2'}
+        )
+        _, actions = start_run(self._rule, records)
+        self.assertIsInstance(verdict_in(actions), Refused)
+        self.assertEqual(sends_of(actions), [])
+
+    def test_cause_of_refusal(self) -> None:
+        """A refusal names the shard that cannot be answered."""
+        records = [
+            record for record in shard_records() if record.service != 'shard-19'
+        ]
+        _, actions = start_run(make_rule(make_group(least=1)), tuple(records))
+        verdict = verdict_in(actions)
+        assert isinstance(verdict, Refused)
+        self.assertEqual(verdict.reason, GiveUpReason.NO_TARGET)
+
+    def test_failure_is_no_shard(self) -> None:
+        """A target's failure is not merged, even if it is signed."""
+        sent = sends_of(self._first)[0]
+        again = self._run.on_outcome(
+            sent.attempt,
+            AttemptAnswered(make_answer(SERVER_ERROR)),
+            0.01,
+        )
+        self.assertTrue(batches_of(again) or sends_of(again))
--- a/oriolestage/relay/tests/test_load_patterns.py
+++ b/oriolestage/relay/tests/test_load_patterns.py
@@ -11,11 +11,13 @@
 from oriolestage.relay._extra_budget import BudgetBounds
 from oriolestage.relay._targets import TargetRecord
 from oriolestage.relay.tests.builders import (
+    make_group,
+    make_rule,
+)
+from oriolestage.relay.tests.replay import (
     Replay,
     Replayed,
     WorkOf,
-    make_group,
-    make_rule,
     pausing_targets,
 )
 
--- a/scenarios/process_engine.py
+++ b/scenarios/process_engine.py
@@ -27,9 +27,10 @@
     TargetVersions,
     Thaw,
 )
+from trial.http_calls import post
 from trial.layout import association, franchise, make_layout
 from trial.load import LoadGenerator
-from trial.processes import Trial, post, running_trial
+from trial.processes import Trial, running_trial
 
 #: Time after the load for the last effects, in seconds.
 SETTLE_S = 3.0
--- a/trial/__main__.py
+++ b/trial/__main__.py
@@ -10,9 +10,10 @@
 import uvloop
 
 from oriolestage._event_loop import forbid_io_uring
+from trial.http_calls import get_json
 from trial.layout import association, franchise, make_layout
 from trial.load import LoadGenerator, LoadResults
-from trial.processes import Trial, get_json, running_trial
+from trial.processes import Trial, running_trial
 
 #: Percentiles printed in the summary.
 PERCENTILES = (50.0, 99.0, 99.9)
--- a/trial/processes.py
+++ b/trial/processes.py
@@ -8,12 +8,11 @@
 import tempfile
 from pathlib import Path
 
-import aiohttp
-import msgspec
 import yaml
 
 from oriolestage.tool import dump_document
 from trial.exclusive import exclusive_addresses
+from trial.http_calls import post, wait_for_http
 from trial.layout import (
     BALANCER_IP,
     BALANCER_PORT,
@@ -30,8 +29,6 @@
     PlacedTarget,
 )
 
-#: Longest wait for a part to be ready, in seconds.
-READY_TIMEOUT_S = 30.0
 #: Longest wait for a process to end by itself, in seconds.
 END_TIMEOUT_S = 20.0
 #: Log lines of a process that a failed test shows.
@@ -331,30 +328,3 @@
         stack.push_async_callback(trial.close)
         await trial.start()
         yield trial
-
-
-async def wait_for_http(url: str) -> None:
-    """Wait until a GET of ``url`` gives status 200."""
-    deadline = asyncio.get_running_loop().time() + READY_TIMEOUT_S
-    async with aiohttp.ClientSession() as session:
-        while asyncio.get_running_loop().time() < deadline:
-            with contextlib.suppress(aiohttp.ClientError):
-                async with session.get(url) as response:
-                    if response.status == 200:
-                        return
-            await asyncio.sleep(0.05)
-    raise TimeoutError(f'{url} was not ready within {READY_TIMEOUT_S} s')
-
-
-async def post(url: str, content: object) -> None:
-    """Post JSON to a stand-in."""
-    async with aiohttp.ClientSession() as session:
-        body = msgspec.json.encode(content)
-        async with session.post(url, data=body) as response:
-            response.raise_for_status()
-
-
-async def get_json(url: str) -> dict:
-    """Read JSON from a stand-in."""
-    async with aiohttp.ClientSession() as session, session.get(url) as response:
-        return msgspec.json.decode(await response.read())
