Log how long events of a request wait and why it is not hedged

The logs of a late query could not tell a host without processor time from targets or other hosts without capacity, and not why a late shard got no hedge. request_done has decision_ms, event_delay_ms, timer_delay_ms and unhedged now; the metrics oriolestage_decision_seconds and oriolestage_event_delay_seconds show the same for all requests. No decision changes.

--- a/oriolestage/entry/_metrics.py
+++ b/oriolestage/entry/_metrics.py
@@ -10,6 +10,7 @@
 )
 
 from oriolestage._latencies import RouteLatencies
+from oriolestage.entry._run_driver import RunTimings
 from oriolestage.routing._answers import (
     AttemptAnswered,
     AttemptLost,
@@ -34,6 +35,9 @@
         self._requests: Counter[tuple[str, str]] = Counter()
         self._attempts: Counter[tuple[str, str]] = Counter()
         self._latencies = RouteLatencies()
+        self._decision_s: float = 0
+        #: Longest delay of an event since the last collection, in seconds.
+        self._event_delay_s: float = 0
         self._gauges: dict[str, Callable[[], float]] = {}
 
     def add_gauge(self, name: str, read: Callable[[], float]) -> None:
@@ -50,6 +54,13 @@
         self._requests[route, _result_label(result)] += 1
         self._latencies.record(route, duration_s)
 
+    def record_own_time(self, timings: RunTimings) -> None:
+        """Record the time that this host added to a request."""
+        self._decision_s += timings.decision_s
+        self._event_delay_s = max(
+            self._event_delay_s, timings.event_delay_s, timings.timer_delay_s
+        )
+
     def record_attempt(self, outcome: AttemptOutcome, *, hedge: bool) -> None:
         """Count an attempt at a target."""
         cause = 'hedge' if hedge else 'first_or_repeat'
@@ -78,6 +89,17 @@
             attempts.add_metric(labels, total)
         yield attempts
         yield self._latencies.metric()
+        yield CounterMetricFamily(
+            'oriolestage_decision_seconds',
+            'Time spent deciding on caller requests.',
+            value=self._decision_s,
+        )
+        yield GaugeMetricFamily(
+            'oriolestage_event_delay_seconds',
+            'Longest delay of an event since the last collection.',
+            value=self._event_delay_s,
+        )
+        self._event_delay_s = 0
         for name, read in self._gauges.items():
             yield GaugeMetricFamily(f'oriolestage_{name}', name, value=read())
 
--- a/oriolestage/entry/_request_log.py
+++ b/oriolestage/entry/_request_log.py
@@ -6,6 +6,7 @@
 from oriolestage._logging import log_event
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._metrics import EntryMetrics
+from oriolestage.entry._run_driver import RunTimings
 from oriolestage.routing._answers import (
     AttemptAnswered,
     AttemptLost,
@@ -49,16 +50,19 @@
         version: int,
         result: RequestResult | str,
         summary: dict[str, object],
+        timings: RunTimings,
     ) -> None:
         """Record the end of a request.
 
         ``result`` is the text ``caller_left`` if the caller closed the
         connection before there was a result. ``version`` is that of the
-        configuration by which the request was routed, and ``summary`` has
-        further fields of the log event.
+        configuration by which the request was routed, ``summary`` has
+        further fields of the log event, and ``timings`` is the time that this
+        host added.
         """
         duration_s = time.monotonic() - request.arrived_at
         self._metrics.record_request(route, result, duration_s)
+        self._metrics.record_own_time(timings)
         log_event(
             'request_done',
             {
@@ -68,6 +72,9 @@
                 'outcome': _result_text(result),
                 'took_ms': duration_s * MS_PER_S,
                 'store_age_s': self._store_age_s(),
+                'decision_ms': timings.decision_s * MS_PER_S,
+                'event_delay_ms': timings.event_delay_s * MS_PER_S,
+                'timer_delay_ms': timings.timer_delay_s * MS_PER_S,
                 **summary,
             },
         )
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -143,11 +143,11 @@
             result = await driver.drive()
         except asyncio.CancelledError:
             run.cancel(time.monotonic())
-            self._record_completion(request, rule, table, run, 'caller_left')
+            self._record_completion(request, rule, table, driver, 'caller_left')
             raise
         finally:
             driver.cancel_all()
-        self._record_completion(request, rule, table, run, result)
+        self._record_completion(request, rule, table, driver, result)
         return result
 
     def _build_parts(
@@ -244,16 +244,20 @@
         request: CallerRequest,
         rule: RouteRule,
         table: RoutingTable,
-        run: RequestRun,
+        driver: RunDriver,
         result: RequestResult | str,
     ) -> None:
-        summary = {'hosts': len(self._placement.hosts), **run.summary()}
+        summary = {
+            'hosts': len(self._placement.hosts),
+            **driver.run.summary(),
+        }
         self._log.record_completion(
             request,
             rule.name,
             table.version,
             result,
             summary,
+            driver.timings,
         )
 
     def _refuse(
--- a/oriolestage/entry/_run_driver.py
+++ b/oriolestage/entry/_run_driver.py
@@ -54,6 +54,18 @@
 _Event = _AttemptEnded | _BatchReplied | _TimerFired
 
 
+@dataclasses.dataclass(slots=True)
+class RunTimings:
+    """Time that the host itself added to one request, in seconds."""
+
+    #: Total time spent deciding, all events together.
+    decision_s: float = 0
+    #: Longest time from the end of an attempt or batch until the run was told.
+    event_delay_s: float = 0
+    #: Longest time by which a timer fired late.
+    timer_delay_s: float = 0
+
+
 class RunDriver:
     """Drives one request run from its start to its result."""
 
@@ -69,29 +81,28 @@
         to another host and yields the replies.
         """
         self.run = run
+        self.timings = RunTimings()
         self._send = send
         self._send_batch = send_batch
-        self._events: asyncio.Queue[_Event] = asyncio.Queue()
+        #: Events with the monotonic times at which they happened.
+        self._events: asyncio.Queue[tuple[float, _Event]] = asyncio.Queue()
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     async def drive(self) -> RequestResult:
         """Start the run, process its events and return its result."""
-        actions = self.run.start(time.monotonic())
+        now = time.monotonic()
+        actions = self.run.start(now)
         while True:
+            self.timings.decision_s += time.monotonic() - now
             result = self._execute(actions)
             if result is not None:
                 return result
             self._set_timer()
-            event = await self._events.get()
+            happened_at, event = await self._events.get()
             now = time.monotonic()
-            match event:
-                case _AttemptEnded(attempt=attempt, outcome=outcome):
-                    actions = self.run.on_outcome(attempt, outcome, now)
-                case _BatchReplied(batch=batch, outcome=gathered):
-                    actions = self.run.on_batch_outcome(batch, gathered, now)
-                case _TimerFired():
-                    actions = self.run.on_timer(now)
+            self._record_delay(event, now - happened_at)
+            actions = self._decide(event, now)
 
     def cancel_all(self) -> None:
         """Cancel the timer and all unfinished attempts and batches."""
@@ -100,6 +111,26 @@
         for task in self._tasks.values():
             task.cancel()
 
+    def _decide(self, event: _Event, now: float) -> list[Action]:
+        match event:
+            case _AttemptEnded(attempt=attempt, outcome=outcome):
+                return self.run.on_outcome(attempt, outcome, now)
+            case _BatchReplied(batch=batch, outcome=gathered):
+                return self.run.on_batch_outcome(batch, gathered, now)
+            case _TimerFired():
+                return self.run.on_timer(now)
+
+    def _record_delay(self, event: _Event, delay_s: float) -> None:
+        timings = self.timings
+        match event:
+            case _TimerFired():
+                timings.timer_delay_s = max(timings.timer_delay_s, delay_s)
+            case _:
+                timings.event_delay_s = max(timings.event_delay_s, delay_s)
+
+    def _add_event(self, event: _Event) -> None:
+        self._events.put_nowait((time.monotonic(), event))
+
     def _start_task(
         self,
         number: int,
@@ -124,7 +155,7 @@
             return
         error = repr(finished.exception())
         log_event('attempt_crashed', {'step': 'driver', 'error': error})
-        self._events.put_nowait(crash_event)
+        self._add_event(crash_event)
 
     def _execute(self, actions: list[Action]) -> RequestResult | None:
         result: RequestResult | None = None
@@ -157,21 +188,22 @@
     async def _run_attempt(self, action: SendAttempt) -> None:
         outcome = await self._send(action)
         self._tasks.pop(action.attempt, None)
-        self._events.put_nowait(_AttemptEnded(action.attempt, outcome))
+        self._add_event(_AttemptEnded(action.attempt, outcome))
 
     async def _run_batch(self, action: SendBatch) -> None:
         async with contextlib.aclosing(self._send_batch(action)) as replies:
             async for outcome in replies:
-                self._events.put_nowait(_BatchReplied(action.batch, outcome))
+                self._add_event(_BatchReplied(action.batch, outcome))
         self._tasks.pop(action.batch, None)
 
     def _set_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
         loop = asyncio.get_running_loop()
-        wait_s = max(0, self.run.wake_at - time.monotonic())
+        wake_at = self.run.wake_at
+        wait_s = max(0, wake_at - time.monotonic())
         self._timer = loop.call_later(
             wait_s,
             self._events.put_nowait,
-            _TimerFired(),
+            (wake_at, _TimerFired()),
         )
--- a/oriolestage/routing/_attempt_policy.py
+++ b/oriolestage/routing/_attempt_policy.py
@@ -6,6 +6,8 @@
 and services without a free target (a short wait, then an early refusal).
 """
 
+from collections import Counter
+
 from oriolestage.routing._answers import GiveUpReason
 from oriolestage.routing._dispatch import AttemptDispatcher
 from oriolestage.routing._parts import (
@@ -40,6 +42,8 @@
     ) -> None:
         """Start without attempts; decided ones are enqueued at ``dispatch``."""
         self.hedge_count = 0
+        #: Late attempts that got no hedge, by reason.
+        self.unhedged: Counter[str] = Counter()
         self._progress = progress
         self._rule = progress.rule
         self._placement = placement
@@ -121,10 +125,13 @@
             part.request.requirements, part.tried, now
         )
         if not isinstance(placed, ChosenTarget):
+            self.unhedged['no_target'] += 1
             return
         if not self._progress.is_useful_at(now + placed.expected_s):
+            self.unhedged['too_late'] += 1
             return
         if not self._spend_extra_attempt(part, now):
+            self.unhedged['no_budget'] += 1
             return
         self.hedge_count += 1
         self._dispatch.enqueue(part, placed, hedge=True)
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -195,6 +195,10 @@
             'answered': self._progress.answered_count,
             'sends': self._dispatch.sent_count,
             'hedges': self._policy.hedge_count,
+            'unhedged': ','.join(
+                f'{reason}:{count}'
+                for reason, count in self._policy.unhedged.items()
+            ),
             'batches': self._dispatch.batch_count,
             'lacking': ','.join(
                 f'{part.service}:{part.reason.value}:{"/".join(part.trace)}'
--- a/oriolestage/routing/tests/runs.py
+++ b/oriolestage/routing/tests/runs.py
@@ -29,26 +29,39 @@
     known: Placement | None = None,
 ) -> tuple[RequestRun, list[Action]]:
     """Start a run at time 0 and return it with its first actions."""
+    run = make_run(rule, records, 0, bounds, known)
+    return run, run.start(0)
+
+
+def make_run(
+    rule: RouteRule,
+    records: tuple[TargetRecord, ...],
+    started: float,
+    bounds: BudgetBounds | None = None,
+    known: Placement | None = None,
+) -> RequestRun:
+    """Return a run that arrives at the monotonic time ``started``."""
     placement = known or make_placement('dc-a', records)[0]
     names: tuple[str, ...] = ('shard-0',)
     if isinstance(rule.destination, ShardGroup):
         names = rule.destination.services
     numbers = itertools.count(1)
-    run = RequestRun(
+    return RequestRun(
         rule=rule,
         parts=tuple(
             PartRequest(
                 TargetRequirements(name, rule.name),
-                RetryBudget(bounds or BudgetBounds(), -60),
+                RetryBudget(bounds or BudgetBounds(), started - 60),
             )
             for name in names
         ),
-        times=RunTimes(0, rule.objective_s, rule.timeout_s),
+        times=RunTimes(
+            started, started + rule.objective_s, started + rule.timeout_s
+        ),
         placement=placement,
         peers=make_peers(placement.location),
         next_attempt=lambda: next(numbers),
     )
-    return run, run.start(0)
 
 
 def attempts_in(actions: list[Action]) -> list[SendAttempt]:
