Make the work of an event independent of the shards of its query

Callers got late answers: each event of a query (an answer, a reply of another host, a timer) looked at all of its shards to count answers and to find the next hedge, and each reply to a batch looked at all shards of the batch, so a query's decisions grew with the square of its shards.

Parts now count themselves in a tally when their state changes, and DueParts keeps them in heaps by the time of their next decision; a reply visits the shards that it names.

Ruled out: recomputing only when the timer fires, since the time at which an attempt is late changes with each answer.

--- a/oriolestage/routing/_attempt_policy.py
+++ b/oriolestage/routing/_attempt_policy.py
@@ -10,6 +10,7 @@
 
 from oriolestage.routing._answers import GiveUpReason
 from oriolestage.routing._dispatch import AttemptDispatcher
+from oriolestage.routing._due_parts import DueParts
 from oriolestage.routing._parts import (
     MAX_SHED_ATTEMPTS,
     MIN_RETRY_AFTER_S,
@@ -39,8 +40,12 @@
         placement: Placement,
         dispatch: AttemptDispatcher,
         stragglers: StragglerDetector,
+        due: DueParts,
     ) -> None:
-        """Start without attempts; decided ones are enqueued at ``dispatch``."""
+        """Start without attempts; decided ones are enqueued at ``dispatch``.
+
+        Parts that need a later decision are added to ``due``.
+        """
         self.hedge_count = 0
         #: Late attempts that got no hedge, by reason.
         self.unhedged: Counter[str] = Counter()
@@ -49,19 +54,15 @@
         self._placement = placement
         self._dispatch = dispatch
         self._stragglers = stragglers
+        self._due = due
 
-    def due_at(self, part: Part) -> float:
-        """Return the monotonic time at which a part needs a decision.
-
-        Infinite if nothing is due.
-        """
-        if part.answer is not None:
-            return float('inf')
-        due_at = part.next_placement_at
-        if len(part.in_flight) == 1:
-            for attempt in part.in_flight.values():
-                due_at = min(due_at, self._hedge_due_at(attempt))
-        return due_at
+    def decide_due(self, now: float) -> None:
+        """Place the parts that waited long enough and hedge late ones."""
+        for part in self._due.pop_due(now):
+            if part.next_placement_at <= now:
+                part.next_placement_at = float('inf')
+                self.place_attempt(part, now)
+            self.hedge(part, now)
 
     def place_attempt(self, part: Part, now: float) -> None:
         """Enqueue an attempt of a part that has none in flight.
@@ -84,10 +85,11 @@
                 part.retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
                 part.reason = GiveUpReason.NO_ROOM
                 part.next_placement_at = now + wait_s
-                part.given_up = (
-                    part.next_placement_at
-                    >= self._capacity_wait_until(part, now)
-                )
+                if part.next_placement_at >= self._capacity_wait_until(
+                    part, now
+                ):
+                    part.give_up()
+                self._due.add(part)
             case NoTarget():
                 part.give_up(GiveUpReason.NO_TARGET)
 
@@ -97,12 +99,16 @@
         Give the part up if the request may run only once and may have run,
         or if the limit of runs or of shed attempts is reached.
         """
-        if part.in_flight or part.answer is not None:
+        if part.in_flight:
+            # The other attempt may be the only one in flight now.
+            self._due.add(part)
+            return
+        if part.answer is not None:
             return
         not_repeatable = not self._rule.repeatable and part.may_have_run
         exhausted = part.may_have_run >= self._rule.max_attempts
         if not_repeatable or exhausted or part.shed_count >= MAX_SHED_ATTEMPTS:
-            part.given_up = True
+            part.give_up()
             return
         self.place_attempt(part, now)
 
@@ -113,9 +119,9 @@
         not run at another target, if no target is free, if the answer would
         come too late to be of use, or if the budget does not allow it.
         """
-        if part.answer is not None or len(part.in_flight) != 1:
+        attempt = part.only_attempt
+        if part.answer is not None or attempt is None:
             return
-        attempt = next(iter(part.in_flight.values()))
         if self._hedge_due_at(attempt) > now:
             return
         attempt.hedge_considered = True
--- a/oriolestage/routing/_batch_planning.py
+++ b/oriolestage/routing/_batch_planning.py
@@ -42,6 +42,10 @@
     awaits_merged: bool = False
     #: True once a reply has arrived.
     replied: bool = False
+    #: Indexes by service of the parts that no reply has ended yet.
+    unanswered: dict[str, int] = dataclasses.field(default_factory=dict)
+    #: True once the parts that an answer left out were marked as late.
+    late_marked: bool = False
 
 
 def plan_batches(
--- a/oriolestage/routing/_batch_replies.py
+++ b/oriolestage/routing/_batch_replies.py
@@ -11,6 +11,7 @@
 from oriolestage.routing._answers import GiveUpReason, TargetAnswer
 from oriolestage.routing._batch_planning import Batch
 from oriolestage.routing._dispatch import AttemptDispatcher
+from oriolestage.routing._due_parts import DueParts
 from oriolestage.routing._parts import Part
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
@@ -44,10 +45,12 @@
         peers: PeerDirectory,
         stragglers: StragglerDetector,
         merged_bodies: list[bytes],
+        due: DueParts,
     ) -> None:
         """Start without replies.
 
-        The records of merged batches are appended to ``merged_bodies``.
+        The records of merged batches are appended to ``merged_bodies``, and
+        parts that another host reports as late are added to ``due``.
         """
         self._merged_bodies = merged_bodies
         self._parts = parts
@@ -55,6 +58,7 @@
         self._placement = placement
         self._peers = peers
         self._stragglers = stragglers
+        self._due = due
 
     def apply(
         self,
@@ -78,11 +82,7 @@
                     self._merged_bodies.append(outcome.body)
                 answers = len(outcome.signatures)
                 self._stragglers.record_work(outcome.work_s, answers)
-                for position in batch.positions:
-                    part = self._parts[position]
-                    self._apply_to_part(
-                        part, number, batch, outcome, now, effect
-                    )
+                self._apply_answers(number, batch, outcome, now, effect)
                 if outcome.final:
                     self._end_batch(number, batch)
             case BatchDeclined():
@@ -117,33 +117,54 @@
             worked_s = max(worked_s, self._stragglers.late_s)
         self._peers.record_reply(batch.peer.name, waited_s - worked_s)
 
-    def _apply_to_part(
+    def _apply_answers(
         self,
-        part: Part,
         number: int,
         batch: Batch,
         outcome: BatchAnswered,
         now: float,
         effect: BatchEffect,
     ) -> None:
-        """Apply what a reply reports about one shard, if anything."""
-        signature = outcome.signatures.get(part.service)
-        if signature is not None:
+        """Apply what a reply reports about its shards.
+
+        The first reply leaves out the shards that are late. Later ones are
+        about those that they name, so the others are not visited again.
+        """
+        for service, signature in outcome.signatures.items():
+            part = self._take_unanswered(batch, service)
+            if part is None:
+                continue
             self._dispatch.remove_batched(part, number)
             self._store_answer(part, signature, outcome)
             self._record_batch_part(part, batch, now, late=False)
             effect.actions += self._dispatch.cancel_direct(part, now)
-            return
-        attempt = self._dispatch.attempt_in_batch(part, number)
-        if attempt is None:
-            return
-        if part.service in outcome.failed:
+        for service in outcome.failed:
+            part = self._take_unanswered(batch, service)
+            if part is None:
+                continue
+            if self._dispatch.attempt_in_batch(part, number) is None:
+                continue
             self._dispatch.remove_batched(part, number)
             part.may_have_run += 1
             part.reason = GiveUpReason.LOST
             effect.parts_to_retry.append(part)
-        elif not attempt.late:
+        if not batch.late_marked:
+            batch.late_marked = True
+            self._mark_late(number, batch, now)
+
+    def _take_unanswered(self, batch: Batch, service: str) -> Part | None:
+        """Return the part of a service, once for each batch."""
+        position = batch.unanswered.pop(service, None)
+        return None if position is None else self._parts[position]
+
+    def _mark_late(self, number: int, batch: Batch, now: float) -> None:
+        for position in batch.unanswered.values():
+            part = self._parts[position]
+            attempt = self._dispatch.attempt_in_batch(part, number)
+            if attempt is None:
+                continue
             attempt.late = True
+            self._due.add(part)
             self._record_batch_part(part, batch, now, late=True)
 
     def _store_answer(
@@ -156,11 +177,8 @@
         # A merged body already contains the records of this shard, so an
         # earlier answer of a hedge must not be merged as well.
         if part.answer is None or body is None:
-            part.answer = TargetAnswer(
-                HTTPStatus.OK,
-                (),
-                body or b'',
-                signature,
+            part.record_answer(
+                TargetAnswer(HTTPStatus.OK, (), body or b'', signature)
             )
 
     def _record_batch_part(
--- a/oriolestage/routing/_dispatch.py
+++ b/oriolestage/routing/_dispatch.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Sequence
 
 from oriolestage.routing._batch_planning import Batch, plan_batches
+from oriolestage.routing._due_parts import DueParts
 from oriolestage.routing._merge import top_records_floor
 from oriolestage.routing._parts import Attempt, Part
 from oriolestage.routing._peers import PeerDirectory
@@ -54,12 +55,14 @@
         peers: PeerDirectory,
         stragglers: StragglerDetector,
         merged_bodies: Sequence[bytes],
+        due: DueParts,
         next_attempt: Callable[[], int],
     ) -> None:
         """Start with nothing in flight.
 
         ``merged_bodies`` holds the records of the merged batches answered so
-        far; ``BatchReplyHandler`` appends to it.
+        far; ``BatchReplyHandler`` appends to it. Parts with a new attempt are
+        added to ``due``.
         """
         self.sent_count = 0
         self.batch_count = 0
@@ -70,6 +73,7 @@
         self._peers = peers
         self._stragglers = stragglers
         self._merged_bodies = merged_bodies
+        self._due = due
         self._next_attempt = next_attempt
         self._part_by_attempt: dict[int, Part] = {}
         self._batches: dict[int, Batch] = {}
@@ -151,7 +155,7 @@
         for attempt, sent in tuple(part.in_flight.items()):
             if sent.target is None:
                 continue
-            part.in_flight.pop(attempt)
+            part.remove_attempt(attempt)
             self._part_by_attempt.pop(attempt, None)
             self._placement.observations.record_abandoned(
                 sent.target,
@@ -166,7 +170,7 @@
         """Remove a part's attempt in a batch from those in flight."""
         for attempt, sent in tuple(part.in_flight.items()):
             if sent.batch == number:
-                part.in_flight.pop(attempt)
+                part.remove_attempt(attempt)
 
     def cancel_all(self, now: float) -> list[Action]:
         """Cancel all direct attempts and batches in flight.
@@ -210,6 +214,10 @@
         batch.sent_at = now
         batch.round_trip_s = round_trip_s
         batch.awaits_merged = merged
+        batch.unanswered = {
+            self._parts[position].service: position
+            for position in batch.positions
+        }
         round_trip_s += PEER_MARGIN_S
         batch.due_at = now + round_trip_s + self._stragglers.late_s
         self.batch_count += 1
@@ -219,7 +227,8 @@
         for position in batch.positions:
             part = self._parts[position]
             attempt = self._next_attempt()
-            part.in_flight[attempt] = Attempt(now, round_trip_s, None, number)
+            part.add_attempt(attempt, Attempt(now, round_trip_s, None, number))
+            self._due.add(part)
             part.delivered_count += 1
             part.trace.append(self._log_entry(batch.region, now))
             part.tried.update(
@@ -271,7 +280,8 @@
         placed = queued.placed
         attempt = self._next_attempt()
         round_trip_s = self._placement.observations.round_trip_s(placed.target)
-        part.in_flight[attempt] = Attempt(now, round_trip_s, placed.target)
+        part.add_attempt(attempt, Attempt(now, round_trip_s, placed.target))
+        self._due.add(part)
         part.tried.add(placed.target.record.identity)
         part.delivered_count += 1
         data_centre = placed.target.record.data_centre
--- a/oriolestage/routing/_parts.py
+++ b/oriolestage/routing/_parts.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 
 from oriolestage.routing._answers import GiveUpReason, TargetAnswer
 from oriolestage.routing._run_types import PartRequest
@@ -35,13 +36,46 @@
     hedge_considered: bool = False
 
 
+class PartState(enum.Enum):
+    """Whether a part has its answer or can still get one."""
+
+    OPEN = 'open'
+    ANSWERED = 'answered'
+    #: Nothing is in flight and no further attempt is made.
+    FAILED = 'failed'
+
+
+class PartTally:
+    """Number of the parts of one request in each state."""
+
+    def __init__(self, parts: int) -> None:
+        """Start with all parts open."""
+        self._counts = {state: 0 for state in PartState}
+        self._counts[PartState.OPEN] = parts
+
+    def count(self, state: PartState) -> int:
+        """Return the number of parts in a state."""
+        return self._counts[state]
+
+    def move(self, before: PartState, after: PartState) -> None:
+        """Count one part in another state."""
+        self._counts[before] -= 1
+        self._counts[after] += 1
+
+
 @dataclasses.dataclass(slots=True)
 class Part:
-    """One service that the request needs, with its attempts so far."""
+    """One service that the request needs, with its attempts so far.
+
+    Its answer and its attempts are changed by methods only, which keep the
+    tally up to date.
+    """
 
     #: Index among the parts of the request.
     position: int
     request: PartRequest
+    tally: PartTally
+    state: PartState = PartState.OPEN
     #: The answer that counts for the result.
     answer: TargetAnswer | None = None
     #: The latest unsuccessful answer of a target.
@@ -78,9 +112,43 @@
     @property
     def finished(self) -> bool:
         """Whether the part is answered or can get no answer."""
-        return self.answer is not None or (self.given_up and not self.in_flight)
+        return self.state != PartState.OPEN
+
+    @property
+    def only_attempt(self) -> Attempt | None:
+        """The attempt in flight if there is exactly one."""
+        if len(self.in_flight) != 1:
+            return None
+        return next(iter(self.in_flight.values()))
+
+    def record_answer(self, answer: TargetAnswer) -> None:
+        """Set the answer that counts for the result."""
+        self.answer = answer
+        self._update_state()
 
-    def give_up(self, reason: GiveUpReason) -> None:
-        """Make no further attempt, for the given reason."""
+    def give_up(self, reason: GiveUpReason | None = None) -> None:
+        """Make no further attempt, for ``reason`` or the one known so far."""
         self.given_up = True
-        self.reason = reason
+        self.reason = reason or self.reason
+        self._update_state()
+
+    def add_attempt(self, number: int, attempt: Attempt) -> None:
+        """Add an attempt in flight."""
+        self.in_flight[number] = attempt
+        self._update_state()
+
+    def remove_attempt(self, number: int) -> Attempt:
+        """Remove and return an attempt that is no longer in flight."""
+        attempt = self.in_flight.pop(number)
+        self._update_state()
+        return attempt
+
+    def _update_state(self) -> None:
+        state = PartState.OPEN
+        if self.answer is not None:
+            state = PartState.ANSWERED
+        elif self.given_up and not self.in_flight:
+            state = PartState.FAILED
+        if state != self.state:
+            self.tally.move(self.state, state)
+            self.state = state
--- a/oriolestage/routing/_progress.py
+++ b/oriolestage/routing/_progress.py
@@ -1,6 +1,6 @@
 """Progress of one request: which parts are answered and when it must end."""
 
-from oriolestage.routing._parts import Part
+from oriolestage.routing._parts import PartState, PartTally
 from oriolestage.routing._request_results import min_parts
 from oriolestage.routing._rules import RouteRule, ShardGroup
 from oriolestage.routing._run_types import RunTimes
@@ -18,18 +18,20 @@
         self,
         rule: RouteRule,
         times: RunTimes,
-        parts: tuple[Part, ...],
+        parts: int,
+        tally: PartTally,
     ) -> None:
-        """Observe ``parts``, which the run updates."""
+        """Observe ``tally``, which counts the states of the parts."""
         self.rule = rule
         self.times = times
-        self.parts = parts
-        self._min_parts = min_parts(rule.destination, len(parts))
+        self._parts = parts
+        self._tally = tally
+        self._min_parts = min_parts(rule.destination, parts)
 
     @property
     def answered_count(self) -> int:
         """Number of parts with an answer."""
-        return sum(1 for part in self.parts if part.answer is not None)
+        return self._tally.count(PartState.ANSWERED)
 
     @property
     def has_enough(self) -> bool:
@@ -39,22 +41,18 @@
     @property
     def remaining_optional(self) -> bool:
         """Whether the answer can do without the unanswered parts."""
-        unanswered = len(self.parts) - self.answered_count
-        return unanswered <= len(self.parts) - self._min_parts
+        unanswered = self._parts - self.answered_count
+        return unanswered <= self._parts - self._min_parts
 
     @property
     def finished(self) -> bool:
         """Whether every part is answered or can get no answer."""
-        return all(part.finished for part in self.parts)
+        return not self._tally.count(PartState.OPEN)
 
     @property
     def unattainable(self) -> bool:
         """Whether too few parts can still be answered."""
-        possible = sum(
-            1
-            for part in self.parts
-            if part.answer is not None or not part.finished
-        )
+        possible = self._parts - self._tally.count(PartState.FAILED)
         return possible < self._min_parts
 
     @property
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -22,7 +22,8 @@
 from oriolestage.routing._attempt_policy import AttemptPolicy
 from oriolestage.routing._batch_replies import BatchReplyHandler
 from oriolestage.routing._dispatch import AttemptDispatcher
-from oriolestage.routing._parts import Part
+from oriolestage.routing._due_parts import DueParts
+from oriolestage.routing._parts import Part, PartTally
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._progress import Progress
@@ -61,16 +62,18 @@
         self._rule = rule
         self._times = times
         self._placement = placement
+        tally = PartTally(len(parts))
         self._parts = tuple(
-            Part(position, part) for position, part in enumerate(parts)
+            Part(position, part, tally) for position, part in enumerate(parts)
         )
-        self._progress = Progress(rule, times, self._parts)
+        self._progress = Progress(rule, times, len(parts), tally)
         self._stragglers = StragglerDetector(
             len(parts), placement.observations.work_s(rule.name)
         )
         self._finished = False
         #: Records of each merged batch that was answered.
         self._merged_bodies: list[bytes] = []
+        self._due = DueParts(self._stragglers, repeatable=rule.repeatable)
         self._dispatch = AttemptDispatcher(
             rule=rule,
             times=times,
@@ -79,6 +82,7 @@
             peers=peers,
             stragglers=self._stragglers,
             merged_bodies=self._merged_bodies,
+            due=self._due,
             next_attempt=next_attempt,
         )
         self._policy = AttemptPolicy(
@@ -86,6 +90,7 @@
             placement,
             self._dispatch,
             self._stragglers,
+            self._due,
         )
         self._replies = BatchReplyHandler(
             parts=self._parts,
@@ -94,6 +99,7 @@
             peers=peers,
             stragglers=self._stragglers,
             merged_bodies=self._merged_bodies,
+            due=self._due,
         )
 
     @property
@@ -107,9 +113,7 @@
         wake_at = self._times.deadline
         if self._progress.has_enough:
             wake_at = min(wake_at, self._progress.partial_answer_at)
-        for part in self._parts:
-            wake_at = min(wake_at, self._policy.due_at(part))
-        return wake_at
+        return min(wake_at, self._due.next_due_at())
 
     def start(self, now: float) -> list[Action]:
         """Return the first attempts, or the end if too few can be placed."""
@@ -122,7 +126,8 @@
         if self._progress.unattainable:
             self._dispatch.cancel_all(now)
             for part in self._parts:
-                part.in_flight.clear()
+                for number in tuple(part.in_flight):
+                    part.remove_attempt(number)
             return self._end(now)
         return actions + self._check_end(now)
 
@@ -136,7 +141,7 @@
         part = self._dispatch.pop_part(attempt)
         if part is None or self._finished:
             return []
-        target = part.in_flight.pop(attempt).target
+        target = part.remove_attempt(attempt).target
         if target is None:
             return []
         match outcome:
@@ -163,8 +168,7 @@
         effect = self._replies.apply(batch, outcome, now)
         for part in effect.parts_to_retry:
             self._policy.retry(part, now)
-        for part in self._parts:
-            self._policy.hedge(part, now)
+        self._policy.decide_due(now)
         actions = effect.actions + self._dispatch.flush(now)
         return actions + self._check_end(now)
 
@@ -172,11 +176,7 @@
         """Place waiting parts, hedge late ones, and end the run if due."""
         if self._finished:
             return []
-        for part in self._parts:
-            if part.next_placement_at <= now:
-                part.next_placement_at = float('inf')
-                self._policy.place_attempt(part, now)
-            self._policy.hedge(part, now)
+        self._policy.decide_due(now)
         return self._dispatch.flush(now) + self._check_end(now)
 
     def cancel(self, now: float) -> None:
@@ -225,7 +225,7 @@
         if answer.success or (
             answer.status < FIRST_SERVER_ERROR and not gathers
         ):
-            part.answer = answer
+            part.record_answer(answer)
             return self._dispatch.cancel_direct(part, now) + self._check_end(
                 now
             )
