Send attempts without aiohttp's client session

A profile of a query whose targets answer at once has half of its time in the client session (request and response objects, header copies, URL, connector).

Weighed: sharing a query with hosts of the same data centre, which adds a hop and streams, and comes second.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -106,7 +106,7 @@
 async def _close(host: EntryHost, store: Store) -> None:
     host.peer_server.close()
     host.peer_client.close()
-    await host.client.close()
+    host.client.close()
     await host.control.close()
     await store.close()
 
--- a/oriolestage/platform/tests/test_target_wire.py
+++ b/oriolestage/platform/tests/test_target_wire.py
@@ -130,7 +130,7 @@
                 await asyncio.sleep(pause_s)
             return outcomes
         finally:
-            await client.close()
+            client.close()
 
     try:
         return uvloop.run(send_all())
