Choose the target of each shard once at the start of a query

The plan of the batches chose a target for every shard and the first attempts chose it again; the name of a target's process was formatted at each look at its load. The plan now hands its choices on, and a known target keeps the name. Choices are the same: those of one query do not depend on each other.

--- a/oriolestage/routing/_attempt_policy.py
+++ b/oriolestage/routing/_attempt_policy.py
@@ -64,15 +64,21 @@
                 self.place_attempt(part, now)
             self.hedge(part, now)
 
-    def place_attempt(self, part: Part, now: float) -> None:
+    def place_attempt(
+        self,
+        part: Part,
+        now: float,
+        choice: PlacementResult | None = None,
+    ) -> None:
         """Enqueue an attempt of a part that has none in flight.
 
         Without a free target, schedule another try or give the part up. All
         attempts after one that may have reached a target need budget.
+        ``choice`` is the result of an earlier choice of its target.
         """
         if part.in_flight or part.finished:
             return
-        placed = self._choose(part, now)
+        placed = choice or self._choose(part, now)
         match placed:
             case ChosenTarget():
                 if part.delivered_count and not self._spend_extra_attempt(
--- a/oriolestage/routing/_batch_planning.py
+++ b/oriolestage/routing/_batch_planning.py
@@ -7,12 +7,14 @@
 """
 
 import dataclasses
+from collections.abc import Sequence
 
 from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._placement_types import (
     ChosenTarget,
+    PlacementResult,
     TargetRequirements,
 )
 
@@ -48,14 +50,29 @@
     late_marked: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstPlan:
+    """How the first attempts of a query are sent."""
+
+    batches: list[Batch]
+    #: The choice for each part, by its index, whether it is in a batch or not.
+    choices: list[PlacementResult]
+
+
 def plan_batches(
     part_requirements: tuple[TargetRequirements, ...],
     placement: Placement,
     peers: PeerDirectory,
     now: float,
-) -> list[Batch]:
+) -> FirstPlan:
     """Return the batches; parts in none of them are sent directly."""
-    candidate_regions = _remote_parts(part_requirements, placement, now)
+    choices = [
+        placement.choose(requirements, (), now)
+        for requirements in part_requirements
+    ]
+    candidate_regions = _remote_parts(
+        part_requirements, choices, placement, now
+    )
     batches: list[Batch] = []
     while candidate_regions:
         region = _most_common_region(candidate_regions)
@@ -73,11 +90,12 @@
         batches.append(Batch(peer, region, members))
         for position in members:
             candidate_regions.pop(position)
-    return batches
+    return FirstPlan(batches, choices)
 
 
 def _remote_parts(
     part_requirements: tuple[TargetRequirements, ...],
+    choices: Sequence[PlacementResult],
     placement: Placement,
     now: float,
 ) -> dict[int, set[str]]:
@@ -88,8 +106,7 @@
     """
     own_region = placement.location.region
     found: dict[int, set[str]] = {}
-    for position, requirements in enumerate(part_requirements):
-        best = placement.choose(requirements, (), now)
+    for position, best in enumerate(choices):
         if not isinstance(best, ChosenTarget):
             continue
         if (
@@ -101,7 +118,7 @@
             region
             for region in set(placement.location.regions.values())
             if region != own_region
-            and _expected_s(region, requirements, placement, now)
+            and _expected_s(region, part_requirements[position], placement, now)
             <= best.expected_s + REGION_TOLERANCE_S
         }
         if regions:
--- a/oriolestage/routing/_dispatch.py
+++ b/oriolestage/routing/_dispatch.py
@@ -14,7 +14,7 @@
 from oriolestage.routing._parts import Attempt, Part
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
-from oriolestage.routing._placement_types import ChosenTarget
+from oriolestage.routing._placement_types import ChosenTarget, PlacementResult
 from oriolestage.routing._rules import RouteRule, ShardGroup
 from oriolestage.routing._run_types import (
     Action,
@@ -111,20 +111,26 @@
         """Add an attempt of a part, to be sent by the next ``flush``."""
         self._queued.append(_QueuedAttempt(part.position, placed, hedge))
 
-    def send_first_batches(self, now: float) -> list[Action]:
+    def send_first_batches(
+        self, now: float
+    ) -> tuple[list[Action], Sequence[PlacementResult]]:
         """Batch the shards served by another region to hosts there.
 
-        Record the batched attempts as in flight and return the batches.
+        Record the batched attempts as in flight. Return the batches and the
+        choice for each part, which is empty if the request is not a query.
         """
         if not isinstance(self._rule.destination, ShardGroup):
-            return []
+            return [], ()
         part_requirements = tuple(
             part.request.requirements for part in self._parts
         )
-        planned = plan_batches(
+        plan = plan_batches(
             part_requirements, self._placement, self._peers, now
         )
-        return [self._send_batch(batch, now, merged=True) for batch in planned]
+        actions: list[Action] = [
+            self._send_batch(batch, now, merged=True) for batch in plan.batches
+        ]
+        return actions, plan.choices
 
     def flush(self, now: float) -> list[Action]:
         """Return the actions that send the queued attempts.
--- a/oriolestage/routing/_observations.py
+++ b/oriolestage/routing/_observations.py
@@ -44,11 +44,10 @@
 
     def load_of(self, target: KnownTarget) -> TargetLoad:
         """Return the load and health of a target's current process."""
-        name = process_name(target)
-        load = self._loads.get(name)
+        load = self._loads.get(target.process)
         if load is None:
             load = TargetLoad()
-            self._loads[name] = load
+            self._loads[target.process] = load
         return load
 
     def prune(self, processes: Collection[str]) -> list[str]:
@@ -236,8 +235,3 @@
         if self._location.region_of(data_centre) == self._location.region:
             return PRIOR_SAME_REGION_S
         return PRIOR_OTHER_REGION_S
-
-
-def process_name(target: KnownTarget) -> str:
-    """Return a name that is unique to the target's current process."""
-    return f'{target.record.identity}/{target.record.started_ms}'
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable, Collection, Iterator
 
-from oriolestage.routing._observations import Observations, process_name
+from oriolestage.routing._observations import Observations
 from oriolestage.routing._placement_types import (
     ChosenTarget,
     HostLocation,
@@ -63,9 +63,7 @@
 
     def forget_removed_targets(self) -> None:
         """Drop the observations of targets that are no longer known."""
-        known = {
-            process_name(target) for target in self._directory.all_targets()
-        }
+        known = {target.process for target in self._directory.all_targets()}
         for name in self.observations.prune(known):
             self._pacers.pop(name, None)
 
@@ -199,9 +197,8 @@
         return 0
 
     def _pacer(self, target: KnownTarget) -> WarmUpPacer:
-        name = process_name(target)
-        pacer = self._pacers.get(name)
+        pacer = self._pacers.get(target.process)
         if pacer is None:
             pacer = WarmUpPacer(self._warm_up)
-            self._pacers[name] = pacer
+            self._pacers[target.process] = pacer
         return pacer
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -119,9 +119,10 @@
         """Return the first attempts, or the end if too few can be placed."""
         for part in self._parts:
             part.request.budget.record_request(now)
-        actions = self._dispatch.send_first_batches(now)
+        actions, choices = self._dispatch.send_first_batches(now)
         for part in self._parts:
-            self._policy.place_attempt(part, now)
+            choice = choices[part.position] if choices else None
+            self._policy.place_attempt(part, now, choice)
         actions += self._dispatch.flush(now)
         if self._progress.unattainable:
             self._dispatch.cancel_all(now)
--- a/oriolestage/routing/_targets.py
+++ b/oriolestage/routing/_targets.py
@@ -45,6 +45,13 @@
     expires_at: float = float('inf')
     #: True once another target has answered at its address.
     replaced: bool = False
+    #: Name that is unique to its process.
+    process: str = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Derive the name of the process, which keeps it while registered."""
+        record = self.record
+        self.process = f'{record.identity}/{record.started_ms}'
 
 
 class TargetDirectory:
