Wait for the next shard of a batch without visiting the pending ones

Callers got late answers through hosts that gather batches for others: for each shard that ended, asyncio.wait registered with and left every pending task, so a batch cost the square of its shards. Ended tasks are queued now.

--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -26,6 +26,7 @@
 from oriolestage.entry._shard_gathering import (
     ReplyWriter,
     ShardResult,
+    ShardTasks,
     collect_in_time,
     log_batch,
     send_late_shards,
@@ -172,31 +173,27 @@
             request.path,
             request.body,
         )
-        pending = {
-            asyncio.create_task(
-                self._send_attempt(
-                    request, fingerprint, service, target, stragglers
-                ),
+        tasks = ShardTasks(
+            self._send_attempt(
+                request, fingerprint, service, target, stragglers
             )
             for service, target in chosen.items()
-        }
-        tasks = frozenset(pending)
+        )
         try:
             shards = await collect_in_time(
-                pending, stragglers, started_at, request.late_s
+                tasks, stragglers, started_at, request.late_s
             )
             log_batch(request, shards, len(chosen), stragglers, started_at)
-            if shards or pending:
+            if shards or tasks.pending:
                 replies.answer(
                     shards,
                     stragglers.work_s,
                     merged=request.merged,
-                    final=not pending,
+                    final=not tasks.pending,
                 )
-            await send_late_shards(pending, stragglers, replies)
+            await send_late_shards(tasks, stragglers, replies)
         finally:
-            for task in tasks:
-                task.cancel()
+            tasks.cancel()
             stragglers.report_observations(
                 self._placement, request.route, time.monotonic()
             )
--- a/oriolestage/entry/_shard_gathering.py
+++ b/oriolestage/entry/_shard_gathering.py
@@ -4,7 +4,7 @@
 import dataclasses
 import math
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 
 from oriolestage._logging import log_event
 from oriolestage.entry._compressed_frames import FrameWriter
@@ -35,8 +35,53 @@
     answer: TargetAnswer | None
 
 
+class ShardTasks:
+    """The attempts at the shards of one batch, each a task.
+
+    Ended tasks are queued, so that waiting for the next one does not depend
+    on the number of unfinished ones.
+    """
+
+    def __init__(
+        self, attempts: Iterable[Coroutine[None, None, ShardResult]]
+    ) -> None:
+        """Start a task for each attempt."""
+        self._ended: asyncio.Queue[asyncio.Task[ShardResult]] = asyncio.Queue()
+        self._tasks = [asyncio.create_task(attempt) for attempt in attempts]
+        for task in self._tasks:
+            task.add_done_callback(self._ended.put_nowait)
+        self._pending = len(self._tasks)
+
+    @property
+    def pending(self) -> int:
+        """Number of tasks whose results were not returned yet."""
+        return self._pending
+
+    async def next_results(
+        self, timeout_s: float | None = None
+    ) -> list[ShardResult]:
+        """Return the results of the tasks that end next.
+
+        The list is empty if none ends within ``timeout_s`` seconds.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                ended = [await self._ended.get()]
+        except TimeoutError:
+            return []
+        while not self._ended.empty():
+            ended.append(self._ended.get_nowait())
+        self._pending -= len(ended)
+        return [task.result() for task in ended]
+
+    def cancel(self) -> None:
+        """Cancel the unfinished tasks."""
+        for task in self._tasks:
+            task.cancel()
+
+
 async def collect_in_time(
-    pending: set[asyncio.Task[ShardResult]],
+    tasks: ShardTasks,
     stragglers: StragglerDetector,
     started_at: float,
     late_s: float,
@@ -44,35 +89,20 @@
     """Return the shards that end before the remaining ones are late.
 
     A shard is late by comparison with its siblings once enough of them have
-    answered, and ``late_s`` seconds after ``started_at`` until then. Tasks that
-    ended are removed from ``pending``.
+    answered, and ``late_s`` seconds after ``started_at`` until then.
     """
     shards: list[ShardResult] = []
-    while pending:
+    while tasks.pending:
         timeout_s = (
             stragglers.late_s if stragglers.has_sibling_baseline else late_s
         )
         left_s = started_at + timeout_s - time.monotonic()
         if left_s <= 0:
             break
-        shards.extend(await _wait_for_next(pending, left_s))
+        shards.extend(await tasks.next_results(left_s))
     return shards
 
 
-async def _wait_for_next(
-    pending: set[asyncio.Task[ShardResult]],
-    timeout_s: float | None = None,
-) -> list[ShardResult]:
-    """Return the shards that end next, removing them from ``pending``."""
-    done, _ = await asyncio.wait(
-        pending,
-        timeout=timeout_s,
-        return_when=asyncio.FIRST_COMPLETED,
-    )
-    pending -= done
-    return [task.result() for task in done]
-
-
 def log_batch(
     request: GatherRequest,
     shards: list[ShardResult],
@@ -186,16 +216,16 @@
 
 
 async def send_late_shards(
-    pending: set[asyncio.Task[ShardResult]],
+    tasks: ShardTasks,
     stragglers: StragglerDetector,
     replies: ReplyWriter,
 ) -> None:
     """Send the results of late shards as they end, not merged."""
-    while pending:
-        shards = await _wait_for_next(pending)
+    while tasks.pending:
+        shards = await tasks.next_results()
         replies.answer(
             shards,
             stragglers.work_s,
             merged=False,
-            final=not pending,
+            final=not tasks.pending,
         )
--- a/oriolestage/routing/tests/test_decision_cost.py
+++ b/oriolestage/routing/tests/test_decision_cost.py
@@ -5,11 +5,8 @@
 """
 
 import functools
-import sys
-import types
 import unittest
 from collections.abc import Callable, Iterator
-from typing import Any
 
 from oriolestage.routing._answers import AttemptAnswered, Gathered
 from oriolestage.routing._request_run import RequestRun
@@ -20,6 +17,7 @@
     make_record,
     make_rule,
 )
+from oriolestage.routing.tests.line_counter import count_lines
 from oriolestage.routing.tests.runs import (
     attempts_in,
     batches_in,
@@ -37,31 +35,6 @@
 STEP_S = 0.0001
 
 
-class _LineCounter:
-    """Counts the executed lines of the routing package."""
-
-    def __init__(self) -> None:
-        self.lines = 0
-
-    def count(self, function: Callable[[], None]) -> int:
-        """Call ``function`` and return the number of lines it executed."""
-        earlier = sys.gettrace()
-        sys.settrace(self._on_event)
-        try:
-            function()
-        finally:
-            sys.settrace(earlier)
-        return self.lines
-
-    def _on_event(
-        self, frame: types.FrameType, event: str, _: Any
-    ) -> Callable[..., Any] | None:
-        if ROUTING_PACKAGE not in frame.f_code.co_filename:
-            return None
-        self.lines += event == 'line'
-        return self._on_event
-
-
 def _times() -> Iterator[float]:
     now = 0.01
     while True:
@@ -117,7 +90,7 @@
 
 
 def _lines_per_shard(answer_all: Callable[[int], None], shards: int) -> float:
-    lines = _LineCounter().count(functools.partial(answer_all, shards))
+    lines = count_lines(ROUTING_PACKAGE, functools.partial(answer_all, shards))
     return lines / shards
 
 
