Merge the records of a query as they arrive

When an answer was due, the host first merged the records of all shards, and each hedge sent to another host merged them again for its floor: work that grows with the shards, done at the time that counts, on hosts whose answers were 5 ms late. Records are now merged into the greatest ones on arrival; those of a hedge whose shard may still come in a merged batch are kept aside, as before. Same answers; test_merged_on_arrival compares both ways of merging.

--- a/oriolestage/routing/_batch_replies.py
+++ b/oriolestage/routing/_batch_replies.py
@@ -12,6 +12,7 @@
 from oriolestage.routing._batch_planning import Batch
 from oriolestage.routing._dispatch import AttemptDispatcher
 from oriolestage.routing._due_parts import DueParts
+from oriolestage.routing._merge import GatheredRecords
 from oriolestage.routing._parts import Part
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
@@ -44,15 +45,14 @@
         placement: Placement,
         peers: PeerDirectory,
         stragglers: StragglerDetector,
-        merged_bodies: list[bytes],
+        records: GatheredRecords,
         due: DueParts,
     ) -> None:
         """Start without replies.
 
-        The records of merged batches are appended to ``merged_bodies``, and
-        parts that another host reports as late are added to ``due``.
+        The records of merged batches are merged into ``records``, and parts that another host reports as late are added to ``due``.
         """
-        self._merged_bodies = merged_bodies
+        self._records = records
         self._parts = parts
         self._dispatch = dispatch
         self._placement = placement
@@ -78,8 +78,7 @@
             case BatchAnswered():
                 self._record_reply(batch, outcome, now)
                 batch.awaits_merged = False
-                if outcome.body:
-                    self._merged_bodies.append(outcome.body)
+                self._records.add(outcome.body)
                 answers = len(outcome.signatures)
                 self._stragglers.record_work(outcome.work_s, answers)
                 self._apply_answers(number, batch, outcome, now, effect)
@@ -174,12 +173,13 @@
         outcome: BatchAnswered,
     ) -> None:
         body = outcome.bodies.get(part.service)
-        # A merged body already contains the records of this shard, so an
-        # earlier answer of a hedge must not be merged as well.
-        if part.answer is None or body is None:
-            part.record_answer(
-                TargetAnswer(HTTPStatus.OK, (), body or b'', signature)
-            )
+        answer = TargetAnswer(HTTPStatus.OK, (), body or b'', signature)
+        if body is None:
+            # The merged body already contains the records of this shard, so
+            # an earlier answer of a hedge must not be merged as well.
+            part.record_answer(answer)
+        elif part.answer is None:
+            self._dispatch.store_answer(part, answer)
 
     def _record_batch_part(
         self,
--- a/oriolestage/routing/_dispatch.py
+++ b/oriolestage/routing/_dispatch.py
@@ -8,9 +8,10 @@
 import dataclasses
 from collections.abc import Callable, Sequence
 
+from oriolestage.routing._answers import TargetAnswer
 from oriolestage.routing._batch_planning import Batch, plan_batches
 from oriolestage.routing._due_parts import DueParts
-from oriolestage.routing._merge import top_records_floor
+from oriolestage.routing._merge import GatheredRecords
 from oriolestage.routing._parts import Attempt, Part
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
@@ -54,15 +55,14 @@
         placement: Placement,
         peers: PeerDirectory,
         stragglers: StragglerDetector,
-        merged_bodies: Sequence[bytes],
+        records: GatheredRecords,
         due: DueParts,
         next_attempt: Callable[[], int],
     ) -> None:
         """Start with nothing in flight.
 
-        ``merged_bodies`` holds the records of the merged batches answered so
-        far; ``BatchReplyHandler`` appends to it. Parts with a new attempt are
-        added to ``due``.
+        The records of answers are merged into ``records``, and parts with a
+        new attempt are added to ``due``.
         """
         self.sent_count = 0
         self.batch_count = 0
@@ -72,7 +72,7 @@
         self._placement = placement
         self._peers = peers
         self._stragglers = stragglers
-        self._merged_bodies = merged_bodies
+        self._records = records
         self._due = due
         self._next_attempt = next_attempt
         self._part_by_attempt: dict[int, Part] = {}
@@ -101,6 +101,18 @@
         """Stop tracking a batch that has ended."""
         self._batches.pop(number, None)
 
+    def store_answer(self, part: Part, answer: TargetAnswer) -> None:
+        """Store the answer of a part and merge its records.
+
+        They are merged only when the result is built if a merged batch that
+        may contain the part is outstanding: its reply replaces them.
+        """
+        gathers = isinstance(self._rule.destination, ShardGroup)
+        if gathers and not self._awaits_merged(part):
+            self._records.add(answer.body)
+            answer = dataclasses.replace(answer, body=b'')
+        part.record_answer(answer)
+
     def enqueue(
         self,
         part: Part,
@@ -194,6 +206,14 @@
         self._batches.clear()
         return actions
 
+    def _awaits_merged(self, part: Part) -> bool:
+        """Return whether a merged body with the part may still arrive."""
+        for attempt in part.in_flight.values():
+            batch = self._batches.get(attempt.batch)
+            if batch is not None and batch.awaits_merged:
+                return True
+        return False
+
     def _remote_region(self, placed: ChosenTarget) -> str:
         """Return the region of a shard's target if it is not this host's.
 
@@ -253,34 +273,12 @@
             regions=frozenset((batch.region,)),
             top_records=getattr(self._rule.destination, 'top_records', 0),
             merged=merged,
-            floor=b'' if merged else self._records_floor(),
+            floor=b'' if merged else self._records.floor,
             late_s=self._stragglers.late_s,
             work_s=self._stragglers.work_s,
             deadline=self._times.deadline,
         )
 
-    def _records_floor(self) -> bytes:
-        """Return the record that records of further shards must exceed.
-
-        Only records that stay in the answer count: the records of a hedge
-        for a shard of a merged batch are discarded when that batch arrives.
-        """
-        destination = self._rule.destination
-        if not isinstance(destination, ShardGroup):
-            return b''
-        replaceable: set[int] = set()
-        for batch in self._batches.values():
-            if batch.awaits_merged:
-                replaceable.update(batch.positions)
-        bodies = [
-            part.answer.body
-            for part in self._parts
-            if part.answer is not None and part.position not in replaceable
-        ]
-        return top_records_floor(
-            [*bodies, *self._merged_bodies], destination.top_records
-        )
-
     def _send_direct(self, queued: _QueuedAttempt, now: float) -> SendAttempt:
         part = self._parts[queued.position]
         placed = queued.placed
--- a/oriolestage/routing/_request_results.py
+++ b/oriolestage/routing/_request_results.py
@@ -10,7 +10,7 @@
     Refused,
     RequestResult,
 )
-from oriolestage.routing._merge import merge_records
+from oriolestage.routing._merge import GatheredRecords, merge_records
 from oriolestage.routing._parts import Part
 from oriolestage.routing._rules import Destination, ShardGroup
 
@@ -33,22 +33,20 @@
 def build_result(
     destination: Destination,
     parts: Sequence[Part],
-    merged_bodies: Sequence[bytes],
+    records: GatheredRecords,
     *,
     late: bool,
 ) -> RequestResult:
     """Return the result of a request.
 
-    ``merged_bodies`` holds the records of merged batches, which are not in the
-    answers of their parts. ``late`` is True if the deadline has passed.
+    ``records`` holds the records that were merged already, which are not in
+    the answers of their parts. ``late`` is True if the deadline has passed.
     """
     answered = [part for part in parts if part.answer is not None]
     match destination:
         case ShardGroup(top_records=top_records):
             if len(answered) >= min_parts(destination, len(parts)):
-                return _gathered(
-                    answered, merged_bodies, top_records, len(parts)
-                )
+                return _gathered(answered, records, top_records, len(parts))
         case _:
             for part in parts:
                 answer = part.answer or part.failure
@@ -59,14 +57,14 @@
 
 def _gathered(
     answered: Sequence[Part],
-    merged_bodies: Sequence[bytes],
+    records: GatheredRecords,
     top_records: int,
     total: int,
 ) -> Gathered:
     answers = [part.answer for part in answered if part.answer is not None]
-    bodies = [answer.body for answer in answers]
+    bodies = [answer.body for answer in answers if answer.body]
     return Gathered(
-        body=merge_records([*bodies, *merged_bodies], top_records),
+        body=merge_records([*bodies, records.merged], top_records),
         signatures=tuple(answer.signature for answer in answers),
         missing=total - len(answers),
     )
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -23,6 +23,7 @@
 from oriolestage.routing._batch_replies import BatchReplyHandler
 from oriolestage.routing._dispatch import AttemptDispatcher
 from oriolestage.routing._due_parts import DueParts
+from oriolestage.routing._merge import GatheredRecords
 from oriolestage.routing._parts import Part, PartTally
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
@@ -74,8 +75,9 @@
         #: Monotonic time since which there are enough answers.
         self._enough_since = float('inf')
         self._partial_answer_due_at: float | None = None
-        #: Records of each merged batch that was answered.
-        self._merged_bodies: list[bytes] = []
+        self._records = GatheredRecords(
+            getattr(rule.destination, 'top_records', 0)
+        )
         self._due = DueParts(self._stragglers, repeatable=rule.repeatable)
         self._dispatch = AttemptDispatcher(
             rule=rule,
@@ -84,7 +86,7 @@
             placement=placement,
             peers=peers,
             stragglers=self._stragglers,
-            merged_bodies=self._merged_bodies,
+            records=self._records,
             due=self._due,
             next_attempt=next_attempt,
         )
@@ -101,7 +103,7 @@
             placement=placement,
             peers=peers,
             stragglers=self._stragglers,
-            merged_bodies=self._merged_bodies,
+            records=self._records,
             due=self._due,
         )
 
@@ -237,7 +239,7 @@
         if answer.success or (
             answer.status < FIRST_SERVER_ERROR and not gathers
         ):
-            part.record_answer(answer)
+            self._dispatch.store_answer(part, answer)
             return self._dispatch.cancel_direct(part, now) + self._check_end(
                 now
             )
@@ -286,7 +288,7 @@
         result = build_result(
             self._rule.destination,
             self._parts,
-            self._merged_bodies,
+            self._records,
             late=now >= self._times.deadline,
         )
         self._stragglers.report_observations(
--- a/oriolestage/routing/tests/test_merge.py
+++ b/oriolestage/routing/tests/test_merge.py
@@ -6,6 +6,7 @@
 
 from oriolestage.routing._merge import (
     RECORD_BYTES,
+    GatheredRecords,
     drop_below,
     merge_records,
     top_records_floor,
@@ -65,6 +66,23 @@
                 merge_records(bodies, 5),
             )
 
+    def test_merged_on_arrival(self) -> None:
+        """Merging each body as it arrives gives the same, with its floor.
+
+        Guards against doing all the work when the answer is due.
+        """
+        rng = random.Random(7)
+        for _ in range(50):
+            bodies = [
+                b''.join(_record(rng.randrange(30)) for _ in range(3))
+                for _ in range(6)
+            ]
+            records = GatheredRecords(5)
+            for body in bodies:
+                records.add(body)
+            self.assertEqual(records.merged, merge_records(bodies, 5))
+            self.assertEqual(records.floor, top_records_floor(bodies, 5))
+
     def test_no_floor(self) -> None:
         """Nothing is dropped while there are too few records for a floor."""
         self.assertEqual(top_records_floor([_record(9) * 4], 5), b'')
