Count the delay of a target from when its attempt was sent

All first attempts of a query counted as sent when they were decided.

The driver now reports when it starts to send an attempt.

--- a/oriolestage/entry/_run_driver.py
+++ b/oriolestage/entry/_run_driver.py
@@ -186,6 +186,7 @@
             task.cancel()
 
     async def _run_attempt(self, action: SendAttempt) -> None:
+        self.run.record_sent(action.attempt, time.monotonic())
         outcome = await self._send(action)
         self._tasks.pop(action.attempt, None)
         self._add_event(_AttemptEnded(action.attempt, outcome))
--- a/oriolestage/routing/_attempt_policy.py
+++ b/oriolestage/routing/_attempt_policy.py
@@ -177,7 +177,7 @@
             return float('inf')
         if attempt.late:
             return attempt.sent_at
-        return attempt.sent_at + attempt.round_trip_s + self._stragglers.late_s
+        return attempt.idle_answer_at + self._stragglers.late_s
 
     def _capacity_wait_until(self, part: Part, now: float) -> float:
         """Return the time until which a part may wait for a free target.
--- a/oriolestage/routing/_dispatch.py
+++ b/oriolestage/routing/_dispatch.py
@@ -86,6 +86,16 @@
         """
         return self._part_by_attempt.pop(attempt, None)
 
+    def record_sent(self, attempt: int, now: float) -> None:
+        """Record when a direct attempt was sent, if it is still in flight."""
+        part = self._part_by_attempt.get(attempt)
+        if part is None:
+            return
+        sent = part.in_flight[attempt]
+        sent.sent_at = now
+        if sent.target is not None:
+            self._placement.observations.record_sent(sent.target, attempt, now)
+
     def batch(self, number: int) -> Batch | None:
         """Return a batch in flight; None if it has ended or was cancelled."""
         return self._batches.get(number)
--- a/oriolestage/routing/_due_parts.py
+++ b/oriolestage/routing/_due_parts.py
@@ -26,9 +26,9 @@
         self._order = itertools.count()
         #: Parts that are due at a fixed time.
         self._fixed: list[tuple[float, int, Part]] = []
-        #: Attempts by the time at which an answer without any work would
-        #: have arrived. They are due when they are late, and the work after
-        #: which an attempt is late changes with each answer.
+        #: Attempts by the time at which an answer without any work arrives.
+        #: They are due when they are late, and the work after which an
+        #: attempt is late changes with each answer.
         self._attempts: list[tuple[float, int, Part, Attempt]] = []
 
     def add(self, part: Part) -> None:
@@ -43,8 +43,7 @@
         if attempt.late:
             self._add_fixed(attempt.sent_at, part)
             return
-        idle_answer_at = attempt.sent_at + attempt.round_trip_s
-        entry = (idle_answer_at, next(self._order), part, attempt)
+        entry = (attempt.idle_answer_at, next(self._order), part, attempt)
         heapq.heappush(self._attempts, entry)
 
     def next_due_at(self) -> float:
@@ -57,8 +56,7 @@
             heapq.heappop(self._fixed)
         if self._fixed:
             due_at = self._fixed[0][0]
-        while self._attempts and not _is_unhedged(self._attempts[0]):
-            heapq.heappop(self._attempts)
+        self._remove_outdated_attempts()
         if self._attempts:
             late_at = self._attempts[0][0] + self._stragglers.late_s
             due_at = min(due_at, late_at)
@@ -74,6 +72,19 @@
                 due.append(heapq.heappop(self._attempts)[2])
         return due
 
+    def _remove_outdated_attempts(self) -> None:
+        """Make the first entry of the attempts one that applies."""
+        while self._attempts:
+            idle_answer_at, order, part, attempt = self._attempts[0]
+            if not _is_unhedged(part, attempt):
+                heapq.heappop(self._attempts)
+                continue
+            if attempt.idle_answer_at <= idle_answer_at:
+                return
+            # It was sent later than it was decided.
+            entry = (attempt.idle_answer_at, order, part, attempt)
+            heapq.heapreplace(self._attempts, entry)
+
     def _add_fixed(self, due_at: float, part: Part) -> None:
         heapq.heappush(self._fixed, (due_at, next(self._order), part))
 
@@ -91,9 +102,8 @@
     return attempt.late and attempt.sent_at <= due_at
 
 
-def _is_unhedged(entry: tuple[float, int, Part, Attempt]) -> bool:
-    """Return whether the entry's attempt may still need a hedge."""
-    _, _, part, attempt = entry
+def _is_unhedged(part: Part, attempt: Attempt) -> bool:
+    """Return whether an attempt may still need a hedge."""
     if part.answer is not None or attempt.hedge_considered or attempt.late:
         return False
     return part.only_attempt is attempt
--- a/oriolestage/routing/_parts.py
+++ b/oriolestage/routing/_parts.py
@@ -35,6 +35,11 @@
     #: True once the attempt was considered for a hedge, sent or not.
     hedge_considered: bool = False
 
+    @property
+    def idle_answer_at(self) -> float:
+        """Monotonic time at which an answer without any work arrives."""
+        return self.sent_at + self.round_trip_s
+
 
 class PartState(enum.Enum):
     """Whether a part has its answer or can still get one."""
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -145,6 +145,14 @@
             return self._end(now)
         return actions + self._check_end(now)
 
+    def record_sent(self, attempt: int, now: float) -> None:
+        """Record when an attempt was sent.
+
+        A host sends the attempts of a query one after another; without the
+        times of their sending, the last ones would look late.
+        """
+        self._dispatch.record_sent(attempt, now)
+
     def on_outcome(
         self,
         attempt: int,
--- a/oriolestage/routing/tests/test_due_parts.py
+++ b/oriolestage/routing/tests/test_due_parts.py
@@ -64,7 +64,7 @@
             return part.next_placement_at
         late_at = attempt.sent_at
         if not attempt.late:
-            late_at = late_at + attempt.round_trip_s + self.stragglers.late_s
+            late_at = attempt.idle_answer_at + self.stragglers.late_s
         return min(part.next_placement_at, late_at)
 
     def _decide(self, part: Part) -> None:
@@ -95,6 +95,11 @@
             attempt.late = True
         self.due.add(part)
 
+    def _send_later(self, part: Part) -> None:
+        for attempt in part.in_flight.values():
+            if not attempt.late:
+                attempt.sent_at = self.now
+
     def _wait(self, part: Part) -> None:
         part.next_placement_at = self.now + self._rng.random() * USUAL_S
         self.due.add(part)
