Cut off responses without end, wherever in them the bytes come

A faulty target may send bytes without end in a head or a body until the caller closes. Five of fifteen such responses kept a host reading: empty lines before the head, interim responses, a chunk size and a chunk extension until the deadline, with 12 MB of interim responses blocking the event loop for 1.8 s beyond it, and tiny chunks until 8 MB were parsed, which took 9.8 s. Bodies were bounded each, but not together: 90 shards of a query may hold 720 MB on a host with 200.

Received bytes are parsed in pieces, so that one read cannot pass the limits by far.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -148,6 +148,7 @@
         RequestLog(metrics, lambda: follower.age_s),
     )
     metrics.add_gauge('in_flight', lambda: router.in_flight)
+    metrics.add_gauge('held_response_bytes', lambda: client.held_bytes)
     metrics.add_gauge('targets', lambda: len(directory))
     metrics.add_gauge('hosts', lambda: len(placement.hosts))
     metrics.add_gauge('store_age_seconds', lambda: follower.age_s)
--- a/oriolestage/entry/_connection_pool.py
+++ b/oriolestage/entry/_connection_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from oriolestage.entry._held_bytes import HeldBytes
 from oriolestage.entry._target_connection import TargetConnection
 
 #: Timeout for connecting to a target, in seconds. A round trip between
@@ -78,17 +79,18 @@
             self._sweep_timer = loop.call_later(IDLE_TIMEOUT_S, self._sweep)
 
 
-async def connect(address: str) -> TargetConnection:
+async def connect(address: str, held: HeldBytes) -> TargetConnection:
     """Open a connection to an address, given as ``ip:port``.
 
-    Raises :class:`NotConnectedError`.
+    ``held`` counts the bytes that all connections hold. Raises
+    :class:`NotConnectedError`.
     """
     loop = asyncio.get_running_loop()
     host, _, port = address.rpartition(':')
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, connection = await loop.create_connection(
-                lambda: TargetConnection(loop), host, int(port)
+                lambda: TargetConnection(loop, held), host, int(port)
             )
     except (OSError, TimeoutError, ValueError) as error:
         raise NotConnectedError(f'{address}: {error!r}') from error
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -10,6 +10,7 @@
     NotConnectedError,
     connect,
 )
+from oriolestage.entry._held_bytes import HeldBytes
 from oriolestage.entry._ports import WireProtocol
 from oriolestage.entry._target_connection import RawResponse, TargetConnection
 from oriolestage.routing._answers import (
@@ -54,6 +55,12 @@
         """Create a client; connections are opened on demand."""
         self._wire_protocol = wire_protocol
         self._pool = ConnectionPool()
+        self._held = HeldBytes()
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the bodies received so far of responses in progress."""
+        return self._held.total
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -103,7 +110,7 @@
             idle = self._pool.take(call.address)
             if idle is not None:
                 return idle
-        return await connect(call.address)
+        return await connect(call.address, self._held)
 
     def _build_answer(self, response: RawResponse) -> TargetAnswer:
         return TargetAnswer(
--- a/oriolestage/entry/_target_connection.py
+++ b/oriolestage/entry/_target_connection.py
@@ -7,15 +7,29 @@
 import asyncio
 import dataclasses
 import socket
+from typing import Any
 
 import aiohttp
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http import HttpResponseParser, HttpVersion11, RawResponseMessage
+from aiohttp.http import (
+    HttpParser,
+    HttpResponseParser,
+    HttpVersion11,
+    RawResponseMessage,
+)
 from aiohttp.streams import StreamReader
 from multidict import CIMultiDictProxy
 
+from oriolestage.entry._held_bytes import HeldBytes
+
 #: Largest response body accepted from a target, in bytes.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+#: Bytes of a response that may be something else than its body: its head,
+#: interim responses, trailers and the framing of chunks. Chunks may add as
+#: many bytes again as the body has.
+MAX_OVERHEAD_BYTES = 65_536
+#: Bytes that are parsed before these limits are checked again.
+PARSED_AT_ONCE_BYTES = 16_384
 #: Lowest status of a final response; interim responses precede it.
 FIRST_FINAL_STATUS = 200
 #: Statuses of responses without a body (RFC 9110, 6.4.1).
@@ -50,24 +64,34 @@
 
     __slots__ = (
         '_chunks',
+        '_held',
         '_message',
         '_payload',
+        '_received',
         '_response_future',
         '_reusable',
         '_size',
         '_without_body',
     )
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Create a connection that is not in use."""
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, held: HeldBytes
+    ) -> None:
+        """Create a connection that is not in use.
+
+        ``held`` counts the bytes that all connections hold.
+        """
         super().__init__(loop)
+        self._held = held
         self._reusable = True
         self._without_body = False
         self._response_future: asyncio.Future[RawResponse] | None = None
         self._message: RawResponseMessage | None = None
         self._payload: StreamReader | None = None
         self._chunks: list[bytes] = []
+        #: Bytes of the body, and of everything received, in this exchange.
         self._size = 0
+        self._received = 0
 
     @property
     def is_reusable(self) -> bool:
@@ -130,20 +154,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the response; close the connection on any others."""
-        if self._parser is None:
-            self.abort()
-            return
-        try:
-            messages, upgraded, _ = self._parser.feed_data(data)
-        except Exception as error:  # noqa: BLE001 - any error of the parser
-            self._fail(MalformedResponseError(repr(error)))
-            return
-        if upgraded:
-            self._fail(MalformedResponseError('protocol upgrade'))
-            return
-        for message, payload in messages:
-            self._start_response(message, payload)
-        self._read_payload()
+        for start in range(0, len(data), PARSED_AT_ONCE_BYTES):
+            parser = self._parser
+            if parser is None:
+                self.abort()
+                return
+            self._parse(parser, data[start : start + PARSED_AT_ONCE_BYTES])
 
     def eof_received(self) -> bool:
         """End a response that has no length, unless a reset cut it off.
@@ -167,6 +183,23 @@
         else:
             self._fail(aiohttp.ServerDisconnectedError())
 
+    def _parse(self, parser: HttpParser[Any], data: bytes) -> None:
+        self._received += len(data)
+        try:
+            messages, upgraded, _ = parser.feed_data(data)
+        except Exception as error:  # noqa: BLE001 - any error of the parser
+            self._fail(MalformedResponseError(repr(error)))
+            return
+        if upgraded:
+            self._fail(MalformedResponseError('protocol upgrade'))
+            return
+        for message, payload in messages:
+            self._start_response(message, payload)
+        self._read_payload()
+        overhead = self._received - self._size
+        if overhead > MAX_OVERHEAD_BYTES + self._size:
+            self._fail(OversizedResponseError(f'{overhead} bytes of overhead'))
+
     def _start_response(
         self, message: RawResponseMessage, payload: StreamReader
     ) -> None:
@@ -196,10 +229,10 @@
         if chunk:
             self._chunks.append(chunk)
             self._size += len(chunk)
-        if self._size > MAX_RESPONSE_BYTES:
-            self._fail(
-                OversizedResponseError(f'body over {MAX_RESPONSE_BYTES} bytes')
-            )
+            self._held.add(len(chunk))
+        too_long = self._size > MAX_RESPONSE_BYTES
+        if too_long or not self._held.accepts(self._size):
+            self._fail(OversizedResponseError(f'body of {self._size} bytes'))
         elif payload.is_eof():
             self._complete()
 
@@ -239,7 +272,9 @@
         self._message = None
         self._payload = None
         self._chunks = []
+        self._held.release(self._size)
         self._size = 0
+        self._received = 0
 
     def _was_reset(self) -> bool:
         transport = self.transport
