Bound the bodies that the own interface reads from targets

They end after 8 MB now, as a malformed response. test_endless_body fails without the limit: the call runs to its deadline.

--- /dev/null
+++ b/oriolestage/daemon/_bodies.py
@@ -0,0 +1,22 @@
+"""Reads response bodies with a limit on their length."""
+
+import aiohttp
+
+#: Largest body accepted from a target, in bytes.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a response.
+
+    Raises ``ValueError`` as soon as it is longer than `MAX_BODY_BYTES`; the
+    connection is then closed when the response is released.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in response.content.iter_any():
+        size += len(chunk)
+        if size > MAX_BODY_BYTES:
+            raise ValueError(f'body over {MAX_BODY_BYTES} bytes')
+        chunks.append(chunk)
+    return b''.join(chunks)
--- a/oriolestage/daemon/_target_client.py
+++ b/oriolestage/daemon/_target_client.py
@@ -19,6 +19,7 @@
     TargetStatus,
     TargetTimedOut,
 )
+from oriolestage.daemon._bodies import read_body
 from oriolestage.daemon._events import Inbox, TargetCallEnded, TargetProbed
 
 #: Time after which an idle connection to a target is closed, in seconds.
@@ -139,7 +140,7 @@
             timeout=aiohttp.ClientTimeout(total=effect.call_timeout_ms / 1000),
         )
         async with request as response:
-            body = await response.read()
+            body = await read_body(response)
             return _parse_response(effect, response, body)
 
     async def _cancel(self, effect: CallTarget) -> None:
@@ -149,8 +150,8 @@
                 headers={REQUEST_ID_HEADER: effect.request_id},
                 timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
             ) as response:
-                await response.read()
-        except (aiohttp.ClientError, OSError):
+                await read_body(response)
+        except (aiohttp.ClientError, OSError, ValueError):
             return
 
     async def _probe(self, target: Target) -> None:
@@ -159,7 +160,7 @@
                 f'http://{target.address}/v1/status',
                 timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
             ) as response:
-                await response.read()
+                await read_body(response)
                 target_status = _parse_status(response)
         except (aiohttp.ClientError, OSError, ValueError):
             return
--- a/oriolestage/daemon/tests/test_target_client.py
+++ b/oriolestage/daemon/tests/test_target_client.py
@@ -19,6 +19,11 @@
 
 REQUEST_ID = 'request-1'
 ROWS = b'[{"rota": 1}]'
+#: Time that a call has, and that a call to an endless target has, in ms.
+TIMEOUT_MS = 200
+LONG_TIMEOUT_MS = 20_000
+#: Time within which an endless target has to be cut off, in seconds.
+CUT_OFF_S = 5.0
 
 
 def response(
@@ -89,28 +94,47 @@
         event = await self._call(None)
         self.assertIsInstance(event.outcome, TargetTimedOut)
 
+    async def test_endless_body(self) -> None:
+        """Guards against reading a body without end into memory."""
+        sent = _EndlessBody()
+        event = await self._call_server(sent.answer, LONG_TIMEOUT_MS)
+        self.assertIsInstance(event.outcome, TargetFailed)
+        await asyncio.wait_for(sent.cut_off.wait(), CUT_OFF_S)
+
     async def test_connection_refused(self) -> None:
         """A refused connection is reported as not reached."""
         event = await self._call_address('127.0.0.1:1')
         self.assertIsInstance(event.outcome, TargetNotReached)
 
     async def _call(self, content: bytes | None) -> TargetCallEnded:
-        server = await asyncio.start_server(
-            _respond_with(content),
-            '127.0.0.1',
-            0,
-        )
+        return await self._call_server(_respond_with(content))
+
+    async def _call_server(
+        self, answer: Callable, timeout_ms: int = TIMEOUT_MS
+    ) -> TargetCallEnded:
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
-        event = await self._call_address(f'127.0.0.1:{port}')
+        event = await self._call_address(f'127.0.0.1:{port}', timeout_ms)
         server.close()
         return event
 
-    async def _call_address(self, address: str) -> TargetCallEnded:
+    async def _call_address(
+        self, address: str, timeout_ms: int = TIMEOUT_MS
+    ) -> TargetCallEnded:
         inbox: asyncio.Queue[Event] = asyncio.Queue()
         client = TargetClient('127.0.0.1', inbox)
         target = Target('t-1', 's-1', 'ege-a', address, 2, 25)
         client.call(
-            CallTarget(1, target, REQUEST_ID, 'search', b'{}', 0, 200, 300),
+            CallTarget(
+                1,
+                target,
+                REQUEST_ID,
+                'search',
+                b'{}',
+                0,
+                timeout_ms,
+                timeout_ms + 100,
+            ),
         )
         event = await inbox.get()
         await client.close()
@@ -131,3 +155,25 @@
         writer.close()
 
     return answer
+
+
+class _EndlessBody:
+    """A target that sends a body until the caller closes the connection."""
+
+    def __init__(self) -> None:
+        self.cut_off = asyncio.Event()
+
+    async def answer(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer one request without end."""
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(response(claimed_length=10**12))
+        try:
+            while True:
+                writer.write(ROWS * 5000)
+                await writer.drain()
+        except OSError:
+            self.cut_off.set()
