--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -26,7 +26,7 @@
 )
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._crash_detector import CrashDetector
-from oriolestage.routing._delivery_margins import DeliveryMargins
+from oriolestage.routing._delivery_margin import DeliveryMargin
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._request_run import RequestRun
@@ -81,7 +81,7 @@
         self._budget_bounds = budget_bounds
         self._started_at = time.monotonic()
         self._retry_budgets: dict[str, RetryBudget] = {}
-        self._delivery_margins = DeliveryMargins()
+        self._delivery_margin = DeliveryMargin()
         self._weighted_services = WeightedRoundRobin()
         self._attempt_numbers = itertools.count(1)
         self._in_flight = 0
@@ -151,12 +151,16 @@
         finally:
             driver.cancel_all()
         self._record_completion(request, rule, table, driver, result)
-        if run.partial_answer_due_at is not None:
-            self._delivery_margins.record_overrun(
-                rule.name, time.monotonic() - run.partial_answer_due_at
-            )
+        due_at = run.partial_answer_due_at
+        if due_at is not None:
+            # Runs after this task has written the answer.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._record_overrun, due_at)
         return result
 
+    def _record_overrun(self, due_at: float) -> None:
+        self._delivery_margin.record_overrun(time.monotonic() - due_at)
+
     def _run_times(
         self, rule: RouteRule, request: CallerRequest, parts: int
     ) -> RunTimes:
@@ -169,8 +173,8 @@
             + rule.objective_s
             - request.network_delay_s,
             deadline=request.arrived_at + max(0, timeout_s - DEADLINE_MARGIN_S),
-            delivery_margin_s=self._delivery_margins.margin_s(
-                rule.name, parts, rule.objective_s
+            delivery_margin_s=self._delivery_margin.margin_s(
+                parts, rule.objective_s
             ),
         )
 
--- a/oriolestage/entry/tests/test_request_router.py
+++ b/oriolestage/entry/tests/test_request_router.py
@@ -116,5 +116,7 @@
         for _ in range(2):
             loop.call_later(OBJECTIVE_S - BUSY_S / 2, time.sleep, BUSY_S)
             durations.append((await _serve(router, 0))[1])
+            # The overrun is recorded once the answer is written.
+            await asyncio.sleep(0)
         self.assertGreater(durations[0], OBJECTIVE_S)
         self.assertLess(durations[1], OBJECTIVE_S)
--- a/oriolestage/routing/_delays.py
+++ b/oriolestage/routing/_delays.py
@@ -42,12 +42,12 @@
         self._round_trips: dict[str, float] = {}
         self._work_by_route: dict[str, _Work] = {}
 
-    def round_trip_s(self, data_centre: str, prior_s: float) -> float:
+    def round_trip_s(self, data_centre: str) -> float | None:
         """Return the round trip to a data centre, in seconds.
 
-        It is ``prior_s`` before the first answer from there.
+        None before the first answer from there.
         """
-        return self._round_trips.get(data_centre, prior_s)
+        return self._round_trips.get(data_centre)
 
     def work_s(self, route: str) -> float:
         """Return the average work of a request of a route, in seconds."""
--- a/oriolestage/routing/_observations.py
+++ b/oriolestage/routing/_observations.py
@@ -225,9 +225,10 @@
         self._on_change(StateChange(event, tuple(named.items())))
 
     def _round_trip_to_s(self, data_centre: str) -> float:
-        return self._delays.round_trip_s(
-            data_centre, self._prior_round_trip_s(data_centre)
-        )
+        round_trip_s = self._delays.round_trip_s(data_centre)
+        if round_trip_s is None:
+            return self._prior_round_trip_s(data_centre)
+        return round_trip_s
 
     def _prior_round_trip_s(self, data_centre: str) -> float:
         if data_centre == self._location.data_centre:
--- a/oriolestage/routing/tests/test_delivery_margins.py
+++ b/oriolestage/routing/tests/test_delivery_margin.py
@@ -3,9 +3,9 @@
 import unittest
 
 from oriolestage.routing._answers import AttemptAnswered, Gathered
-from oriolestage.routing._delivery_margins import (
+from oriolestage.routing._delivery_margin import (
     LARGEST_SHARE,
-    DeliveryMargins,
+    DeliveryMargin,
 )
 from oriolestage.routing.tests.builders import (
     make_answer,
@@ -33,9 +33,9 @@
 
         The overrun of one answer is kept back from the next one.
         """
-        margins = DeliveryMargins()
-        margins.record_overrun('route', SLOW_HOST_S)
-        margin_s = margins.margin_s('route', SHARDS, OBJECTIVE_S)
+        margin = DeliveryMargin()
+        margin.record_overrun(SLOW_HOST_S)
+        margin_s = margin.margin_s(SHARDS, OBJECTIVE_S)
         self.assertGreaterEqual(margin_s, SLOW_HOST_S)
 
     def test_partial_answer_is_due_earlier(self) -> None:
@@ -55,15 +55,15 @@
 
     def test_overrun_falls_slowly(self) -> None:
         """A single quick answer does not undo a long overrun."""
-        margins = DeliveryMargins()
-        margins.record_overrun('route', SLOW_HOST_S)
-        margins.record_overrun('route', 0)
-        margin_s = margins.margin_s('route', SHARDS, OBJECTIVE_S)
+        margin = DeliveryMargin()
+        margin.record_overrun(SLOW_HOST_S)
+        margin.record_overrun(0)
+        margin_s = margin.margin_s(SHARDS, OBJECTIVE_S)
         self.assertGreater(margin_s, SLOW_HOST_S / 2)
 
     def test_bound(self) -> None:
         """The margin stays a share of the objective."""
-        margins = DeliveryMargins()
-        margins.record_overrun('route', 10 * OBJECTIVE_S)
-        margin_s = margins.margin_s('route', SHARDS, OBJECTIVE_S)
+        margin = DeliveryMargin()
+        margin.record_overrun(10 * OBJECTIVE_S)
+        margin_s = margin.margin_s(SHARDS, OBJECTIVE_S)
         self.assertLessEqual(margin_s, LARGEST_SHARE * OBJECTIVE_S)
