Read the answers that have arrived before judging attempts late

A host started all attempts of a query in one iteration of its event loop, so no answer was read until the last one was sent; then its timers, which the loop runs first, found the first attempts late although their answers waited in the sockets.

The driver starts eight attempts in each iteration of the loop, an attempt that is not sent yet cannot be late, and a timer that fires late lets the loop read what has arrived before it wakes the run up, unless the run has to end.

test_answers_are_read_between_sends: first answer processed after all 90 sends and 63 hedges before, now none; test_busy_event_loop: one hedge before, none now.

--- a/oriolestage/entry/_run_driver.py
+++ b/oriolestage/entry/_run_driver.py
@@ -29,6 +29,13 @@
     SendBatch,
 )
 
+#: Attempts that are started before answers that have arrived are read.
+STARTED_AT_ONCE = 8
+#: Delay of a timer from which the event loop counts as busy, in seconds.
+BUSY_S = 0.001
+#: Iterations of the event loop after which the data that had arrived when a
+#: timer fired has been read and its attempts have ended.
+ITERATIONS_TO_READ = 3
 #: Step reported for an attempt that ended with an unexpected exception.
 CRASH_STEP = 'driver.crash'
 CRASHED_BATCH_OUTCOME = BatchLost(CRASH_STEP, not_sent=False)
@@ -87,7 +94,12 @@
         #: Events with the monotonic times at which they happened.
         self._events: asyncio.Queue[tuple[float, _Event]] = asyncio.Queue()
         self._tasks: dict[int, asyncio.Task[None]] = {}
-        self._timer: asyncio.TimerHandle | None = None
+        #: Attempts that are decided and not started yet, by number.
+        self._unsent: dict[int, SendAttempt] = {}
+        self._sender: asyncio.Task[None] | None = None
+        self._timer: asyncio.Handle | None = None
+        #: True while answers are read before the run is woken up.
+        self._reads_first = False
 
     async def drive(self) -> RequestResult:
         """Start the run, process its events and return its result."""
@@ -108,6 +120,8 @@
         """Cancel the timer and all unfinished attempts and batches."""
         if self._timer is not None:
             self._timer.cancel()
+        if self._sender is not None:
+            self._sender.cancel()
         for task in self._tasks.values():
             task.cancel()
 
@@ -162,12 +176,7 @@
         for action in actions:
             match action:
                 case SendAttempt(attempt=attempt):
-                    crash_event = _AttemptEnded(
-                        attempt, AttemptLost(CRASH_STEP)
-                    )
-                    self._start_task(
-                        attempt, self._run_attempt(action), crash_event
-                    )
+                    self._unsent[attempt] = action
                 case SendBatch(batch=batch):
                     self._start_task(
                         batch,
@@ -178,9 +187,37 @@
                     self._cancel_task(attempt)
                 case Finish(result=final):
                     result = final
+        if self._sender is None:
+            self._start_attempts()
+        for number in self._unsent:
+            self.run.record_unsent(number)
+        if self._unsent and self._sender is None and result is None:
+            self._sender = asyncio.create_task(self._start_others())
         return result
 
+    def _start_attempts(self) -> None:
+        """Start the first unsent attempts."""
+        for number in tuple(self._unsent)[:STARTED_AT_ONCE]:
+            action = self._unsent.pop(number)
+            self._start_task(
+                number,
+                self._run_attempt(action),
+                _AttemptEnded(number, AttemptLost(CRASH_STEP)),
+            )
+
+    async def _start_others(self) -> None:
+        """Start the other attempts over the next iterations of the loop.
+
+        Answers to the first attempts are read between them; otherwise they
+        would look late on a slow host.
+        """
+        while self._unsent:
+            await asyncio.sleep(0)
+            self._start_attempts()
+        self._sender = None
+
     def _cancel_task(self, number: int) -> None:
+        self._unsent.pop(number, None)
         task = self._tasks.pop(number, None)
         if task is not None:
             task.cancel()
@@ -198,13 +235,34 @@
         self._tasks.pop(action.batch, None)
 
     def _set_timer(self) -> None:
+        if self._reads_first:
+            return
         if self._timer is not None:
             self._timer.cancel()
         loop = asyncio.get_running_loop()
         wake_at = self.run.wake_at
         wait_s = max(0, wake_at - time.monotonic())
-        self._timer = loop.call_later(
-            wait_s,
-            self._events.put_nowait,
-            (wake_at, _TimerFired()),
+        self._timer = loop.call_later(wait_s, self._on_timer, wake_at)
+
+    def _on_timer(self, wake_at: float) -> None:
+        """Wake the run up; if the loop was busy, read answers first.
+
+        An attempt whose answer has arrived must not be taken for late. A run
+        that has to end is woken up at once.
+        """
+        now = time.monotonic()
+        if now - wake_at < BUSY_S or now >= self.run.end_at:
+            self._fire_timer(wake_at, 0)
+        else:
+            self._reads_first = True
+            self._fire_timer(wake_at, ITERATIONS_TO_READ)
+
+    def _fire_timer(self, wake_at: float, iterations: int) -> None:
+        """Add the timer event after some iterations of the event loop."""
+        if not iterations:
+            self._reads_first = False
+            self._events.put_nowait((wake_at, _TimerFired()))
+            return
+        self._timer = asyncio.get_running_loop().call_soon(
+            self._fire_timer, wake_at, iterations - 1
         )
--- a/oriolestage/entry/tests/test_run_driver.py
+++ b/oriolestage/entry/tests/test_run_driver.py
@@ -1,10 +1,13 @@
 """Tests of the time measurements of the run driver."""
 
 import asyncio
+import socket
 import time
 import unittest
 from collections.abc import AsyncGenerator
 
+import uvloop
+
 from oriolestage.entry._run_driver import RunDriver
 from oriolestage.routing._answers import AttemptAnswered, AttemptOutcome
 from oriolestage.routing._run_types import (
@@ -15,6 +18,7 @@
 )
 from oriolestage.routing.tests.builders import (
     make_answer,
+    make_group,
     make_record,
     make_rule,
 )
@@ -22,6 +26,13 @@
 
 #: Time for which the event loop is blocked, in seconds.
 BLOCK_S = 0.05
+#: Time that a slow host takes to send an attempt, and the work of a target, in
+#: seconds.
+SEND_S = 0.001
+WORK_S = 0.01
+SHARDS = 90
+#: Time after which an attempt of a new route is late, in seconds.
+LATE_S = 0.1
 
 
 async def _answer_and_block(_: SendAttempt) -> AttemptOutcome:
@@ -34,6 +45,79 @@
     yield BatchLost('test', not_sent=True)
 
 
+class SlowSender:
+    """Takes time to send an attempt; targets answer soon afterwards."""
+
+    def __init__(self) -> None:
+        """Start without events."""
+        #: Events in order: ``sent`` and ``answered``.
+        self.events: list[str] = []
+
+    async def send(self, _: SendAttempt) -> AttemptOutcome:
+        """Send an attempt and return its answer."""
+        self.events.append('sent')
+        time.sleep(SEND_S)
+        await asyncio.sleep(WORK_S)
+        self.events.append('answered')
+        return AttemptAnswered(make_answer())
+
+
+class SendingTest(unittest.IsolatedAsyncioTestCase):
+    """A slow host reads answers while it still sends attempts."""
+
+    async def test_answers_are_read_between_sends(self) -> None:
+        """Guards against hedges for targets that have long answered.
+
+        Their answers used to wait until all attempts were sent.
+        """
+        records = tuple(
+            make_record(f't-{shard}-{copy}', f'shard-{shard}')
+            for shard in range(SHARDS)
+            for copy in range(2)
+        )
+        rule = make_rule(make_group(SHARDS), objective_s=1)
+        sender = SlowSender()
+        run = make_run(rule, records, time.monotonic())
+        await RunDriver(run, sender.send, _lose_batch).drive()
+        latest_first = list(reversed(sender.events))
+        last_sent = len(sender.events) - latest_first.index('sent')
+        self.assertLess(sender.events.index('answered'), last_sent / 2)
+        self.assertEqual(run.summary()['hedges'], 0)
+
+
+class LateTimerTest(unittest.TestCase):
+    """Answers that have arrived are read before an attempt counts as late."""
+
+    def test_busy_event_loop(self) -> None:
+        """Guards against a hedge for an answer that waits to be read."""
+        hedges = uvloop.run(_answer_while_busy())
+        self.assertEqual(hedges, 0)
+
+
+def _block_and_answer(connection: socket.socket) -> None:
+    time.sleep(LATE_S)
+    connection.send(b'answer')
+
+
+async def _answer_while_busy() -> object:
+    """Answer an attempt while the event loop is busy; return the hedges."""
+    loop = asyncio.get_running_loop()
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+
+    async def read_answer(_: SendAttempt) -> AttemptOutcome:
+        # The loop is busy until after the attempt would be late.
+        loop.call_soon(_block_and_answer, theirs)
+        await loop.sock_recv(ours, len(b'answer'))
+        return AttemptAnswered(make_answer())
+
+    records = (make_record('t-1'), make_record('t-2'))
+    run = make_run(make_rule(), records, time.monotonic())
+    with ours, theirs:
+        await RunDriver(run, read_answer, _lose_batch).drive()
+    return run.summary()['hedges']
+
+
 class RunTimingsTest(unittest.IsolatedAsyncioTestCase):
     """The time that a host adds to a request is measured."""
 
--- a/oriolestage/routing/_dispatch.py
+++ b/oriolestage/routing/_dispatch.py
@@ -86,15 +86,27 @@
         """
         return self._part_by_attempt.pop(attempt, None)
 
+    def record_unsent(self, attempt: int) -> None:
+        """Record that a direct attempt is not late until it was sent."""
+        self._record_sent_at(attempt, float('inf'))
+
     def record_sent(self, attempt: int, now: float) -> None:
         """Record when a direct attempt was sent, if it is still in flight."""
+        part = self._record_sent_at(attempt, now)
+        if part is not None:
+            self._due.add(part)
+
+    def _record_sent_at(self, attempt: int, sent_at: float) -> Part | None:
         part = self._part_by_attempt.get(attempt)
         if part is None:
-            return
+            return None
         sent = part.in_flight[attempt]
-        sent.sent_at = now
+        sent.sent_at = sent_at
         if sent.target is not None:
-            self._placement.observations.record_sent(sent.target, attempt, now)
+            self._placement.observations.record_sent(
+                sent.target, attempt, sent_at
+            )
+        return part
 
     def batch(self, number: int) -> Batch | None:
         """Return a batch in flight; None if it has ended or was cancelled."""
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -115,10 +115,14 @@
     @property
     def wake_at(self) -> float:
         """Monotonic time at which ``on_timer`` must be called."""
-        wake_at = self._times.deadline
+        return min(self.end_at, self._due.next_due_at())
+
+    @property
+    def end_at(self) -> float:
+        """Monotonic time at which the run ends with the answers so far."""
         if self._progress.has_enough:
-            wake_at = min(wake_at, self._progress.partial_answer_at)
-        return min(wake_at, self._due.next_due_at())
+            return min(self._times.deadline, self._progress.partial_answer_at)
+        return self._times.deadline
 
     @property
     def partial_answer_due_at(self) -> float | None:
@@ -145,6 +149,10 @@
             return self._end(now)
         return actions + self._check_end(now)
 
+    def record_unsent(self, attempt: int) -> None:
+        """Record that an attempt that was decided is sent later."""
+        self._dispatch.record_unsent(attempt)
+
     def record_sent(self, attempt: int, now: float) -> None:
         """Record when an attempt was sent.
 
