Forget a pause of the host as soon as a long overrun

A host that was paused for seconds learned an overrun of seconds, which falls by a tenth with each partial answer, so its answers would have come a quarter of the objective too early for some fifty answers. No more than the largest margin is learned now. Found by reading; test_pause_is_forgotten fails without the bound.

--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -155,11 +155,12 @@
         if due_at is not None:
             # Runs after this task has written the answer.
             loop = asyncio.get_running_loop()
-            loop.call_soon(self._record_overrun, due_at)
+            loop.call_soon(self._record_overrun, due_at, rule.objective_s)
         return result
 
-    def _record_overrun(self, due_at: float) -> None:
-        self._delivery_margin.record_overrun(time.monotonic() - due_at)
+    def _record_overrun(self, due_at: float, objective_s: float) -> None:
+        overrun_s = time.monotonic() - due_at
+        self._delivery_margin.record_overrun(overrun_s, objective_s)
 
     def _run_times(
         self, rule: RouteRule, request: CallerRequest, parts: int
--- a/oriolestage/routing/_delivery_margin.py
+++ b/oriolestage/routing/_delivery_margin.py
@@ -36,8 +36,13 @@
             overrun_s = PRIOR_OVERRUN_PER_PART_S * parts
         return min(BASE_MARGIN_S + overrun_s, LARGEST_SHARE * objective_s)
 
-    def record_overrun(self, overrun_s: float) -> None:
-        """Record the overrun of one partial answer, in seconds."""
+    def record_overrun(self, overrun_s: float, objective_s: float) -> None:
+        """Record the overrun of one partial answer, in seconds.
+
+        No more than the largest margin is learned, so that a pause of the
+        host is forgotten as soon as a long overrun.
+        """
+        overrun_s = min(overrun_s, LARGEST_SHARE * objective_s)
         learned_s = self._overrun_s
         if learned_s is None or overrun_s > learned_s:
             self._overrun_s = overrun_s
--- a/oriolestage/routing/tests/test_delivery_margin.py
+++ b/oriolestage/routing/tests/test_delivery_margin.py
@@ -4,6 +4,7 @@
 
 from oriolestage.routing._answers import AttemptAnswered, Gathered
 from oriolestage.routing._delivery_margin import (
+    BASE_MARGIN_S,
     LARGEST_SHARE,
     DeliveryMargin,
 )
@@ -23,6 +24,10 @@
 SHARDS = 20
 #: Time by which a slow host gives its partial answers too late, in seconds.
 SLOW_HOST_S = 0.02
+#: Time for which a host is paused, in seconds.
+PAUSE_S = 5.0
+#: Answers after which a host that is fast again gives them later.
+ANSWERS_TO_FORGET = 10
 
 
 class DeliveryMarginTest(unittest.TestCase):
@@ -34,7 +39,7 @@
         The overrun of one answer is kept back from the next one.
         """
         margin = DeliveryMargin()
-        margin.record_overrun(SLOW_HOST_S)
+        margin.record_overrun(SLOW_HOST_S, OBJECTIVE_S)
         margin_s = margin.margin_s(SHARDS, OBJECTIVE_S)
         self.assertGreaterEqual(margin_s, SLOW_HOST_S)
 
@@ -56,14 +61,23 @@
     def test_overrun_falls_slowly(self) -> None:
         """A single quick answer does not undo a long overrun."""
         margin = DeliveryMargin()
-        margin.record_overrun(SLOW_HOST_S)
-        margin.record_overrun(0)
+        margin.record_overrun(SLOW_HOST_S, OBJECTIVE_S)
+        margin.record_overrun(0, OBJECTIVE_S)
         margin_s = margin.margin_s(SHARDS, OBJECTIVE_S)
         self.assertGreater(margin_s, SLOW_HOST_S / 2)
 
     def test_bound(self) -> None:
         """The margin stays a share of the objective."""
         margin = DeliveryMargin()
-        margin.record_overrun(10 * OBJECTIVE_S)
+        margin.record_overrun(10 * OBJECTIVE_S, OBJECTIVE_S)
         margin_s = margin.margin_s(SHARDS, OBJECTIVE_S)
         self.assertLessEqual(margin_s, LARGEST_SHARE * OBJECTIVE_S)
+
+    def test_pause_is_forgotten(self) -> None:
+        """Guards against early answers long after a pause of the host."""
+        margin = DeliveryMargin()
+        margin.record_overrun(PAUSE_S, OBJECTIVE_S)
+        for _ in range(ANSWERS_TO_FORGET):
+            margin.record_overrun(0, OBJECTIVE_S)
+        margin_s = margin.margin_s(SHARDS, OBJECTIVE_S)
+        self.assertLess(margin_s, BASE_MARGIN_S + SLOW_HOST_S)
