Rank the hosts of a cold target once, not for each attempt

Another place where the work of a decision grew with the size of the deployment: each look at a cold target ranked all hosts for the remainder of its shared rate, for every candidate of every shard. The ranking is kept until the hosts change.

--- a/oriolestage/routing/_warm_up.py
+++ b/oriolestage/routing/_warm_up.py
@@ -35,6 +35,10 @@
         """Start with an empty window."""
         self._bounds = bounds
         self._sent: deque[float] = deque()
+        #: Hosts, remainder and result of the latest ranking.
+        self._ranked_hosts: tuple[str, ...] = ()
+        self._ranked_rest = 0
+        self._has_extra = False
 
     def allows(
         self,
@@ -56,10 +60,28 @@
             BOUND_FRACTION * (rate * self._bounds.overage + self._bounds.slack),
         )
         share, rest = divmod(total, max(1, len(hosts)))
-        if host in rendezvous_rank(identity, hosts)[:rest]:
+        if self._gets_extra(identity, host, hosts, rest):
             share += 1
         return len(self._sent) < share
 
+    def _gets_extra(
+        self,
+        identity: str,
+        host: str,
+        hosts: tuple[str, ...],
+        rest: int,
+    ) -> bool:
+        """Return whether a host gets one of the remaining requests.
+
+        The hosts are ranked again only when they or the remainder change.
+        """
+        if hosts is not self._ranked_hosts or rest != self._ranked_rest:
+            ranked = rendezvous_rank(identity, hosts)
+            self._has_extra = host in ranked[:rest]
+            self._ranked_hosts = hosts
+            self._ranked_rest = rest
+        return self._has_extra
+
     def record_sent(self, now: float) -> None:
         """Record that a request was sent."""
         self._sent.append(now)
--- a/oriolestage/routing/tests/test_decision_cost.py
+++ b/oriolestage/routing/tests/test_decision_cost.py
@@ -11,6 +11,7 @@
 from oriolestage.routing._answers import AttemptAnswered, Gathered
 from oriolestage.routing._request_run import RequestRun
 from oriolestage.routing._run_types import Action, BatchAnswered, SendBatch
+from oriolestage.routing._warm_up import WarmUpBounds, WarmUpPacer
 from oriolestage.routing.tests.builders import (
     make_answer,
     make_group,
@@ -30,6 +31,9 @@
 MANY_SHARDS = 400
 #: Lines executed for each shard of the large query, relative to the small one.
 LARGEST_RATIO = 2.0
+#: Hosts of the size to design for, and decisions on one cold target.
+MANY_HOSTS = 620
+DECISIONS = 20
 ROUTING_PACKAGE = 'oriolestage/routing/_'
 #: Time between two answers, in seconds; all arrive before the objective.
 STEP_S = 0.0001
@@ -110,3 +114,19 @@
             _lines_per_shard(answer_all, MANY_SHARDS),
             LARGEST_RATIO * _lines_per_shard(answer_all, FEW_SHARDS),
         )
+
+
+class ColdTargetCostTest(unittest.TestCase):
+    """The choice of a cold target does not depend on the number of hosts."""
+
+    def test_hosts_are_ranked_once(self) -> None:
+        """Guards against ranking all hosts for each attempt at a target."""
+        hosts = tuple(f'host-{number}' for number in range(MANY_HOSTS))
+        pacer = WarmUpPacer(WarmUpBounds())
+
+        def decide() -> None:
+            for number in range(DECISIONS):
+                pacer.allows('t-1', 20, hosts[0], hosts, number * STEP_S)
+
+        lines = count_lines('_rendezvous', decide)
+        self.assertLess(lines, DECISIONS * MANY_HOSTS / 2)
