Set the timer again once the last attempts of a query are sent

Found by reading the sending of attempts over several iterations: an attempt that is sent after all events so far were processed had no timer, so a silent target of a last shard was not hedged.

test_silent_target: the query ran to its deadline before; it is hedged now. The test of answers between sends no longer counts hedges, which depend on the load of the machine (13 at a load of 15): test_send_times and test_busy_event_loop do so without that.

--- a/oriolestage/entry/_run_driver.py
+++ b/oriolestage/entry/_run_driver.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import functools
+import itertools
 import time
 from collections.abc import AsyncGenerator, Awaitable, Callable, Coroutine
 
@@ -98,6 +99,8 @@
         self._unsent: dict[int, SendAttempt] = {}
         self._sender: asyncio.Task[None] | None = None
         self._timer: asyncio.Handle | None = None
+        #: Sets the timer again once all attempts are sent.
+        self._rearm: asyncio.Handle | None = None
         #: True while answers are read before the run is woken up.
         self._reads_first = False
 
@@ -118,8 +121,9 @@
 
     def cancel_all(self) -> None:
         """Cancel the timer and all unfinished attempts and batches."""
-        if self._timer is not None:
-            self._timer.cancel()
+        for handle in (self._timer, self._rearm):
+            if handle is not None:
+                handle.cancel()
         if self._sender is not None:
             self._sender.cancel()
         for task in self._tasks.values():
@@ -173,10 +177,12 @@
 
     def _execute(self, actions: list[Action]) -> RequestResult | None:
         result: RequestResult | None = None
+        decided: list[int] = []
         for action in actions:
             match action:
                 case SendAttempt(attempt=attempt):
                     self._unsent[attempt] = action
+                    decided.append(attempt)
                 case SendBatch(batch=batch):
                     self._start_task(
                         batch,
@@ -187,17 +193,23 @@
                     self._cancel_task(attempt)
                 case Finish(result=final):
                     result = final
+        if decided and result is None:
+            self._start_decided(decided)
+        return result
+
+    def _start_decided(self, decided: list[int]) -> None:
+        """Start the first attempts now, and the others in a task."""
         if self._sender is None:
             self._start_attempts()
-        for number in self._unsent:
-            self.run.record_unsent(number)
-        if self._unsent and self._sender is None and result is None:
+        for number in decided:
+            if number in self._unsent:
+                self.run.record_unsent(number)
+        if self._unsent and self._sender is None:
             self._sender = asyncio.create_task(self._start_others())
-        return result
 
     def _start_attempts(self) -> None:
         """Start the first unsent attempts."""
-        for number in tuple(self._unsent)[:STARTED_AT_ONCE]:
+        for number in tuple(itertools.islice(self._unsent, STARTED_AT_ONCE)):
             action = self._unsent.pop(number)
             self._start_task(
                 number,
@@ -215,6 +227,10 @@
             await asyncio.sleep(0)
             self._start_attempts()
         self._sender = None
+        # Runs after the last attempts have recorded when they were sent,
+        # from which on they can be late.
+        loop = asyncio.get_running_loop()
+        self._rearm = loop.call_soon(self._set_timer)
 
     def _cancel_task(self, number: int) -> None:
         self._unsent.pop(number, None)
