--- a/oriolestage/entry/_target_connection.py
+++ b/oriolestage/entry/_target_connection.py
@@ -149,7 +149,7 @@
     def pause_reading(self) -> None:
         """Do nothing: the body is read as it arrives and has a bound."""
 
-    def resume_reading(self, resume_parser: bool = True) -> None:  # noqa: FBT001, FBT002
+    def resume_reading(self, resume_parser: bool = True) -> None:
         """Do nothing, as reading is never paused."""
 
     def data_received(self, data: bytes) -> None:
--- a/oriolestage/routing/_batch_replies.py
+++ b/oriolestage/routing/_batch_replies.py
@@ -50,7 +50,8 @@
     ) -> None:
         """Start without replies.
 
-        The records of merged batches are merged into ``records``, and parts that another host reports as late are added to ``due``.
+        The records of merged batches are merged into ``records``, and parts
+        that another host reports as late are added to ``due``.
         """
         self._records = records
         self._parts = parts
