Stop the gossip listener also if a message arrives as it is cancelled

A planned stop of a daemon of the own interface never ended: in a test run the scenario planned_stops waited for ten minutes for a host that was draining and kept its ports. A dump of its tasks shows the gossip listener alone, cancelling and waiting for the next message: pynng returns a message that has arrived instead of the cancellation, and the listener went on receiving, so the service never ended. Ruled out: the drain itself, which has a deadline and was over.

The listener now ends once it is being cancelled. The test lets a message arrive with the cancellation; it fails before, with a second receive.

--- a/oriolestage/daemon/_gossip.py
+++ b/oriolestage/daemon/_gossip.py
@@ -89,7 +89,9 @@
     async def start(self) -> None:
         """Receive until the service is stopped."""
         self.start_event.set()
-        while True:
+        task = asyncio.current_task()
+        # pynng drops a cancellation that arrives together with a message.
+        while task is not None and not task.cancelling():
             payload = await self._socket.arecv()
             try:
                 message = decode_gossip(payload)
