--- a/oriolestage/entry/_target_connection.py
+++ b/oriolestage/entry/_target_connection.py
@@ -1,7 +1,7 @@
 """A connection to a target, for one HTTP/1.1 exchange at a time.
 
 aiohttp parses the responses. Its client session is not used: for a query over
-many shards, most of the processor time of a host would go into it.
+many shards, about half of the host's processor time would go into it.
 """
 
 import asyncio
