Log the rate limits that targets state and the own requests to them

The logs could not tell whether hosts ignore the rate that a target states, apply it each on its own, or exceed it with extra attempts: answered attempts leave no line with their target, and the header was not read.

Change: the adapter decodes the header once; a change of the limit of a target process is logged with the requests that this host sent in the window before, and while it is limited a line follows for each window of 4 s. A gauge counts the limited targets. Malformed limits are logged and not believed, and so are those in responses that cannot be matched to the call. No decision uses them.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -128,7 +128,7 @@
     peers = PeerDirectory(settings.location)
     crash_detector = CrashDetector(_log_change)
     cluster_state = ClusterState(directory, placement, peers, crash_detector)
-    client = TargetClient(wire_protocol)
+    client = TargetClient(wire_protocol, placement.record_rate_limit)
     sender = CrashTrackingSender(client, crash_detector)
     peer_client = PeerClient()
     follower = StoreFollower(
@@ -150,6 +150,9 @@
     metrics.add_gauge('in_flight', lambda: router.in_flight)
     metrics.add_gauge('held_response_bytes', lambda: client.held_bytes)
     metrics.add_gauge('targets', lambda: len(directory))
+    metrics.add_gauge(
+        'rate_limited_targets', lambda: placement.rates.limited_count
+    )
     metrics.add_gauge('hosts', lambda: len(placement.hosts))
     metrics.add_gauge('store_age_seconds', lambda: follower.age_s)
     metrics.add_gauge(
--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -138,6 +138,13 @@
     def outcome(self, request_id: str, answer: TargetAnswer) -> AttemptOutcome:
         """Classify a target's response as an outcome of the attempt."""
 
+    def rate_limit(self, headers: Mapping[str, str]) -> float | None:
+        """Return the requests per second that a target takes from all hosts.
+
+        None if the response states no limit. Raises ``ValueError`` for a
+        malformed one.
+        """
+
     def signature(self, headers: Mapping[str, str]) -> str:
         """Return the signature of a target's response; empty if none."""
 
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import dataclasses
+import time
+from collections.abc import Callable
 
 import aiohttp
 
+from oriolestage._logging import log_event
 from oriolestage.entry._connection_pool import (
     ConnectionPool,
     NotConnectedError,
@@ -51,9 +54,19 @@
 class TargetClient:
     """Sends attempts to targets over HTTP/1.1."""
 
-    def __init__(self, wire_protocol: WireProtocol) -> None:
-        """Create a client; connections are opened on demand."""
+    def __init__(
+        self,
+        wire_protocol: WireProtocol,
+        on_rate_limit: Callable[[str, float | None, float], None],
+    ) -> None:
+        """Create a client; connections are opened on demand.
+
+        ``on_rate_limit`` is called for each response of a target with the
+        target's identity, the rate limit that the response states in requests
+        per second, or None, and the monotonic time.
+        """
         self._wire_protocol = wire_protocol
+        self._on_rate_limit = on_rate_limit
         self._pool = ConnectionPool()
         self._held = HeldBytes()
 
@@ -97,6 +110,7 @@
         outcome = self._wire_protocol.outcome(
             call.request_id, self._build_answer(response)
         )
+        self._report_rate_limit(call, response, outcome)
         if isinstance(outcome, AttemptLost) or not call.repeatable:
             # Bytes that follow the answer to another request cannot be
             # matched to a request, so the connection must not be reused.
@@ -105,6 +119,32 @@
             self._pool.put(call.address, connection)
         return outcome
 
+    def _report_rate_limit(
+        self,
+        call: TargetCall,
+        response: RawResponse,
+        outcome: AttemptOutcome,
+    ) -> None:
+        """Report the stated rate limit unless another target may have sent it.
+
+        A response that cannot be matched to the call says nothing about the
+        target, nor does a malformed limit, which is logged.
+        """
+        match outcome:
+            case AttemptLost():
+                return
+            case AttemptNotRun(reason=NotRunReason.OTHER_TARGET):
+                return
+        try:
+            limit = self._wire_protocol.rate_limit(response.headers)
+        except ValueError as error:
+            log_event(
+                'rate_limit_unreadable',
+                {'step': 'target', 'peer': call.address, 'error': error},
+            )
+            return
+        self._on_rate_limit(call.target, limit, time.monotonic())
+
     async def _connection_for(self, call: TargetCall) -> TargetConnection:
         if call.repeatable:
             idle = self._pool.take(call.address)
--- a/oriolestage/platform/_names.py
+++ b/oriolestage/platform/_names.py
@@ -10,6 +10,9 @@
 TARGET_HEADER = 'Target-Instance'
 #: Present if the target certainly did not run the request.
 NOT_RUN_HEADER = 'Not-Executed'
+#: Requests per second that the target takes from all hosts together, as a
+#: decimal number; absent if it states no limit.
+RATE_LIMIT_HEADER = 'Server-Limit'
 RETRY_AFTER_HEADER = 'Retry-After'
 #: Signatures of the shard answers that were merged.
 SHARD_SIGNATURES_HEADER = 'Part-Stamps'
--- a/oriolestage/platform/_wire_protocol.py
+++ b/oriolestage/platform/_wire_protocol.py
@@ -1,5 +1,6 @@
 """HTTP headers and statuses of the exchange with callers and targets."""
 
+import math
 from collections.abc import Mapping
 from http import HTTPStatus
 
@@ -102,6 +103,19 @@
             return AttemptLost(step='answer.unsigned')
         return AttemptAnswered(answer)
 
+    def rate_limit(self, headers: Mapping[str, str]) -> float | None:
+        """Return the rate limit that a target states, None if it has none.
+
+        Raises ``ValueError`` for anything but a finite number of at least 0.
+        """
+        text = headers.get(_names.RATE_LIMIT_HEADER)
+        if text is None:
+            return None
+        limit = float(text)
+        if not 0 <= limit < math.inf:
+            raise ValueError(f'{_names.RATE_LIMIT_HEADER} is {text!r}')
+        return limit
+
     def signature(self, headers: Mapping[str, str]) -> str:
         """Return the signature of a target's response, empty if it has none."""
         return headers.get(_names.SIGNATURE_HEADER, '')
--- a/oriolestage/platform/tests/target_calls.py
+++ b/oriolestage/platform/tests/target_calls.py
@@ -6,6 +6,7 @@
 import struct
 import threading
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 import uvloop
@@ -20,6 +21,14 @@
 LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
+#: Called with the target, its rate limit in requests/s, and the time.
+RateLimitObserver = Callable[[str, float | None, float], None]
+
+
+def ignore_rate_limit(_: str, limit: float | None, now: float) -> None:
+    """Ignore the rate limit of a response."""
+
+
 class ListeningTarget(Protocol):
     """A target of a test."""
 
@@ -109,6 +118,7 @@
     *,
     block_s: float = 0,
     pause_s: float = 0,
+    on_rate_limit: RateLimitObserver = ignore_rate_limit,
     **changes: object,
 ) -> list[AttemptOutcome]:
     """Send calls one after another on uvloop, as in production.
@@ -117,7 +127,7 @@
     """
 
     async def send_all() -> list[AttemptOutcome]:
-        client = TargetClient(PlatformWireProtocol())
+        client = TargetClient(PlatformWireProtocol(), on_rate_limit)
         outcomes: list[AttemptOutcome] = []
         try:
             for _ in range(calls):
--- a/oriolestage/platform/tests/test_endless_responses.py
+++ b/oriolestage/platform/tests/test_endless_responses.py
@@ -84,7 +84,7 @@
 
 async def _largest_held_bytes(targets: list[EndlessTarget]) -> int:
     """Call all targets at once; return the largest number of held bytes."""
-    client = TargetClient(PlatformWireProtocol())
+    client = TargetClient(PlatformWireProtocol(), lambda *_: None)
     calls = [
         asyncio.create_task(
             client.send(
--- a/oriolestage/platform/tests/test_target_wire.py
+++ b/oriolestage/platform/tests/test_target_wire.py
@@ -125,3 +125,39 @@
         outcome = run_calls(target, time_left_s=0.2)[0]
         self.assertLess(time.monotonic() - started, 2)
         self.assertIsInstance(outcome, AttemptLost)
+
+
+class RateLimitTest(unittest.TestCase):
+    """The rate limit in a response is reported for the target that sent it."""
+
+    def _limits(self, *answers: bytes) -> list[float | None]:
+        limits: list[float | None] = []
+        run_calls(
+            RawTarget(*answers),
+            calls=len(answers),
+            on_rate_limit=lambda _, limit, now: limits.append(limit),
+        )
+        return limits
+
+    def test_stated_and_ended(self) -> None:
+        """A limit is reported with each response, and its absence too."""
+        refused = (
+            b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nAttempt-Id: a\r\n'
+            b'Server-Limit: 3\r\nContent-Length: 0\r\n\r\n'
+        )
+        limited = COMPLETE_ANSWER.replace(
+            b'Server-Stamp', b'Server-Limit: 14.2\r\nServer-Stamp', 1
+        )
+        limits = self._limits(limited, refused, COMPLETE_ANSWER)
+        self.assertEqual(limits, [14.2, 3, None])
+
+    def test_not_believed(self) -> None:
+        """Malformed limits and those of other targets are not reported."""
+        malformed = COMPLETE_ANSWER.replace(
+            b'Server-Stamp', b'Server-Limit: few\r\nServer-Stamp', 1
+        )
+        other_target = (
+            b'HTTP/1.1 421 Misdirected\r\nServer-Limit: 1\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+        self.assertEqual(self._limits(malformed, other_target), [])
--- a/oriolestage/platform/tests/test_wire_protocol.py
+++ b/oriolestage/platform/tests/test_wire_protocol.py
@@ -102,6 +102,19 @@
                     expected or AttemptAnswered(answer),
                 )
 
+    def test_rate_limit(self) -> None:
+        """A stated rate limit is read; malformed ones are errors."""
+        for headers, expected in (
+            ({}, None),
+            ({'Server-Limit': '14.2'}, 14.2),
+            ({'Server-Limit': '0'}, 0),
+        ):
+            with self.subTest(headers=headers):
+                self.assertEqual(self._protocol.rate_limit(headers), expected)
+        for text in ('', 'few', '-1', 'nan', 'inf'):
+            with self.subTest(text=text), self.assertRaises(ValueError):
+                self._protocol.rate_limit({'Server-Limit': text})
+
     def test_responses(self) -> None:
         """Each result has its own status and headers.
 
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -18,6 +18,7 @@
     TargetRequirements,
 )
 from oriolestage.routing._state_changes import StateChange
+from oriolestage.routing._target_rates import TargetRates
 from oriolestage.routing._targets import KnownTarget, TargetDirectory
 from oriolestage.routing._warm_up import WarmUpBounds, WarmUpPacer
 
@@ -47,6 +48,7 @@
         """
         self.location = location
         self.observations = Observations(location, on_change)
+        self.rates = TargetRates(on_change)
         self._directory = directory
         self._warm_up = warm_up
         self._pacers: dict[str, WarmUpPacer] = {}
@@ -66,6 +68,7 @@
         known = {target.process for target in self._directory.all_targets()}
         for name in self.observations.prune(known):
             self._pacers.pop(name, None)
+        self.rates.prune(known)
 
     def choose(
         self,
@@ -107,9 +110,21 @@
     ) -> None:
         """Record that an attempt was sent to a target."""
         self.observations.record_sent(target, attempt, now)
+        self.rates.record_sent(target, now)
         if target.cold_until > now:
             self._pacer(target).record_sent(now)
 
+    def record_rate_limit(
+        self, identity: str, limit: float | None, now: float
+    ) -> None:
+        """Record the rate limit that a response of a target states.
+
+        ``limit`` is in requests per second of all hosts; None for no limit.
+        """
+        target = self._directory.find(identity)
+        if target is not None:
+            self.rates.record_limit(target, limit, now)
+
     def record_batch_part(
         self,
         service: str,
--- /dev/null
+++ b/oriolestage/routing/_target_rates.py
@@ -0,0 +1,121 @@
+"""Rate limits that targets state, and this host's requests to each target.
+
+A target in need states in its responses how many requests per second it takes
+from all hosts together, for as long as it needs to.
+"""
+
+import dataclasses
+from collections.abc import Callable, Collection
+
+from oriolestage.routing._state_changes import StateChange
+from oriolestage.routing._targets import KnownTarget
+
+#: Time over which requests to a target are counted, in seconds. The platform
+#: counts the requests to a target with a rate limit over the same time.
+WINDOW_S = 4.0
+
+
+@dataclasses.dataclass(slots=True)
+class _RequestCount:
+    """Requests to one target in the present window and the one before."""
+
+    window_started_at: float
+    requests: int = 0
+    previous_requests: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _TargetRate:
+    """What is known of the rate of requests to one target process."""
+
+    sent: _RequestCount
+    #: Requests per second that it takes from all hosts; None for no limit.
+    limit: float | None = None
+
+
+class TargetRates:
+    """Stated rate limits and own requests, by target process."""
+
+    def __init__(self, on_change: Callable[[StateChange], None]) -> None:
+        """Start without targets.
+
+        ``on_change`` is called with the log events of rate limits.
+        """
+        self._on_change = on_change
+        self._rates: dict[str, _TargetRate] = {}
+
+    @property
+    def limited_count(self) -> int:
+        """Number of target processes that state a rate limit."""
+        return sum(1 for rate in self._rates.values() if rate.limit is not None)
+
+    def limit_of(self, target: KnownTarget) -> float | None:
+        """Return the requests per second that a target takes, if limited."""
+        rate = self._rates.get(target.process)
+        return None if rate is None else rate.limit
+
+    def record_limit(
+        self,
+        target: KnownTarget,
+        limit: float | None,
+        now: float,
+    ) -> None:
+        """Record the rate limit in a response, or that it states none."""
+        rate = self._rates.get(target.process)
+        previous = None if rate is None else rate.limit
+        if limit == previous:
+            return
+        rate = self._rate(target, now)
+        rate.limit = limit
+        if limit is None:
+            self._report('target_rate_limit_ended', target, rate)
+        else:
+            self._report(
+                'target_rate_limited', target, rate, previous=previous or 'none'
+            )
+
+    def record_sent(self, target: KnownTarget, now: float) -> None:
+        """Record a request to a target; log its use once in each window."""
+        rate = self._rate(target, now)
+        if now - rate.sent.window_started_at >= WINDOW_S:
+            self._start_window(rate, now)
+            if rate.limit is not None:
+                self._report('target_rate_use', target, rate)
+        rate.sent.requests += 1
+
+    def prune(self, processes: Collection[str]) -> None:
+        """Drop target processes that are not in ``processes``."""
+        for name in tuple(self._rates):
+            if name not in processes:
+                self._rates.pop(name)
+
+    def _rate(self, target: KnownTarget, now: float) -> _TargetRate:
+        rate = self._rates.get(target.process)
+        if rate is None:
+            rate = _TargetRate(_RequestCount(now))
+            self._rates[target.process] = rate
+        return rate
+
+    def _start_window(self, rate: _TargetRate, now: float) -> None:
+        sent = rate.sent
+        adjacent = now - sent.window_started_at < 2 * WINDOW_S
+        previous = sent.requests if adjacent else 0
+        rate.sent = _RequestCount(now, previous_requests=previous)
+
+    def _report(
+        self,
+        event: str,
+        target: KnownTarget,
+        rate: _TargetRate,
+        **fields: object,
+    ) -> None:
+        named = {
+            'target': target.record.identity,
+            'service': target.record.service,
+            'peer': target.record.address,
+            'limit': 'none' if rate.limit is None else rate.limit,
+            'sent': rate.sent.requests,
+            'sent_before': rate.sent.previous_requests,
+            **fields,
+        }
+        self._on_change(StateChange(event, tuple(named.items())))
