Divide the rate limit that a target states among the hosts

Callers: not affected so far; targets in need got up to four times what they had said they take, which is how a slow target becomes one that is down.

Cause: the header was not known, so the host placed attempts by expected delay alone. Class: a limit that holds for the sum over all hosts and that no host enforces its part of.

Change: a token bucket for each target process with a limit. The hosts of the target's region share the limit evenly, since hosts elsewhere send shards in batches to them; the remainder is assigned by rendezvous hashing, so that all agree without communication. A host with n requests in 4 s cannot exceed n however they are spread. The others have a quarter of the limit together, at intervals that grow with their number, and first at different times; by these requests they also learn that the limit has ended. Placement skips a target without a token and uses another one, or refuses with the time of the next token.

Even shares leave about a fifth of the limit unused, more if the load of the hosts differs.

--- a/oriolestage/routing/_cluster_state.py
+++ b/oriolestage/routing/_cluster_state.py
@@ -143,7 +143,7 @@
                 self._closed.discard(name)
                 return [self._publish_closed_data_centres()]
             case HostStored(record=host):
-                return self._apply_host(host)
+                return self._apply_host(host, now)
             case HostRemoved(name=name):
                 self._unregistered_at.setdefault(name, now)
                 return [_change('host_unregistered', host=name)]
@@ -193,7 +193,7 @@
         for name in expired:
             self._unregistered_at.pop(name)
             self._hosts.pop(name, None)
-        return [self._publish_hosts()] if expired else []
+        return [self._publish_hosts(now)] if expired else []
 
     def _replace_hosts(
         self,
@@ -205,17 +205,17 @@
         for fact in listed:
             if isinstance(fact, HostStored):
                 missing.discard(fact.record.name)
-                changes += self._apply_host(fact.record)
+                changes += self._apply_host(fact.record, now)
         for name in missing:
             self._unregistered_at.setdefault(name, now)
         return changes
 
-    def _apply_host(self, host: HostRecord) -> list[StateChange]:
+    def _apply_host(self, host: HostRecord, now: float) -> list[StateChange]:
         self._unregistered_at.pop(host.name, None)
         if self._hosts.get(host.name) == host:
             return []
         self._hosts[host.name] = host
-        return [self._publish_hosts()]
+        return [self._publish_hosts(now)]
 
     def _publish_closed_data_centres(self) -> StateChange:
         self._directory.replace_closed_data_centres(self._closed)
@@ -224,8 +224,13 @@
             names=','.join(sorted(self._closed)) or 'none',
         )
 
-    def _publish_hosts(self) -> StateChange:
-        self._placement.replace_hosts(self._hosts)
+    def _publish_hosts(self, now: float) -> StateChange:
+        location = self._placement.location
+        regions = {
+            name: location.region_of(record.data_centre)
+            for name, record in self._hosts.items()
+        }
+        self._placement.replace_hosts(regions, now)
         self._peers.replace_hosts(self._hosts.values())
         return _change('hosts_known', hosts=len(self._hosts))
 
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -6,7 +6,7 @@
 failing at the same time.
 """
 
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterator, Mapping
 
 from oriolestage.routing._observations import Observations
 from oriolestage.routing._placement_types import (
@@ -48,7 +48,7 @@
         """
         self.location = location
         self.observations = Observations(location, on_change)
-        self.rates = TargetRates(on_change)
+        self.rates = TargetRates(location, on_change)
         self._directory = directory
         self._warm_up = warm_up
         self._pacers: dict[str, WarmUpPacer] = {}
@@ -59,9 +59,18 @@
         """Sorted names of the hosts that share the targets, with this one."""
         return self._hosts
 
-    def replace_hosts(self, names: Collection[str]) -> None:
-        """Replace the hosts that share the targets; this one is added."""
-        self._hosts = tuple(sorted({*names, self.location.name}))
+    def replace_hosts(self, regions: Mapping[str, str], now: float) -> None:
+        """Replace the hosts that share the targets; this one is added.
+
+        ``regions`` has the region of each host by its name.
+        """
+        own = self.location
+        self._hosts = tuple(sorted({*regions, own.name}))
+        self.rates.replace_hosts(
+            {**regions, own.name: own.region},
+            self._directory.all_targets(),
+            now,
+        )
 
     def forget_removed_targets(self) -> None:
         """Drop the observations of targets that are no longer known."""
@@ -185,14 +194,17 @@
         """Return the seconds until a target may have capacity, 0 if it has.
 
         A target has no capacity in back-off, while another host declines
-        attempts at it, and at its limit of attempts, of connections or of
-        requests while it is cold.
+        attempts at it, at the rate limit that it states, and at its limit of
+        attempts, of connections or of requests while it is cold.
         """
         load = self.observations.load_of(target)
         if load.in_backoff(now):
             return max(FULL_WAIT_S, load.backoff_until - now)
         if now < load.full_until:
             return max(FULL_WAIT_S, load.full_until - now)
+        rate_wait_s = self.rates.wait_s(target, now)
+        if rate_wait_s:
+            return max(FULL_WAIT_S, rate_wait_s)
         limit = target.record.slots + QUEUED_LIMIT
         if requirements.connection_limit:
             share = requirements.connection_limit // len(self._hosts)
--- a/oriolestage/routing/_target_rates.py
+++ b/oriolestage/routing/_target_rates.py
@@ -1,19 +1,25 @@
 """Rate limits that targets state, and this host's requests to each target.
 
 A target in need states in its responses how many requests per second it takes
-from all hosts together, for as long as it needs to.
+from all hosts together, for as long as it needs to. This answers the load
+pattern in which a target is overloaded by the sum of hosts of which each sends
+little.
 """
 
 import dataclasses
-from collections.abc import Callable, Collection
-
+from collections.abc import Callable, Collection, Iterable, Mapping
+
+from oriolestage.routing._placement_types import HostLocation
+from oriolestage.routing._rate_shares import (
+    WINDOW_S,
+    RateLimiter,
+    RateShare,
+    rank_host,
+    share_of,
+)
 from oriolestage.routing._state_changes import StateChange
 from oriolestage.routing._targets import KnownTarget
 
-#: Time over which requests to a target are counted, in seconds. The platform
-#: counts the requests to a target with a rate limit over the same time.
-WINDOW_S = 4.0
-
 
 @dataclasses.dataclass(slots=True)
 class _RequestCount:
@@ -31,18 +37,26 @@
     sent: _RequestCount
     #: Requests per second that it takes from all hosts; None for no limit.
     limit: float | None = None
+    #: This host's part of the limit; None without a limit.
+    limiter: RateLimiter | None = None
 
 
 class TargetRates:
     """Stated rate limits and own requests, by target process."""
 
-    def __init__(self, on_change: Callable[[StateChange], None]) -> None:
-        """Start without targets.
+    def __init__(
+        self,
+        location: HostLocation,
+        on_change: Callable[[StateChange], None],
+    ) -> None:
+        """Start without targets; this host is the only one.
 
         ``on_change`` is called with the log events of rate limits.
         """
+        self._location = location
         self._on_change = on_change
         self._rates: dict[str, _TargetRate] = {}
+        self._host_regions: Mapping[str, str] = {location.name: location.region}
 
     @property
     def limited_count(self) -> int:
@@ -54,6 +68,29 @@
         rate = self._rates.get(target.process)
         return None if rate is None else rate.limit
 
+    def wait_s(self, target: KnownTarget, now: float) -> float:
+        """Return the time until a target may get a request of this host."""
+        rate = self._rates.get(target.process)
+        if rate is None or rate.limiter is None:
+            return 0
+        return rate.limiter.wait_s(now)
+
+    def replace_hosts(
+        self,
+        regions: Mapping[str, str],
+        targets: Iterable[KnownTarget],
+        now: float,
+    ) -> None:
+        """Replace the hosts that share the limits, with their regions.
+
+        ``targets`` are the known targets, whose limits are divided anew.
+        """
+        self._host_regions = regions
+        for target in targets:
+            rate = self._rates.get(target.process)
+            if rate is not None and rate.limit is not None:
+                self._divide(target, rate, rate.limit, now)
+
     def record_limit(
         self,
         target: KnownTarget,
@@ -68,11 +105,19 @@
         rate = self._rate(target, now)
         rate.limit = limit
         if limit is None:
+            rate.limiter = None
             self._report('target_rate_limit_ended', target, rate)
-        else:
-            self._report(
-                'target_rate_limited', target, rate, previous=previous or 'none'
-            )
+            return
+        share = self._divide(target, rate, limit, now)
+        self._report(
+            'target_rate_limited',
+            target,
+            rate,
+            previous='none' if previous is None else previous,
+            hosts=len(self._host_regions),
+            burst=share.burst,
+            interval_s=share.interval_s,
+        )
 
     def record_sent(self, target: KnownTarget, now: float) -> None:
         """Record a request to a target; log its use once in each window."""
@@ -82,6 +127,8 @@
             if rate.limit is not None:
                 self._report('target_rate_use', target, rate)
         rate.sent.requests += 1
+        if rate.limiter is not None:
+            rate.limiter.take(now)
 
     def prune(self, processes: Collection[str]) -> None:
         """Drop target processes that are not in ``processes``."""
@@ -89,6 +136,28 @@
             if name not in processes:
                 self._rates.pop(name)
 
+    def _divide(
+        self,
+        target: KnownTarget,
+        rate: _TargetRate,
+        limit: float,
+        now: float,
+    ) -> RateShare:
+        """Set this host's part of the limit of a target and return it."""
+        record = target.record
+        rank = rank_host(
+            record.identity,
+            self._location.name,
+            self._host_regions,
+            self._location.region_of(record.data_centre),
+        )
+        share = share_of(limit, rank)
+        if rate.limiter is None:
+            rate.limiter = RateLimiter(share, now)
+        else:
+            rate.limiter.replace_share(share, now)
+        return share
+
     def _rate(self, target: KnownTarget, now: float) -> _TargetRate:
         rate = self._rates.get(target.process)
         if rate is None:
--- a/oriolestage/routing/tests/replay.py
+++ b/oriolestage/routing/tests/replay.py
@@ -88,7 +88,8 @@
             data_centre,
             shard_records(),
         )
-        self.placement.replace_hosts([f'host-{one}' for one in range(hosts)])
+        names = [f'host-{one}' for one in range(hosts)]
+        self.placement.replace_hosts(dict.fromkeys(names, 'region-a'), 0)
         self.peers = make_peers(self.placement.location)
         if not peers:
             self.peers.replace_hosts(())
--- a/oriolestage/routing/tests/test_rate_limits.py
+++ b/oriolestage/routing/tests/test_rate_limits.py
@@ -48,7 +48,7 @@
             placement = Placement(
                 location, directory, WarmUpBounds(), lambda _: None
             )
-            placement.replace_hosts(regions)
+            placement.replace_hosts(regions, 0)
             placement.record_rate_limit('t-1', limit, 0)
             self.placements.append(placement)
 
--- a/oriolestage/routing/tests/test_target_rates.py
+++ b/oriolestage/routing/tests/test_target_rates.py
@@ -2,10 +2,11 @@
 
 import unittest
 
+from oriolestage.routing._placement_types import HostLocation
 from oriolestage.routing._state_changes import StateChange
 from oriolestage.routing._target_rates import TargetRates
 from oriolestage.routing._targets import KnownTarget
-from oriolestage.routing.tests.builders import make_record
+from oriolestage.routing.tests.builders import REGIONS, make_record
 
 
 class TargetRatesTest(unittest.TestCase):
@@ -14,7 +15,9 @@
     def setUp(self) -> None:
         """Create rates that record their log events."""
         self._changes: list[StateChange] = []
-        self._rates = TargetRates(self._changes.append)
+        self._rates = TargetRates(
+            HostLocation('host-1', 'dc-a', REGIONS), self._changes.append
+        )
         self._target = KnownTarget(make_record(), cold_until=0)
 
     def test_changes_are_logged_once(self) -> None:
