Give back the rate of attempts that are not sent after all

Callers: with limits at targets of several shards, queries that could not be answered still used up the requests that the limited targets take, so fewer queries were answered than the limits allow.

Cause: an attempt counts against the rate of its target when it is decided. A query that is refused because too few shards have a free target, or that ends while attempts wait to be sent, never sends them. The window of a cold target had the same fault since it was written.

Change: such attempts are withdrawn from the outstanding ones, from the token bucket of a stated rate and from the window of a cold target.

--- a/oriolestage/routing/_dispatch.py
+++ b/oriolestage/routing/_dispatch.py
@@ -32,6 +32,8 @@
 #: unreachable takes longer.
 PEER_MARGIN_S = 0.025
 MS_PER_S = 1000
+#: Time of sending of an attempt that is decided and not sent yet.
+UNSENT = float('inf')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,7 +90,7 @@
 
     def record_unsent(self, attempt: int) -> None:
         """Record that a direct attempt is not late until it was sent."""
-        self._record_sent_at(attempt, float('inf'))
+        self._record_sent_at(attempt, UNSENT)
 
     def record_sent(self, attempt: int, now: float) -> None:
         """Record when a direct attempt was sent, if it is still in flight."""
@@ -197,15 +199,35 @@
                 continue
             part.remove_attempt(attempt)
             self._part_by_attempt.pop(attempt, None)
+            actions.append(CancelAttempt(attempt))
+            if sent.sent_at == UNSENT:
+                self._placement.record_withdrawn(sent.target, attempt, now)
+                continue
             self._placement.observations.record_abandoned(
                 sent.target,
                 attempt,
                 self._stragglers.late_s,
                 now,
             )
-            actions.append(CancelAttempt(attempt))
         return actions
 
+    def withdraw_all(self, now: float) -> None:
+        """Remove all attempts and batches, none of which was sent.
+
+        They do not count against the limits of their targets.
+        """
+        for part in self._parts:
+            for number, attempt in tuple(part.in_flight.items()):
+                part.remove_attempt(number)
+                if attempt.target is not None:
+                    self._placement.record_withdrawn(
+                        attempt.target, number, now
+                    )
+        for batch in self._batches.values():
+            self._peers.record_ended(batch.peer.name)
+        self._batches.clear()
+        self._part_by_attempt.clear()
+
     def remove_batched(self, part: Part, number: int) -> None:
         """Remove a part's attempt in a batch from those in flight."""
         for attempt, sent in tuple(part.in_flight.items()):
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -123,6 +123,15 @@
         if target.cold_until > now:
             self._pacer(target).record_sent(now)
 
+    def record_withdrawn(
+        self, target: KnownTarget, attempt: int, now: float
+    ) -> None:
+        """Record that an attempt that was decided is not sent after all."""
+        self.observations.load_of(target).record_withdrawn(attempt)
+        self.rates.record_withdrawn(target, now)
+        if target.cold_until > now:
+            self._pacer(target).withdraw()
+
     def record_rate_limit(
         self, identity: str, limit: float | None, now: float
     ) -> None:
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -142,10 +142,7 @@
             self._policy.place_attempt(part, now, choice)
         actions += self._dispatch.flush(now)
         if self._progress.unattainable:
-            self._dispatch.cancel_all(now)
-            for part in self._parts:
-                for number in tuple(part.in_flight):
-                    part.remove_attempt(number)
+            self._dispatch.withdraw_all(now)
             return self._end(now)
         return actions + self._check_end(now)
 
--- a/oriolestage/routing/_target_load.py
+++ b/oriolestage/routing/_target_load.py
@@ -156,6 +156,10 @@
         self._slowness = min(LATE_SLOWNESS_LIMIT, doubled)
         self._slowness_at = now
 
+    def record_withdrawn(self, attempt: int) -> None:
+        """Forget an attempt that was decided and not sent."""
+        self._outstanding.pop(attempt, None)
+
     def record_full(self, until: float) -> None:
         """Record that another host has no capacity for the target."""
         self._full_until = max(self._full_until, until)
--- a/oriolestage/routing/_target_rates.py
+++ b/oriolestage/routing/_target_rates.py
@@ -130,6 +130,15 @@
         if rate.limiter is not None:
             rate.limiter.take(now)
 
+    def record_withdrawn(self, target: KnownTarget, now: float) -> None:
+        """Give back the token of a request that was not sent after all."""
+        rate = self._rates.get(target.process)
+        if rate is None:
+            return
+        rate.sent.requests = max(0, rate.sent.requests - 1)
+        if rate.limiter is not None:
+            rate.limiter.put_back(now)
+
     def prune(self, processes: Collection[str]) -> None:
         """Drop target processes that are not in ``processes``."""
         for name in tuple(self._rates):
--- a/oriolestage/routing/_warm_up.py
+++ b/oriolestage/routing/_warm_up.py
@@ -85,3 +85,8 @@
     def record_sent(self, now: float) -> None:
         """Record that a request was sent."""
         self._sent.append(now)
+
+    def withdraw(self) -> None:
+        """Forget the newest request, which was not sent after all."""
+        if self._sent:
+            self._sent.pop()
