Log that no target responds to this host

The logs show back-offs of single targets, not whether the host reaches any target, nor which host declined a batch without a path of its own.

Change: TargetReach tells from the outcomes of attempts that several targets in a row gave no response and none gave one. Both changes are logged (targets_unreached, targets_reached_again) and a gauge shows the state. No decision uses it.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -150,6 +150,9 @@
     metrics.add_gauge('in_flight', lambda: router.in_flight)
     metrics.add_gauge('held_response_bytes', lambda: client.held_bytes)
     metrics.add_gauge('targets', lambda: len(directory))
+    metrics.add_gauge(
+        'cut_off', lambda: int(placement.observations.reach.cut_off)
+    )
     metrics.add_gauge(
         'rate_limited_targets', lambda: placement.rates.limited_count
     )
--- a/oriolestage/routing/_observations.py
+++ b/oriolestage/routing/_observations.py
@@ -15,6 +15,7 @@
 from oriolestage.routing._placement_types import HostLocation
 from oriolestage.routing._state_changes import StateChange
 from oriolestage.routing._target_load import TargetLoad
+from oriolestage.routing._target_reach import TargetReach
 from oriolestage.routing._targets import KnownTarget
 
 #: Work of a cold target as a multiple of that of a warm one.
@@ -40,6 +41,7 @@
         self._location = location
         self._on_change = on_change
         self._delays = DelayModel()
+        self.reach = TargetReach(on_change)
         self._loads: dict[str, TargetLoad] = {}
 
     def load_of(self, target: KnownTarget) -> TargetLoad:
@@ -155,7 +157,11 @@
         """
         load = self.load_of(target)
         earlier_until = load.backoff_until
-        load.record_abandoned(attempt, now, self.round_trip_s(target) + late_s)
+        waited_s = self.round_trip_s(target) + late_s
+        sent_at = load.sent_at(attempt, now)
+        if now - sent_at >= waited_s:
+            self.reach.record_unreached(target.process, sent_at, now)
+        load.record_abandoned(attempt, now, waited_s)
         self._report_new_backoff(target, earlier_until, 'silent', now)
 
     def record_lost(
@@ -173,6 +179,8 @@
         """Record that no connection to a target could be made."""
         load = self.load_of(target)
         earlier_until = load.backoff_until
+        sent_at = load.sent_at(attempt, now)
+        self.reach.record_unreached(target.process, sent_at, now)
         load.record_not_reached(attempt, now)
         self._report_new_backoff(target, earlier_until, 'not_reached', now)
 
@@ -186,6 +194,7 @@
     ) -> None:
         load = self.load_of(target)
         was_awaiting_recovery = load.awaiting_recovery
+        self.reach.record_response(now)
         load.record_answer(attempt, now, failed=failed)
         if was_awaiting_recovery:
             self._report('target_answers_again', target, failed=failed)
