Add failing tests: hosts that reach no target and their peers

Callers of hosts that reach no target were refused, and so were callers of hosts that send batches to them. Back-offs of single targets go on at the cut hosts all the time (2 to 15 a second), since each target is probed with callers' requests.

The builder of gather requests moves to a module of its own.

--- /dev/null
+++ b/oriolestage/entry/tests/test_cut_off_peer.py
@@ -0,0 +1,111 @@
+"""Tests of batches to a host that reaches no target."""
+
+import contextlib
+import socket
+import unittest
+
+from oriolestage.entry._peer_client import PeerClient
+from oriolestage.entry._peer_server import PeerServer
+from oriolestage.entry.tests.peer_requests import make_gather_request
+from oriolestage.entry.tests.test_peer_link import ScriptedTargets
+from oriolestage.routing._answers import AttemptAnswered
+from oriolestage.routing._cluster_state import ClusterState
+from oriolestage.routing._facts import HostRecord
+from oriolestage.routing._peers import PeerDirectory
+from oriolestage.routing._request_run import RequestRun
+from oriolestage.routing._run_types import BatchOutcome, SendBatch
+from oriolestage.routing._state_changes import Freshness
+from oriolestage.routing.tests.builders import (
+    make_answer,
+    make_crash_detector,
+    make_group,
+    make_placement,
+    make_rule,
+    shard_records,
+)
+from oriolestage.routing.tests.runs import attempts_in, batches_in, make_run
+from oriolestage.routing.tests.test_cut_off_host import (
+    NOW,
+    make_cut_off_placement,
+)
+
+SHARDS = 20
+
+
+def _make_run() -> RequestRun:
+    """Return a query at a host that knows two hosts in another region."""
+    placement, _ = make_placement('dc-b', shard_records(SHARDS))
+    peers = PeerDirectory(placement.location)
+    peers.replace_hosts(
+        HostRecord(name, 'dc-a', f'{name}:1') for name in ('far-1', 'far-2')
+    )
+    return make_run(
+        make_rule(make_group(SHARDS, min_coverage=1)),
+        shard_records(SHARDS),
+        NOW,
+        known=placement,
+        peers=peers,
+    )
+
+
+class CutOffPeerTest(unittest.IsolatedAsyncioTestCase):
+    """A host that is cut off from targets does not stop others' queries.
+
+    Its decline was taken for targets without capacity, so that hosts with a
+    path to these targets refused queries.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Start the server of a host that reaches no target."""
+        placement = make_cut_off_placement()
+        cluster_state = ClusterState(
+            placement.directory,
+            placement,
+            PeerDirectory(placement.location),
+            make_crash_detector(),
+        )
+        self._server = PeerServer(
+            cluster_state,
+            placement,
+            ScriptedTargets(),
+            lambda: Freshness(revision=7, age_s=0.5),
+        )
+        listener = socket.create_server(('127.0.0.1', 0))
+        listener.setblocking(False)
+        await self._server.start(listener)
+        self._address = f'127.0.0.1:{listener.getsockname()[1]}'
+        self._client = PeerClient()
+
+    async def asyncTearDown(self) -> None:
+        """Close the client and the server."""
+        self._client.close()
+        self._server.close()
+
+    async def _reply(self, batch: SendBatch) -> BatchOutcome:
+        request = make_gather_request(
+            services=tuple(part.service for part in batch.parts),
+            regions=tuple(batch.regions),
+        )
+        gathering = self._client.gather(self._address, request)
+        async with contextlib.aclosing(gathering) as replies:
+            return await anext(replies)
+
+    async def test_declined_shards_go_to_the_next_host(self) -> None:
+        """The shards of the declined batch go to another host there."""
+        run = _make_run()
+        first = run.start(NOW)
+        for attempt in attempts_in(first):
+            run.on_outcome(
+                attempt.attempt, AttemptAnswered(make_answer()), NOW + 0.01
+            )
+        batch = batches_in(first)[0]
+        reply = await self._reply(batch)
+        following = batches_in(
+            run.on_batch_outcome(batch.batch, reply, NOW + 0.05)
+        )
+        self.assertEqual(len(following), 1)
+        self.assertNotEqual(following[0].peer, batch.peer)
+        self.assertEqual(
+            {part.service for part in following[0].parts},
+            {part.service for part in batch.parts},
+        )
--- a/oriolestage/entry/tests/test_peer_link.py
+++ b/oriolestage/entry/tests/test_peer_link.py
@@ -10,6 +10,7 @@
 from oriolestage.entry._peer_messages import GatherRequest
 from oriolestage.entry._peer_server import PeerServer
 from oriolestage.entry._target_client import TargetCall
+from oriolestage.entry.tests.peer_requests import SERVICES, make_gather_request
 from oriolestage.routing._answers import (
     AttemptAnswered,
     AttemptLost,
@@ -31,8 +32,6 @@
     shard_records,
 )
 
-SERVICES = tuple(f'shard-{number}' for number in range(4))
-
 
 class ScriptedTargets:
     """Answers attempts at once, except for slow and broken targets."""
@@ -60,28 +59,6 @@
         return AttemptAnswered(TargetAnswer(200, (), body, call.target))
 
 
-def _request(**changes: object) -> GatherRequest:
-    fields: dict[str, object] = {
-        'number': 0,
-        'request_id': 'a',
-        'route': 'r',
-        'method': 'GET',
-        'path': '/x',
-        'headers': (),
-        'body': b'asked',
-        'services': SERVICES,
-        'regions': (),
-        'top_records': 2,
-        'merged': True,
-        'floor': b'',
-        'late_s': 0.2,
-        'work_s': 0.01,
-        'time_left_s': 2.0,
-        **changes,
-    }
-    return GatherRequest(**fields)  # type: ignore[arg-type]
-
-
 class PeerLinkTest(unittest.IsolatedAsyncioTestCase):
     """A server returns the shards that are in time and names the others."""
 
@@ -119,7 +96,7 @@
 
     async def test_merged(self) -> None:
         """A merged reply has the greatest records and all signatures."""
-        answer = await self._first_reply(_request())
+        answer = await self._first_reply(make_gather_request())
         assert isinstance(answer, BatchAnswered)
         self.assertEqual(set(answer.signatures), set(SERVICES))
         self.assertEqual(len(answer.body), 32)
@@ -131,14 +108,16 @@
 
     async def test_not_merged(self) -> None:
         """An unmerged reply has the records of each shard."""
-        answer = await self._first_reply(_request(merged=False))
+        answer = await self._first_reply(make_gather_request(merged=False))
         assert isinstance(answer, BatchAnswered)
         self.assertEqual(set(answer.bodies), set(SERVICES))
 
     async def test_floor(self) -> None:
         """Records that do not exceed the requested floor are left out."""
         floor = b't-9'.ljust(16, b'.')
-        answer = await self._first_reply(_request(merged=False, floor=floor))
+        answer = await self._first_reply(
+            make_gather_request(merged=False, floor=floor)
+        )
         assert isinstance(answer, BatchAnswered)
         self.assertEqual(set(answer.signatures), set(SERVICES))
         self.assertEqual(set(answer.bodies.values()), {b''})
@@ -147,7 +126,7 @@
         """A late shard's records are left out if greater ones were sent."""
         self._targets.slow = {'t-0-0', 't-0-1'}
         self._targets.pause_s = 0.1
-        gathering = self._client.gather(self._address, _request())
+        gathering = self._client.gather(self._address, make_gather_request())
         replies = [reply async for reply in gathering]
         late = replies[-1]
         assert isinstance(late, BatchAnswered)
@@ -157,7 +136,7 @@
     async def test_late_shard(self) -> None:
         """The reply does not wait for a shard much slower than its siblings."""
         self._targets.slow = {'t-0-0', 't-0-1'}
-        answer = await self._first_reply(_request())
+        answer = await self._first_reply(make_gather_request())
         assert isinstance(answer, BatchAnswered)
         self.assertEqual(set(answer.signatures), set(SERVICES[1:]))
         await asyncio.sleep(0.01)
@@ -166,7 +145,7 @@
     async def test_failed_shard(self) -> None:
         """A shard whose attempt failed is missing from the signatures."""
         self._targets.broken = {'t-0-0', 't-0-1'}
-        answer = await self._first_reply(_request())
+        answer = await self._first_reply(make_gather_request())
         assert isinstance(answer, BatchAnswered)
         self.assertNotIn(SERVICES[0], answer.signatures)
 
@@ -174,7 +153,7 @@
         """A shard without a target is declined before others answer."""
         self._targets.slow = {'t-0-0', 't-0-1'}
         answer = await self._first_reply(
-            _request(services=('shard-0', 'unknown'))
+            make_gather_request(services=('shard-0', 'unknown'))
         )
         assert isinstance(answer, BatchDeclined)
         self.assertEqual(set(answer.retry_after_s), {'unknown'})
@@ -182,7 +161,7 @@
 
     async def test_all_declined(self) -> None:
         """The only reply is a final decline if no shard has a target."""
-        request = _request(services=('unknown',))
+        request = make_gather_request(services=('unknown',))
         gathering = self._client.gather(self._address, request)
         replies = [reply async for reply in gathering]
         self.assertEqual(len(replies), 1)
@@ -191,7 +170,7 @@
 
     async def test_freshness(self) -> None:
         """Replies carry the revision and age of the server's state."""
-        await self._first_reply(_request())
+        await self._first_reply(make_gather_request())
         links = await self._client.check_links({self._address})
         freshness = links[self._address].freshness
         self.assertEqual(freshness, Freshness(revision=7, age_s=0.5))
@@ -202,21 +181,21 @@
             f't-{shard}-{copy}' for shard in range(4) for copy in (0, 1)
         }
         batch_task = asyncio.create_task(
-            self._first_reply(_request(late_s=5.0)),
+            self._first_reply(make_gather_request(late_s=5.0)),
         )
         await asyncio.sleep(0.1)
         batch_task.cancel()
         await asyncio.sleep(0.1)
         self.assertEqual(self._targets.cancelled, 4)
         self._targets.slow = set()
-        answer = await self._first_reply(_request())
+        answer = await self._first_reply(make_gather_request())
         self.assertIsInstance(answer, BatchAnswered)
 
     async def test_unreachable_host(self) -> None:
         """A batch for a host that cannot be reached counts as not sent."""
         self._server.close()
         await asyncio.sleep(0.05)
-        gathering = self._client.gather('127.0.0.1:1', _request())
+        gathering = self._client.gather('127.0.0.1:1', make_gather_request())
         answer = await anext(gathering)
         assert isinstance(answer, BatchLost)
         self.assertTrue(answer.not_sent)
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -54,6 +54,11 @@
         self._pacers: dict[str, WarmUpPacer] = {}
         self._hosts: tuple[str, ...] = (location.name,)
 
+    @property
+    def directory(self) -> TargetDirectory:
+        """The targets to choose from."""
+        return self._directory
+
     @property
     def hosts(self) -> tuple[str, ...]:
         """Sorted names of the hosts that share the targets, with this one."""
--- a/oriolestage/routing/tests/runs.py
+++ b/oriolestage/routing/tests/runs.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._placement_types import TargetRequirements
 from oriolestage.routing._request_run import RequestRun
@@ -41,6 +42,7 @@
     bounds: BudgetBounds | None = None,
     known: Placement | None = None,
     delivery_margin_s: float = DELIVERY_MARGIN_S,
+    peers: PeerDirectory | None = None,
 ) -> RequestRun:
     """Return a run that arrives at the monotonic time ``started``."""
     placement = known or make_placement('dc-a', records)[0]
@@ -64,7 +66,7 @@
             delivery_margin_s,
         ),
         placement=placement,
-        peers=make_peers(placement.location),
+        peers=peers or make_peers(placement.location),
         next_attempt=lambda: next(numbers),
     )
 
