Do not take a host without a path for targets without capacity

Cause: a host that reaches no target went on taking batches, and its declines were recorded as targets without capacity for all hosts of their region. Class: a failure of the path is blamed on what lies behind it.

Ruled out: slow recognition; the cut hosts know after half a second.

Change: a decline names the services that the host does not reach; the asking host then tries another host of the region and leaves this one out for these services for 2 s. A host that reaches no target declines all shards at once, says so in its pongs and gets no batches until it does. While it is cut off it tries a connection every half second, since it has no other way to notice that its path is back. The new fields of messages are at the end and optional, so older hosts read them and are read. Silence is now counted from the first attempt without a response, not from the last response: an idle host that lost four attempts at once was taken for cut off.

Evidence: test_declined_shards_go_to_the_next_host failed before and passes.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -16,6 +16,7 @@
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_server import PeerServer
 from oriolestage.entry._ports import Store, WireProtocol
+from oriolestage.entry._reach_probe import ReachProbe
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._request_router import RequestRouter
 from oriolestage.entry._settings import EntrySettings
@@ -56,6 +57,7 @@
     registration: HostRegistration
     crash_reporter: CrashReporter
     client: TargetClient
+    reach_probe: ReachProbe
     peers: PeerDirectory
     peer_client: PeerClient
     peer_server: PeerServer
@@ -87,6 +89,7 @@
         ('expire', host.follower.expire),
         ('register', host.registration.run),
         ('report_crashes', host.crash_reporter.run),
+        ('probe_reach', host.reach_probe.run),
         ('links', lambda: _check_links(host)),
     )
     tasks = [
@@ -185,6 +188,7 @@
         ),
         crash_reporter=CrashReporter(store, crash_detector),
         client=client,
+        reach_probe=ReachProbe(placement, client.try_connect),
         peers=peers,
         peer_client=peer_client,
         peer_server=PeerServer(
--- a/oriolestage/entry/_peer_client.py
+++ b/oriolestage/entry/_peer_client.py
@@ -68,19 +68,21 @@
         self._received_at = time.monotonic()
         self._pinged_at = float('-inf')
         self._freshness: Freshness | None = None
+        #: Whether the host reaches no target, by its last pong.
+        self._cut_off: bool | None = None
 
     def check_liveness(self) -> LinkState:
         """Ping an idle stream, close an unresponsive one, return its state."""
         now = time.monotonic()
         if self._frames is None:
-            return LinkState(float('-inf'), self._freshness)
+            return LinkState(float('-inf'), self._freshness, self._cut_off)
         if self._received_at < self._pinged_at:
             if now - self._pinged_at >= PING_TIMEOUT_S:
                 self.close('link.silent')
         elif now - self._received_at >= IDLE_BEFORE_PING_S:
             self._pinged_at = now
             self._frames.write(encode(Ping()))
-        return LinkState(self._received_at, self._freshness)
+        return LinkState(self._received_at, self._freshness, self._cut_off)
 
     async def open(self) -> None:
         """Connect unless the stream is open.
@@ -102,6 +104,7 @@
             self._received_at = time.monotonic()
             self._pinged_at = float('-inf')
             self._freshness = None
+            self._cut_off = None
             self._read_task = asyncio.create_task(
                 self._read(FrameReader(reader)),
             )
@@ -169,6 +172,7 @@
         self._received_at = time.monotonic()
         self._freshness = Freshness(reply.revision, reply.age_ms / MS_PER_S)
         if isinstance(reply, Pong):
+            self._cut_off = reply.cut_off
             return
         replies = self._pending.get(reply.number)
         if replies is not None:
@@ -191,6 +195,7 @@
             return BatchDeclined(
                 {service: wait_ms / MS_PER_S for service, wait_ms in waits},
                 final=reply.final,
+                unreachable=frozenset(reply.unreachable),
             )
 
 
--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -96,6 +96,9 @@
     final: bool
     revision: int
     age_ms: int
+    #: Those of the services whose targets this host does not reach, though
+    #: another host may.
+    unreachable: tuple[str, ...] = ()
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag='ping'):
@@ -107,6 +110,8 @@
 
     revision: int
     age_ms: int
+    #: True if the host reaches no target; None from a host that cannot tell.
+    cut_off: bool | None = None
 
 
 ToPeer = GatherRequest | GatherCancel | Ping
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -4,7 +4,7 @@
 import itertools
 import socket
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
@@ -46,6 +46,7 @@
     ChosenTarget,
     NoCapacity,
     NoTarget,
+    TargetRequirements,
 )
 from oriolestage.routing._requirements import build_requirements
 from oriolestage.routing._state_changes import Freshness
@@ -58,6 +59,9 @@
 #: Retry-after for a service without a known target, in seconds. A new
 #: registration takes some tenths of a second to reach all hosts.
 NO_TARGET_RETRY_AFTER_S = 0.5
+#: Retry-after for all services while this host reaches no target, in seconds:
+#: the interval at which it looks for a path.
+CUT_OFF_RETRY_AFTER_S = 0.5
 
 
 class PeerServer:
@@ -148,7 +152,11 @@
 
     def _make_pong(self) -> Pong:
         freshness = self._freshness()
-        return Pong(freshness.revision, freshness.age_ms)
+        return Pong(
+            freshness.revision,
+            freshness.age_ms,
+            self._placement.observations.reach.cut_off,
+        )
 
     async def _serve_batch(
         self,
@@ -166,7 +174,8 @@
         replies = ReplyWriter(request, frames, self._freshness)
         chosen, declined = self._choose_targets(request, started_at)
         if declined:
-            replies.decline(declined, final=not chosen)
+            unreachable = self._find_unreachable(request, declined, started_at)
+            replies.decline(declined, unreachable, final=not chosen)
         fingerprint = fingerprint_from_headers(
             request.method,
             request.headers,
@@ -208,14 +217,14 @@
         A service is declined if it has no free target; its value is the
         time after which to retry, in seconds.
         """
-        table = self._cluster_state.table
-        regions = frozenset(request.regions)
         chosen: dict[str, KnownTarget] = {}
         declined: dict[str, float] = {}
+        cut_off = self._placement.observations.reach.cut_off
         for service in request.services:
-            requirements = build_requirements(
-                table, service, request.route, regions
-            )
+            if cut_off:
+                declined[service] = CUT_OFF_RETRY_AFTER_S
+                continue
+            requirements = self._build_requirements(request, service)
             choice = self._placement.choose(requirements, (), now)
             match choice:
                 case ChosenTarget(target=target):
@@ -226,6 +235,31 @@
                     declined[service] = NO_TARGET_RETRY_AFTER_S
         return chosen, declined
 
+    def _find_unreachable(
+        self,
+        request: GatherRequest,
+        declined: Iterable[str],
+        now: float,
+    ) -> tuple[str, ...]:
+        """Return the declined services whose targets this host cannot reach."""
+        return tuple(
+            service
+            for service in declined
+            if self._placement.unreachable(
+                self._build_requirements(request, service), now
+            )
+        )
+
+    def _build_requirements(
+        self, request: GatherRequest, service: str
+    ) -> TargetRequirements:
+        return build_requirements(
+            self._cluster_state.table,
+            service,
+            request.route,
+            frozenset(request.regions),
+        )
+
     async def _send_attempt(
         self,
         request: GatherRequest,
--- a/oriolestage/entry/_shard_gathering.py
+++ b/oriolestage/entry/_shard_gathering.py
@@ -141,12 +141,17 @@
         self._freshness = freshness
 
     def decline(
-        self, retry_after_s: Mapping[str, float], *, final: bool
+        self,
+        retry_after_s: Mapping[str, float],
+        unreachable: tuple[str, ...],
+        *,
+        final: bool,
     ) -> None:
         """Send the services whose targets do not get the request.
 
         ``retry_after_s`` maps each to the time after which a target may be
-        free, in seconds.
+        free, in seconds; ``unreachable`` has those without a path from this
+        host to their targets.
         """
         freshness = self._freshness()
         self._write(
@@ -159,6 +164,7 @@
                 final=final,
                 revision=freshness.revision,
                 age_ms=freshness.age_ms,
+                unreachable=unreachable,
             ),
         )
 
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -79,6 +79,18 @@
         """Close all idle connections."""
         self._pool.close()
 
+    async def try_connect(self, address: str) -> bool:
+        """Return whether a connection to an address can be opened.
+
+        It is kept for the next attempt there.
+        """
+        try:
+            connection = await connect(address, self._held)
+        except NotConnectedError:
+            return False
+        self._pool.put(address, connection)
+        return True
+
     async def send(self, call: TargetCall) -> AttemptOutcome:
         """Send an attempt and return its outcome.
 
--- a/oriolestage/entry/tests/test_cut_off_peer.py
+++ b/oriolestage/entry/tests/test_cut_off_peer.py
@@ -8,7 +8,6 @@
 from oriolestage.entry._peer_server import PeerServer
 from oriolestage.entry.tests.peer_requests import make_gather_request
 from oriolestage.entry.tests.test_peer_link import ScriptedTargets
-from oriolestage.routing._answers import AttemptAnswered
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._peers import PeerDirectory
@@ -16,32 +15,35 @@
 from oriolestage.routing._run_types import BatchOutcome, SendBatch
 from oriolestage.routing._state_changes import Freshness
 from oriolestage.routing.tests.builders import (
-    make_answer,
     make_crash_detector,
     make_group,
     make_placement,
+    make_record,
     make_rule,
-    shard_records,
 )
-from oriolestage.routing.tests.runs import attempts_in, batches_in, make_run
+from oriolestage.routing.tests.runs import batches_in, make_run
 from oriolestage.routing.tests.test_cut_off_host import (
     NOW,
     make_cut_off_placement,
 )
 
 SHARDS = 20
+#: Targets that hosts of the other region reach best.
+RECORDS = tuple(
+    make_record(f't-{shard}', f'shard-{shard}') for shard in range(SHARDS)
+)
 
 
 def _make_run() -> RequestRun:
     """Return a query at a host that knows two hosts in another region."""
-    placement, _ = make_placement('dc-b', shard_records(SHARDS))
+    placement, _ = make_placement('dc-b', RECORDS)
     peers = PeerDirectory(placement.location)
     peers.replace_hosts(
         HostRecord(name, 'dc-a', f'{name}:1') for name in ('far-1', 'far-2')
     )
     return make_run(
         make_rule(make_group(SHARDS, min_coverage=1)),
-        shard_records(SHARDS),
+        RECORDS,
         NOW,
         known=placement,
         peers=peers,
@@ -93,12 +95,7 @@
     async def test_declined_shards_go_to_the_next_host(self) -> None:
         """The shards of the declined batch go to another host there."""
         run = _make_run()
-        first = run.start(NOW)
-        for attempt in attempts_in(first):
-            run.on_outcome(
-                attempt.attempt, AttemptAnswered(make_answer()), NOW + 0.01
-            )
-        batch = batches_in(first)[0]
+        batch = batches_in(run.start(NOW))[0]
         reply = await self._reply(batch)
         following = batches_in(
             run.on_batch_outcome(batch.batch, reply, NOW + 0.05)
--- a/oriolestage/routing/_batch_planning.py
+++ b/oriolestage/routing/_batch_planning.py
@@ -81,7 +81,8 @@
             for position, regions in candidate_regions.items()
             if region in regions
         )
-        peer = peers.choose(region)
+        services = [part_requirements[place].service for place in members]
+        peer = peers.choose(region, services, now)
         if len(members) < MIN_BATCH_SHARDS:
             break
         if peer is None:
--- a/oriolestage/routing/_batch_replies.py
+++ b/oriolestage/routing/_batch_replies.py
@@ -205,18 +205,26 @@
         now: float,
         effect: BatchEffect,
     ) -> None:
-        """Release the declined shards so that they are placed elsewhere."""
+        """Release the declined shards so that they are placed elsewhere.
+
+        A host without a path to the targets says nothing about the targets,
+        which other hosts may reach.
+        """
+        self._peers.record_unreachable(
+            batch.peer.name, outcome.unreachable, now
+        )
         for position in batch.positions:
             part = self._parts[position]
             retry_after_s = outcome.retry_after_s.get(part.service)
             if retry_after_s is None:
                 continue
-            self._placement.record_declined(
-                part.service,
-                batch.region,
-                retry_after_s,
-                now,
-            )
+            if part.service not in outcome.unreachable:
+                self._placement.record_declined(
+                    part.service,
+                    batch.region,
+                    retry_after_s,
+                    now,
+                )
             if self._dispatch.attempt_in_batch(part, number) is None:
                 continue
             self._dispatch.remove_batched(part, number)
--- a/oriolestage/routing/_dispatch.py
+++ b/oriolestage/routing/_dispatch.py
@@ -11,6 +11,7 @@
 from oriolestage.routing._answers import TargetAnswer
 from oriolestage.routing._batch_planning import Batch, plan_batches
 from oriolestage.routing._due_parts import DueParts
+from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._merge import GatheredRecords
 from oriolestage.routing._parts import Attempt, Part
 from oriolestage.routing._peers import PeerDirectory
@@ -176,19 +177,21 @@
         in one request.
         """
         actions: list[Action] = []
-        remote: dict[str, list[int]] = {}
+        remote: dict[tuple[HostRecord, str], list[int]] = {}
         for queued in self._queued:
             region = self._remote_region(queued.placed)
-            if region and self._peers.choose(region) is not None:
-                remote.setdefault(region, []).append(queued.position)
-            else:
+            service = self._parts[queued.position].service
+            peer = None
+            if region:
+                peer = self._peers.choose(region, (service,), now)
+            if peer is None:
                 actions.append(self._send_direct(queued, now))
+                continue
+            remote.setdefault((peer, region), []).append(queued.position)
         self._queued.clear()
-        for region, positions in remote.items():
-            peer = self._peers.choose(region)
-            if peer is not None:
-                batch = Batch(peer, region, tuple(positions))
-                actions.append(self._send_batch(batch, now, merged=False))
+        for (peer, region), positions in remote.items():
+            batch = Batch(peer, region, tuple(positions))
+            actions.append(self._send_batch(batch, now, merged=False))
         return actions
 
     def cancel_direct(self, part: Part, now: float) -> list[Action]:
--- a/oriolestage/routing/_peers.py
+++ b/oriolestage/routing/_peers.py
@@ -42,6 +42,9 @@
 #: than that of this host by more than this, in seconds. A watch of the store
 #: is answered or ends within that time.
 BEHIND_S = 3.5
+#: Time for which a host is not asked again for a service whose targets it did
+#: not reach, in seconds: the longest back-off of a target.
+UNREACHABLE_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,18 +56,22 @@
     heard_at: float
     #: How recent the host's copy of the store is; None before it has reported.
     freshness: Freshness | None
+    #: Whether the host reaches no target; None if it has not told.
+    cut_off: bool | None = None
 
 
 class PeerState(enum.Enum):
     """Whether another host can gather shards for this one.
 
     A host is ``SILENT`` if it did not answer in time or nothing is received
-    on its stream, and ``BEHIND`` if its copy of the store is too old.
+    on its stream, ``BEHIND`` if its copy of the store is too old, and
+    ``CUT_OFF`` if it reaches no target.
     """
 
     HEARD = 'heard'
     SILENT = 'silent'
     BEHIND = 'behind'
+    CUT_OFF = 'cut_off'
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,12 +88,21 @@
     silent_at: float = float('-inf')
     #: True while its copy of the store is too old.
     behind: bool = False
+    #: Whether it reaches no target; None if it has not told.
+    cut_off: bool | None = None
+    #: Monotonic time until which it is not asked for a service whose targets
+    #: it did not reach.
+    unreachable_until: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def state(self) -> PeerState:
         """Whether the host can gather shards."""
         if not self.heard:
             return PeerState.SILENT
+        if self.cut_off:
+            return PeerState.CUT_OFF
         return PeerState.BEHIND if self.behind else PeerState.HEARD
 
     @property
@@ -94,6 +110,15 @@
         """Expected delay of one more request beyond round trip and work."""
         return self.overhead_s + self.outstanding * OUTSTANDING_COST_S
 
+    def reaches(self, services: Iterable[str], now: float) -> bool:
+        """Return whether it is not known to lack a path to any service."""
+        if not self.unreachable_until:
+            return True
+        return all(
+            self.unreachable_until.get(service, now) <= now
+            for service in services
+        )
+
 
 class PeerDirectory:
     """The other hosts with their state and overhead, as observed here."""
@@ -131,15 +156,24 @@
             for peer in self._connected(region)
         }
 
-    def choose(self, region: str) -> HostRecord | None:
+    def choose(
+        self,
+        region: str,
+        services: Iterable[str] = (),
+        now: float = 0,
+    ) -> HostRecord | None:
         """Return the host of a region with the least expected overhead.
 
-        Hosts that are silent or behind are skipped; None if none is left.
+        Hosts that are silent, behind or cut off are skipped, and those that
+        lately did not reach the targets of one of ``services``. None if no
+        host is left.
         """
         best: _Peer | None = None
         for peer in self._connected(region):
             if peer.state != PeerState.HEARD:
                 continue
+            if not peer.reaches(services, now):
+                continue
             if best is None or peer.cost_s < best.cost_s:
                 best = peer
         return None if best is None else best.record
@@ -173,6 +207,16 @@
             peer.heard = False
             peer.silent_at = now
 
+    def record_unreachable(
+        self, name: str, services: Iterable[str], now: float
+    ) -> None:
+        """Record that a host does not reach the targets of some services."""
+        peer = self._peers.get(name)
+        if peer is None:
+            return
+        for service in services:
+            peer.unreachable_until[service] = now + UNREACHABLE_S
+
     def record_link_state(
         self,
         address: str,
@@ -195,6 +239,7 @@
             fresh = now - link.heard_at < STREAM_TIMEOUT_S
             peer.heard = fresh and link.heard_at > peer.silent_at
             peer.behind = _is_behind(link.freshness, own)
+            peer.cut_off = link.cut_off
             return None if peer.state == before else peer.state
         return None
 
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -111,6 +111,20 @@
             return best
         return NoTarget() if wait_s == float('inf') else NoCapacity(wait_s)
 
+    def unreachable(self, requirements: TargetRequirements, now: float) -> bool:
+        """Return whether no target is used because none is reached from here.
+
+        That is so while the host reaches no target at all, or while all
+        targets that meet the requirements are in back-off.
+        """
+        if self.observations.reach.cut_off:
+            return True
+        targets = tuple(self._candidates(requirements, ()))
+        return bool(targets) and all(
+            self.observations.load_of(target).in_backoff(now)
+            for target in targets
+        )
+
     def targets_in_region(self, service: str, region: str) -> list[KnownTarget]:
         """Return the usable targets of a service in one region."""
         return [
--- a/oriolestage/routing/_run_types.py
+++ b/oriolestage/routing/_run_types.py
@@ -131,6 +131,9 @@
     retry_after_s: Mapping[str, float]
     #: True if no further reply to the batch follows.
     final: bool
+    #: Those of the services whose targets the other host does not reach. This
+    #: says nothing about the targets themselves.
+    unreachable: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/oriolestage/routing/_target_reach.py
+++ b/oriolestage/routing/_target_reach.py
@@ -13,8 +13,9 @@
 #: Targets without a response, and none with one, from which on the host counts
 #: as cut off from all targets.
 MIN_UNREACHED_TARGETS = 4
-#: Time without any response before the host counts as cut off, in seconds;
-#: longer than the pauses of targets, some of which coincide.
+#: Time for which attempts are outstanding without any response before the host
+#: counts as cut off, in seconds; longer than the pauses of targets, some of
+#: which coincide.
 MIN_SILENCE_S = 0.35
 
 
@@ -30,6 +31,8 @@
         self._responded_at = float('-inf')
         #: Processes without a response since any target responded.
         self._unreached: set[str] = set()
+        #: When the first attempt without a response was sent to these.
+        self._silent_since = float('inf')
         self._cut_off_at: float | None = None
 
     @property
@@ -42,6 +45,7 @@
         self._responded_at = now
         if self._unreached:
             self._unreached.clear()
+            self._silent_since = float('inf')
         if self._cut_off_at is None:
             return
         after_s = now - self._cut_off_at
@@ -59,7 +63,8 @@
         if sent_at <= self._responded_at:
             return
         self._unreached.add(process)
-        silent_s = now - self._responded_at
+        self._silent_since = min(self._silent_since, sent_at)
+        silent_s = now - self._silent_since
         if (
             self.cut_off
             or len(self._unreached) < MIN_UNREACHED_TARGETS
--- a/oriolestage/routing/tests/test_target_reach.py
+++ b/oriolestage/routing/tests/test_target_reach.py
@@ -44,3 +44,8 @@
         self._reach.record_response(2)
         self._lose(MIN_UNREACHED_TARGETS, 1.9, 3)
         self.assertFalse(self._reach.cut_off)
+
+    def test_idle_host(self) -> None:
+        """Time without any attempt is no silence of the targets."""
+        self._lose(MIN_UNREACHED_TARGETS, 60, 60 + MIN_SILENCE_S / 2)
+        self.assertFalse(self._reach.cut_off)
