Send attempts through other hosts while targets are not reached

Cause: shards of the host's own region and requests to a single service went over the host's own connections only, though other hosts that it reaches had a path. Class: one path to each target, and no other when that one fails.

Ruled out: targets without capacity (the other hosts served the same services at the same time); slow recognition (0.35 to 0.41 s until targets_unreached).

Change: TargetChooser decides whether an attempt goes to a target or through another host: while no target is reached, all do; otherwise those at targets in back-off if no other target is free. Shards go in batches as before, now to hosts of the own region as well; a request to a single service goes in a new message and its answer comes back unchanged. The other host makes one attempt at most and answers not run only if no target got the request; a lost stream counts as may have run. At most three attempts of a part go through other hosts, and a host that does not reach a service is left out for 2 s, so that a target that is down does not make hosts ask one another for each request. The request is given to hosts of permitted regions and of the own one only. Each host keeps streams to three hosts of its own region too. A planned stop waits for requests of other hosts.

Replies are now encoded before the outcome counts, and a failed task replies that it was lost.

Evidence: test_query of test_cut_off_host failed before. The other tests of single services there and in test_relay are new with the message.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -219,12 +219,14 @@
 
 
 async def _check_links(host: EntryHost) -> None:
-    """Keep streams to hosts of other regions open and track their state.
+    """Keep streams to other hosts open and track their state.
 
     Runs until cancelled and logs each change of state.
     """
     while True:
-        addresses = host.peers.remote_addresses()
+        addresses = (
+            host.peers.remote_addresses() | host.peers.own_region_addresses()
+        )
         links = await host.peer_client.check_links(addresses)
         now = time.monotonic()
         own = host.follower.freshness
@@ -264,13 +266,18 @@
     while time.monotonic() < drain_deadline:
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         noticed = time.monotonic() - drain_started_at >= BALANCER_NOTICE_S
-        if noticed and not host.router.in_flight:
+        if noticed and not _in_flight(host):
             break
-    unfinished = host.router.in_flight
+    unfinished = _in_flight(host)
     await host.callers.close()
     return unfinished
 
 
+def _in_flight(host: EntryHost) -> int:
+    """Return the requests that a stop would cut off, here or elsewhere."""
+    return host.router.in_flight + host.peer_server.relays_in_flight
+
+
 def _log_change(change: StateChange) -> None:
     log_event(change.event, dict(change.fields))
 
--- a/oriolestage/entry/_metrics.py
+++ b/oriolestage/entry/_metrics.py
@@ -24,6 +24,7 @@
     BatchDeclined,
     BatchLost,
     BatchOutcome,
+    SendAttempt,
 )
 
 
@@ -61,9 +62,13 @@
             self._event_delay_s, timings.event_delay_s, timings.timer_delay_s
         )
 
-    def record_attempt(self, outcome: AttemptOutcome, *, hedge: bool) -> None:
-        """Count an attempt at a target."""
-        cause = 'hedge' if hedge else 'first_or_repeat'
+    def record_attempt(
+        self, outcome: AttemptOutcome, action: SendAttempt
+    ) -> None:
+        """Count an attempt at a target, or one sent by another host."""
+        cause = 'hedge' if action.hedge else 'first_or_repeat'
+        if action.relay is not None:
+            cause = 'relay'
         self._attempts[cause, _attempt_label(outcome)] += 1
 
     def record_batch_reply(self, outcome: BatchOutcome) -> None:
--- a/oriolestage/entry/_peer_client.py
+++ b/oriolestage/entry/_peer_client.py
@@ -23,9 +23,20 @@
     GatherRequest,
     Ping,
     Pong,
+    RelayAnswered,
+    RelayLost,
+    RelayNotRun,
+    RelayRequest,
     decode_from_peer,
     encode,
 )
+from oriolestage.entry._relay_serving import outcome_of_reply
+from oriolestage.routing._answers import (
+    AttemptLost,
+    AttemptNotRun,
+    AttemptOutcome,
+    NotRunReason,
+)
 from oriolestage.routing._peers import LinkState
 from oriolestage.routing._run_types import (
     BatchAnswered,
@@ -65,6 +76,7 @@
         self._read_task: asyncio.Task[None] | None = None
         self._open_lock = asyncio.Lock()
         self._pending: dict[int, asyncio.Queue[BatchOutcome]] = {}
+        self._relayed: dict[int, asyncio.Future[AttemptOutcome]] = {}
         self._received_at = time.monotonic()
         self._pinged_at = float('-inf')
         self._freshness: Freshness | None = None
@@ -138,6 +150,24 @@
             if not final:
                 self._send_cancel(request.number)
 
+    async def relay(self, request: RelayRequest) -> AttemptOutcome:
+        """Send a request to a single service and return its outcome.
+
+        Cancelling the call cancels the request at the host.
+        """
+        frames = self._frames
+        if frames is None:
+            return AttemptNotRun(NotRunReason.NOT_REACHED)
+        reply = asyncio.get_running_loop().create_future()
+        self._relayed[request.number] = reply
+        frames.write(encode(request))
+        try:
+            return await reply
+        finally:
+            self._relayed.pop(request.number, None)
+            if reply.cancelled():
+                self._send_cancel(request.number)
+
     def close(self, step: str) -> None:
         """Close the stream and report its pending requests as lost."""
         if self._frames is None:
@@ -151,11 +181,14 @@
             {
                 'step': step,
                 'peer': self._address,
-                'waiting': len(self._pending),
+                'waiting': len(self._pending) + len(self._relayed),
             },
         )
         for replies in self._pending.values():
             replies.put_nowait(BatchLost(step, not_sent=False))
+        for reply in self._relayed.values():
+            if not reply.done():
+                reply.set_result(AttemptLost(step))
 
     def _send_cancel(self, number: int) -> None:
         if self._frames is not None:
@@ -170,6 +203,11 @@
 
     def _dispatch(self, reply: FromPeer) -> None:
         self._received_at = time.monotonic()
+        if isinstance(reply, RelayAnswered | RelayNotRun | RelayLost):
+            relayed = self._relayed.get(reply.number)
+            if relayed is not None and not relayed.done():
+                relayed.set_result(outcome_of_reply(reply))
+            return
         self._freshness = Freshness(reply.revision, reply.age_ms / MS_PER_S)
         if isinstance(reply, Pong):
             self._cut_off = reply.cut_off
@@ -244,6 +282,22 @@
             async for outcome in replies:
                 yield outcome
 
+    async def relay(
+        self, address: str, request: RelayRequest
+    ) -> AttemptOutcome:
+        """Let one host send a request to a target; return the outcome.
+
+        ``request`` gets a number of its own. Cancelling the call cancels it.
+        """
+        link = self._links.setdefault(address, _Link(address))
+        try:
+            await link.open()
+        except (OSError, TimeoutError):
+            return AttemptNotRun(NotRunReason.NOT_REACHED)
+        return await link.relay(
+            msgspec.structs.replace(request, number=next(self._numbers)),
+        )
+
     async def check_links(self, addresses: set[str]) -> dict[str, LinkState]:
         """Open, ping and close streams; return their states by address.
 
--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from oriolestage.routing._answers import TargetAnswer
+
 
 class GatherRequest(
     msgspec.Struct,
@@ -48,7 +50,7 @@
     array_like=True,
     tag='cancel',
 ):
-    """Cancels a request; no further reply is needed."""
+    """Cancels a request of any kind; no further reply is needed."""
 
     number: int
 
@@ -101,6 +103,83 @@
     unreachable: tuple[str, ...] = ()
 
 
+class RelayRequest(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='relay',
+):
+    """Request to make one attempt at a target of a single service."""
+
+    #: Number that identifies the request on its stream.
+    number: int
+    request_id: str
+    route: str
+    service: str
+    method: str
+    #: Path and query, unchanged from the caller's request.
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    #: Regions whose targets may be used; empty for all.
+    regions: tuple[str, ...]
+    #: True if the request is idempotent.
+    repeatable: bool
+    #: Time until the deadline of the attempt, in seconds.
+    time_left_s: float
+
+
+class RelayAnswered(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='relay_answered',
+):
+    """The answer of a target, unchanged."""
+
+    number: int
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    signature: str
+
+    @property
+    def answer(self) -> TargetAnswer:
+        """The answer as the decisions use it."""
+        return TargetAnswer(
+            self.status, self.headers, self.body, self.signature
+        )
+
+
+class RelayNotRun(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='relay_not_run',
+):
+    """No target has run the request or will run it."""
+
+    number: int
+    #: True if targets are reached and have no capacity.
+    shed: bool
+
+
+class RelayLost(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='relay_lost',
+):
+    """The request may have run, and there is no answer."""
+
+    number: int
+    #: Step at which it was lost, with the cause.
+    step: str
+
+
+RelayReply = RelayAnswered | RelayNotRun | RelayLost
+
+
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag='ping'):
     """Asks for a :class:`Pong` to check that the stream is alive."""
 
@@ -114,8 +193,8 @@
     cut_off: bool | None = None
 
 
-ToPeer = GatherRequest | GatherCancel | Ping
-FromPeer = GatherReply | GatherDeclined | Pong
+ToPeer = GatherRequest | GatherCancel | RelayRequest | Ping
+FromPeer = GatherReply | GatherDeclined | RelayReply | Pong
 
 _encoder = msgspec.msgpack.Encoder()
 _to_peer_decoder: msgspec.msgpack.Decoder[ToPeer] = msgspec.msgpack.Decoder(
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -19,10 +19,12 @@
     GatherRequest,
     Ping,
     Pong,
+    RelayRequest,
     ToPeer,
     decode_to_peer,
     encode,
 )
+from oriolestage.entry._relay_serving import RelayServer
 from oriolestage.entry._shard_gathering import (
     ReplyWriter,
     ShardResult,
@@ -79,10 +81,16 @@
         self._cluster_state = cluster_state
         self._placement = placement
         self._sender = sender
+        self._relays = RelayServer(cluster_state, placement, sender)
         self._attempt_numbers = itertools.count(FIRST_ATTEMPT_NUMBER)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
+    @property
+    def relays_in_flight(self) -> int:
+        """Number of requests of other hosts to single services."""
+        return self._relays.in_flight
+
     async def start(self, listener: socket.socket) -> None:
         """Accept streams of other hosts on a listening socket."""
         self._server = await asyncio.start_server(
@@ -143,6 +151,10 @@
                 task = asyncio.create_task(self._serve_batch(message, frames))
                 running[number] = task
                 task.add_done_callback(lambda _: running.pop(number, None))
+            case RelayRequest(number=number):
+                task = asyncio.create_task(self._relays.serve(message, frames))
+                running[number] = task
+                task.add_done_callback(lambda _: running.pop(number, None))
             case Ping():
                 frames.write(encode(self._make_pong()))
             case GatherCancel(number=number):
--- a/oriolestage/entry/_request_log.py
+++ b/oriolestage/entry/_request_log.py
@@ -102,7 +102,7 @@
         sent_at: float,
     ) -> None:
         """Record the outcome of an attempt; log it unless it succeeded."""
-        self._metrics.record_attempt(outcome, hedge=action.hedge)
+        self._metrics.record_attempt(outcome, action)
         failure_step = _failure_step(outcome)
         if not failure_step:
             return
@@ -116,6 +116,7 @@
                 'target': record.identity,
                 'service': record.service,
                 'hedge': action.hedge,
+                'relay': '' if action.relay is None else action.relay.name,
                 'after_ms': (time.monotonic() - sent_at) * MS_PER_S,
             },
         )
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -14,7 +14,7 @@
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._crash_tracking import AttemptSender
 from oriolestage.entry._peer_client import PeerClient
-from oriolestage.entry._peer_messages import GatherRequest
+from oriolestage.entry._peer_messages import GatherRequest, RelayRequest
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._run_driver import RunDriver
 from oriolestage.entry._target_client import TargetCall
@@ -27,6 +27,7 @@
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._crash_detector import CrashDetector
 from oriolestage.routing._delivery_margin import DeliveryMargin
+from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._request_run import RequestRun
@@ -218,6 +219,8 @@
     ) -> AttemptOutcome:
         record = action.target.record
         sent_at = time.monotonic()
+        if action.relay is not None:
+            return await self._send_relayed(request, rule, action, action.relay)
         outcome = await self._sender.send(
             TargetCall(
                 request_id=request.metadata.request_id,
@@ -237,6 +240,35 @@
         self._log.record_attempt(request, action, outcome, sent_at)
         return outcome
 
+    async def _send_relayed(
+        self,
+        request: CallerRequest,
+        rule: RouteRule,
+        action: SendAttempt,
+        relay: HostRecord,
+    ) -> AttemptOutcome:
+        sent_at = time.monotonic()
+        outcome = await self._peer_client.relay(
+            relay.peer_address,
+            RelayRequest(
+                number=0,
+                request_id=request.metadata.request_id,
+                route=rule.name,
+                service=action.target.record.service,
+                method=request.method,
+                path=request.path,
+                headers=request.headers,
+                body=request.body,
+                regions=tuple(rule.regions),
+                repeatable=rule.repeatable,
+                time_left_s=max(
+                    MIN_ATTEMPT_TIMEOUT_S, action.deadline - sent_at
+                ),
+            ),
+        )
+        self._log.record_attempt(request, action, outcome, sent_at)
+        return outcome
+
     async def _send_batch(
         self,
         request: CallerRequest,
--- /dev/null
+++ b/oriolestage/entry/tests/test_relay.py
@@ -0,0 +1,177 @@
+"""Tests of requests that one host sends to targets for another."""
+
+import asyncio
+import socket
+import unittest
+from collections.abc import Callable
+
+from multidict import istr
+
+from oriolestage.entry._peer_client import PeerClient
+from oriolestage.entry._peer_messages import RelayRequest
+from oriolestage.entry._peer_server import PeerServer
+from oriolestage.entry._target_client import TargetCall
+from oriolestage.routing._answers import (
+    AttemptAnswered,
+    AttemptLost,
+    AttemptNotRun,
+    AttemptOutcome,
+    NotRunReason,
+    TargetAnswer,
+)
+from oriolestage.routing._cluster_state import ClusterState
+from oriolestage.routing._peers import PeerDirectory
+from oriolestage.routing._placement import Placement
+from oriolestage.routing._state_changes import Freshness
+from oriolestage.routing.tests.builders import (
+    make_crash_detector,
+    make_placement,
+    make_record,
+)
+from oriolestage.routing.tests.test_cut_off_host import make_cut_off_placement
+
+#: Header names as the parser of the target connections returns them.
+ANSWER = TargetAnswer(
+    404, ((istr('Server-Stamp'), 's'), (istr('X-Own'), '1')), b'body', 's'
+)
+#: Time within which a host must reply, in seconds.
+REPLY_TIMEOUT_S = 5.0
+
+
+class OneTarget:
+    """Ends every attempt in the same way."""
+
+    def __init__(self, end: Callable[[], AttemptOutcome]) -> None:
+        """Create a target whose attempts end with the result of ``end``."""
+        self._end = end
+        self.calls: list[TargetCall] = []
+        self.started = asyncio.Event()
+        self.cancelled = asyncio.Event()
+        self.hangs = False
+
+    async def send(self, call: TargetCall) -> AttemptOutcome:
+        """End an attempt."""
+        self.calls.append(call)
+        self.started.set()
+        if self.hangs:
+            try:
+                await asyncio.Event().wait()
+            finally:
+                self.cancelled.set()
+        return self._end()
+
+
+def _crash() -> AttemptOutcome:
+    raise RuntimeError('bug')
+
+
+def _request(*, repeatable: bool = False) -> RelayRequest:
+    return RelayRequest(
+        number=0,
+        request_id='a',
+        route='r',
+        service='shard-0',
+        method='POST',
+        path='/x?y=1',
+        headers=(('Host', 'h'),),
+        body=b'asked',
+        regions=(),
+        repeatable=repeatable,
+        time_left_s=2.0,
+    )
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    """A host makes one attempt for another and returns its outcome."""
+
+    async def _start(self, target: OneTarget, placement: Placement) -> None:
+        cluster_state = ClusterState(
+            placement.directory,
+            placement,
+            PeerDirectory(placement.location),
+            make_crash_detector(),
+        )
+        self._server = PeerServer(
+            cluster_state,
+            placement,
+            target,
+            lambda: Freshness(revision=7, age_s=0.5),
+        )
+        listener = socket.create_server(('127.0.0.1', 0))
+        listener.setblocking(False)
+        await self._server.start(listener)
+        self._address = f'127.0.0.1:{listener.getsockname()[1]}'
+        self._client = PeerClient()
+        self.addCleanup(self._server.close)
+        self.addCleanup(self._client.close)
+
+    async def _relay(self) -> AttemptOutcome:
+        async with asyncio.timeout(REPLY_TIMEOUT_S):
+            return await self._client.relay(self._address, _request())
+
+    async def _relay_to(
+        self, end: Callable[[], AttemptOutcome]
+    ) -> tuple[AttemptOutcome, OneTarget]:
+        target = OneTarget(end)
+        await self._start(target, make_placement(records=(make_record(),))[0])
+        return await self._relay(), target
+
+    async def test_answer_is_unchanged(self) -> None:
+        """Status, headers, body and signature of an answer are returned."""
+        outcome, target = await self._relay_to(lambda: AttemptAnswered(ANSWER))
+        self.assertEqual(outcome, AttemptAnswered(ANSWER))
+        call = target.calls[0]
+        self.assertEqual(len(target.calls), 1)
+        self.assertEqual((call.method, call.path), ('POST', '/x?y=1'))
+        self.assertEqual(call.body, b'asked')
+        self.assertFalse(call.repeatable)
+
+    async def test_not_run(self) -> None:
+        """A request that a target rejects has not run."""
+        shed = AttemptNotRun(NotRunReason.SHED)
+        outcome, _ = await self._relay_to(lambda: shed)
+        self.assertEqual(outcome, shed)
+
+    async def test_lost(self) -> None:
+        """A request that a target may have run is not reported as not run."""
+        lost = AttemptLost('target.reset')
+        outcome, target = await self._relay_to(lambda: lost)
+        self.assertEqual(outcome, lost)
+        self.assertEqual(len(target.calls), 1)
+
+    async def test_bug_at_the_other_host(self) -> None:
+        """A failed task is reported; the caller does not wait for it."""
+        outcome, _ = await self._relay_to(_crash)
+        self.assertIsInstance(outcome, AttemptLost)
+
+    async def test_other_host_is_cut_off(self) -> None:
+        """A host without a path sends nothing, and says so."""
+        target = OneTarget(lambda: AttemptAnswered(ANSWER))
+        await self._start(target, make_cut_off_placement())
+        self.assertEqual(
+            await self._relay(), AttemptNotRun(NotRunReason.NOT_REACHED)
+        )
+        self.assertFalse(target.calls)
+
+    async def test_caller_leaves(self) -> None:
+        """A cancelled request is cancelled at the target."""
+        target = OneTarget(lambda: AttemptAnswered(ANSWER))
+        target.hangs = True
+        await self._start(target, make_placement(records=(make_record(),))[0])
+        relaying = asyncio.create_task(self._relay())
+        async with asyncio.timeout(REPLY_TIMEOUT_S):
+            await target.started.wait()
+            self.assertEqual(self._server.relays_in_flight, 1)
+            relaying.cancel()
+            await target.cancelled.wait()
+
+    async def test_stream_is_lost(self) -> None:
+        """A request may have run if the stream ends before the reply."""
+        target = OneTarget(lambda: AttemptAnswered(ANSWER))
+        target.hangs = True
+        await self._start(target, make_placement(records=(make_record(),))[0])
+        relaying = asyncio.create_task(self._relay())
+        async with asyncio.timeout(REPLY_TIMEOUT_S):
+            await target.started.wait()
+            self._server.close()
+            self.assertIsInstance(await relaying, AttemptLost)
--- a/oriolestage/routing/_answers.py
+++ b/oriolestage/routing/_answers.py
@@ -4,6 +4,9 @@
 import enum
 from http import HTTPStatus
 
+#: Lowest HTTP status that counts as a failure of the target.
+FIRST_SERVER_ERROR = 500
+
 
 class NotRunReason(enum.Enum):
     """Why a target certainly did not run an attempt."""
--- a/oriolestage/routing/_attempt_policy.py
+++ b/oriolestage/routing/_attempt_policy.py
@@ -26,6 +26,7 @@
 )
 from oriolestage.routing._progress import Progress
 from oriolestage.routing._stragglers import StragglerDetector
+from oriolestage.routing._target_choice import TargetChooser
 
 #: Share of the latency objective for which a part may wait for a free target.
 CAPACITY_WAIT_SHARE = 0.25
@@ -38,6 +39,7 @@
         self,
         progress: Progress,
         placement: Placement,
+        chooser: TargetChooser,
         dispatch: AttemptDispatcher,
         stragglers: StragglerDetector,
         due: DueParts,
@@ -52,6 +54,7 @@
         self._progress = progress
         self._rule = progress.rule
         self._placement = placement
+        self._chooser = chooser
         self._dispatch = dispatch
         self._stragglers = stragglers
         self._due = due
@@ -133,9 +136,7 @@
         attempt.hedge_considered = True
         if part.may_have_run + 1 >= self._rule.max_attempts:
             return
-        placed = self._placement.choose(
-            part.request.requirements, part.tried, now
-        )
+        placed = self._chooser.choose(part, part.tried, now)
         if not isinstance(placed, ChosenTarget):
             self.unhedged['no_target'] += 1
             return
@@ -150,11 +151,9 @@
 
     def _choose(self, part: Part, now: float) -> PlacementResult:
         """Choose an untried target, or any target if none is free."""
-        placed = self._placement.choose(
-            part.request.requirements, part.tried, now
-        )
+        placed = self._chooser.choose(part, part.tried, now)
         if part.tried and not isinstance(placed, ChosenTarget):
-            return self._placement.choose(part.request.requirements, (), now)
+            return self._chooser.choose(part, (), now)
         return placed
 
     def _spend_extra_attempt(self, part: Part, now: float) -> bool:
--- a/oriolestage/routing/_batch_planning.py
+++ b/oriolestage/routing/_batch_planning.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 
 from oriolestage.routing._facts import HostRecord
+from oriolestage.routing._parts import Part
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._placement_types import (
@@ -17,6 +18,7 @@
     PlacementResult,
     TargetRequirements,
 )
+from oriolestage.routing._target_choice import TargetChooser
 
 #: Minimum number of shards in a batch; fewer are sent directly.
 MIN_BATCH_SHARDS = 2
@@ -60,16 +62,15 @@
 
 
 def plan_batches(
-    part_requirements: tuple[TargetRequirements, ...],
+    parts: tuple[Part, ...],
+    chooser: TargetChooser,
     placement: Placement,
     peers: PeerDirectory,
     now: float,
 ) -> FirstPlan:
-    """Return the batches; parts in none of them are sent directly."""
-    choices = [
-        placement.choose(requirements, (), now)
-        for requirements in part_requirements
-    ]
+    """Return the batches; parts in none of them are sent one by one."""
+    part_requirements = tuple(part.request.requirements for part in parts)
+    choices = [chooser.choose(part, (), now) for part in parts]
     candidate_regions = _remote_parts(
         part_requirements, choices, placement, now
     )
@@ -108,7 +109,7 @@
     own_region = placement.location.region
     found: dict[int, set[str]] = {}
     for position, best in enumerate(choices):
-        if not isinstance(best, ChosenTarget):
+        if not isinstance(best, ChosenTarget) or best.relayed:
             continue
         if (
             placement.location.region_of(best.target.record.data_centre)
--- a/oriolestage/routing/_dispatch.py
+++ b/oriolestage/routing/_dispatch.py
@@ -10,6 +10,7 @@
 
 from oriolestage.routing._answers import TargetAnswer
 from oriolestage.routing._batch_planning import Batch, plan_batches
+from oriolestage.routing._delays import PRIOR_OTHER_REGION_S
 from oriolestage.routing._due_parts import DueParts
 from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._merge import GatheredRecords
@@ -27,6 +28,7 @@
     SendBatch,
 )
 from oriolestage.routing._stragglers import StragglerDetector
+from oriolestage.routing._target_choice import TargetChooser
 
 #: Processing time allowed for another host on a batch, in seconds. The host
 #: replies without the shards that are late, so only a host that is down or
@@ -57,6 +59,7 @@
         parts: tuple[Part, ...],
         placement: Placement,
         peers: PeerDirectory,
+        chooser: TargetChooser,
         stragglers: StragglerDetector,
         records: GatheredRecords,
         due: DueParts,
@@ -74,6 +77,8 @@
         self._parts = parts
         self._placement = placement
         self._peers = peers
+        self._chooser = chooser
+        self._gathers = isinstance(rule.destination, ShardGroup)
         self._stragglers = stragglers
         self._records = records
         self._due = due
@@ -132,8 +137,7 @@
         They are merged only when the result is built if a merged batch that
         may contain the part is outstanding: its reply replaces them.
         """
-        gathers = isinstance(self._rule.destination, ShardGroup)
-        if gathers and not self._awaits_merged(part):
+        if self._gathers and not self._awaits_merged(part):
             self._records.add(answer.body)
             answer = dataclasses.replace(answer, body=b'')
         part.record_answer(answer)
@@ -156,13 +160,10 @@
         Record the batched attempts as in flight. Return the batches and the
         choice for each part, which is empty if the request is not a query.
         """
-        if not isinstance(self._rule.destination, ShardGroup):
+        if not self._gathers:
             return [], ()
-        part_requirements = tuple(
-            part.request.requirements for part in self._parts
-        )
         plan = plan_batches(
-            part_requirements, self._placement, self._peers, now
+            self._parts, self._chooser, self._placement, self._peers, now
         )
         actions: list[Action] = [
             self._send_batch(batch, now, merged=True) for batch in plan.batches
@@ -180,13 +181,13 @@
         remote: dict[tuple[HostRecord, str], list[int]] = {}
         for queued in self._queued:
             region = self._remote_region(queued.placed)
-            service = self._parts[queued.position].service
-            peer = None
-            if region:
-                peer = self._peers.choose(region, (service,), now)
+            peer = self._choose_peer(queued, region, now)
             if peer is None:
                 actions.append(self._send_direct(queued, now))
                 continue
+            if not self._gathers:
+                actions.append(self._send_relayed(queued, peer, now))
+                continue
             remote.setdefault((peer, region), []).append(queued.position)
         self._queued.clear()
         for (peer, region), positions in remote.items():
@@ -198,11 +199,14 @@
         """Cancel the direct attempts of a part that are in flight."""
         actions: list[Action] = []
         for attempt, sent in tuple(part.in_flight.items()):
-            if sent.target is None:
+            if sent.target is None and not sent.relay:
                 continue
             part.remove_attempt(attempt)
             self._part_by_attempt.pop(attempt, None)
             actions.append(CancelAttempt(attempt))
+            if sent.target is None:
+                self._peers.record_ended(sent.relay)
+                continue
             if sent.sent_at == UNSENT:
                 self._placement.record_withdrawn(sent.target, attempt, now)
                 continue
@@ -226,6 +230,8 @@
                     self._placement.record_withdrawn(
                         attempt.target, number, now
                     )
+                elif attempt.relay:
+                    self._peers.record_ended(attempt.relay)
         for batch in self._batches.values():
             self._peers.record_ended(batch.peer.name)
         self._batches.clear()
@@ -264,14 +270,38 @@
     def _remote_region(self, placed: ChosenTarget) -> str:
         """Return the region of a shard's target if it is not this host's.
 
-        Return an empty string for a target in this region and for requests
-        to a single service, which are always sent directly.
+        Return an empty string for a target that is reached in this region,
+        and for one of a single service, to which attempts are sent directly.
         """
-        if not isinstance(self._rule.destination, ShardGroup):
+        region = self._placement.region_of(placed.target)
+        if placed.relayed:
+            return region
+        if not self._gathers or region == self._placement.location.region:
             return ''
-        location = self._placement.location
-        region = location.region_of(placed.target.record.data_centre)
-        return '' if region == location.region else region
+        return region
+
+    def _choose_peer(
+        self, queued: _QueuedAttempt, region: str, now: float
+    ) -> HostRecord | None:
+        """Return the host that sends an attempt, None for this one."""
+        part = self._parts[queued.position]
+        if not region:
+            return None
+        if not queued.placed.relayed:
+            return self._peers.choose(region, (part.service,), now)
+        part.relay_count += 1
+        return self._peers.choose_relay(
+            region, part.request.requirements, now, gathers=self._gathers
+        )
+
+    def _round_trip_s(self, peer: HostRecord, region: str) -> float:
+        """Return the round trip to a region through a host, in seconds."""
+        observations = self._placement.observations
+        peer_region = self._placement.location.region_of(peer.data_centre)
+        round_trip_s = observations.round_trip_to_region_s(peer_region)
+        if peer_region != region:
+            round_trip_s += PRIOR_OTHER_REGION_S
+        return round_trip_s
 
     def _send_batch(
         self,
@@ -281,9 +311,7 @@
         merged: bool,
     ) -> SendBatch:
         number = self._next_attempt()
-        round_trip_s = self._placement.observations.round_trip_to_region_s(
-            batch.region
-        )
+        round_trip_s = self._round_trip_s(batch.peer, batch.region)
         batch.sent_at = now
         batch.round_trip_s = round_trip_s
         batch.awaits_merged = merged
@@ -347,5 +375,31 @@
             hedge=queued.hedge,
         )
 
+    def _send_relayed(
+        self, queued: _QueuedAttempt, peer: HostRecord, now: float
+    ) -> SendAttempt:
+        """Return an attempt at a single service through another host."""
+        part = self._parts[queued.position]
+        target = queued.placed.target
+        attempt = self._next_attempt()
+        region = self._placement.region_of(target)
+        round_trip_s = self._round_trip_s(peer, region) + PEER_MARGIN_S
+        part.add_attempt(
+            attempt, Attempt(now, round_trip_s, None, relay=peer.name)
+        )
+        self._due.add(part)
+        part.delivered_count += 1
+        part.trace.append(self._log_entry(f'{peer.name}', now))
+        self.sent_count += 1
+        self._part_by_attempt[attempt] = part
+        self._peers.record_sent(peer.name)
+        return SendAttempt(
+            attempt=attempt,
+            target=target,
+            deadline=self._times.deadline,
+            hedge=queued.hedge,
+            relay=peer,
+        )
+
     def _log_entry(self, destination: str, now: float) -> str:
         return f'{destination}+{(now - self._times.started) * MS_PER_S:.0f}'
--- a/oriolestage/routing/_parts.py
+++ b/oriolestage/routing/_parts.py
@@ -30,6 +30,8 @@
     target: KnownTarget | None
     #: Number of the batch that contains it; 0 if it was sent directly.
     batch: int = 0
+    #: Name of the host that sends it to a single service; empty if none.
+    relay: str = ''
     #: True once another host has reported the shard as late.
     late: bool = False
     #: True once the attempt was considered for a hedge, sent or not.
@@ -95,6 +97,9 @@
     may_have_run: int = 0
     #: Number of attempts that targets shed.
     shed_count: int = 0
+    #: Number of attempts sent through other hosts because this host does not
+    #: reach the target.
+    relay_count: int = 0
     #: Monotonic time at which a part without a free target is placed again.
     next_placement_at: float = float('inf')
     #: Monotonic time since which no target is free for its first attempt.
--- a/oriolestage/routing/_peers.py
+++ b/oriolestage/routing/_peers.py
@@ -1,4 +1,4 @@
-"""Chooses the entry hosts of other regions that gather shards for this one.
+"""Chooses the entry hosts that gather shards or send attempts for this one.
 
 About a third of a query's shards come from another region. One batch request
 to a host there replaces a round trip between regions for each shard.
@@ -16,7 +16,10 @@
 
 from oriolestage._rendezvous import rendezvous_rank
 from oriolestage.routing._facts import HostRecord
-from oriolestage.routing._placement_types import HostLocation
+from oriolestage.routing._placement_types import (
+    HostLocation,
+    TargetRequirements,
+)
 from oriolestage.routing._state_changes import Freshness
 
 #: Weight of the newest reply in the moving average of a host's overhead.
@@ -110,8 +113,10 @@
         """Expected delay of one more request beyond round trip and work."""
         return self.overhead_s + self.outstanding * OUTSTANDING_COST_S
 
-    def reaches(self, services: Iterable[str], now: float) -> bool:
-        """Return whether it is not known to lack a path to any service."""
+    def can_serve(self, services: Iterable[str], now: float) -> bool:
+        """Return whether it may be asked for the shards of some services."""
+        if self.state != PeerState.HEARD:
+            return False
         if not self.unreachable_until:
             return True
         return all(
@@ -127,7 +132,7 @@
         """Start without other hosts."""
         self._location = location
         self._peers: dict[str, _Peer] = {}
-        #: Peers of each other region in the order of preference.
+        #: Peers of each region in the order of preference.
         self._ranked: dict[str, list[_Peer]] = {}
 
     def replace_hosts(self, records: Iterable[HostRecord]) -> None:
@@ -145,34 +150,83 @@
         self._ranked = {}
         for name in rendezvous_rank(self._location.name, kept):
             peer = kept[name]
-            if peer.region != self._location.region:
-                self._ranked.setdefault(peer.region, []).append(peer)
+            self._ranked.setdefault(peer.region, []).append(peer)
 
     def remote_addresses(self) -> set[str]:
         """Return the addresses of other regions' hosts to keep streams to."""
         return {
             peer.record.peer_address
             for region in self._ranked
+            if region != self._location.region
             for peer in self._connected(region)
         }
 
+    def own_region_addresses(self) -> set[str]:
+        """Return the addresses of hosts in this region to keep streams to.
+
+        They send attempts to targets that this host does not reach.
+        """
+        return {
+            peer.record.peer_address
+            for peer in self._connected(self._location.region)
+        }
+
+    def choose_relay(
+        self,
+        target_region: str,
+        requirements: TargetRequirements,
+        now: float,
+        *,
+        gathers: bool,
+    ) -> HostRecord | None:
+        """Return the host that sends attempts this host cannot send.
+
+        Attempts at shards are sent in batches. Others (``gathers`` is False)
+        need a host that has told whether it reaches targets; older ones know
+        batches only.
+
+        Hosts in the region of the target come first, then those of this
+        region. The request is given to no host outside of the regions that
+        may serve it, except in this one. None if no host is left.
+        """
+        order = (target_region, self._location.region, *self._ranked)
+        for region in dict.fromkeys(order):
+            allowed = not requirements.regions or (
+                region in requirements.regions
+                or region == self._location.region
+            )
+            if not allowed:
+                continue
+            chosen = self.choose(
+                region,
+                (requirements.service,),
+                now,
+                told_only=not gathers,
+            )
+            if chosen is not None:
+                return chosen
+        return None
+
     def choose(
         self,
         region: str,
         services: Iterable[str] = (),
         now: float = 0,
+        *,
+        told_only: bool = False,
     ) -> HostRecord | None:
         """Return the host of a region with the least expected overhead.
 
         Hosts that are silent, behind or cut off are skipped, and those that
-        lately did not reach the targets of one of ``services``. None if no
-        host is left.
+        lately did not reach the targets of one of ``services``. With
+        ``told_only``, so are hosts that have not told that they reach
+        targets. None if no host is left.
         """
         best: _Peer | None = None
         for peer in self._connected(region):
-            if peer.state != PeerState.HEARD:
+            if told_only and peer.cut_off is None:
                 continue
-            if not peer.reaches(services, now):
+            if not peer.can_serve(services, now):
                 continue
             if best is None or peer.cost_s < best.cost_s:
                 best = peer
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -29,6 +29,9 @@
 #: Shortest time for which no attempt is sent to targets for which another
 #: host had no capacity, in seconds: a round trip between regions.
 MIN_DECLINED_S = 0.05
+#: Delay that sending through another host adds, in seconds: a round trip to a
+#: host of the target's region and its work.
+RELAY_COST_S = 0.005
 
 
 class Placement:
@@ -125,6 +128,36 @@
             for target in targets
         )
 
+    def region_of(self, target: KnownTarget) -> str:
+        """Return the region of a target."""
+        return self.location.region_of(target.record.data_centre)
+
+    def choose_unreached(
+        self,
+        requirements: TargetRequirements,
+        excluded: Collection[str],
+        now: float,
+    ) -> ChosenTarget | None:
+        """Choose among the targets that are not reached from here.
+
+        These are the targets in back-off, or all while the host reaches none.
+        The limits of a target are left to the host that sends the attempt.
+        """
+        best: ChosenTarget | None = None
+        cut_off = self.observations.reach.cut_off
+        for target in self._candidates(requirements, excluded):
+            load = self.observations.load_of(target)
+            if now < load.full_until:
+                continue
+            if not cut_off and not load.in_backoff(now):
+                continue
+            expected_s = RELAY_COST_S + self.observations.expected_s(
+                target, requirements.route, now
+            )
+            if best is None or expected_s < best.expected_s:
+                best = ChosenTarget(target, expected_s, relayed=True)
+        return best
+
     def targets_in_region(self, service: str, region: str) -> list[KnownTarget]:
         """Return the usable targets of a service in one region."""
         return [
--- a/oriolestage/routing/_placement_types.py
+++ b/oriolestage/routing/_placement_types.py
@@ -48,6 +48,9 @@
     target: KnownTarget
     #: Expected delay of the answer, in seconds.
     expected_s: float
+    #: True if another host has to send it, since this host does not reach
+    #: the target.
+    relayed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from oriolestage.routing._answers import (
+    FIRST_SERVER_ERROR,
     AttemptAnswered,
     AttemptLost,
     AttemptNotRun,
@@ -38,11 +39,9 @@
     RunTimes,
 )
 from oriolestage.routing._stragglers import StragglerDetector
+from oriolestage.routing._target_choice import TargetChooser
 from oriolestage.routing._targets import KnownTarget
 
-#: Lowest HTTP status that counts as a failure of the target.
-FIRST_SERVER_ERROR = 500
-
 
 class RequestRun:
     """Decides which attempts one request makes and when it ends."""
@@ -63,6 +62,7 @@
         self._rule = rule
         self._times = times
         self._placement = placement
+        self._peers = peers
         tally = PartTally(len(parts))
         self._parts = tuple(
             Part(position, part, tally) for position, part in enumerate(parts)
@@ -79,12 +79,18 @@
             getattr(rule.destination, 'top_records', 0)
         )
         self._due = DueParts(self._stragglers, repeatable=rule.repeatable)
+        chooser = TargetChooser(
+            placement,
+            peers,
+            gathers=isinstance(rule.destination, ShardGroup),
+        )
         self._dispatch = AttemptDispatcher(
             rule=rule,
             times=times,
             parts=self._parts,
             placement=placement,
             peers=peers,
+            chooser=chooser,
             stragglers=self._stragglers,
             records=self._records,
             due=self._due,
@@ -93,6 +99,7 @@
         self._policy = AttemptPolicy(
             self._progress,
             placement,
+            chooser,
             self._dispatch,
             self._stragglers,
             self._due,
@@ -168,9 +175,10 @@
         part = self._dispatch.pop_part(attempt)
         if part is None or self._finished:
             return []
-        target = part.remove_attempt(attempt).target
+        ended = part.remove_attempt(attempt)
+        target = ended.target
         if target is None:
-            return []
+            return self._on_relayed(part, ended.relay, outcome, now)
         match outcome:
             case AttemptAnswered(answer=answer):
                 return self._on_answer(part, target, attempt, answer, now)
@@ -248,6 +256,11 @@
         else:
             worked_s = observations.record_answer(target, attempt, now)
             self._stragglers.record_answer(target, worked_s)
+        return self._take_answer(part, answer, now)
+
+    def _take_answer(
+        self, part: Part, answer: TargetAnswer, now: float
+    ) -> list[Action]:
         gathers = isinstance(self._rule.destination, ShardGroup)
         if answer.success or (
             answer.status < FIRST_SERVER_ERROR and not gathers
@@ -262,6 +275,34 @@
         self._policy.retry(part, now)
         return self._dispatch.flush(now) + self._check_end(now)
 
+    def _on_relayed(
+        self,
+        part: Part,
+        relay: str,
+        outcome: AttemptOutcome,
+        now: float,
+    ) -> list[Action]:
+        """Process the outcome of an attempt that another host sent.
+
+        It says nothing about the way from this host to the target.
+        """
+        self._peers.record_ended(relay)
+        match outcome:
+            case AttemptAnswered(answer=answer):
+                return self._take_answer(part, answer, now)
+            case AttemptNotRun(reason=NotRunReason.SHED):
+                part.shed_count += 1
+                part.reason = GiveUpReason.SHED
+            case AttemptNotRun():
+                self._peers.record_unreachable(relay, (part.service,), now)
+                part.delivered_count -= 1
+                part.reason = GiveUpReason.NO_ROOM
+            case AttemptLost():
+                part.may_have_run += 1
+                part.reason = GiveUpReason.LOST
+        self._policy.retry(part, now)
+        return self._dispatch.flush(now) + self._check_end(now)
+
     def _on_not_run(
         self,
         part: Part,
--- a/oriolestage/routing/_run_types.py
+++ b/oriolestage/routing/_run_types.py
@@ -45,6 +45,9 @@
     deadline: float
     #: True for a second attempt made because the first one is late.
     hedge: bool
+    #: The host that chooses a target and sends the attempt there; None if
+    #: this host sends it to ``target``.
+    relay: HostRecord | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
