Keep one stream to a host of the own region, more while hosts are cut off

Cause: streams within the region are used only while a host does not reach targets, and each idle one costs 0.65 KB/s of pings (calculated).

Change: one instead of three; while the host at its other end is silent or cut off, the next ones are added, up to six.

--- a/oriolestage/routing/_peers.py
+++ b/oriolestage/routing/_peers.py
@@ -39,6 +39,9 @@
 #: pinged, so their number must not grow with the number of hosts; rendezvous
 #: hashing distributes them over the hosts of a region.
 PEERS_PER_REGION = 3
+#: The same for this host's own region, whose hosts are used only while this
+#: host does not reach targets itself.
+PEERS_IN_OWN_REGION = 1
 #: Streams to one region while some of its hosts are silent or behind.
 MAX_PEERS_PER_REGION = 6
 #: A host is behind if it lacks a revision and its copy of the store is older
@@ -303,11 +306,14 @@
         For each one that is silent or behind, the next in order of preference
         is added, up to `MAX_PEERS_PER_REGION` in all.
         """
+        enough = PEERS_PER_REGION
+        if region == self._location.region:
+            enough = PEERS_IN_OWN_REGION
         heard = 0
         for peer in self._ranked.get(region, [])[:MAX_PEERS_PER_REGION]:
             yield peer
             heard += peer.state == PeerState.HEARD
-            if heard == PEERS_PER_REGION:
+            if heard == enough:
                 return
 
 
--- a/oriolestage/routing/tests/test_peers.py
+++ b/oriolestage/routing/tests/test_peers.py
@@ -59,6 +59,26 @@
             {'far-1:1', 'far-2:1'},
         )
 
+    def test_own_region(self) -> None:
+        """One stream is kept in the own region, more while hosts are cut off.
+
+        A host that does not reach targets needs another one that does.
+        """
+        self._peers.replace_hosts(
+            HostRecord(f'near-{number}', 'dc-a', f'near-{number}:1')
+            for number in range(8)
+        )
+        for expected in range(1, MAX_PEERS_PER_REGION + 1):
+            connected = self._peers.own_region_addresses()
+            self.assertEqual(len(connected), expected)
+            for address in connected:
+                link = LinkState(10, OWN_FRESHNESS, cut_off=True)
+                self._peers.record_link_state(address, link, OWN_FRESHNESS, 10)
+        self.assertEqual(
+            len(self._peers.own_region_addresses()), MAX_PEERS_PER_REGION
+        )
+        self.assertIsNone(self._peers.choose('region-a'))
+
     def test_streams_are_limited(self) -> None:
         """Silent hosts get a substitute, up to the limit of streams."""
         self._peers.replace_hosts(
