Do not wait for changes in the first call after a failed one

Cause: the host's watch was sent 0.2 s before the store came back from a silent outage and was lost. It ended at its timeout only, the 3 s that a watch waits and 2 s for the response; the host knew the configuration 6.15 s after its loss. Class: a call made in an outage has the timeout of one in normal operation.

Ruled out: lost history (the watch afterwards had all changes), a slow host (the other hosts knew after 0.1 s).

Change: while the store is lost, a watch asks for changes without waiting.

Evidence: test_first_call_after_failure_does_not_wait fails before (3.0 s) and passes.

--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -132,10 +132,10 @@
             self._set_revision(stored.revision)
             self._first_read.set()
             return
-        changes = await self._store.changes_after(
-            self._revision,
-            self._watch_wait_s,
-        )
+        # A call that is lost in an outage takes until its timeout, which
+        # includes the time that it may wait for changes.
+        wait_s = self._watch_wait_s if self._outage_since is None else 0
+        changes = await self._store.changes_after(self._revision, wait_s)
         self._record_success()
         now = time.monotonic()
         for fact in changes.facts:
--- a/oriolestage/entry/tests/test_store_follower.py
+++ b/oriolestage/entry/tests/test_store_follower.py
@@ -159,3 +159,21 @@
         await self._follow(store)
         self.assertIsNotNone(self._directory.find('t-1'))
         self.assertIsNone(self._directory.find('t-2'))
+
+    async def test_first_call_after_failure_does_not_wait(self) -> None:
+        """A call that the returning store never got ends soon.
+
+        A watch that was sent just before the return of the store was lost and
+        kept a host from a new configuration for its whole waiting time.
+        """
+        store = ScriptedStore(
+            StoreContents((_table(4),), 1),
+            StoreError('watch', 'store', 'timeout'),
+            StoreChanges((_table(8),), 2),
+        )
+        cluster_state = await self._follow(store)
+        usual_s, first_s, following_s = store.waits
+        self.assertEqual(first_s, 0)
+        self.assertEqual(following_s, usual_s)
+        assert cluster_state.table is not None
+        self.assertEqual(cluster_state.table.version, 8)
