Do not take a refused connection for a crash while no target responds

Callers: a request in flight when a host lost its links with resets was refused for 60 s at every host, as if it had crashed its targets.

Cause: a broken connection counts as a crash once the target refuses another one. A host that loses its links sees both, for all targets within milliseconds, and reports the requests to the other hosts through the store.

Change: a refused connection confirms a crash only if some target has responded to this host since the connection broke. A removed registration or a new process confirms as before.

Evidence: test_lost_links failed before (59.99 s left) and passes; test_crashed_targets holds that real crashes are still found.

--- a/oriolestage/entry/_crash_tracking.py
+++ b/oriolestage/entry/_crash_tracking.py
@@ -33,12 +33,19 @@
 
 
 class CrashTrackingSender:
-    """Sends attempts and reports their outcomes to the crash detector."""
+    """Sends attempts and reports their outcomes to the crash detector.
+
+    A target that refuses a connection counts as down if any target has
+    responded since its connection broke; otherwise the host itself may have
+    lost its links.
+    """
 
     def __init__(self, sender: AttemptSender, detector: CrashDetector) -> None:
         """Create a sender that wraps ``sender``."""
         self._sender = sender
         self._detector = detector
+        #: Monotonic time of the latest response of any target.
+        self._responded_at = float('-inf')
 
     async def send(self, call: TargetCall) -> AttemptOutcome:
         """Send an attempt, report its outcome and return it."""
@@ -46,13 +53,16 @@
         now = time.monotonic()
         match outcome:
             case AttemptAnswered():
+                self._responded_at = now
                 self._detector.record_answered(call.fingerprint)
             case AttemptLost(broken=True):
                 self._detector.record_connection_loss(
                     call.fingerprint, call.target, now
                 )
             case AttemptNotRun(reason=NotRunReason.NOT_REACHED):
-                self._detector.record_target_down(call.target, now)
+                self._detector.record_target_down(
+                    call.target, now, lost_before=self._responded_at
+                )
         return outcome
 
 
--- a/oriolestage/entry/tests/test_crash_tracking.py
+++ b/oriolestage/entry/tests/test_crash_tracking.py
@@ -18,16 +18,20 @@
 from oriolestage.entry._request_router import RequestRouter
 from oriolestage.entry._target_client import TargetCall
 from oriolestage.routing._answers import (
+    AttemptAnswered,
     AttemptLost,
+    AttemptNotRun,
     AttemptOutcome,
     Failed,
     GiveUpReason,
+    NotRunReason,
     Refused,
     RequestResult,
 )
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._crash_detector import (
     QUARANTINE_S,
+    CrashDetector,
     CrashReport,
     fingerprint_of,
 )
@@ -36,6 +40,7 @@
 from oriolestage.routing._retry_budget import BudgetBounds
 from oriolestage.routing._rules import CallerLimits, build_table
 from oriolestage.routing.tests.builders import (
+    make_answer,
     make_crash_detector,
     make_placement,
     make_record,
@@ -43,6 +48,13 @@
 )
 
 
+#: Fingerprints of the request whose connections break and of another one.
+FINGERPRINT = 1
+OTHER_FINGERPRINT = 2
+BROKEN = AttemptLost('target.ConnectionResetError', broken=True)
+NOT_REACHED = AttemptNotRun(NotRunReason.NOT_REACHED)
+
+
 class CrashingTargets:
     """Fails each attempt with a broken connection."""
 
@@ -56,6 +68,77 @@
         return AttemptLost('target.ClientOSError', broken=True)
 
 
+class ScriptedOutcomes:
+    """Ends attempts with given outcomes, in order."""
+
+    def __init__(self, outcomes: Sequence[AttemptOutcome]) -> None:
+        """Create a sender of attempts that end with ``outcomes``."""
+        self._outcomes = list(outcomes)
+
+    async def send(self, call: TargetCall) -> AttemptOutcome:
+        """Return the next outcome."""
+        return self._outcomes.pop(0)
+
+
+class RefusedConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """A refused connection shows a crash only if other targets are reached.
+
+    When a host loses its links, connections break and are refused at once;
+    the requests on them were taken for the cause and refused everywhere.
+    """
+
+    async def _end_attempts(
+        self, *ends: tuple[str, AttemptOutcome]
+    ) -> CrashDetector:
+        """Send one request's attempts to the named targets."""
+        detector = make_crash_detector()
+        sender = CrashTrackingSender(
+            ScriptedOutcomes([outcome for _, outcome in ends]), detector
+        )
+        for target, outcome in ends:
+            fingerprint = OTHER_FINGERPRINT
+            if isinstance(outcome, AttemptLost | AttemptNotRun):
+                fingerprint = FINGERPRINT
+            await sender.send(
+                TargetCall(
+                    request_id='a',
+                    method='GET',
+                    path='/x',
+                    headers=(),
+                    body=b'',
+                    repeatable=True,
+                    target=target,
+                    address='10.0.0.1:1',
+                    time_left_s=1,
+                    fingerprint=fingerprint,
+                )
+            )
+        return detector
+
+    async def test_lost_links(self) -> None:
+        """Requests in flight when the links are lost are not quarantined."""
+        detector = await self._end_attempts(
+            ('t-1', BROKEN),
+            ('t-2', BROKEN),
+            ('t-1', NOT_REACHED),
+            ('t-2', NOT_REACHED),
+        )
+        left_s = detector.quarantine_left_s(FINGERPRINT, time.monotonic())
+        self.assertEqual(left_s, 0)
+
+    async def test_crashed_targets(self) -> None:
+        """A request whose targets alone are down is quarantined."""
+        detector = await self._end_attempts(
+            ('t-1', BROKEN),
+            ('t-2', BROKEN),
+            ('t-3', AttemptAnswered(make_answer())),
+            ('t-1', NOT_REACHED),
+            ('t-2', NOT_REACHED),
+        )
+        left_s = detector.quarantine_left_s(FINGERPRINT, time.monotonic())
+        self.assertGreater(left_s, 0)
+
+
 class QuarantineTest(unittest.IsolatedAsyncioTestCase):
     """A request that crashed two targets is refused without an attempt."""
 
--- a/oriolestage/routing/_crash_detector.py
+++ b/oriolestage/routing/_crash_detector.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 from collections import deque
 from collections.abc import Callable
 
@@ -87,11 +88,16 @@
             _ConnectionLoss(CrashReport(fingerprint, target), now)
         )
 
-    def record_target_down(self, target: str, now: float) -> None:
+    def record_target_down(
+        self,
+        target: str,
+        now: float,
+        lost_before: float = math.inf,
+    ) -> None:
         """Record that a target is down or has restarted.
 
         This confirms a crash for each request whose connection to the target
-        broke in the last `CONFIRMATION_WINDOW_S`.
+        broke in the last `CONFIRMATION_WINDOW_S`, and before ``lost_before``.
         """
         while (
             self._losses
@@ -99,7 +105,7 @@
         ):
             self._losses.popleft()
         for loss in self._losses:
-            if loss.report.target == target:
+            if loss.report.target == target and loss.lost_at < lost_before:
                 self._confirm(loss.report, now)
 
     def record_report(self, report: CrashReport, now: float) -> None:
