Test messages between hosts of different versions

The fields that tell which targets a host reaches are optional and last. The tests hold that hosts without them are read and read the new messages; both pass without a change of code.

--- /dev/null
+++ b/oriolestage/entry/tests/test_peer_messages.py
@@ -0,0 +1,58 @@
+"""Tests of messages between hosts of different versions."""
+
+import unittest
+
+import msgspec
+
+from oriolestage.entry._peer_messages import (
+    GatherDeclined,
+    Pong,
+    decode_from_peer,
+    encode,
+)
+
+
+class OlderDeclined(
+    msgspec.Struct, frozen=True, array_like=True, tag='declined'
+):
+    """A decline of a host that does not tell which targets it reaches."""
+
+    number: int
+    retry_after_ms: dict[str, int]
+    final: bool
+    revision: int
+    age_ms: int
+
+
+class OlderPong(msgspec.Struct, frozen=True, array_like=True, tag='pong'):
+    """A pong of such a host."""
+
+    revision: int
+    age_ms: int
+
+
+class VersionsTest(unittest.TestCase):
+    """Hosts understand one another while they are replaced one by one."""
+
+    def test_messages_of_older_hosts(self) -> None:
+        """What an older host does not tell is not assumed."""
+        self.assertEqual(
+            decode_from_peer(msgspec.msgpack.encode(OlderPong(7, 5))),
+            Pong(7, 5, cut_off=None),
+        )
+        older = OlderDeclined(1, {'shard-0': 10}, True, 7, 5)
+        self.assertEqual(
+            decode_from_peer(msgspec.msgpack.encode(older)),
+            GatherDeclined(1, {'shard-0': 10}, True, 7, 5, unreachable=()),
+        )
+
+    def test_messages_to_older_hosts(self) -> None:
+        """An older host ignores the fields that it does not know."""
+        older = msgspec.msgpack.Decoder(OlderPong | OlderDeclined)
+        self.assertEqual(
+            older.decode(encode(Pong(7, 5, cut_off=True))), OlderPong(7, 5)
+        )
+        declined = GatherDeclined(1, {}, True, 7, 5, unreachable=('shard-0',))
+        self.assertEqual(
+            older.decode(encode(declined)), OlderDeclined(1, {}, True, 7, 5)
+        )
