--- a/oriolestage/entry/tests/test_crash_tracking.py
+++ b/oriolestage/entry/tests/test_crash_tracking.py
@@ -47,7 +47,6 @@
     make_rule,
 )
 
-
 #: Fingerprints of the request whose connections break and of another one.
 FINGERPRINT = 1
 OTHER_FINGERPRINT = 2
--- a/oriolestage/routing/_dispatch.py
+++ b/oriolestage/routing/_dispatch.py
@@ -10,9 +10,9 @@
 
 from oriolestage.routing._answers import TargetAnswer
 from oriolestage.routing._batch_planning import Batch, plan_batches
-from oriolestage.routing._delays import PRIOR_OTHER_REGION_S
 from oriolestage.routing._due_parts import DueParts
 from oriolestage.routing._facts import HostRecord
+from oriolestage.routing._host_choice import HostChooser
 from oriolestage.routing._merge import GatheredRecords
 from oriolestage.routing._parts import Attempt, Part
 from oriolestage.routing._peers import PeerDirectory
@@ -79,6 +79,7 @@
         self._peers = peers
         self._chooser = chooser
         self._gathers = isinstance(rule.destination, ShardGroup)
+        self._hosts = HostChooser(placement, peers, gathers=self._gathers)
         self._stragglers = stragglers
         self._records = records
         self._due = due
@@ -180,14 +181,16 @@
         actions: list[Action] = []
         remote: dict[tuple[HostRecord, str], list[int]] = {}
         for queued in self._queued:
-            region = self._remote_region(queued.placed)
-            peer = self._choose_peer(queued, region, now)
+            part = self._parts[queued.position]
+            part.relay_count += queued.placed.relayed
+            peer = self._hosts.choose(part, queued.placed, now)
             if peer is None:
                 actions.append(self._send_direct(queued, now))
                 continue
             if not self._gathers:
                 actions.append(self._send_relayed(queued, peer, now))
                 continue
+            region = self._hosts.remote_region(queued.placed)
             remote.setdefault((peer, region), []).append(queued.position)
         self._queued.clear()
         for (peer, region), positions in remote.items():
@@ -267,42 +270,6 @@
                 return True
         return False
 
-    def _remote_region(self, placed: ChosenTarget) -> str:
-        """Return the region of a shard's target if it is not this host's.
-
-        Return an empty string for a target that is reached in this region,
-        and for one of a single service, to which attempts are sent directly.
-        """
-        region = self._placement.region_of(placed.target)
-        if placed.relayed:
-            return region
-        if not self._gathers or region == self._placement.location.region:
-            return ''
-        return region
-
-    def _choose_peer(
-        self, queued: _QueuedAttempt, region: str, now: float
-    ) -> HostRecord | None:
-        """Return the host that sends an attempt, None for this one."""
-        part = self._parts[queued.position]
-        if not region:
-            return None
-        if not queued.placed.relayed:
-            return self._peers.choose(region, (part.service,), now)
-        part.relay_count += 1
-        return self._peers.choose_relay(
-            region, part.request.requirements, now, gathers=self._gathers
-        )
-
-    def _round_trip_s(self, peer: HostRecord, region: str) -> float:
-        """Return the round trip to a region through a host, in seconds."""
-        observations = self._placement.observations
-        peer_region = self._placement.location.region_of(peer.data_centre)
-        round_trip_s = observations.round_trip_to_region_s(peer_region)
-        if peer_region != region:
-            round_trip_s += PRIOR_OTHER_REGION_S
-        return round_trip_s
-
     def _send_batch(
         self,
         batch: Batch,
@@ -311,7 +278,7 @@
         merged: bool,
     ) -> SendBatch:
         number = self._next_attempt()
-        round_trip_s = self._round_trip_s(batch.peer, batch.region)
+        round_trip_s = self._hosts.round_trip_s(batch.peer, batch.region)
         batch.sent_at = now
         batch.round_trip_s = round_trip_s
         batch.awaits_merged = merged
@@ -383,13 +350,13 @@
         target = queued.placed.target
         attempt = self._next_attempt()
         region = self._placement.region_of(target)
-        round_trip_s = self._round_trip_s(peer, region) + PEER_MARGIN_S
+        round_trip_s = self._hosts.round_trip_s(peer, region) + PEER_MARGIN_S
         part.add_attempt(
             attempt, Attempt(now, round_trip_s, None, relay=peer.name)
         )
         self._due.add(part)
         part.delivered_count += 1
-        part.trace.append(self._log_entry(f'{peer.name}', now))
+        part.trace.append(self._log_entry(peer.name, now))
         self.sent_count += 1
         self._part_by_attempt[attempt] = part
         self._peers.record_sent(peer.name)
