Start the peer server of tests in one place

Three tests of streams between hosts started it in the same way. The relayed answer of a test uses a header of no platform.

--- a/oriolestage/entry/tests/peer_requests.py
+++ b/oriolestage/entry/tests/peer_requests.py
@@ -1,6 +1,15 @@
-"""Builders of messages between hosts."""
+"""Builders of messages between hosts and of the server that gets them."""
 
+import socket
+
+from oriolestage.entry._crash_tracking import AttemptSender
 from oriolestage.entry._peer_messages import GatherRequest
+from oriolestage.entry._peer_server import PeerServer
+from oriolestage.routing._cluster_state import ClusterState
+from oriolestage.routing._peers import PeerDirectory
+from oriolestage.routing._placement import Placement
+from oriolestage.routing._state_changes import Freshness
+from oriolestage.routing.tests.builders import make_crash_detector
 
 SERVICES = tuple(f'shard-{number}' for number in range(4))
 
@@ -26,3 +35,25 @@
         **changes,
     }
     return GatherRequest(**fields)  # type: ignore[arg-type]
+
+
+async def start_peer_server(
+    placement: Placement, sender: AttemptSender
+) -> tuple[PeerServer, str]:
+    """Start a server on loopback; return it and its address."""
+    cluster_state = ClusterState(
+        placement.directory,
+        placement,
+        PeerDirectory(placement.location),
+        make_crash_detector(),
+    )
+    server = PeerServer(
+        cluster_state,
+        placement,
+        sender,
+        lambda: Freshness(revision=7, age_s=0.5),
+    )
+    listener = socket.create_server(('127.0.0.1', 0))
+    listener.setblocking(False)
+    await server.start(listener)
+    return server, f'127.0.0.1:{listener.getsockname()[1]}'
--- a/oriolestage/entry/tests/test_cut_off_peer.py
+++ b/oriolestage/entry/tests/test_cut_off_peer.py
@@ -1,21 +1,19 @@
 """Tests of batches to a host that reaches no target."""
 
 import contextlib
-import socket
 import unittest
 
 from oriolestage.entry._peer_client import PeerClient
-from oriolestage.entry._peer_server import PeerServer
-from oriolestage.entry.tests.peer_requests import make_gather_request
+from oriolestage.entry.tests.peer_requests import (
+    make_gather_request,
+    start_peer_server,
+)
 from oriolestage.entry.tests.test_peer_link import ScriptedTargets
-from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._request_run import RequestRun
 from oriolestage.routing._run_types import BatchOutcome, SendBatch
-from oriolestage.routing._state_changes import Freshness
 from oriolestage.routing.tests.builders import (
-    make_crash_detector,
     make_group,
     make_placement,
     make_record,
@@ -59,23 +57,9 @@
 
     async def asyncSetUp(self) -> None:
         """Start the server of a host that reaches no target."""
-        placement = make_cut_off_placement()
-        cluster_state = ClusterState(
-            placement.directory,
-            placement,
-            PeerDirectory(placement.location),
-            make_crash_detector(),
-        )
-        self._server = PeerServer(
-            cluster_state,
-            placement,
-            ScriptedTargets(),
-            lambda: Freshness(revision=7, age_s=0.5),
+        self._server, self._address = await start_peer_server(
+            make_cut_off_placement(), ScriptedTargets()
         )
-        listener = socket.create_server(('127.0.0.1', 0))
-        listener.setblocking(False)
-        await self._server.start(listener)
-        self._address = f'127.0.0.1:{listener.getsockname()[1]}'
         self._client = PeerClient()
 
     async def asyncTearDown(self) -> None:
--- a/oriolestage/entry/tests/test_peer_link.py
+++ b/oriolestage/entry/tests/test_peer_link.py
@@ -3,22 +3,22 @@
 import asyncio
 import contextlib
 import itertools
-import socket
 import unittest
 
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_messages import GatherRequest
-from oriolestage.entry._peer_server import PeerServer
 from oriolestage.entry._target_client import TargetCall
-from oriolestage.entry.tests.peer_requests import SERVICES, make_gather_request
+from oriolestage.entry.tests.peer_requests import (
+    SERVICES,
+    make_gather_request,
+    start_peer_server,
+)
 from oriolestage.routing._answers import (
     AttemptAnswered,
     AttemptLost,
     AttemptOutcome,
     TargetAnswer,
 )
-from oriolestage.routing._cluster_state import ClusterState
-from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._run_types import (
     BatchAnswered,
     BatchDeclined,
@@ -27,7 +27,6 @@
 )
 from oriolestage.routing._state_changes import Freshness
 from oriolestage.routing.tests.builders import (
-    make_crash_detector,
     make_placement,
     shard_records,
 )
@@ -64,24 +63,11 @@
 
     async def asyncSetUp(self) -> None:
         """Start a server that knows two targets of each service."""
-        placement, directory = make_placement('dc-a', shard_records(4))
-        cluster_state = ClusterState(
-            directory,
-            placement,
-            PeerDirectory(placement.location),
-            make_crash_detector(),
-        )
+        placement, _ = make_placement('dc-a', shard_records(4))
         self._targets = ScriptedTargets()
-        self._server = PeerServer(
-            cluster_state,
-            placement,
-            self._targets,
-            lambda: Freshness(revision=7, age_s=0.5),
+        self._server, self._address = await start_peer_server(
+            placement, self._targets
         )
-        listener = socket.create_server(('127.0.0.1', 0))
-        listener.setblocking(False)
-        await self._server.start(listener)
-        self._address = f'127.0.0.1:{listener.getsockname()[1]}'
         self._client = PeerClient()
 
     async def _first_reply(self, request: GatherRequest) -> BatchOutcome:
--- a/oriolestage/entry/tests/test_relay.py
+++ b/oriolestage/entry/tests/test_relay.py
@@ -1,7 +1,6 @@
 """Tests of requests that one host sends to targets for another."""
 
 import asyncio
-import socket
 import unittest
 from collections.abc import Callable
 
@@ -9,8 +8,8 @@
 
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_messages import RelayRequest
-from oriolestage.entry._peer_server import PeerServer
 from oriolestage.entry._target_client import TargetCall
+from oriolestage.entry.tests.peer_requests import start_peer_server
 from oriolestage.routing._answers import (
     AttemptAnswered,
     AttemptLost,
@@ -19,12 +18,8 @@
     NotRunReason,
     TargetAnswer,
 )
-from oriolestage.routing._cluster_state import ClusterState
-from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
-from oriolestage.routing._state_changes import Freshness
 from oriolestage.routing.tests.builders import (
-    make_crash_detector,
     make_placement,
     make_record,
 )
@@ -32,7 +27,7 @@
 
 #: Header names as the parser of the target connections returns them.
 ANSWER = TargetAnswer(
-    404, ((istr('Server-Stamp'), 's'), (istr('X-Own'), '1')), b'body', 's'
+    404, ((istr('X-Signature'), 's'), (istr('X-Own'), '1')), b'body', 's'
 )
 #: Time within which a host must reply, in seconds.
 REPLY_TIMEOUT_S = 5.0
@@ -85,22 +80,7 @@
     """A host makes one attempt for another and returns its outcome."""
 
     async def _start(self, target: OneTarget, placement: Placement) -> None:
-        cluster_state = ClusterState(
-            placement.directory,
-            placement,
-            PeerDirectory(placement.location),
-            make_crash_detector(),
-        )
-        self._server = PeerServer(
-            cluster_state,
-            placement,
-            target,
-            lambda: Freshness(revision=7, age_s=0.5),
-        )
-        listener = socket.create_server(('127.0.0.1', 0))
-        listener.setblocking(False)
-        await self._server.start(listener)
-        self._address = f'127.0.0.1:{listener.getsockname()[1]}'
+        self._server, self._address = await start_peer_server(placement, target)
         self._client = PeerClient()
         self.addCleanup(self._server.close)
         self.addCleanup(self._client.close)
