Log the era of the store, full reads and configurations that are ignored

A full read logged no revision, changes the revision before them, nothing read the era that the store states, and a configuration older than the one in force was ignored without a line.

What is believed has not changed.

--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Protocol
 
+from oriolestage.entry._store_eras import StoreEras
 from oriolestage.routing._answers import (
     AttemptOutcome,
     RequestResult,
@@ -63,6 +64,10 @@
     All calls but :meth:`close` raise :class:`StoreError` on failure.
     """
 
+    @property
+    def eras(self) -> StoreEras:
+        """The era of the store, as its answers state it."""
+
     async def close(self) -> None:
         """Close the connections to the store."""
 
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -126,10 +126,18 @@
         if self._revision is None:
             stored = await self._store.read_all()
             self._record_success()
+            self._set_revision(stored.revision)
+            log_event(
+                'store_read',
+                {
+                    'step': 'store',
+                    'items': len(stored.facts),
+                    **self._position(),
+                },
+            )
             self._log(
                 self._cluster_state.replace_all(stored.facts, time.monotonic()),
             )
-            self._set_revision(stored.revision)
             self._first_read.set()
             return
         # A call that is lost in an outage takes until its timeout, which
@@ -137,10 +145,10 @@
         wait_s = self._watch_wait_s if self._outage_since is None else 0
         changes = await self._store.changes_after(self._revision, wait_s)
         self._record_success()
+        self._set_revision(changes.revision)
         now = time.monotonic()
         for fact in changes.facts:
             self._log(self._cluster_state.apply(fact, now))
-        self._set_revision(changes.revision)
         if changes.facts:
             await asyncio.sleep(COALESCING_DELAY_S)
 
@@ -154,7 +162,10 @@
         if self._outage_since is not None:
             outage_s = now - self._outage_since
             self._outage_since = None
-            log_event('store_regained', {'step': 'store', 'away_s': outage_s})
+            log_event(
+                'store_regained',
+                {'step': 'store', 'away_s': outage_s, **self._position()},
+            )
             if outage_s >= LONG_OUTAGE_S:
                 self._directory.start_lapse_grace_period(now)
         self._answered_at = now
@@ -168,7 +179,7 @@
                     'step': error.step,
                     'peer': error.peer,
                     'cause': error.cause,
-                    'revision': self._revision,
+                    **self._position(),
                     'targets': len(self._directory),
                 },
             )
@@ -182,6 +193,14 @@
                 {**dict(change.fields), 'revision': self._revision},
             )
 
+    def _position(self) -> dict[str, object]:
+        """Return the revision of this host's copy and the store's era."""
+        era = self._store.eras.era
+        return {
+            'revision': self._revision,
+            'era': 'none' if era is None else era,
+        }
+
 
 class HostRegistration:
     """Keeps this host registered in the store under a renewed lease."""
--- a/oriolestage/entry/tests/test_store_follower.py
+++ b/oriolestage/entry/tests/test_store_follower.py
@@ -10,6 +10,7 @@
     StoreContents,
     StoreError,
 )
+from oriolestage.entry._store_eras import StoreEras
 from oriolestage.entry._store_follower import StoreFollower
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._crash_detector import CrashReport
@@ -42,6 +43,7 @@
         self, *steps: StoreContents | StoreChanges | StoreError
     ) -> None:
         """Create a store that answers reads and watches with ``steps``."""
+        self.eras = StoreEras()
         self._steps = list(steps)
         self.waits: list[float] = []
         self.reads = 0
--- a/oriolestage/platform/_names.py
+++ b/oriolestage/platform/_names.py
@@ -14,6 +14,9 @@
 #: decimal number; absent if it states no limit.
 RATE_LIMIT_HEADER = 'Server-Limit'
 RETRY_AFTER_HEADER = 'Retry-After'
+#: In answers of the store: rises by one each time that the store has returned
+#: to an older copy of its content.
+STORE_ERA_HEADER = 'Store-Era'
 #: Signatures of the shard answers that were merged.
 SHARD_SIGNATURES_HEADER = 'Part-Stamps'
 #: Number of shards that a merged answer leaves out.
--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -17,6 +17,7 @@
     StoreContents,
     StoreError,
 )
+from oriolestage.entry._store_eras import StoreEras
 from oriolestage.platform import _names
 from oriolestage.platform._documents import (
     crash_key,
@@ -88,6 +89,7 @@
 
         It connects with the first call.
         """
+        self.eras = StoreEras()
         self._address = address
         self._session: aiohttp.ClientSession | None = None
 
@@ -221,8 +223,24 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             cause = f'{type(error).__name__}: {error}'
             raise StoreError(step, self._address, cause) from error
+        self._record_era(step, response.headers)
         return self._check_status(step, response.status, answer)
 
+    def _record_era(self, step: str, headers: Mapping[str, str]) -> None:
+        """Record the era of an answer.
+
+        Raises :class:`StoreError` if it is malformed.
+        """
+        text = headers.get(_names.STORE_ERA_HEADER)
+        if text is None:
+            self.eras.record_unstated()
+            return
+        if not (text.isascii() and text.isdigit()):
+            raise StoreError(
+                step, self._address, f'{_names.STORE_ERA_HEADER} is {text!r}'
+            )
+        self.eras.record(int(text), step, self._address)
+
     def _decode(self, body: bytes, kind: type[_Shape]) -> _Shape:
         """Decode a body.
 
--- a/oriolestage/routing/_cluster_state.py
+++ b/oriolestage/routing/_cluster_state.py
@@ -150,8 +150,16 @@
 
     def _apply_table(self, table: RoutingTable) -> list[StateChange]:
         known = -1 if self._table is None else self._table.version
-        if table.version <= known:
+        if table.version == known:
             return []
+        if table.version < known:
+            return [
+                _change(
+                    'configuration_ignored',
+                    version=table.version,
+                    in_force=known,
+                ),
+            ]
         self._table = table
         return [
             _change(
