Read everything again when the store states another era

What callers saw: requests handled by an older version of the configuration, more than the allowed time after the store had acknowledged the new one.

Cause: after the store had returned to an older copy, revisions were given out again. Once its revision had passed the host's old one, the host's watch was answered from there as if nothing had happened, and a version acknowledged below it was never seen. Class: a position in a history is used after the history was replaced.

Change: a position is an era with a revision. An answer of another era than the position that it was asked from voids the position, so that everything is read again before another change is applied; pages of two eras are not put together; an answer of an older era, or without one from a store that states eras, is an error. Targets that the copy lacks are kept for the grace period of lapsed registrations.

--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -32,10 +32,26 @@
     """The store no longer has all changes after the requested revision."""
 
 
+class HistoryReplacedError(HistoryLostError):
+    """The store was restored from a copy, so known revisions are void."""
+
+
 class LeaseEndedError(StoreError):
     """The lease has ended and its keys are deleted."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StorePosition:
+    """A point in the history of the store.
+
+    Revisions of different eras cannot be compared.
+    """
+
+    #: Era of the revision; None if the store states none.
+    era: int | None
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreContents:
     """Everything read from the store.
@@ -45,17 +61,17 @@
     """
 
     facts: tuple[StoredFact, ...]
-    #: Revision after which to ask for changes.
-    revision: int
+    #: Point after which to ask for changes.
+    position: StorePosition
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreChanges:
-    """Changes of the store after a revision, in order."""
+    """Changes of the store after a point in its history, in order."""
 
     facts: tuple[StoredFact, ...]
-    #: Revision after which to ask for further changes.
-    revision: int
+    #: Point after which to ask for further changes.
+    position: StorePosition
 
 
 class Store(Protocol):
@@ -74,11 +90,14 @@
     async def read_all(self) -> StoreContents:
         """Return everything in the store that an entry host needs."""
 
-    async def changes_after(self, revision: int, wait_s: float) -> StoreChanges:
-        """Return the changes after a revision.
+    async def changes_after(
+        self, position: StorePosition, wait_s: float
+    ) -> StoreChanges:
+        """Return the changes after a point in the history.
 
         If there are none yet, wait for them up to ``wait_s`` seconds.
-        Raises :class:`HistoryLostError` if the store has discarded some.
+        Raises :class:`HistoryLostError` if the store has discarded some, and
+        :class:`HistoryReplacedError` if it has another history by now.
         """
 
     async def open_lease(self, time_to_live_s: float) -> int:
--- a/oriolestage/entry/_store_eras.py
+++ b/oriolestage/entry/_store_eras.py
@@ -34,17 +34,17 @@
         """Call ``listener`` after each rise of the era."""
         self._listeners.append(listener)
 
-    def record(self, era: int, step: str, peer: str) -> None:
-        """Record the era that an answer states.
+    def record(self, era: int, step: str, peer: str) -> bool:
+        """Record the era that an answer states; return whether it is valid.
 
         An era that is first stated by a later answer counts as a rise. An
-        older era than the latest one is logged and otherwise ignored.
+        answer of an older era than the latest one is not valid.
         """
         previous = self._era
         first = not self._answered
         self._answered = True
         if era == previous:
-            return
+            return True
         inputs = {
             'step': step,
             'peer': peer,
@@ -53,16 +53,21 @@
         }
         if previous is not None and era < previous:
             log_event('store_era_older', inputs)
-            return
+            return False
         self._era = era
         if first:
             log_event('store_era', inputs)
-            return
+            return True
         self._rises += 1
         log_event('store_era_rose', inputs)
         for listener in self._listeners:
             listener()
+        return True
 
-    def record_unstated(self) -> None:
-        """Record an answer without an era."""
+    def record_unstated(self) -> bool:
+        """Record an answer without an era; return whether it is valid.
+
+        It is not valid from a store that has stated an era before.
+        """
         self._answered = True
+        return self._era is None
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -11,6 +11,7 @@
     LeaseEndedError,
     Store,
     StoreError,
+    StorePosition,
 )
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._facts import HostRecord
@@ -61,8 +62,9 @@
         self._store = store
         self._cluster_state = cluster_state
         self._directory = directory
-        self._revision: int | None = None
-        self._known_revision = 0
+        #: Point up to which changes were applied; None before a full read.
+        self._position: StorePosition | None = None
+        self._known = StorePosition(None, 0)
         self._answered_at = time.monotonic()
         self._outage_since: float | None = None
         self._backoff_s = INITIAL_BACKOFF_S
@@ -82,7 +84,7 @@
 
         The revision is 0 before the first read.
         """
-        return Freshness(self._known_revision, self.age_s)
+        return Freshness(self._known.revision, self.age_s)
 
     async def wait_first_read(self, timeout_s: float) -> bool:
         """Wait for the first read of the store, up to ``timeout_s`` seconds.
@@ -106,7 +108,7 @@
                 await self._follow_once()
             except HistoryLostError as error:
                 log_event('store_history_lost', {'error': error})
-                self._revision = None
+                self._position = None
             except StoreError as error:
                 await self._handle_failure(error)
 
@@ -123,16 +125,16 @@
             self._log(self._cluster_state.expire_hosts(now))
 
     async def _follow_once(self) -> None:
-        if self._revision is None:
+        if self._position is None:
             stored = await self._store.read_all()
             self._record_success()
-            self._set_revision(stored.revision)
+            self._set_position(stored.position)
             log_event(
                 'store_read',
                 {
                     'step': 'store',
                     'items': len(stored.facts),
-                    **self._position(),
+                    **self._log_position(),
                 },
             )
             self._log(
@@ -143,18 +145,24 @@
         # A call that is lost in an outage takes until its timeout, which
         # includes the time that it may wait for changes.
         wait_s = self._watch_wait_s if self._outage_since is None else 0
-        changes = await self._store.changes_after(self._revision, wait_s)
+        changes = await self._store.changes_after(self._position, wait_s)
         self._record_success()
-        self._set_revision(changes.revision)
+        self._set_position(changes.position)
         now = time.monotonic()
         for fact in changes.facts:
             self._log(self._cluster_state.apply(fact, now))
         if changes.facts:
             await asyncio.sleep(COALESCING_DELAY_S)
 
-    def _set_revision(self, revision: int) -> None:
-        self._revision = revision
-        self._known_revision = revision
+    def _set_position(self, position: StorePosition) -> None:
+        replaced = self._first_read.is_set() and (
+            position.era != self._known.era
+        )
+        self._position = position
+        self._known = position
+        if replaced:
+            # Registrations that are younger than the copy are written again.
+            self._directory.start_lapse_grace_period(time.monotonic())
 
     def _record_success(self) -> None:
         now = time.monotonic()
@@ -164,7 +172,7 @@
             self._outage_since = None
             log_event(
                 'store_regained',
-                {'step': 'store', 'away_s': outage_s, **self._position()},
+                {'step': 'store', 'away_s': outage_s, **self._log_position()},
             )
             if outage_s >= LONG_OUTAGE_S:
                 self._directory.start_lapse_grace_period(now)
@@ -179,7 +187,7 @@
                     'step': error.step,
                     'peer': error.peer,
                     'cause': error.cause,
-                    **self._position(),
+                    **self._log_position(),
                     'targets': len(self._directory),
                 },
             )
@@ -190,14 +198,14 @@
         for change in changes:
             log_event(
                 change.event,
-                {**dict(change.fields), 'revision': self._revision},
+                {**dict(change.fields), 'revision': self._known.revision},
             )
 
-    def _position(self) -> dict[str, object]:
-        """Return the revision of this host's copy and the store's era."""
-        era = self._store.eras.era
+    def _log_position(self) -> dict[str, object]:
+        """Return the revision of this host's copy with its era."""
+        era = self._known.era
         return {
-            'revision': self._revision,
+            'revision': self._known.revision,
             'era': 'none' if era is None else era,
         }
 
--- a/oriolestage/entry/tests/test_store_follower.py
+++ b/oriolestage/entry/tests/test_store_follower.py
@@ -9,6 +9,7 @@
     StoreChanges,
     StoreContents,
     StoreError,
+    StorePosition,
 )
 from oriolestage.entry._store_eras import StoreEras
 from oriolestage.entry._store_follower import StoreFollower
@@ -36,6 +37,10 @@
     return ConfigurationStored(build_table(version, (), (), CallerLimits()))
 
 
+def _at(revision: int) -> StorePosition:
+    return StorePosition(None, revision)
+
+
 class ScriptedStore:
     """A store that returns scripted answers, then blocks."""
 
@@ -58,7 +63,9 @@
         assert isinstance(step, StoreContents)
         return step
 
-    async def changes_after(self, revision: int, wait_s: float) -> StoreChanges:
+    async def changes_after(
+        self, position: StorePosition, wait_s: float
+    ) -> StoreChanges:
         """Return the next step, which has to be changes."""
         self.waits.append(wait_s)
         step = await self._next()
@@ -119,16 +126,16 @@
         Otherwise changes that the store dropped without an error would be
         known too late.
         """
-        store = ScriptedStore(StoreContents((_table(4),), 1))
+        store = ScriptedStore(StoreContents((_table(4),), _at(1)))
         await self._follow(store)
         self.assertLess(store.waits[0] + 1, PROPAGATION_LIMIT_S)
 
     async def test_history_lost(self) -> None:
         """Everything is read again if the store has discarded changes."""
         store = ScriptedStore(
-            StoreContents((_table(4),), 1),
+            StoreContents((_table(4),), _at(1)),
             HistoryLostError('watch', 'store', 'lost'),
-            StoreContents((_table(8),), 9),
+            StoreContents((_table(8),), _at(9)),
         )
         cluster_state = await self._follow(store)
         self.assertEqual(store.reads, 2)
@@ -139,8 +146,8 @@
     async def test_older_configuration(self) -> None:
         """An older configuration never replaces a newer one."""
         store = ScriptedStore(
-            StoreContents((_table(8),), 1),
-            StoreChanges((_table(4),), 2),
+            StoreContents((_table(8),), _at(1)),
+            StoreChanges((_table(4),), _at(2)),
         )
         cluster_state = await self._follow(store)
         if cluster_state.table is not None:
@@ -154,9 +161,9 @@
             TargetStored(make_record('t-2')),
         )
         store = ScriptedStore(
-            StoreContents(facts, 1),
+            StoreContents(facts, _at(1)),
             StoreError('watch', 'store', 'reset'),
-            StoreChanges((TargetRemoved('t-2'),), 2),
+            StoreChanges((TargetRemoved('t-2'),), _at(2)),
         )
         await self._follow(store)
         self.assertIsNotNone(self._directory.find('t-1'))
@@ -169,9 +176,9 @@
         kept a host from a new configuration for its whole waiting time.
         """
         store = ScriptedStore(
-            StoreContents((_table(4),), 1),
+            StoreContents((_table(4),), _at(1)),
             StoreError('watch', 'store', 'timeout'),
-            StoreChanges((_table(8),), 2),
+            StoreChanges((_table(8),), _at(2)),
         )
         cluster_state = await self._follow(store)
         usual_s, first_s, following_s = store.waits
--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -12,10 +12,12 @@
 
 from oriolestage.entry._ports import (
     HistoryLostError,
+    HistoryReplacedError,
     LeaseEndedError,
     StoreChanges,
     StoreContents,
     StoreError,
+    StorePosition,
 )
 from oriolestage.entry._store_eras import StoreEras
 from oriolestage.platform import _names
@@ -75,6 +77,14 @@
     lease: int
 
 
+class _Answer(msgspec.Struct, frozen=True):
+    """A successful answer of the store."""
+
+    body: bytes
+    #: Era that it states; None if it states none.
+    era: int | None
+
+
 _Shape = TypeVar('_Shape', bound=msgspec.Struct)
 
 
@@ -100,56 +110,68 @@
             self._session = None
 
     async def read_all(self) -> StoreContents:
-        """Read all items that concern an entry host, page by page."""
+        """Read all items that concern an entry host, page by page.
+
+        Raises :class:`HistoryReplacedError` if the pages are of two eras.
+        """
         facts: list[StoredFact] = []
-        revision: int | None = None
+        position: StorePosition | None = None
         after = ''
         while True:
             query = {'pathPrefix': ALL_KEYS}
             if after:
                 query['after'] = after
-            body = await self._call('GET', _names.STORE_RANGE_PATH, query)
-            page = self._decode(body, _Range)
+            answer = await self._call('GET', _names.STORE_RANGE_PATH, query)
+            page = self._decode(answer.body, _Range)
             # The pages are not one snapshot. Following the changes from the
             # revision of the first page covers those made between pages.
-            if revision is None:
-                revision = page.store_revision
+            if position is None:
+                position = StorePosition(answer.era, page.store_revision)
+            self._check_same_era(position, answer)
             facts.extend(_items_to_facts(page.listed))
             if not page.has_more or not page.listed:
-                return StoreContents(tuple(facts), revision)
+                return StoreContents(tuple(facts), position)
             after = page.listed[-1].key
 
-    async def changes_after(self, revision: int, wait_s: float) -> StoreChanges:
-        """Return the changes after a revision.
+    async def changes_after(
+        self, position: StorePosition, wait_s: float
+    ) -> StoreChanges:
+        """Return the changes after a point in the history.
 
         If there are none yet, wait for them up to ``wait_s`` seconds. Raises
-        :class:`HistoryLostError` if the store has dropped some of them.
+        :class:`HistoryLostError` if the store has dropped some of them, and
+        :class:`HistoryReplacedError` if the answer is of another era.
         """
-        body = await self._call(
+        answer = await self._call(
             'GET',
             _names.STORE_WATCH_PATH,
             {
                 'pathPrefix': ALL_KEYS,
                 # Here a revision, whereas in a range request it is a key.
-                'after': str(revision),
+                'after': str(position.revision),
                 'waitMs': str(int(wait_s * MS_PER_S)),
             },
             wait_s=wait_s,
         )
-        answer = self._decode(body, _Events)
+        # The store answers from a revision that it has given out again as if
+        # nothing had happened.
+        self._check_same_era(position, answer)
+        listed = self._decode(answer.body, _Events)
         return StoreChanges(
-            tuple(_items_to_facts(answer.events)),
-            max(revision, answer.store_revision),
+            tuple(_items_to_facts(listed.events)),
+            StorePosition(
+                answer.era, max(position.revision, listed.store_revision)
+            ),
         )
 
     async def open_lease(self, time_to_live_s: float) -> int:
         """Open a lease and return its number."""
-        body = await self._call(
+        answer = await self._call(
             'POST',
             _names.LEASE_PATH,
             content={'ttlMs': int(time_to_live_s * MS_PER_S)},
         )
-        return self._decode(body, _Lease).lease
+        return self._decode(answer.body, _Lease).lease
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease.
@@ -202,8 +224,8 @@
         *,
         content: dict[str, object] | None = None,
         wait_s: float = 0,
-    ) -> bytes:
-        """Send one request and return the body of its 200 response."""
+    ) -> _Answer:
+        """Send one request and return its 200 response."""
         step = f'store.{path.rpartition("/")[2] or path}'
         session = self._get_session()
         body = None if content is None else json.dumps(content).encode()
@@ -219,27 +241,38 @@
                     sock_connect=CONNECT_TIMEOUT_S,
                 ),
             ) as response:
-                answer = await response.read()
+                received = await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             cause = f'{type(error).__name__}: {error}'
             raise StoreError(step, self._address, cause) from error
-        self._record_era(step, response.headers)
-        return self._check_status(step, response.status, answer)
-
-    def _record_era(self, step: str, headers: Mapping[str, str]) -> None:
-        """Record the era of an answer.
-
-        Raises :class:`StoreError` if it is malformed.
+        stated = response.headers.get(_names.STORE_ERA_HEADER)
+        valid = self._record_era(step, stated)
+        self._check_status(step, response.status)
+        if not valid:
+            cause = f'{_names.STORE_ERA_HEADER} is {stated!r}'
+            raise StoreError(step, self._address, cause)
+        return _Answer(received, None if stated is None else int(stated))
+
+    def _record_era(self, step: str, stated: str | None) -> bool:
+        """Record the era that an answer states; return whether it is valid.
+
+        It is not valid if it is malformed, missing in the answer of a store
+        that states eras, or older than that of another answer.
         """
-        text = headers.get(_names.STORE_ERA_HEADER)
-        if text is None:
-            self.eras.record_unstated()
-            return
-        if not (text.isascii() and text.isdigit()):
-            raise StoreError(
-                step, self._address, f'{_names.STORE_ERA_HEADER} is {text!r}'
+        if stated is None:
+            return self.eras.record_unstated()
+        if not (stated.isascii() and stated.isdigit()):
+            return False
+        return self.eras.record(int(stated), step, self._address)
+
+    def _check_same_era(self, position: StorePosition, answer: _Answer) -> None:
+        """Raise an error if an answer is of another era than a position."""
+        if answer.era != position.era:
+            raise HistoryReplacedError(
+                'store.era',
+                self._address,
+                f'era {answer.era} after {position.era}',
             )
-        self.eras.record(int(text), step, self._address)
 
     def _decode(self, body: bytes, kind: type[_Shape]) -> _Shape:
         """Decode a body.
@@ -255,11 +288,11 @@
                 str(error),
             ) from error
 
-    def _check_status(self, step: str, status: int, body: bytes) -> bytes:
-        """Return the body if the status is 200, and raise otherwise."""
+    def _check_status(self, step: str, status: int) -> None:
+        """Raise an error unless the status is 200."""
         match status:
             case HTTPStatus.OK:
-                return body
+                return
             case HTTPStatus.GONE:
                 raise HistoryLostError(step, self._address, 'history lost')
             case HTTPStatus.NOT_FOUND:
--- a/oriolestage/platform/tests/test_store.py
+++ b/oriolestage/platform/tests/test_store.py
@@ -10,8 +10,10 @@
 
 from oriolestage.entry._ports import (
     HistoryLostError,
+    HistoryReplacedError,
     LeaseEndedError,
     StoreError,
+    StorePosition,
 )
 from oriolestage.platform._store import StoreClient
 from oriolestage.routing._crash_detector import CrashReport
@@ -34,6 +36,8 @@
     async def asyncSetUp(self) -> None:
         """Start a stub server that returns prepared responses."""
         self._answers: list[tuple[int, object]] = []
+        #: Eras that the answers state, in order; None for an answer without.
+        self._eras: list[str | None] = []
         self._requests: list[tuple[str, str, str]] = []
         listener = socket.socket()
         listener.bind(('127.0.0.1', 0))
@@ -52,9 +56,11 @@
         body = await request.text()
         self._requests.append((request.method, request.raw_path, body))
         status, content = self._answers.pop(0)
+        era = self._eras.pop(0) if self._eras else None
+        headers = {} if era is None else {'Store-Era': era}
         if isinstance(content, bytes):
-            return web.Response(status=status, body=content)
-        return web.json_response(content, status=status)
+            return web.Response(status=status, body=content, headers=headers)
+        return web.json_response(content, status=status, headers=headers)
 
     async def test_pages(self) -> None:
         """All pages are read, and the revision is that of the first page.
@@ -68,7 +74,7 @@
             (200, {'items': [second], 'hasMore': False, 'storeRevision': 9}),
         ]
         stored = await self._client.read_all()
-        self.assertEqual(stored.revision, 5)
+        self.assertEqual(stored.position, StorePosition(None, 5))
         self.assertEqual(
             stored.facts,
             (DataCentreClosed('dc-a'), DataCentreClosed('dc-b')),
@@ -79,9 +85,47 @@
         """The events of a watch are decoded."""
         removed = {'key': 'servers/i-1', 'revision': 7, 'removed': True}
         self._answers = [(200, {'events': [removed], 'storeRevision': 7})]
-        changes = await self._client.changes_after(5, 0.1)
+        changes = await self._client.changes_after(StorePosition(None, 5), 0.1)
         self.assertEqual(changes.facts, (TargetRemoved('i-1'),))
-        self.assertEqual(changes.revision, 7)
+        self.assertEqual(changes.position, StorePosition(None, 7))
+
+    async def test_invalid_eras(self) -> None:
+        """An answer whose era is missing, malformed or older is an error.
+
+        The era of the answers before stays the latest one.
+        """
+        listed = {'items': [], 'hasMore': False, 'storeRevision': 5}
+        for era in (None, '', '-1', '2.5', '\u0663', '2'):
+            self._eras = ['3', era]
+            self._answers = [(200, listed), (200, listed)]
+            with self.subTest(era=era):
+                stored = await self._client.read_all()
+                self.assertEqual(stored.position, StorePosition(3, 5))
+                with self.assertRaises(StoreError) as raised:
+                    await self._client.read_all()
+                self.assertEqual(raised.exception.step, 'store.kv-range')
+                self.assertEqual(self._client.eras.era, 3)
+
+    async def test_lost_history_without_era(self) -> None:
+        """A refusal is understood whatever it states as its era."""
+        listed = {'items': [], 'hasMore': False, 'storeRevision': 5}
+        self._eras = ['3', None]
+        self._answers = [(200, listed), (410, {})]
+        position = (await self._client.read_all()).position
+        with self.assertRaises(HistoryLostError):
+            await self._client.changes_after(position, 0.1)
+
+    async def test_first_stated_era(self) -> None:
+        """An era that is stated for the first time voids known revisions."""
+        listed = {'items': [], 'hasMore': False, 'storeRevision': 5}
+        self._eras = [None, '1']
+        self._answers = [
+            (200, listed),
+            (200, {'events': [], 'storeRevision': 6}),
+        ]
+        position = (await self._client.read_all()).position
+        with self.assertRaises(HistoryReplacedError):
+            await self._client.changes_after(position, 0.1)
 
     async def test_failures(self) -> None:
         """Each failed status or invalid body raises its type of error."""
@@ -96,7 +140,9 @@
             self._answers = [(status, content)]
             with self.subTest(status=status, content=content):
                 with self.assertRaises(expected):
-                    await self._client.changes_after(5, 0.1)
+                    await self._client.changes_after(
+                        StorePosition(None, 5), 0.1
+                    )
 
     async def test_registration(self) -> None:
         """A host registers under a lease; an ended lease raises an error."""
