Wait for changes only on a connection to the store that is open

What callers saw: as before, a configuration in force seconds late after the store had returned to a copy.

Cause: a watch states an era only with its answer. If the connection was cut while none was in progress, the next watch opened a new one and waited there, up to 3 s, for changes after a revision that the store happened to have again. Class: a call to a peer that may have been replaced waits as if it had not.

Ruled out: asking without waiting after each batch of changes would notice it too, and doubles the calls.

Change: a call that waits is made on an open connection; if there is none, the changes are asked for at once, which opens one.

--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Iterable, Mapping, Sequence
 from http import HTTPStatus
+from types import SimpleNamespace
 from typing import TypeVar
 
 import aiohttp
@@ -50,6 +51,8 @@
     _names.HOST_PREFIX,
     _names.CRASH_PREFIX,
 )
+#: Key of a call's trace context: whether it may only use an open connection.
+REQUIRES_CONNECTION = 'requires_connection'
 #: Prefix of all keys, so that one watch reports every change.
 ALL_KEYS = ''
 
@@ -77,6 +80,10 @@
     lease: int
 
 
+class _NotConnectedError(Exception):
+    """A call that needs an open connection found none."""
+
+
 class _Answer(msgspec.Struct, frozen=True):
     """A successful answer of the store."""
 
@@ -141,18 +148,15 @@
         If there are none yet, wait for them up to ``wait_s`` seconds. Raises
         :class:`HistoryLostError` if the store has dropped some of them, and
         :class:`HistoryReplacedError` if the answer is of another era.
+
+        The call does not wait if it needs a new connection: the store may
+        have been restored since the last answer, and only the next answer
+        states its era.
         """
-        answer = await self._call(
-            'GET',
-            _names.STORE_WATCH_PATH,
-            {
-                'pathPrefix': ALL_KEYS,
-                # Here a revision, whereas in a range request it is a key.
-                'after': str(position.revision),
-                'waitMs': str(int(wait_s * MS_PER_S)),
-            },
-            wait_s=wait_s,
-        )
+        try:
+            answer = await self._watch(position, wait_s)
+        except _NotConnectedError:
+            answer = await self._watch(position, 0)
         # The store answers from a revision that it has given out again as if
         # nothing had happened.
         self._check_same_era(position, answer)
@@ -164,6 +168,19 @@
             ),
         )
 
+    async def _watch(self, position: StorePosition, wait_s: float) -> _Answer:
+        return await self._call(
+            'GET',
+            _names.STORE_WATCH_PATH,
+            {
+                'pathPrefix': ALL_KEYS,
+                # Here a revision, whereas in a range request it is a key.
+                'after': str(position.revision),
+                'waitMs': str(int(wait_s * MS_PER_S)),
+            },
+            wait_s=wait_s,
+        )
+
     async def open_lease(self, time_to_live_s: float) -> int:
         """Open a lease and return its number."""
         answer = await self._call(
@@ -225,7 +242,11 @@
         content: dict[str, object] | None = None,
         wait_s: float = 0,
     ) -> _Answer:
-        """Send one request and return its 200 response."""
+        """Send one request and return its 200 response.
+
+        A call that waits raises :class:`_NotConnectedError` if it needs a new
+        connection.
+        """
         step = f'store.{path.rpartition("/")[2] or path}'
         session = self._get_session()
         body = None if content is None else json.dumps(content).encode()
@@ -236,6 +257,7 @@
                 params=query,
                 data=body,
                 headers={'Content-Type': 'application/json'} if body else {},
+                trace_request_ctx={REQUIRES_CONNECTION: wait_s > 0},
                 timeout=aiohttp.ClientTimeout(
                     total=wait_s + RESPONSE_TIMEOUT_S,
                     sock_connect=CONNECT_TIMEOUT_S,
@@ -301,12 +323,15 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
+            trace_config = aiohttp.TraceConfig()
+            trace_config.on_connection_create_start.append(_check_may_connect)
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(
                     socket_factory=_make_keepalive_socket
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 trust_env=False,
+                trace_configs=[trace_config],
             )
         return self._session
 
@@ -328,6 +353,16 @@
     return decode_item(item.key, base64.b64decode(item.value))
 
 
+async def _check_may_connect(
+    _: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    parameters: aiohttp.TraceConnectionCreateStartParams,
+) -> None:
+    """Raise an error if a call may only use an open connection."""
+    if context.trace_request_ctx[REQUIRES_CONNECTION]:
+        raise _NotConnectedError
+
+
 def _make_keepalive_socket(
     address: aiohttp.AddrInfoType,
 ) -> socket.socket:
--- a/oriolestage/platform/tests/platform_store.py
+++ b/oriolestage/platform/tests/platform_store.py
@@ -15,6 +15,8 @@
 
 #: Interval at which a waiting watch looks for changes, in seconds.
 POLL_INTERVAL_S = 0.01
+#: Time for which open calls may end when the store is closed, in seconds.
+SHUTDOWN_TIMEOUT_S = 0.1
 MS_PER_S = 1000
 
 
@@ -55,7 +57,9 @@
         self.before_page: Callable[[], None] = _do_nothing
         self.address = ''
         self._page_items = page_items
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._runner = web.ServerRunner(
+            web.Server(self._handle), shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
 
     async def start(self) -> None:
         """Listen on a free port of the loopback address."""
