Do not use a lease of the store in another era

Found by looking for it elsewhere, not seen by callers.

Cause: after a restoration, lease numbers are given out again. A host's renewals of its old number succeeded, since it was another host's lease by then, and its own registration was never written again: the other hosts would divide limits among too few. When it stopped, it ended the other host's lease.

Change: a lease is an era with a number. It is not renewed, ended or written under in another era; the host registers anew. When the era rises, hosts register within a second, spread at random, since all of them have to.

Evidence: test_lease_given_out_again and test_withdraw_of_replaced_lease failed before (host not registered after 2 s; the other host's item gone) and pass.

--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -52,6 +52,18 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease of the store.
+
+    After a restoration of the store, its number may be another host's lease.
+    """
+
+    #: Era in which it was opened; None if the store states none.
+    era: int | None
+    number: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreContents:
     """Everything read from the store.
@@ -100,25 +112,26 @@
         :class:`HistoryReplacedError` if it has another history by now.
         """
 
-    async def open_lease(self, time_to_live_s: float) -> int:
-        """Open a lease and return its number."""
+    async def open_lease(self, time_to_live_s: float) -> Lease:
+        """Open a lease and return it."""
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Renew a lease.
 
-        Raises :class:`LeaseEndedError` if it has ended.
+        Raises :class:`LeaseEndedError` if it has ended or is of an era that
+        has.
         """
 
-    async def end_lease(self, lease: int) -> None:
+    async def end_lease(self, lease: Lease) -> None:
         """End a lease, which deletes its keys."""
 
-    async def register_host(self, record: HostRecord, lease: int) -> None:
+    async def register_host(self, record: HostRecord, lease: Lease) -> None:
         """Store the record of this host under a lease."""
 
     async def report_crashes(
         self,
         reports: Sequence[CrashReport],
-        lease: int,
+        lease: Lease,
     ) -> None:
         """Store at most 32 crash reports under a lease."""
 
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -8,6 +8,7 @@
 from oriolestage._logging import log_event
 from oriolestage.entry._ports import (
     HistoryLostError,
+    Lease,
     LeaseEndedError,
     Store,
     StoreError,
@@ -41,6 +42,9 @@
 #: Range of the random factor on that interval, which keeps hosts from
 #: renewing at the same time.
 RENEWAL_JITTER = (0.9, 1.1)
+#: Time over which the hosts spread their new registrations after the store was
+#: restored, in seconds.
+RESTORED_SPREAD_S = 1.0
 
 
 class StoreFollower:
@@ -217,12 +221,16 @@
         """Create a registration of ``record``; :meth:`run` writes it."""
         self._store = store
         self._record = record
-        self._lease: int | None = None
+        self._lease: Lease | None = None
+        self._restored = asyncio.Event()
+        store.eras.subscribe(self._restored.set)
 
     async def run(self) -> None:
         """Register the host and renew its lease until cancelled.
 
-        If the lease has ended, the host is registered anew at once.
+        If the lease has ended, the host is registered anew at once. After a
+        restoration of the store it is registered anew within
+        `RESTORED_SPREAD_S`, since all hosts have to be.
         """
         while True:
             try:
@@ -233,9 +241,7 @@
                 continue
             except StoreError as error:
                 log_event('registration_failed', {'error': error})
-            await asyncio.sleep(
-                RENEWAL_INTERVAL_S * random.uniform(*RENEWAL_JITTER)
-            )
+            await self._sleep()
 
     async def withdraw(self) -> None:
         """End the lease, so that other hosts no longer use this one."""
@@ -248,11 +254,31 @@
         except StoreError as error:
             log_event('registration_not_ended', {'error': error})
 
+    async def _sleep(self) -> None:
+        """Wait for the next renewal, or until the store was restored."""
+        try:
+            async with asyncio.timeout(
+                RENEWAL_INTERVAL_S * random.uniform(*RENEWAL_JITTER)
+            ):
+                await self._restored.wait()
+        except TimeoutError:
+            return
+        self._restored.clear()
+        await asyncio.sleep(random.uniform(0, RESTORED_SPREAD_S))
+
     async def _register_or_renew(self) -> None:
         if self._lease is not None:
             await self._store.renew_lease(self._lease)
             return
+        self._restored.clear()
         lease = await self._store.open_lease(LEASE_TTL_S)
         await self._store.register_host(self._record, lease)
         self._lease = lease
-        log_event('registered', {'host': self._record.name, 'lease': lease})
+        log_event(
+            'registered',
+            {
+                'host': self._record.name,
+                'lease': lease.number,
+                'era': 'none' if lease.era is None else lease.era,
+            },
+        )
--- a/oriolestage/entry/tests/test_crash_tracking.py
+++ b/oriolestage/entry/tests/test_crash_tracking.py
@@ -13,7 +13,7 @@
 )
 from oriolestage.entry._metrics import EntryMetrics
 from oriolestage.entry._peer_client import PeerClient
-from oriolestage.entry._ports import RequestMetadata, StoreError
+from oriolestage.entry._ports import Lease, RequestMetadata, StoreError
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._request_router import RequestRouter
 from oriolestage.entry._target_client import TargetCall
@@ -206,17 +206,17 @@
         self.reported: list[CrashReport] = []
         self.failures = 0
 
-    async def open_lease(self, time_to_live_s: float) -> int:
-        """Return a lease number or raise :class:`StoreError`."""
+    async def open_lease(self, time_to_live_s: float) -> Lease:
+        """Return a lease or raise :class:`StoreError`."""
         if self.failures:
             self.failures -= 1
             raise StoreError('store.kv-lease', 'store:1', 'status 503')
-        return 1
+        return Lease(None, 1)
 
     async def report_crashes(
         self,
         reports: Sequence[CrashReport],
-        lease: int,
+        lease: Lease,
     ) -> None:
         """Collect reports."""
         self.reported.extend(reports)
--- a/oriolestage/entry/tests/test_store_follower.py
+++ b/oriolestage/entry/tests/test_store_follower.py
@@ -6,6 +6,7 @@
 
 from oriolestage.entry._ports import (
     HistoryLostError,
+    Lease,
     StoreChanges,
     StoreContents,
     StoreError,
@@ -72,23 +73,23 @@
         assert isinstance(step, StoreChanges)
         return step
 
-    async def open_lease(self, time_to_live_s: float) -> int:
-        """Return a lease number."""
-        return 1
+    async def open_lease(self, time_to_live_s: float) -> Lease:
+        """Return a lease."""
+        return Lease(None, 1)
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Do nothing."""
 
-    async def end_lease(self, lease: int) -> None:
+    async def end_lease(self, lease: Lease) -> None:
         """Do nothing."""
 
-    async def register_host(self, record: HostRecord, lease: int) -> None:
+    async def register_host(self, record: HostRecord, lease: Lease) -> None:
         """Do nothing."""
 
     async def report_crashes(
         self,
         reports: Sequence[CrashReport],
-        lease: int,
+        lease: Lease,
     ) -> None:
         """Do nothing."""
 
--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -14,6 +14,7 @@
 from oriolestage.entry._ports import (
     HistoryLostError,
     HistoryReplacedError,
+    Lease,
     LeaseEndedError,
     StoreChanges,
     StoreContents,
@@ -181,27 +182,37 @@
             wait_s=wait_s,
         )
 
-    async def open_lease(self, time_to_live_s: float) -> int:
-        """Open a lease and return its number."""
+    async def open_lease(self, time_to_live_s: float) -> Lease:
+        """Open a lease and return it."""
         answer = await self._call(
             'POST',
             _names.LEASE_PATH,
             content={'ttlMs': int(time_to_live_s * MS_PER_S)},
         )
-        return self._decode(answer.body, _Lease).lease
+        return Lease(answer.era, self._decode(answer.body, _Lease).lease)
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Renew a lease.
 
-        Raises :class:`LeaseEndedError` if it has ended.
+        Raises :class:`LeaseEndedError` if it has ended or is of an era that
+        has.
         """
-        await self._call('POST', f'{_names.LEASE_RENEW_PATH}/{lease}')
+        self._check_lease(lease, self.eras.era)
+        answer = await self._call(
+            'POST', f'{_names.LEASE_RENEW_PATH}/{lease.number}'
+        )
+        self._check_lease(lease, answer.era)
 
-    async def end_lease(self, lease: int) -> None:
-        """End a lease; the store removes all items under it."""
-        await self._call('DELETE', f'{_names.LEASE_END_PATH}/{lease}')
+    async def end_lease(self, lease: Lease) -> None:
+        """End a lease; the store removes all items under it.
 
-    async def register_host(self, record: HostRecord, lease: int) -> None:
+        Raises :class:`LeaseEndedError` if it has ended or is of an era that
+        has.
+        """
+        self._check_lease(lease, self.eras.era)
+        await self._call('DELETE', f'{_names.LEASE_END_PATH}/{lease.number}')
+
+    async def register_host(self, record: HostRecord, lease: Lease) -> None:
         """Register this host until its lease ends."""
         key = f'{_names.HOST_PREFIX}{record.name}'
         await self._write({key: encode_host(record)}, lease)
@@ -209,7 +220,7 @@
     async def report_crashes(
         self,
         reports: Sequence[CrashReport],
-        lease: int,
+        lease: Lease,
     ) -> None:
         """Store at most 32 crash reports, which the other hosts read."""
         await self._write(
@@ -217,21 +228,29 @@
             lease,
         )
 
-    async def _write(self, documents: Mapping[str, bytes], lease: int) -> None:
-        """Write at most 32 items under a lease, atomically."""
+    async def _write(
+        self, documents: Mapping[str, bytes], lease: Lease
+    ) -> None:
+        """Write at most 32 items under a lease, atomically.
+
+        Raises :class:`LeaseEndedError` if it has ended or is of an era that
+        has.
+        """
+        self._check_lease(lease, self.eras.era)
         writes = [
             {
                 'key': key,
                 'value': base64.b64encode(content).decode(),
-                'lease': lease,
+                'lease': lease.number,
             }
             for key, content in documents.items()
         ]
-        await self._call(
+        answer = await self._call(
             'POST',
             _names.STORE_WRITE_PATH,
             content={'expectedRev': [], 'writes': writes, 'remove': []},
         )
+        self._check_lease(lease, answer.era)
 
     async def _call(
         self,
@@ -287,6 +306,13 @@
             return False
         return self.eras.record(int(stated), step, self._address)
 
+    def _check_lease(self, lease: Lease, era: int | None) -> None:
+        """Raise an error if a lease is not of an era."""
+        if lease.era != era:
+            raise LeaseEndedError(
+                'store.era', self._address, f'era {era} after {lease.era}'
+            )
+
     def _check_same_era(self, position: StorePosition, answer: _Answer) -> None:
         """Raise an error if an answer is of another era than a position."""
         if answer.era != position.era:
--- a/oriolestage/platform/tests/test_store.py
+++ b/oriolestage/platform/tests/test_store.py
@@ -11,6 +11,7 @@
 from oriolestage.entry._ports import (
     HistoryLostError,
     HistoryReplacedError,
+    Lease,
     LeaseEndedError,
     StoreError,
     StorePosition,
@@ -163,7 +164,7 @@
         """A crash report that is written is read back unchanged."""
         report = CrashReport(0x1F, 'i-1')
         self._answers = [(200, {'revision': 8})]
-        await self._client.report_crashes([report], 7)
+        await self._client.report_crashes([report], Lease(None, 7))
         written = json.loads(self._requests[0][2])['writes'][0]
         self.assertEqual(written['lease'], 7)
         item = {'key': written['key'], 'value': written['value']}
--- a/oriolestage/platform/tests/test_store_restored.py
+++ b/oriolestage/platform/tests/test_store_restored.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import itertools
-import unittest
 from collections.abc import Callable
+from unittest import IsolatedAsyncioTestCase, mock
 
-from oriolestage.entry._store_follower import StoreFollower
+from oriolestage.entry._store_follower import HostRegistration, StoreFollower
 from oriolestage.platform._store import StoreClient
 from oriolestage.platform.tests.platform_store import PlatformStore
 from oriolestage.routing._cluster_state import ClusterState
+from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing.tests.builders import (
     make_crash_detector,
@@ -20,6 +21,9 @@
 #: a watch that was cut is repeated after a back-off.
 NOTICE_S = 2.0
 PROPAGATION_LIMIT_S = 5.0
+HOST = HostRecord('host-1', 'dc-a', '127.0.0.1:9')
+#: Path of the interval that tests shorten.
+RENEWAL_INTERVAL = 'oriolestage.entry._store_follower.RENEWAL_INTERVAL_S'
 
 
 def configuration(version: int) -> dict[str, object]:
@@ -27,6 +31,17 @@
     return {'version': version, 'routes': [], 'services': []}
 
 
+async def holds_in_time(condition: Callable[[], bool]) -> bool:
+    """Wait until a condition holds; return False if `NOTICE_S` passes first."""
+    try:
+        async with asyncio.timeout(NOTICE_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+    except TimeoutError:
+        return False
+    return True
+
+
 class FollowingHost:
     """The parts of a host that follow the store."""
 
@@ -60,7 +75,7 @@
         await self.client.close()
 
 
-class StoreRestoredTest(unittest.IsolatedAsyncioTestCase):
+class StoreRestoredTest(IsolatedAsyncioTestCase):
     """Revisions of before a restoration are not used after it."""
 
     async def asyncSetUp(self) -> None:
@@ -69,33 +84,24 @@
         await self._store.start()
         self._store.write(CONFIGURATION_KEY, configuration(7))
         self._host = FollowingHost(self._store.address)
-        await self._until(lambda: self._host.version == 7)
+        await holds_in_time(lambda: self._host.version == 7)
 
     async def asyncTearDown(self) -> None:
         """Stop the host and the store."""
         await self._host.close()
         await self._store.close()
 
-    async def _until(self, condition: Callable[[], bool]) -> None:
-        """Wait until a condition holds or `NOTICE_S` has passed."""
-        try:
-            async with asyncio.timeout(NOTICE_S):
-                while not condition():
-                    await asyncio.sleep(0.01)
-        except TimeoutError:
-            return
-
     async def _advance(self, writes: int) -> None:
         """Write items of no concern and wait until the host knows them."""
         for number in range(writes):
             self._store.write(f'other/{number}', {})
         revision = self._store.content.revision
-        await self._until(
+        await holds_in_time(
             lambda: self._host.follower.freshness.revision >= revision
         )
 
     async def _assert_version(self, version: int) -> None:
-        await self._until(lambda: self._host.version == version)
+        await holds_in_time(lambda: self._host.version == version)
         self.assertEqual(self._host.version, version)
 
     async def test_configuration_below_known_revision(self) -> None:
@@ -140,6 +146,59 @@
 
         self._store.before_page = restore_before_third_page
         second = FollowingHost(self._store.address)
-        await self._until(lambda: second.version == 9)
+        await holds_in_time(lambda: second.version == 9)
         await second.close()
         self.assertEqual(second.version, 9)
+
+
+class RegistrationTest(IsolatedAsyncioTestCase):
+    """A host stays registered in a store that is restored."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a store and a host that registers there."""
+        self._store = PlatformStore()
+        await self._store.start()
+        self._client = StoreClient(self._store.address)
+        self._registration = HostRegistration(self._client, HOST)
+        interval = mock.patch(RENEWAL_INTERVAL, 0.1)
+        interval.start()
+        self.addCleanup(interval.stop)
+        self._task = asyncio.create_task(self._registration.run())
+
+    async def asyncTearDown(self) -> None:
+        """Stop the host and the store."""
+        self._task.cancel()
+        await self._client.close()
+        await self._store.close()
+
+    async def _registered(self) -> bool:
+        """Wait until the host is registered; return whether it is."""
+        return await holds_in_time(lambda: self._store.holds('hosts/host-1'))
+
+    async def test_lease_given_out_again(self) -> None:
+        """A host does not take another host's lease for its own.
+
+        After the restoration the number of its lease was given out again, so
+        that the renewals succeeded and the host was never registered again.
+        """
+        copied = self._store.take_copy()
+        self.assertTrue(await self._registered())
+        self._store.restore(copied)
+        other = self._store.open_lease()
+        self._store.write('hosts/host-2', {}, other)
+        self.assertTrue(await self._registered())
+        await self._registration.withdraw()
+        self.assertFalse(self._store.holds('hosts/host-1'))
+        self.assertTrue(self._store.holds('hosts/host-2'))
+
+    async def test_withdraw_of_replaced_lease(self) -> None:
+        """A host that stops does not end a lease of the era before."""
+        copied = self._store.take_copy()
+        self.assertTrue(await self._registered())
+        self._task.cancel()
+        self._store.restore(copied)
+        other = self._store.open_lease()
+        self._store.write('hosts/host-2', {}, other)
+        await self._client.read_all()
+        await self._registration.withdraw()
+        self.assertTrue(self._store.holds('hosts/host-2'))
