End the watch of the store when another call states a new era

Cause: a watch whose connection is silent, or that was sent to the store before its restoration, ends at its timeout of 5 s, although a renewal of the lease has stated the new era in between.

Change: a rise of the era ends the call for changes that is in progress, and no call is made from a position of an earlier era.

--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -8,9 +8,11 @@
 from oriolestage._logging import log_event
 from oriolestage.entry._ports import (
     HistoryLostError,
+    HistoryReplacedError,
     Lease,
     LeaseEndedError,
     Store,
+    StoreChanges,
     StoreError,
     StorePosition,
 )
@@ -73,6 +75,9 @@
         self._outage_since: float | None = None
         self._backoff_s = INITIAL_BACKOFF_S
         self._first_read = asyncio.Event()
+        #: Limits the call for changes that is in progress.
+        self._call_limit: asyncio.Timeout | None = None
+        store.eras.subscribe(self._interrupt_call)
 
     @property
     def age_s(self) -> float:
@@ -149,7 +154,7 @@
         # A call that is lost in an outage takes until its timeout, which
         # includes the time that it may wait for changes.
         wait_s = self._watch_wait_s if self._outage_since is None else 0
-        changes = await self._store.changes_after(self._position, wait_s)
+        changes = await self._changes_after(self._position, wait_s)
         self._record_success()
         self._set_position(changes.position)
         now = time.monotonic()
@@ -158,6 +163,39 @@
         if changes.facts:
             await asyncio.sleep(COALESCING_DELAY_S)
 
+    async def _changes_after(
+        self, position: StorePosition, wait_s: float
+    ) -> StoreChanges:
+        """Return the changes after a position.
+
+        Raises :class:`HistoryReplacedError` as soon as any call learns that
+        the position's era has ended; a watch may never be answered then.
+        """
+        limit = asyncio.timeout(None)
+        self._call_limit = limit
+        try:
+            async with limit:
+                if position.era == self._store.eras.era:
+                    return await self._store.changes_after(position, wait_s)
+        except TimeoutError as error:
+            # Ended by the rise of the era; the call has no other limit.
+            raise self._era_ended(position) from error
+        finally:
+            self._call_limit = None
+        raise self._era_ended(position)
+
+    def _era_ended(self, position: StorePosition) -> HistoryReplacedError:
+        return HistoryReplacedError(
+            'store.era',
+            'store',
+            f'era {self._store.eras.era} after {position.era}',
+        )
+
+    def _interrupt_call(self) -> None:
+        if self._call_limit is not None:
+            now = asyncio.get_running_loop().time()
+            self._call_limit.reschedule(now)
+
     def _set_position(self, position: StorePosition) -> None:
         replaced = self._first_read.is_set() and (
             position.era != self._known.era
--- a/oriolestage/platform/tests/platform_store.py
+++ b/oriolestage/platform/tests/platform_store.py
@@ -76,12 +76,17 @@
         """Return a copy of the present content."""
         return copy.deepcopy(self.content)
 
-    def restore(self, content: StoreContent) -> None:
-        """Return to a copy: raise the era and cut all connections."""
+    def restore(self, content: StoreContent, *, cut: bool = True) -> None:
+        """Return to a copy and raise the era.
+
+        If ``cut``, cut all connections; otherwise the calls in progress are
+        never answered.
+        """
         self.content = copy.deepcopy(content)
         if self.era is not None:
             self.era += 1
-        self.cut_connections()
+        if cut:
+            self.cut_connections()
 
     def cut_connections(self) -> None:
         """Cut all connections, and with them the waiting calls."""
@@ -165,8 +170,11 @@
             return self._answer({}, HTTPStatus.GONE)
         loop = asyncio.get_running_loop()
         end_at = loop.time() + int(query['waitMs']) / MS_PER_S
+        era = self.era
         while self.content.revision <= after and loop.time() < end_at:
             await asyncio.sleep(POLL_INTERVAL_S)
+        while self.era != era:
+            await asyncio.sleep(POLL_INTERVAL_S)
         events = [
             item
             for item in self.content.history
--- a/oriolestage/platform/tests/test_store_restored.py
+++ b/oriolestage/platform/tests/test_store_restored.py
@@ -5,12 +5,18 @@
 from collections.abc import Callable
 from unittest import IsolatedAsyncioTestCase, mock
 
-from oriolestage.entry._store_follower import HostRegistration, StoreFollower
+from oriolestage.entry._store_follower import (
+    COALESCING_DELAY_S,
+    HostRegistration,
+    StoreFollower,
+)
+from oriolestage.platform._names import STORE_RANGE_PATH
 from oriolestage.platform._store import StoreClient
 from oriolestage.platform.tests.platform_store import PlatformStore
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._peers import PeerDirectory
+from oriolestage.routing._targets import LAPSE_GRACE_PERIOD_S
 from oriolestage.routing.tests.builders import (
     make_crash_detector,
     make_placement,
@@ -150,6 +156,52 @@
         await second.close()
         self.assertEqual(second.version, 9)
 
+    async def test_waiting_call_of_earlier_era(self) -> None:
+        """A watch that is never answered does not delay the new content.
+
+        Another call states the new era while the watch still waits.
+        """
+        copied = self._store.take_copy()
+        await self._advance(3)
+        await asyncio.sleep(COALESCING_DELAY_S + 0.1)
+        self._store.restore(copied, cut=False)
+        self._store.write(CONFIGURATION_KEY, configuration(9))
+        await self._host.client.open_lease(8)
+        await self._assert_version(9)
+
+    async def test_closed_data_centre(self) -> None:
+        """A closed data centre that the copy lacks stays closed for a while.
+
+        The operators write its key again.
+        """
+        copied = self._store.take_copy()
+        self._store.write('op/evacuate/dc-a', {})
+        self.assertTrue(await holds_in_time(lambda: self._closed('dc-a')))
+        self._store.restore(copied)
+        reads = self._store.calls.count(STORE_RANGE_PATH)
+        await holds_in_time(
+            lambda: self._store.calls.count(STORE_RANGE_PATH) > reads
+        )
+        await asyncio.sleep(0.1)
+        self.assertTrue(self._closed('dc-a'))
+        self._store.write('op/evacuate/dc-a', {})
+        await asyncio.sleep(LAPSE_GRACE_PERIOD_S + 0.5)
+        self.assertTrue(self._closed('dc-a'))
+        self._store.remove('op/evacuate/dc-a')
+        self.assertTrue(await holds_in_time(lambda: not self._closed('dc-a')))
+
+    async def test_opened_data_centre(self) -> None:
+        """A closed data centre that is not written again is opened."""
+        copied = self._store.take_copy()
+        self._store.write('op/evacuate/dc-a', {})
+        await holds_in_time(lambda: self._closed('dc-a'))
+        self._store.restore(copied)
+        await asyncio.sleep(LAPSE_GRACE_PERIOD_S)
+        self.assertTrue(await holds_in_time(lambda: not self._closed('dc-a')))
+
+    def _closed(self, data_centre: str) -> bool:
+        return data_centre in self._host.directory.closed_data_centres
+
 
 class RegistrationTest(IsolatedAsyncioTestCase):
     """A host stays registered in a store that is restored."""
