Keep data centres closed that a restored store lacks for a while

Cause: the copy may be older than the key that closes a data centre. A host that read the copy sent work there until the operators had written the key again.

In other full reads a missing key opens it at once, as before.

--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -122,7 +122,7 @@
                 await self._handle_failure(error)
 
     async def expire(self) -> None:
-        """Remove targets and hosts whose registrations did not return.
+        """Drop targets, hosts and closed data centres that did not return.
 
         Runs until cancelled.
         """
@@ -131,7 +131,7 @@
             now = time.monotonic()
             for identity in self._directory.expire(now):
                 log_event('target_expired', {'target': identity})
-            self._log(self._cluster_state.expire_hosts(now))
+            self._log(self._cluster_state.expire(now))
 
     async def _follow_once(self) -> None:
         if self._position is None:
@@ -203,8 +203,7 @@
         self._position = position
         self._known = position
         if replaced:
-            # Registrations that are younger than the copy are written again.
-            self._directory.start_lapse_grace_period(time.monotonic())
+            self._cluster_state.start_restoration(time.monotonic())
 
     def _record_success(self) -> None:
         now = time.monotonic()
--- a/oriolestage/routing/_cluster_state.py
+++ b/oriolestage/routing/_cluster_state.py
@@ -24,7 +24,10 @@
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._rules import CallerLimits, RoutingTable
 from oriolestage.routing._state_changes import StateChange
-from oriolestage.routing._targets import TargetDirectory
+from oriolestage.routing._targets import (
+    LAPSE_GRACE_PERIOD_S,
+    TargetDirectory,
+)
 
 #: Time for which a host still shares the limits after its registration was
 #: removed, in seconds. The retries that it sent count in a window of 10 s,
@@ -53,6 +56,11 @@
         self._placement = placement
         self._table: RoutingTable | None = None
         self._closed: set[str] = set()
+        #: Monotonic time until which closed data centres that a restored store
+        #: lacks stay closed.
+        self._restored_until = float('-inf')
+        #: Data centres that stay closed until then.
+        self._unconfirmed: set[str] = set()
         self._hosts: dict[str, HostRecord] = {}
         #: Monotonic time at which the registration of a host was removed.
         self._unregistered_at: dict[str, float] = {}
@@ -79,13 +87,7 @@
         unregistered. Return the changes to log.
         """
         listed = tuple(facts)
-        closed = {
-            fact.name for fact in listed if isinstance(fact, DataCentreClosed)
-        }
-        changes: list[StateChange] = []
-        if closed != self._closed:
-            self._closed = closed
-            changes.append(self._publish_closed_data_centres())
+        changes = self._replace_closed(listed, now)
         changes += self._replace_hosts(listed, now)
         records = [
             fact.record for fact in listed if isinstance(fact, TargetStored)
@@ -102,6 +104,16 @@
         self._placement.forget_removed_targets()
         return changes
 
+    def start_restoration(self, now: float) -> None:
+        """Keep what a restored store lacks for the grace period.
+
+        Call this before :meth:`replace_all` with the content of a store that
+        was restored from a copy. Operators and targets write again what they
+        wrote since.
+        """
+        self._restored_until = now + LAPSE_GRACE_PERIOD_S
+        self._directory.start_lapse_grace_period(now)
+
     def apply(self, fact: StoredFact, now: float) -> list[StateChange]:
         """Apply one fact; return the changes to log."""
         match fact:
@@ -138,9 +150,11 @@
                 return self._apply_unreadable(fact, now)
             case DataCentreClosed(name=name):
                 self._closed.add(name)
+                self._unconfirmed.discard(name)
                 return [self._publish_closed_data_centres()]
             case DataCentreOpened(name=name):
                 self._closed.discard(name)
+                self._unconfirmed.discard(name)
                 return [self._publish_closed_data_centres()]
             case HostStored(record=host):
                 return self._apply_host(host, now)
@@ -188,11 +202,20 @@
             _change('item_unreadable', key=fact.key, problem=fact.problem),
         ]
 
-    def expire_hosts(self, now: float) -> list[StateChange]:
-        """Remove hosts that were unregistered `HOST_RETENTION_S` ago.
+    def expire(self, now: float) -> list[StateChange]:
+        """Drop what a restored store lacks, and hosts that are gone.
 
-        Return the changes to log.
+        Hosts are dropped `HOST_RETENTION_S` after their registration was
+        removed. Return the changes to log.
         """
+        changes: list[StateChange] = []
+        if self._unconfirmed and now >= self._restored_until:
+            self._closed -= self._unconfirmed
+            self._unconfirmed.clear()
+            changes.append(self._publish_closed_data_centres())
+        return changes + self._expire_hosts(now)
+
+    def _expire_hosts(self, now: float) -> list[StateChange]:
         expired = [
             name
             for name, unregistered_at in self._unregistered_at.items()
@@ -203,6 +226,23 @@
             self._hosts.pop(name, None)
         return [self._publish_hosts(now)] if expired else []
 
+    def _replace_closed(
+        self,
+        listed: Iterable[StoredFact],
+        now: float,
+    ) -> list[StateChange]:
+        closed = {
+            fact.name for fact in listed if isinstance(fact, DataCentreClosed)
+        }
+        self._unconfirmed.clear()
+        if now < self._restored_until:
+            self._unconfirmed = self._closed - closed
+            closed |= self._unconfirmed
+        if closed == self._closed:
+            return []
+        self._closed = closed
+        return [self._publish_closed_data_centres()]
+
     def _replace_hosts(
         self,
         listed: Iterable[StoredFact],
--- a/oriolestage/routing/tests/test_cluster_state.py
+++ b/oriolestage/routing/tests/test_cluster_state.py
@@ -42,9 +42,9 @@
     def test_unregistered_host_is_retained(self) -> None:
         """An unregistered host shares the limits for the retention time."""
         self._state.apply(HostRemoved('host-2'), 10)
-        self._state.expire_hosts(10 + HOST_RETENTION_S / 2)
+        self._state.expire(10 + HOST_RETENTION_S / 2)
         self.assertEqual(self._placement.hosts, ('host-1', 'host-2'))
-        self._state.expire_hosts(10 + HOST_RETENTION_S)
+        self._state.expire(10 + HOST_RETENTION_S)
         self.assertEqual(self._placement.hosts, ('host-1',))
 
     def test_host_missing_in_full_read(self) -> None:
@@ -52,7 +52,7 @@
         self._state.replace_all((), 10)
         self.assertEqual(len(self._placement.hosts), 2)
         self._state.apply(HostStored(self._other), 11)
-        self._state.expire_hosts(10 + HOST_RETENTION_S)
+        self._state.expire(10 + HOST_RETENTION_S)
         self.assertEqual(len(self._placement.hosts), 2)
 
     def test_closed_data_centres(self) -> None:
