Compare revisions of hosts only within an era of the store

Cause: hosts tell one another the revision and age of their copy of the store, so that one that lacks changes gets no batches. A host that had missed the restoration had a higher revision than the others and kept getting them; one that had noticed it first counted as behind for hosts out of touch.

Change: the era goes with the revision, as a last optional position of the messages. A host of an earlier era lacks changes, one of a later era does not; against a host of an older build revisions are compared as before.

Evidence: test_host_of_earlier_era failed before in two cases and passes; messages from and to hosts that send no era in test_peer_messages.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -244,6 +244,8 @@
                     'heard_ago_s': now - link.heard_at,
                     'revision': 'unknown' if known is None else known.revision,
                     'own_revision': own.revision,
+                    'era': 'none' if known is None else known.era,
+                    'own_era': own.era,
                     'store_age_s': 'unknown' if known is None else known.age_s,
                 },
             )
--- a/oriolestage/entry/_peer_client.py
+++ b/oriolestage/entry/_peer_client.py
@@ -208,7 +208,9 @@
             if relayed is not None and not relayed.done():
                 relayed.set_result(outcome_of_reply(reply))
             return
-        self._freshness = Freshness(reply.revision, reply.age_ms / MS_PER_S)
+        self._freshness = Freshness(
+            reply.revision, reply.age_ms / MS_PER_S, reply.era
+        )
         if isinstance(reply, Pong):
             self._cut_off = reply.cut_off
             return
--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -81,6 +81,9 @@
     revision: int
     #: Time since the store last answered that host, in milliseconds.
     age_ms: int
+    #: Era of the revision; None if the store states none, or from a host that
+    #: does not tell.
+    era: int | None = None
 
 
 class GatherDeclined(
@@ -101,6 +104,7 @@
     #: Those of the services whose targets this host does not reach, though
     #: another host may.
     unreachable: tuple[str, ...] = ()
+    era: int | None = None
 
 
 class RelayRequest(
@@ -191,6 +195,7 @@
     age_ms: int
     #: True if the host reaches no target; None from a host that cannot tell.
     cut_off: bool | None = None
+    era: int | None = None
 
 
 ToPeer = GatherRequest | GatherCancel | RelayRequest | Ping
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -168,6 +168,7 @@
             freshness.revision,
             freshness.age_ms,
             self._placement.observations.reach.cut_off,
+            freshness.era,
         )
 
     async def _serve_batch(
--- a/oriolestage/entry/_shard_gathering.py
+++ b/oriolestage/entry/_shard_gathering.py
@@ -165,6 +165,7 @@
                 revision=freshness.revision,
                 age_ms=freshness.age_ms,
                 unreachable=unreachable,
+                era=freshness.era,
             ),
         )
 
@@ -210,6 +211,7 @@
                 work_s=work_s,
                 revision=freshness.revision,
                 age_ms=freshness.age_ms,
+                era=freshness.era,
             ),
         )
 
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -89,11 +89,11 @@
 
     @property
     def freshness(self) -> Freshness:
-        """Revision and age of this host's copy of the store.
+        """Revision, era and age of this host's copy of the store.
 
         The revision is 0 before the first read.
         """
-        return Freshness(self._known.revision, self.age_s)
+        return Freshness(self._known.revision, self.age_s, self._known.era)
 
     async def wait_first_read(self, timeout_s: float) -> bool:
         """Wait for the first read of the store, up to ``timeout_s`` seconds.
--- a/oriolestage/entry/tests/test_peer_messages.py
+++ b/oriolestage/entry/tests/test_peer_messages.py
@@ -50,9 +50,12 @@
         """An older host ignores the fields that it does not know."""
         older = msgspec.msgpack.Decoder(OlderPong | OlderDeclined)
         self.assertEqual(
-            older.decode(encode(Pong(7, 5, cut_off=True))), OlderPong(7, 5)
+            older.decode(encode(Pong(7, 5, cut_off=True, era=2))),
+            OlderPong(7, 5),
+        )
+        declined = GatherDeclined(
+            1, {}, True, 7, 5, unreachable=('shard-0',), era=2
         )
-        declined = GatherDeclined(1, {}, True, 7, 5, unreachable=('shard-0',))
         self.assertEqual(
             older.decode(encode(declined)), OlderDeclined(1, {}, True, 7, 5)
         )
--- a/oriolestage/routing/_peers.py
+++ b/oriolestage/routing/_peers.py
@@ -318,7 +318,13 @@
 
 
 def _is_behind(other: Freshness | None, own: Freshness) -> bool:
-    if other is None or other.revision >= own.revision:
+    if other is None or not _lacks_changes(other, own):
         return False
     # Revision 0: the host has not read the store and knows no target.
     return not other.revision or other.age_s > own.age_s + BEHIND_S
+
+
+def _lacks_changes(other: Freshness, own: Freshness) -> bool:
+    if other.era is None or own.era is None or other.era == own.era:
+        return other.revision < own.revision
+    return other.era < own.era or not other.revision
--- a/oriolestage/routing/_state_changes.py
+++ b/oriolestage/routing/_state_changes.py
@@ -24,6 +24,9 @@
     revision: int
     #: Time since the store last answered the host, in seconds.
     age_s: float
+    #: Era of that revision; None if the store states none, or from a host
+    #: that does not tell. Revisions of different eras cannot be compared.
+    era: int | None = None
 
     @property
     def age_ms(self) -> int:
--- a/oriolestage/routing/tests/test_peers.py
+++ b/oriolestage/routing/tests/test_peers.py
@@ -169,6 +169,30 @@
         )
         self.assertEqual(self._choose(), 'far-2')
 
+    def test_host_of_earlier_era(self) -> None:
+        """Revisions of before a restoration of the store say nothing.
+
+        A host that had missed the restoration got batches, because its old
+        revision was above the present ones.
+        """
+        own = Freshness(102, 0.1, era=2)
+        cases = (
+            (Freshness(104, BEHIND_S + 1, era=1), True),
+            (Freshness(104, 0.2, era=1), False),
+            (Freshness(90, BEHIND_S + 1, era=3), False),
+            (Freshness(101, BEHIND_S + 1, era=2), True),
+            (Freshness(104, BEHIND_S + 1), False),
+            (Freshness(0, 0.2), True),
+            (Freshness(0, 0.2, era=3), True),
+        )
+        for other, behind in cases:
+            with self.subTest(other=other):
+                self.setUp()
+                state = self._peers.record_link_state(
+                    'far-1:1', LinkState(1, other), own, 1
+                )
+                self.assertEqual(state == PeerState.BEHIND, behind)
+
     def test_not_behind(self) -> None:
         """A host that lacks nothing, or lags only briefly, is not behind."""
         for name, freshness in (
