Log which targets say that they leave

Change: the header is decoded with each response and handed, like the rate limit, to an observer of what targets state; target_leaving is logged for each response with it. A malformed value is logged (notice_unreadable, which replaces rate_limit_unreadable) and ignored. What is sent has not changed.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -131,7 +131,7 @@
     peers = PeerDirectory(settings.location)
     crash_detector = CrashDetector(_log_change)
     cluster_state = ClusterState(directory, placement, peers, crash_detector)
-    client = TargetClient(wire_protocol, placement.record_rate_limit)
+    client = TargetClient(wire_protocol, placement)
     sender = CrashTrackingSender(client, crash_detector)
     peer_client = PeerClient()
     follower = StoreFollower(
--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -182,6 +182,12 @@
         malformed one.
         """
 
+    def leaving(self, headers: Mapping[str, str]) -> bool:
+        """Return whether a target states that it is about to leave.
+
+        Raises ``ValueError`` for a malformed statement.
+        """
+
     def signature(self, headers: Mapping[str, str]) -> str:
         """Return the signature of a target's response; empty if none."""
 
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -3,7 +3,8 @@
 import asyncio
 import dataclasses
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import Protocol, TypeVar
 
 import aiohttp
 
@@ -30,6 +31,23 @@
 #: Characters that would end a header line or a request line early.
 LINE_BREAKS = frozenset('\r\n\0')
 
+_Notice = TypeVar('_Notice')
+
+
+class TargetObserver(Protocol):
+    """Is told what targets state about themselves in responses."""
+
+    def record_rate_limit(
+        self, identity: str, limit: float | None, now: float
+    ) -> None:
+        """Record the rate limit in a response of a target.
+
+        ``limit`` is in requests per second of all hosts; None for no limit.
+        """
+
+    def record_leaving(self, identity: str, now: float) -> None:
+        """Record that a target is about to leave."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetCall:
@@ -57,16 +75,14 @@
     def __init__(
         self,
         wire_protocol: WireProtocol,
-        on_rate_limit: Callable[[str, float | None, float], None],
+        observer: TargetObserver,
     ) -> None:
         """Create a client; connections are opened on demand.
 
-        ``on_rate_limit`` is called for each response of a target with the
-        target's identity, the rate limit that the response states in requests
-        per second, or None, and the monotonic time.
+        ``observer`` is told what each response states about its target.
         """
         self._wire_protocol = wire_protocol
-        self._on_rate_limit = on_rate_limit
+        self._observer = observer
         self._pool = ConnectionPool()
         self._held = HeldBytes()
 
@@ -122,7 +138,7 @@
         outcome = self._wire_protocol.outcome(
             call.request_id, self._build_answer(response)
         )
-        self._report_rate_limit(call, response, outcome)
+        self._report_notices(call, response, outcome)
         if isinstance(outcome, AttemptLost) or not call.repeatable:
             # Bytes that follow the answer to another request cannot be
             # matched to a request, so the connection must not be reused.
@@ -131,31 +147,29 @@
             self._pool.put(call.address, connection)
         return outcome
 
-    def _report_rate_limit(
+    def _report_notices(
         self,
         call: TargetCall,
         response: RawResponse,
         outcome: AttemptOutcome,
     ) -> None:
-        """Report the stated rate limit unless another target may have sent it.
+        """Report what a target states, unless another one may have sent it.
 
         A response that cannot be matched to the call says nothing about the
-        target, nor does a malformed limit, which is logged.
+        target, nor does a malformed statement, which is logged.
         """
         match outcome:
             case AttemptLost():
                 return
             case AttemptNotRun(reason=NotRunReason.OTHER_TARGET):
                 return
-        try:
-            limit = self._wire_protocol.rate_limit(response.headers)
-        except ValueError as error:
-            log_event(
-                'rate_limit_unreadable',
-                {'step': 'target', 'peer': call.address, 'error': error},
-            )
-            return
-        self._on_rate_limit(call.target, limit, time.monotonic())
+        now = time.monotonic()
+        protocol = self._wire_protocol
+        limits = _read(protocol.rate_limit, call, response)
+        for limit in limits:
+            self._observer.record_rate_limit(call.target, limit, now)
+        if any(_read(protocol.leaving, call, response)):
+            self._observer.record_leaving(call.target, now)
 
     async def _connection_for(self, call: TargetCall) -> TargetConnection:
         if call.repeatable:
@@ -191,3 +205,19 @@
                 raise ValueError('line break in a request line or header')
         head = '\r\n'.join(lines).encode('utf-8', 'surrogateescape')
         return b''.join((head, b'\r\n\r\n', call.body))
+
+
+def _read(
+    read: Callable[[Mapping[str, str]], _Notice],
+    call: TargetCall,
+    response: RawResponse,
+) -> tuple[_Notice, ...]:
+    """Return what a response states, or nothing if that is malformed."""
+    try:
+        return (read(response.headers),)
+    except ValueError as error:
+        log_event(
+            'notice_unreadable',
+            {'step': 'target', 'peer': call.address, 'error': error},
+        )
+    return ()
--- a/oriolestage/platform/_names.py
+++ b/oriolestage/platform/_names.py
@@ -13,6 +13,8 @@
 #: Requests per second that the target takes from all hosts together, as a
 #: decimal number; absent if it states no limit.
 RATE_LIMIT_HEADER = 'Server-Limit'
+#: '1' if the target is about to leave; it takes no new work then.
+LEAVING_HEADER = 'Server-Leaving'
 RETRY_AFTER_HEADER = 'Retry-After'
 #: In answers of the store: rises by one each time that the store has returned
 #: to an older copy of its content.
--- a/oriolestage/platform/_wire_protocol.py
+++ b/oriolestage/platform/_wire_protocol.py
@@ -46,6 +46,9 @@
         _names.TARGET_HEADER.lower(),
     ),
 )
+#: Values of the header that says whether a target leaves.
+LEAVING = '1'
+NOT_LEAVING = '0'
 #: Maximum number of signatures in one header line; more take several lines.
 SIGNATURES_PER_LINE = 50
 
@@ -116,6 +119,16 @@
             raise ValueError(f'{_names.RATE_LIMIT_HEADER} is {text!r}')
         return limit
 
+    def leaving(self, headers: Mapping[str, str]) -> bool:
+        """Return whether a target states that it is about to leave.
+
+        Raises ``ValueError`` if it states anything else.
+        """
+        text = headers.get(_names.LEAVING_HEADER, NOT_LEAVING)
+        if text not in {LEAVING, NOT_LEAVING}:
+            raise ValueError(f'{_names.LEAVING_HEADER} is {text!r}')
+        return text == LEAVING
+
     def signature(self, headers: Mapping[str, str]) -> str:
         """Return the signature of a target's response, empty if it has none."""
         return headers.get(_names.SIGNATURE_HEADER, '')
--- a/oriolestage/platform/tests/target_calls.py
+++ b/oriolestage/platform/tests/target_calls.py
@@ -6,7 +6,6 @@
 import struct
 import threading
 import time
-from collections.abc import Callable
 from typing import Protocol
 
 import uvloop
@@ -21,12 +20,24 @@
 LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
-#: Called with the target, its rate limit in requests/s, and the time.
-RateLimitObserver = Callable[[str, float | None, float], None]
+class RecordingObserver:
+    """Collects what targets state, in order."""
 
+    def __init__(self) -> None:
+        """Start without statements."""
+        self.limits: list[float | None] = []
+        #: Identities of targets that leave, one for each response.
+        self.leaving: list[str] = []
 
-def ignore_rate_limit(_: str, limit: float | None, now: float) -> None:
-    """Ignore the rate limit of a response."""
+    def record_rate_limit(
+        self, identity: str, limit: float | None, now: float
+    ) -> None:
+        """Collect a rate limit in requests/s."""
+        self.limits.append(limit)
+
+    def record_leaving(self, identity: str, now: float) -> None:
+        """Collect a target that leaves."""
+        self.leaving.append(identity)
 
 
 class ListeningTarget(Protocol):
@@ -118,7 +129,7 @@
     *,
     block_s: float = 0,
     pause_s: float = 0,
-    on_rate_limit: RateLimitObserver = ignore_rate_limit,
+    observer: RecordingObserver | None = None,
     **changes: object,
 ) -> list[AttemptOutcome]:
     """Send calls one after another on uvloop, as in production.
@@ -127,7 +138,9 @@
     """
 
     async def send_all() -> list[AttemptOutcome]:
-        client = TargetClient(PlatformWireProtocol(), on_rate_limit)
+        client = TargetClient(
+            PlatformWireProtocol(), observer or RecordingObserver()
+        )
         outcomes: list[AttemptOutcome] = []
         try:
             for _ in range(calls):
--- a/oriolestage/platform/tests/test_endless_responses.py
+++ b/oriolestage/platform/tests/test_endless_responses.py
@@ -14,6 +14,7 @@
 from oriolestage.platform.tests.target_calls import (
     COMPLETE_ANSWER,
     HEAD,
+    RecordingObserver,
     make_call,
     run_calls,
 )
@@ -84,7 +85,7 @@
 
 async def _largest_held_bytes(targets: list[EndlessTarget]) -> int:
     """Call all targets at once; return the largest number of held bytes."""
-    client = TargetClient(PlatformWireProtocol(), lambda *_: None)
+    client = TargetClient(PlatformWireProtocol(), RecordingObserver())
     calls = [
         asyncio.create_task(
             client.send(
--- a/oriolestage/platform/tests/test_target_wire.py
+++ b/oriolestage/platform/tests/test_target_wire.py
@@ -7,6 +7,7 @@
     COMPLETE_ANSWER,
     HEAD,
     RawTarget,
+    RecordingObserver,
     run_calls,
 )
 from oriolestage.routing._answers import (
@@ -127,17 +128,46 @@
         self.assertIsInstance(outcome, AttemptLost)
 
 
+def _observe(*answers: bytes) -> RecordingObserver:
+    observer = RecordingObserver()
+    run_calls(RawTarget(*answers), calls=len(answers), observer=observer)
+    return observer
+
+
+class LeavingTest(unittest.TestCase):
+    """A target that leaves says so in its responses."""
+
+    def test_stated(self) -> None:
+        """Answers and refusals of a target that leaves are reported."""
+        leaving = COMPLETE_ANSWER.replace(
+            b'Server-Stamp', b'Server-Leaving: 1\r\nServer-Stamp', 1
+        )
+        refused = (
+            b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nAttempt-Id: a\r\n'
+            b'Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n'
+        )
+        observed = _observe(COMPLETE_ANSWER, leaving, refused)
+        self.assertEqual(observed.leaving, ['i-1', 'i-1'])
+
+    def test_not_believed(self) -> None:
+        """Malformed statements and those of other targets do not count."""
+        malformed = COMPLETE_ANSWER.replace(
+            b'Server-Stamp', b'Server-Leaving: soon\r\nServer-Stamp', 1
+        )
+        other_target = (
+            b'HTTP/1.1 421 Misdirected\r\nServer-Leaving: 1\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+        observed = _observe(malformed, other_target)
+        self.assertEqual(observed.leaving, [])
+        self.assertEqual(observed.limits, [None])
+
+
 class RateLimitTest(unittest.TestCase):
     """The rate limit in a response is reported for the target that sent it."""
 
     def _limits(self, *answers: bytes) -> list[float | None]:
-        limits: list[float | None] = []
-        run_calls(
-            RawTarget(*answers),
-            calls=len(answers),
-            on_rate_limit=lambda _, limit, now: limits.append(limit),
-        )
-        return limits
+        return _observe(*answers).limits
 
     def test_stated_and_ended(self) -> None:
         """A limit is reported with each response, and its absence too."""
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -53,6 +53,7 @@
         self.observations = Observations(location, on_change)
         self.rates = TargetRates(location, on_change)
         self._directory = directory
+        self._on_change = on_change
         self._warm_up = warm_up
         self._pacers: dict[str, WarmUpPacer] = {}
         self._hosts: tuple[str, ...] = (location.name,)
@@ -195,6 +196,22 @@
         if target is not None:
             self.rates.record_limit(target, limit, now)
 
+    def record_leaving(self, identity: str, now: float) -> None:
+        """Record that a target is about to leave, as a response states."""
+        target = self._directory.find(identity)
+        if target is not None:
+            self._on_change(
+                StateChange(
+                    'target_leaving',
+                    (
+                        ('target', identity),
+                        ('service', target.record.service),
+                        ('peer', target.record.address),
+                        ('draining', target.record.draining),
+                    ),
+                ),
+            )
+
     def record_batch_part(
         self,
         service: str,
