Send nothing new to a target that says that it leaves

What callers saw: nothing; the target got requests after the 4,000 ms that it allows.

Cause: hosts knew only from the store that a target leaves. Class: a fact that a peer states itself is believed from a third party alone.

Ruled out: late requests only (the rate did not fall), and hosts that had not been told (all senders had had such answers).

Change: the target's process is not chosen any more, for callers, batches and other hosts' requests; a new process of it is. A registration without the state does not undo it.

--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -45,7 +45,7 @@
         ``limit`` is in requests per second of all hosts; None for no limit.
         """
 
-    def record_leaving(self, identity: str, now: float) -> None:
+    def record_leaving(self, identity: str) -> None:
         """Record that a target is about to leave."""
 
 
@@ -169,7 +169,7 @@
         for limit in limits:
             self._observer.record_rate_limit(call.target, limit, now)
         if any(_read(protocol.leaving, call, response)):
-            self._observer.record_leaving(call.target, now)
+            self._observer.record_leaving(call.target)
 
     async def _connection_for(self, call: TargetCall) -> TargetConnection:
         if call.repeatable:
--- a/oriolestage/platform/tests/target_calls.py
+++ b/oriolestage/platform/tests/target_calls.py
@@ -35,7 +35,7 @@
         """Collect a rate limit in requests/s."""
         self.limits.append(limit)
 
-    def record_leaving(self, identity: str, now: float) -> None:
+    def record_leaving(self, identity: str) -> None:
         """Collect a target that leaves."""
         self.leaving.append(identity)
 
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -196,21 +196,23 @@
         if target is not None:
             self.rates.record_limit(target, limit, now)
 
-    def record_leaving(self, identity: str, now: float) -> None:
-        """Record that a target is about to leave, as a response states."""
+    def record_leaving(self, identity: str) -> None:
+        """Send no more attempts to a target that says that it leaves.
+
+        It serves for some time yet, so attempts in flight are not affected.
+        """
         target = self._directory.find(identity)
-        if target is not None:
-            self._on_change(
-                StateChange(
-                    'target_leaving',
-                    (
-                        ('target', identity),
-                        ('service', target.record.service),
-                        ('peer', target.record.address),
-                        ('draining', target.record.draining),
-                    ),
-                ),
-            )
+        if target is None or target.leaving:
+            return
+        target.leaving = True
+        named = {
+            'target': identity,
+            'service': target.record.service,
+            'peer': target.record.address,
+            'draining': target.record.draining,
+            'outstanding': self.observations.load_of(target).outstanding,
+        }
+        self._on_change(StateChange('target_leaving', tuple(named.items())))
 
     def record_batch_part(
         self,
--- a/oriolestage/routing/_targets.py
+++ b/oriolestage/routing/_targets.py
@@ -45,6 +45,8 @@
     expires_at: float = float('inf')
     #: True once another target has answered at its address.
     replaced: bool = False
+    #: True once it has said in a response that it leaves.
+    leaving: bool = False
     #: Name that is unique to its process.
     process: str = dataclasses.field(init=False)
 
@@ -166,7 +168,7 @@
     def usable(self, service: str) -> Iterator[KnownTarget]:
         """Yield the targets of a service that may get new work."""
         for known in self._by_service.get(service, {}).values():
-            if known.record.draining or known.replaced:
+            if known.record.draining or known.leaving or known.replaced:
                 continue
             if known.record.data_centre in self._closed_data_centres:
                 continue
--- a/oriolestage/routing/tests/test_leaving_targets.py
+++ b/oriolestage/routing/tests/test_leaving_targets.py
@@ -27,7 +27,7 @@
             ),
         )
         self.assertEqual(self._chosen(0), 't-1')
-        self._placement.record_leaving('t-1', 1)
+        self._placement.record_leaving('t-1')
 
     def _chosen(self, now: float) -> str:
         choice = self._placement.choose(REQUIREMENTS, (), now)
