Log the rest that targets ask for

Change: the time is decoded from a 503 of a target and handed to the observer; target_rests is logged for each. A malformed time is logged (notice_unreadable) and ignored. What is sent has not changed.

Measured: tests of the target wire.

--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -188,6 +188,13 @@
         Raises ``ValueError`` for a malformed statement.
         """
 
+    def rest_s(self, status: int, headers: Mapping[str, str]) -> float:
+        """Return for how many seconds a target wants no request of this host.
+
+        0 if its response does not say so. Raises ``ValueError`` for a
+        malformed time.
+        """
+
     def signature(self, headers: Mapping[str, str]) -> str:
         """Return the signature of a target's response; empty if none."""
 
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import time
 from collections.abc import Callable, Mapping
 from typing import Protocol, TypeVar
@@ -48,6 +49,12 @@
     def record_leaving(self, identity: str) -> None:
         """Record that a target is about to leave."""
 
+    def record_rest(self, identity: str, rest_s: float, now: float) -> None:
+        """Record that a target wants no request of this host for a time.
+
+        ``rest_s`` is in seconds from ``now``.
+        """
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetCall:
@@ -165,11 +172,14 @@
                 return
         now = time.monotonic()
         protocol = self._wire_protocol
-        limits = _read(protocol.rate_limit, call, response)
-        for limit in limits:
+        for limit in _read(protocol.rate_limit, call, response):
             self._observer.record_rate_limit(call.target, limit, now)
         if any(_read(protocol.leaving, call, response)):
             self._observer.record_leaving(call.target)
+        read_rest = functools.partial(protocol.rest_s, response.status)
+        for rest_s in _read(read_rest, call, response):
+            if rest_s:
+                self._observer.record_rest(call.target, rest_s, now)
 
     async def _connection_for(self, call: TargetCall) -> TargetConnection:
         if call.repeatable:
--- a/oriolestage/platform/_names.py
+++ b/oriolestage/platform/_names.py
@@ -15,6 +15,8 @@
 RATE_LIMIT_HEADER = 'Server-Limit'
 #: '1' if the target is about to leave; it takes no new work then.
 LEAVING_HEADER = 'Server-Leaving'
+#: Time after which to send a request again, in seconds, in refusals to callers
+#: and in those of targets. It may have a fraction.
 RETRY_AFTER_HEADER = 'Retry-After'
 #: In answers of the store: rises by one each time that the store has returned
 #: to an older copy of its content.
--- a/oriolestage/platform/_wire_protocol.py
+++ b/oriolestage/platform/_wire_protocol.py
@@ -129,6 +129,20 @@
             raise ValueError(f'{_names.LEAVING_HEADER} is {text!r}')
         return text == LEAVING
 
+    def rest_s(self, status: int, headers: Mapping[str, str]) -> float:
+        """Return for how long a target wants no request of this host.
+
+        0 if its response does not say so. Raises ``ValueError`` for anything
+        but a finite number of at least 0.
+        """
+        text = headers.get(_names.RETRY_AFTER_HEADER)
+        if text is None or status != HTTPStatus.SERVICE_UNAVAILABLE:
+            return 0
+        rest_s = float(text)
+        if not 0 <= rest_s < math.inf:
+            raise ValueError(f'{_names.RETRY_AFTER_HEADER} is {text!r}')
+        return rest_s
+
     def signature(self, headers: Mapping[str, str]) -> str:
         """Return the signature of a target's response, empty if it has none."""
         return headers.get(_names.SIGNATURE_HEADER, '')
--- a/oriolestage/platform/tests/target_calls.py
+++ b/oriolestage/platform/tests/target_calls.py
@@ -28,6 +28,8 @@
         self.limits: list[float | None] = []
         #: Identities of targets that leave, one for each response.
         self.leaving: list[str] = []
+        #: Times for which targets want no request, in seconds.
+        self.rests: list[float] = []
 
     def record_rate_limit(
         self, identity: str, limit: float | None, now: float
@@ -39,6 +41,10 @@
         """Collect a target that leaves."""
         self.leaving.append(identity)
 
+    def record_rest(self, identity: str, rest_s: float, now: float) -> None:
+        """Collect a time of rest in seconds."""
+        self.rests.append(rest_s)
+
 
 class ListeningTarget(Protocol):
     """A target of a test."""
--- a/oriolestage/platform/tests/test_target_wire.py
+++ b/oriolestage/platform/tests/test_target_wire.py
@@ -163,6 +163,38 @@
         self.assertEqual(observed.limits, [None])
 
 
+class RestTest(unittest.TestCase):
+    """A target that rejects a request may ask for a time without any."""
+
+    def test_asked(self) -> None:
+        """The time is read from refusals, not from other responses."""
+        refused = (
+            b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nAttempt-Id: a\r\n'
+            b'Retry-After: %s\r\nContent-Length: 0\r\n\r\n'
+        )
+        answered = COMPLETE_ANSWER.replace(
+            b'Server-Stamp', b'Retry-After: 9\r\nServer-Stamp', 1
+        )
+        observed = _observe(
+            refused % b'3',
+            answered,
+            refused % b'0.25',
+            refused % b'0',
+            refused % b'-1',
+            refused % b'inf',
+            refused % b'Fri, 04 Dec 2026 15:00:00 GMT',
+        )
+        self.assertEqual(observed.rests, [3, 0.25])
+
+    def test_other_target(self) -> None:
+        """The time of another target at the address does not count."""
+        other_request = (
+            b'HTTP/1.1 503 Busy\r\nAttempt-Id: b\r\nRetry-After: 3\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+        self.assertEqual(_observe(other_request).rests, [])
+
+
 class RateLimitTest(unittest.TestCase):
     """The rate limit in a response is reported for the target that sent it."""
 
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -214,6 +214,21 @@
         }
         self._on_change(StateChange('target_leaving', tuple(named.items())))
 
+    def record_rest(self, identity: str, rest_s: float, now: float) -> None:
+        """Record that a target wants no request of this host for a time."""
+        target = self._directory.find(identity)
+        if target is not None:
+            named = {
+                'target': identity,
+                'service': target.record.service,
+                'peer': target.record.address,
+                'for_s': rest_s,
+                'outstanding': self.observations.load_of(target).outstanding,
+            }
+            self._on_change(
+                StateChange('target_rests', tuple(named.items())),
+            )
+
     def record_batch_part(
         self,
         service: str,
