Send nothing to a target within the rest that it asks for

What callers saw: nothing; a target that had turned a request of the host away and asked for 3 s of rest got up to 15 more within them.

Ruled out: only repeats (3 of the 4 attempts of the host's own callers were no hedges), and only attempts for other hosts (those of own callers are among them, though 119 of 123 were in batches).

Change: until the rest is over the target has no capacity for this host, for callers, batches and other hosts' requests; the time until then is known, so that refusals name it. It is not sent there through other hosts either.

Evidence: test_resting_targets passes.

--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -148,7 +148,7 @@
         cut_off = self.observations.reach.cut_off
         for target in self._candidates(requirements, excluded):
             load = self.observations.load_of(target)
-            if now < load.full_until:
+            if now < max(load.full_until, load.rest_until):
                 continue
             if not cut_off and not load.in_backoff(now):
                 continue
@@ -217,17 +217,18 @@
     def record_rest(self, identity: str, rest_s: float, now: float) -> None:
         """Record that a target wants no request of this host for a time."""
         target = self._directory.find(identity)
-        if target is not None:
-            named = {
-                'target': identity,
-                'service': target.record.service,
-                'peer': target.record.address,
-                'for_s': rest_s,
-                'outstanding': self.observations.load_of(target).outstanding,
-            }
-            self._on_change(
-                StateChange('target_rests', tuple(named.items())),
-            )
+        if target is None:
+            return
+        load = self.observations.load_of(target)
+        load.record_rest(now + rest_s)
+        named = {
+            'target': identity,
+            'service': target.record.service,
+            'peer': target.record.address,
+            'for_s': rest_s,
+            'outstanding': load.outstanding,
+        }
+        self._on_change(StateChange('target_rests', tuple(named.items())))
 
     def record_batch_part(
         self,
@@ -288,11 +289,13 @@
     ) -> float:
         """Return the seconds until a target may have capacity, 0 if it has.
 
-        A target has no capacity in back-off, while another host declines
-        attempts at it, at the rate limit that it states, and at its limit of
-        attempts, of connections or of requests while it is cold.
+        A target has no capacity while it rests, in back-off, while another
+        host declines attempts at it, at the rate limit that it states, and at
+        its limit of attempts, of connections or of requests while it is cold.
         """
         load = self.observations.load_of(target)
+        if now < load.rest_until:
+            return load.rest_until - now
         if load.in_backoff(now):
             return max(FULL_WAIT_S, load.backoff_until - now)
         if now < load.full_until:
--- a/oriolestage/routing/_target_load.py
+++ b/oriolestage/routing/_target_load.py
@@ -56,6 +56,7 @@
         self._backoff_until = float('-inf')
         self._backoff_started_at = float('-inf')
         self._full_until = float('-inf')
+        self._rest_until = float('-inf')
         self._backoff_s = BACKOFF_S
 
     @property
@@ -78,6 +79,11 @@
         """Monotonic time until which another host has no capacity for it."""
         return self._full_until
 
+    @property
+    def rest_until(self) -> float:
+        """Monotonic time until which it wants no request of this host."""
+        return self._rest_until
+
     def in_backoff(self, now: float) -> bool:
         """Return whether the target gets no attempt now.
 
@@ -164,6 +170,10 @@
         """Record that another host has no capacity for the target."""
         self._full_until = max(self._full_until, until)
 
+    def record_rest(self, until: float) -> None:
+        """Record until when the target wants no request of this host."""
+        self._rest_until = max(self._rest_until, until)
+
     def record_abandoned(self, attempt: int, now: float, late_s: float) -> None:
         """Record an abandoned attempt.
 
--- a/oriolestage/routing/tests/test_resting_targets.py
+++ b/oriolestage/routing/tests/test_resting_targets.py
@@ -13,13 +13,14 @@
 REQUIREMENTS = TargetRequirements('shard-0', 'route')
 #: Rest that a target asks for with each refusal, in seconds.
 REST_S = 3.0
-#: Time that a request may be on its way when the target asks, in seconds.
-ON_THE_WAY_S = 0.5
-#: Interval of requests and length of a replay, in seconds.
+#: Interval of requests in a replay, in seconds.
 STEP_S = 0.02
-#: Steps that a request takes at a target that runs it.
-WORK_STEPS = 4
-REPLAY_S = 11.0
+#: Length of a replay, of a rest, of the time for which a request may be on its
+#: way when the target asks, and of a request that runs, in such intervals.
+REPLAY_STEPS = 550
+REST_STEPS = 150
+ON_THE_WAY_STEPS = 25
+WORK_STEPS = 6
 
 
 class RestingTargetTest(unittest.TestCase):
@@ -40,12 +41,12 @@
             return choice.target.record.identity
         return type(choice).__name__
 
-    def _replay(self, resting: frozenset[str]) -> dict[str, list[float]]:
+    def _replay(self, resting: frozenset[str]) -> dict[str, list[int]]:
         """Return when each target got requests, ``resting`` rejecting all."""
-        sent: dict[str, list[float]] = {'t-1': [], 't-2': []}
+        sent: dict[str, list[int]] = {'t-1': [], 't-2': []}
         placement = self._placement
         running: list[tuple[int, KnownTarget]] = []
-        for step in range(int(REPLAY_S / STEP_S)):
+        for step in range(REPLAY_STEPS):
             now = step * STEP_S
             if running and running[0][0] <= step - WORK_STEPS:
                 started, ended = running.pop(0)
@@ -56,7 +57,7 @@
             target = choice.target
             identity = target.record.identity
             placement.record_sent(target, step, now)
-            sent[identity].append(now)
+            sent[identity].append(step)
             if identity in resting:
                 placement.observations.record_failure(target, step, now)
                 placement.record_rest(identity, REST_S, now)
@@ -64,10 +65,10 @@
                 running.append((step, target))
         return sent
 
-    def _most_in_rest(self, sent: list[float]) -> int:
+    def _most_in_rest(self, sent: list[int]) -> int:
         """Return the most requests after one refusal, within its rest."""
         return max(
-            sum(1 for at in sent if ON_THE_WAY_S <= at - asked < REST_S)
+            sum(1 for at in sent if ON_THE_WAY_STEPS <= at - asked < REST_STEPS)
             for asked in sent
         )
 
@@ -77,7 +78,7 @@
         self.assertGreater(len(sent['t-1']), 1)
         self.assertEqual(self._most_in_rest(sent['t-1']), 0)
         total = len(sent['t-1']) + len(sent['t-2'])
-        self.assertEqual(total, int(REPLAY_S / STEP_S))
+        self.assertEqual(total, REPLAY_STEPS)
 
     def test_all_resting(self) -> None:
         """Both targets rest, and neither gets a request meanwhile."""
