--- a/oriolestage/routing/tests/test_request_run.py
+++ b/oriolestage/routing/tests/test_request_run.py
@@ -8,6 +8,7 @@
     AttemptNotRun,
     Delivered,
     Failed,
+    GiveUpReason,
     NotRunReason,
     Refused,
 )
@@ -52,6 +53,23 @@
             with self.subTest(status=status):
                 self.assertEqual(result_in(ended), Delivered(answer))
 
+    def test_refused_while_targets_rest(self) -> None:
+        """A request is refused at once if all targets rest past its deadline.
+
+        The caller is told when the first of them takes requests again.
+        """
+        records = _three_targets()[:2]
+        placement, _ = make_placement(records=records)
+        run, actions = start_run(make_rule(), records, known=placement)
+        for rest_s in (3.0, 4.0):
+            sent = attempts_in(actions)[0]
+            target = sent.target.record.identity
+            placement.record_rest(target, rest_s, 0.01)
+            actions = run.on_outcome(
+                sent.attempt, AttemptNotRun(NotRunReason.SHED), 0.01
+            )
+        self.assertEqual(result_in(actions), Refused(GiveUpReason.NO_ROOM, 3.0))
+
     def test_not_run_is_retried(self) -> None:
         """A request that certainly did not run is sent to another target.
 
