Tell the asking host which targets leave

Cause: a host that has shards or requests sent by another one passes on answers that say that their target leaves, and does not learn it. While the store is away it may send to that target itself later, when the other host is gone.

Change: the replies name the targets that leave, as a last optional position; the asking host stops choosing them. Hosts of older builds ignore it.

Evidence: test_leaving_target for batches and for single requests (the messages had no place for it before); messages from and to older builds in test_peer_messages.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -133,7 +133,7 @@
     cluster_state = ClusterState(directory, placement, peers, crash_detector)
     client = TargetClient(wire_protocol, placement)
     sender = CrashTrackingSender(client, crash_detector)
-    peer_client = PeerClient()
+    peer_client = PeerClient(placement.record_leaving)
     follower = StoreFollower(
         store,
         cluster_state,
--- a/oriolestage/entry/_peer_client.py
+++ b/oriolestage/entry/_peer_client.py
@@ -9,7 +9,7 @@
 import itertools
 import socket
 import time
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 
 import msgspec
 
@@ -69,9 +69,10 @@
 class _Link:
     """The stream to one host."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, on_leaving: Callable[[str], None]) -> None:
         """Create a closed link; :meth:`open` connects it."""
         self._address = address
+        self._on_leaving = on_leaving
         self._frames: FrameWriter | None = None
         self._read_task: asyncio.Task[None] | None = None
         self._open_lock = asyncio.Lock()
@@ -204,6 +205,7 @@
     def _dispatch(self, reply: FromPeer) -> None:
         self._received_at = time.monotonic()
         if isinstance(reply, RelayAnswered | RelayNotRun | RelayLost):
+            self._report_leaving(reply)
             relayed = self._relayed.get(reply.number)
             if relayed is not None and not relayed.done():
                 relayed.set_result(outcome_of_reply(reply))
@@ -214,10 +216,19 @@
         if isinstance(reply, Pong):
             self._cut_off = reply.cut_off
             return
+        self._report_leaving(reply)
         replies = self._pending.get(reply.number)
         if replies is not None:
             replies.put_nowait(_to_outcome(reply))
 
+    def _report_leaving(self, reply: FromPeer) -> None:
+        match reply:
+            case GatherReply(leaving=leaving):
+                for identity in leaving:
+                    self._on_leaving(identity)
+            case RelayAnswered(leaving=identity) if identity:
+                self._on_leaving(identity)
+
 
 def _to_outcome(reply: GatherReply | GatherDeclined) -> BatchOutcome:
     match reply:
@@ -250,8 +261,13 @@
 class PeerClient:
     """Keeps streams to other entry hosts and sends batches over them."""
 
-    def __init__(self) -> None:
-        """Create a client without streams."""
+    def __init__(self, on_leaving: Callable[[str], None]) -> None:
+        """Create a client without streams.
+
+        ``on_leaving`` is called with the identity of a target that another
+        host has used and that says that it leaves.
+        """
+        self._on_leaving = on_leaving
         self._links: dict[str, _Link] = {}
         self._numbers = itertools.count(1)
 
@@ -270,7 +286,7 @@
         ``request`` gets a number of its own. Closing the iterator early
         cancels the batch at the host.
         """
-        link = self._links.setdefault(address, _Link(address))
+        link = self._links.setdefault(address, _Link(address, self._on_leaving))
         try:
             await link.open()
         except (OSError, TimeoutError) as error:
@@ -291,7 +307,7 @@
 
         ``request`` gets a number of its own. Cancelling the call cancels it.
         """
-        link = self._links.setdefault(address, _Link(address))
+        link = self._links.setdefault(address, _Link(address, self._on_leaving))
         try:
             await link.open()
         except (OSError, TimeoutError):
@@ -308,7 +324,9 @@
         for address in self._links.keys() - addresses:
             self._links.pop(address).close('link.unregistered')
         links = {
-            address: self._links.setdefault(address, _Link(address))
+            address: self._links.setdefault(
+                address, _Link(address, self._on_leaving)
+            )
             for address in addresses
         }
         await asyncio.gather(
--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -84,6 +84,8 @@
     #: Era of the revision; None if the store states none, or from a host that
     #: does not tell.
     era: int | None = None
+    #: Identities of targets of these shards that say that they leave.
+    leaving: tuple[str, ...] = ()
 
 
 class GatherDeclined(
@@ -146,6 +148,8 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     signature: str
+    #: Identity of the target if it says that it leaves, else empty.
+    leaving: str = ''
 
     @property
     def answer(self) -> TargetAnswer:
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -311,7 +311,9 @@
             )
             raise
         return ShardResult(
-            service, self._record_outcome(target, attempt, outcome, stragglers)
+            service,
+            self._record_outcome(target, attempt, outcome, stragglers),
+            target.record.identity if target.leaving else '',
         )
 
     def _record_outcome(
--- a/oriolestage/entry/_relay_serving.py
+++ b/oriolestage/entry/_relay_serving.py
@@ -1,5 +1,6 @@
 """Sends requests to targets for hosts that do not reach these."""
 
+import dataclasses
 import itertools
 import time
 
@@ -39,6 +40,13 @@
 MS_PER_S = 1000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RelayedAttempt:
+    outcome: AttemptOutcome
+    #: Identity of the target if it says that it leaves, else empty.
+    leaving: str = ''
+
+
 class RelayServer:
     """Makes one attempt at a target for each request of another host."""
 
@@ -71,9 +79,8 @@
         reply: RelayReply = RelayLost(request.number, CRASH_STEP)
         payload = encode(reply)
         try:
-            reply = _to_reply(
-                request.number, await self._attempt(request, started_at)
-            )
+            attempt = await self._attempt(request, started_at)
+            reply = _to_reply(request.number, attempt)
             payload = encode(reply)
         finally:
             self._in_flight -= 1
@@ -91,9 +98,9 @@
 
     async def _attempt(
         self, request: RelayRequest, now: float
-    ) -> AttemptOutcome:
+    ) -> _RelayedAttempt:
         if self._placement.observations.reach.cut_off:
-            return AttemptNotRun(NotRunReason.NOT_REACHED)
+            return _RelayedAttempt(AttemptNotRun(NotRunReason.NOT_REACHED))
         requirements = build_requirements(
             self._cluster_state.table,
             request.service,
@@ -102,12 +109,14 @@
         )
         match self._placement.choose(requirements, (), now):
             case ChosenTarget(target=target):
-                return await self._send(request, target)
+                outcome = await self._send(request, target)
+                identity = target.record.identity if target.leaving else ''
+                return _RelayedAttempt(outcome, identity)
             case NoCapacity() if not self._placement.unreachable(
                 requirements, now
             ):
-                return AttemptNotRun(NotRunReason.SHED)
-        return AttemptNotRun(NotRunReason.NOT_REACHED)
+                return _RelayedAttempt(AttemptNotRun(NotRunReason.SHED))
+        return _RelayedAttempt(AttemptNotRun(NotRunReason.NOT_REACHED))
 
     async def _send(
         self, request: RelayRequest, target: KnownTarget
@@ -173,8 +182,8 @@
             return AttemptLost(step)
 
 
-def _to_reply(number: int, outcome: AttemptOutcome) -> RelayReply:
-    match outcome:
+def _to_reply(number: int, attempt: _RelayedAttempt) -> RelayReply:
+    match attempt.outcome:
         case AttemptAnswered(answer=answer):
             return RelayAnswered(
                 number=number,
@@ -186,6 +195,7 @@
                 ),
                 body=answer.body,
                 signature=answer.signature,
+                leaving=attempt.leaving,
             )
         case AttemptNotRun(reason=reason):
             return RelayNotRun(number, shed=reason == NotRunReason.SHED)
--- a/oriolestage/entry/_shard_gathering.py
+++ b/oriolestage/entry/_shard_gathering.py
@@ -33,6 +33,8 @@
     service: str
     #: Answer of the target; None if the attempt failed.
     answer: TargetAnswer | None
+    #: Identity of the target if it says that it leaves, else empty.
+    leaving: str = ''
 
 
 class ShardTasks:
@@ -212,6 +214,9 @@
                 revision=freshness.revision,
                 age_ms=freshness.age_ms,
                 era=freshness.era,
+                leaving=tuple(
+                    shard.leaving for shard in shards if shard.leaving
+                ),
             ),
         )
 
--- a/oriolestage/entry/tests/test_crash_tracking.py
+++ b/oriolestage/entry/tests/test_crash_tracking.py
@@ -162,7 +162,7 @@
             peers,
             CrashTrackingSender(self._targets, crash_detector),
             crash_detector,
-            PeerClient(),
+            PeerClient(lambda _: None),
             BudgetBounds(),
             RequestLog(EntryMetrics(), float),
         )
--- a/oriolestage/entry/tests/test_cut_off_peer.py
+++ b/oriolestage/entry/tests/test_cut_off_peer.py
@@ -60,7 +60,7 @@
         self._server, self._address = await start_peer_server(
             make_cut_off_placement(), ScriptedTargets()
         )
-        self._client = PeerClient()
+        self._client = PeerClient(lambda _: None)
 
     async def asyncTearDown(self) -> None:
         """Close the client and the server."""
--- a/oriolestage/entry/tests/test_peer_link.py
+++ b/oriolestage/entry/tests/test_peer_link.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import unittest
+from collections.abc import Callable
 
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_messages import GatherRequest
@@ -42,6 +43,8 @@
         self.pause_s = 10.0
         self.cancelled = 0
         self.bodies: list[bytes] = []
+        #: Called with the identity of each target that answers.
+        self.on_answer: Callable[[str], None] = lambda _: None
 
     async def send(self, call: TargetCall) -> AttemptOutcome:
         """Answer an attempt."""
@@ -54,6 +57,7 @@
             except asyncio.CancelledError:
                 self.cancelled += 1
                 raise
+        self.on_answer(call.target)
         body = call.target.encode().ljust(16, b'.')
         return AttemptAnswered(TargetAnswer(200, (), body, call.target))
 
@@ -63,12 +67,14 @@
 
     async def asyncSetUp(self) -> None:
         """Start a server that knows two targets of each service."""
-        placement, _ = make_placement('dc-a', shard_records(4))
+        self._placement = make_placement('dc-a', shard_records(4))[0]
         self._targets = ScriptedTargets()
         self._server, self._address = await start_peer_server(
-            placement, self._targets
+            self._placement, self._targets
         )
-        self._client = PeerClient()
+        #: Identities of the targets that the client was told to leave.
+        self._leaving: list[str] = []
+        self._client = PeerClient(self._leaving.append)
 
     async def _first_reply(self, request: GatherRequest) -> BatchOutcome:
         gathering = self._client.gather(self._address, request)
@@ -92,6 +98,16 @@
             list(itertools.repeat(b'asked', len(SERVICES))),
         )
 
+    async def test_leaving_target(self) -> None:
+        """The asking host learns which targets of its shards leave.
+
+        The answer to its caller contains their parts, and it may reach them
+        itself later.
+        """
+        self._targets.on_answer = self._placement.record_leaving
+        await self._first_reply(make_gather_request(services=SERVICES[:1]))
+        self.assertEqual(self._leaving, ['t-0-0'])
+
     async def test_not_merged(self) -> None:
         """An unmerged reply has the records of each shard."""
         answer = await self._first_reply(make_gather_request(merged=False))
--- a/oriolestage/entry/tests/test_peer_messages.py
+++ b/oriolestage/entry/tests/test_peer_messages.py
@@ -6,7 +6,9 @@
 
 from oriolestage.entry._peer_messages import (
     GatherDeclined,
+    GatherReply,
     Pong,
+    RelayAnswered,
     decode_from_peer,
     encode,
 )
@@ -31,6 +33,32 @@
     age_ms: int
 
 
+class OlderReply(msgspec.Struct, frozen=True, array_like=True, tag='reply'):
+    """A reply of a host that tells neither the era nor who leaves."""
+
+    number: int
+    signatures: dict[str, str]
+    body: bytes
+    bodies: dict[str, bytes]
+    failed: tuple[str, ...]
+    final: bool
+    work_s: float
+    revision: int
+    age_ms: int
+
+
+class OlderRelayAnswered(
+    msgspec.Struct, frozen=True, array_like=True, tag='relay_answered'
+):
+    """The answer of a target, from such a host."""
+
+    number: int
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    signature: str
+
+
 class VersionsTest(unittest.TestCase):
     """Hosts understand one another while they are replaced one by one."""
 
@@ -40,6 +68,16 @@
             decode_from_peer(msgspec.msgpack.encode(OlderPong(7, 5))),
             Pong(7, 5, cut_off=None),
         )
+        reply = OlderReply(1, {'s': 't'}, b'r', {}, (), True, 0.1, 7, 5)
+        self.assertEqual(
+            decode_from_peer(msgspec.msgpack.encode(reply)),
+            GatherReply(1, {'s': 't'}, b'r', {}, (), True, 0.1, 7, 5),
+        )
+        relayed = OlderRelayAnswered(1, 200, (), b'r', 't')
+        self.assertEqual(
+            decode_from_peer(msgspec.msgpack.encode(relayed)),
+            RelayAnswered(1, 200, (), b'r', 't', leaving=''),
+        )
         older = OlderDeclined(1, {'shard-0': 10}, True, 7, 5)
         self.assertEqual(
             decode_from_peer(msgspec.msgpack.encode(older)),
@@ -48,7 +86,21 @@
 
     def test_messages_to_older_hosts(self) -> None:
         """An older host ignores the fields that it does not know."""
-        older = msgspec.msgpack.Decoder(OlderPong | OlderDeclined)
+        older = msgspec.msgpack.Decoder(
+            OlderPong | OlderDeclined | OlderReply | OlderRelayAnswered
+        )
+        reply = GatherReply(
+            1, {}, b'', {}, (), True, 0.1, 7, 5, era=2, leaving=('i-1',)
+        )
+        self.assertEqual(
+            older.decode(encode(reply)),
+            OlderReply(1, {}, b'', {}, (), True, 0.1, 7, 5),
+        )
+        relayed = RelayAnswered(1, 200, (), b'r', 't', leaving='i-1')
+        self.assertEqual(
+            older.decode(encode(relayed)),
+            OlderRelayAnswered(1, 200, (), b'r', 't'),
+        )
         self.assertEqual(
             older.decode(encode(Pong(7, 5, cut_off=True, era=2))),
             OlderPong(7, 5),
--- a/oriolestage/entry/tests/test_relay.py
+++ b/oriolestage/entry/tests/test_relay.py
@@ -81,7 +81,9 @@
 
     async def _start(self, target: OneTarget, placement: Placement) -> None:
         self._server, self._address = await start_peer_server(placement, target)
-        self._client = PeerClient()
+        #: Identities of the targets that the client was told to leave.
+        self._leaving: list[str] = []
+        self._client = PeerClient(self._leaving.append)
         self.addCleanup(self._server.close)
         self.addCleanup(self._client.close)
 
@@ -106,6 +108,27 @@
         self.assertEqual(call.body, b'asked')
         self.assertFalse(call.repeatable)
 
+    async def test_leaving_target(self) -> None:
+        """The asking host learns that the target of its request leaves.
+
+        It passes on the answer that says so, and may reach the target itself
+        later.
+        """
+        placement, _ = make_placement(records=(make_record(),))
+
+        def answer_and_leave() -> AttemptOutcome:
+            placement.record_leaving('t-1')
+            return AttemptAnswered(ANSWER)
+
+        await self._start(OneTarget(answer_and_leave), placement)
+        self.assertEqual(await self._relay(), AttemptAnswered(ANSWER))
+        self.assertEqual(self._leaving, ['t-1'])
+
+    async def test_target_that_stays(self) -> None:
+        """Nothing is reported of a target that does not leave."""
+        await self._relay_to(lambda: AttemptAnswered(ANSWER))
+        self.assertEqual(self._leaving, [])
+
     async def test_not_run(self) -> None:
         """A request that a target rejects has not run."""
         shed = AttemptNotRun(NotRunReason.SHED)
--- a/oriolestage/entry/tests/test_request_router.py
+++ b/oriolestage/entry/tests/test_request_router.py
@@ -69,7 +69,7 @@
         peers,
         OneUnresponsiveTarget(),
         crash_detector,
-        PeerClient(),
+        PeerClient(lambda _: None),
         BudgetBounds(),
         RequestLog(EntryMetrics(), float),
     )
