Do not use targets that only the copy of a restored store has

Cause: the copy may be older than the removal of a target, or than its registration as draining. A host that read the copy sent to it again, until its entry lapsed or was written again.

Change: in the full read after a restoration, a process that was removed within the last minute is held back until it registers again, or for 4.5 s, after which an entry without a sign of life is gone. A process that was draining still is.

Evidence: test_removed_target and test_draining_target failed without it (target used after the read) and pass; test_removed_target_stays guards against holding back a target that lives.

--- a/oriolestage/platform/tests/test_store_restored.py
+++ b/oriolestage/platform/tests/test_store_restored.py
@@ -12,11 +12,17 @@
 )
 from oriolestage.platform._names import STORE_RANGE_PATH
 from oriolestage.platform._store import StoreClient
-from oriolestage.platform.tests.platform_store import PlatformStore
+from oriolestage.platform.tests.platform_store import (
+    PlatformStore,
+    StoreContent,
+)
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._peers import PeerDirectory
-from oriolestage.routing._targets import LAPSE_GRACE_PERIOD_S
+from oriolestage.routing._targets import (
+    LAPSE_GRACE_PERIOD_S,
+    RESURRECTED_HOLD_S,
+)
 from oriolestage.routing.tests.builders import (
     make_crash_detector,
     make_placement,
@@ -27,6 +33,14 @@
 #: a watch that was cut is repeated after a back-off.
 NOTICE_S = 2.0
 PROPAGATION_LIMIT_S = 5.0
+TARGET = {  # noqa: WPS407
+    'service': 's-1',
+    'address': '10.0.0.1:80',
+    'zone': 'dc-a',
+    'concurrencyLimit': 2,
+    'state': 'ready',
+    'born': 77,
+}
 HOST = HostRecord('host-1', 'dc-a', '127.0.0.1:9')
 #: Path of the interval that tests shorten.
 RENEWAL_INTERVAL = 'oriolestage.entry._store_follower.RENEWAL_INTERVAL_S'
@@ -177,12 +191,7 @@
         copied = self._store.take_copy()
         self._store.write('op/evacuate/dc-a', {})
         self.assertTrue(await holds_in_time(lambda: self._closed('dc-a')))
-        self._store.restore(copied)
-        reads = self._store.calls.count(STORE_RANGE_PATH)
-        await holds_in_time(
-            lambda: self._store.calls.count(STORE_RANGE_PATH) > reads
-        )
-        await asyncio.sleep(0.1)
+        await self._restore_and_read(copied)
         self.assertTrue(self._closed('dc-a'))
         self._store.write('op/evacuate/dc-a', {})
         await asyncio.sleep(LAPSE_GRACE_PERIOD_S + 0.5)
@@ -190,6 +199,53 @@
         self._store.remove('op/evacuate/dc-a')
         self.assertTrue(await holds_in_time(lambda: not self._closed('dc-a')))
 
+    async def test_removed_target(self) -> None:
+        """A target that was removed is not used because the copy has it."""
+        self._store.write('servers/i-1', TARGET)
+        await holds_in_time(self._usable)
+        copied = self._store.take_copy()
+        self._store.remove('servers/i-1')
+        await holds_in_time(lambda: not self._usable())
+        await self._restore_and_read(copied)
+        self.assertFalse(self._usable())
+        self._store.write('servers/i-1', TARGET)
+        self.assertTrue(await holds_in_time(self._usable))
+
+    async def test_removed_target_stays(self) -> None:
+        """It is used again if its entry outlives the time of a lapse."""
+        self._store.write('servers/i-1', TARGET)
+        await holds_in_time(self._usable)
+        copied = self._store.take_copy()
+        self._store.remove('servers/i-1')
+        await holds_in_time(lambda: not self._usable())
+        await self._restore_and_read(copied)
+        await asyncio.sleep(RESURRECTED_HOLD_S)
+        self.assertTrue(await holds_in_time(self._usable))
+
+    async def test_draining_target(self) -> None:
+        """A target that was draining is not used because the copy is older."""
+        self._store.write('servers/i-1', TARGET)
+        await holds_in_time(self._usable)
+        copied = self._store.take_copy()
+        self._store.write('servers/i-1', {**TARGET, 'state': 'draining'})
+        await holds_in_time(lambda: not self._usable())
+        await self._restore_and_read(copied)
+        self.assertFalse(self._usable())
+        self._store.write('servers/i-1', {**TARGET, 'born': 78})
+        self.assertTrue(await holds_in_time(self._usable))
+
+    def _usable(self) -> bool:
+        return any(self._host.directory.usable('s-1'))
+
+    async def _restore_and_read(self, copied: StoreContent) -> None:
+        """Restore the store and let the host read it whole."""
+        reads = self._store.calls.count(STORE_RANGE_PATH)
+        self._store.restore(copied)
+        await holds_in_time(
+            lambda: self._store.calls.count(STORE_RANGE_PATH) > reads
+        )
+        await asyncio.sleep(0.1)
+
     async def test_opened_data_centre(self) -> None:
         """A closed data centre that is not written again is opened."""
         copied = self._store.take_copy()
--- a/oriolestage/routing/_cluster_state.py
+++ b/oriolestage/routing/_cluster_state.py
@@ -92,7 +92,10 @@
         records = [
             fact.record for fact in listed if isinstance(fact, TargetStored)
         ]
-        for identity in self._directory.replace_all(records, now):
+        restored = now < self._restored_until
+        for identity in self._directory.replace_all(
+            records, now, restored=restored
+        ):
             changes.append(_change('target_missing', target=identity))
         changes.append(_change('targets_read', targets=len(records)))
         for fact in listed:
--- a/oriolestage/routing/_targets.py
+++ b/oriolestage/routing/_targets.py
@@ -11,6 +11,13 @@
 #: Time for which a lapsed registration is kept after the store has returned,
 #: in seconds. By the platform's contract it is back within 2 s.
 LAPSE_GRACE_PERIOD_S = 2.5
+#: Time for which a target that was removed is not used because a restored
+#: store lists it again, in seconds. By the platform's contract its entry goes
+#: after three heartbeats without a sign of life; these are about 1.2 s apart.
+RESURRECTED_HOLD_S = 4.5
+#: Time for which removed targets are remembered, in seconds. Copies of the
+#: store are some seconds old.
+REMOVED_RETENTION_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,6 +39,11 @@
     #: process from the one before.
     started_ms: int
 
+    @property
+    def process(self) -> str:
+        """Name that is unique to the target's process."""
+        return f'{self.identity}/{self.started_ms}'
+
 
 @dataclasses.dataclass(slots=True)
 class KnownTarget:
@@ -43,6 +55,9 @@
     #: Monotonic time at which it is removed because its registration is
     #: missing; infinite while it is registered.
     expires_at: float = float('inf')
+    #: Monotonic time until which it is not used, since a restored store lists
+    #: it although it was removed; None while it may be used.
+    held_until: float | None = None
     #: True once another target has answered at its address.
     replaced: bool = False
     #: True once it has said in a response that it leaves.
@@ -52,8 +67,7 @@
 
     def __post_init__(self) -> None:
         """Derive the name of the process, which keeps it while registered."""
-        record = self.record
-        self.process = f'{record.identity}/{record.started_ms}'
+        self.process = self.record.process
 
 
 class TargetDirectory:
@@ -65,6 +79,8 @@
         self._by_service: dict[str, dict[str, KnownTarget]] = {}
         self._closed_data_centres: frozenset[str] = frozenset()
         self._grace_period_end = float('-inf')
+        #: Monotonic times at which processes of targets were removed.
+        self._removed_at: dict[str, float] = {}
 
     def __len__(self) -> int:
         """Return the number of known targets."""
@@ -93,10 +109,12 @@
                 restarted or moved
             ):
                 known.record = record
+                known.held_until = None
                 known.cold_until = now + record.warm_up_left_s
                 known.expires_at = float('inf')
                 return False
-            self._drop(record.identity)
+            self._drop(record.identity, now)
+        self._removed_at.pop(record.process, None)
         added = KnownTarget(record, now + record.warm_up_left_s)
         self._targets[record.identity] = added
         siblings = self._by_service.setdefault(record.service, {})
@@ -115,22 +133,28 @@
         if now < self._grace_period_end and not known.record.draining:
             known.expires_at = min(known.expires_at, self._grace_period_end)
             return False
-        self._drop(identity)
+        self._drop(identity, now)
         return True
 
     def replace_all(
         self,
         records: Iterable[TargetRecord],
         now: float,
+        *,
+        restored: bool = False,
     ) -> list[str]:
         """Replace the directory by a full listing.
 
-        Return the identities of the known targets that are not listed.
+        Return the identities of the known targets that are not listed. If the
+        store was ``restored``, its entries may be older than what is known.
         """
         listed: set[str] = set()
         for record in records:
             listed.add(record.identity)
-            self.register(record, now)
+            if restored:
+                self._register_restored(record, now)
+            else:
+                self.register(record, now)
         missing = [name for name in self._targets if name not in listed]
         for identity in missing:
             self.remove(identity, now)
@@ -154,7 +178,13 @@
             if known.expires_at <= now
         ]
         for identity in expired:
-            self._drop(identity)
+            self._drop(identity, now)
+        for known in self._targets.values():
+            if known.held_until is not None and known.held_until <= now:
+                known.held_until = None
+        for process, removed_at in tuple(self._removed_at.items()):
+            if now - removed_at >= REMOVED_RETENTION_S:
+                self._removed_at.pop(process)
         return expired
 
     def replace_closed_data_centres(self, names: Iterable[str]) -> None:
@@ -168,12 +198,32 @@
     def usable(self, service: str) -> Iterator[KnownTarget]:
         """Yield the targets of a service that may get new work."""
         for known in self._by_service.get(service, {}).values():
+            if known.held_until is not None:
+                continue
             if known.record.draining or known.leaving or known.replaced:
                 continue
             if known.record.data_centre in self._closed_data_centres:
                 continue
             yield known
 
-    def _drop(self, identity: str) -> None:
+    def _register_restored(self, record: TargetRecord, now: float) -> None:
+        """Register what a restored store lists, which may be outdated.
+
+        A target that was removed is held back until it registers again. One
+        that was draining still is: the state of a process does not go back.
+        """
+        known = self._targets.get(record.identity)
+        held = record.process in self._removed_at
+        if known is not None and known.process == record.process:
+            held = known.held_until is not None
+            draining = known.record.draining or record.draining
+            record = dataclasses.replace(record, draining=draining)
+        self.register(record, now)
+        if held:
+            held_until = now + RESURRECTED_HOLD_S
+            self._targets[record.identity].held_until = held_until
+
+    def _drop(self, identity: str, now: float) -> None:
         known = self._targets.pop(identity)
+        self._removed_at[known.process] = now
         self._by_service[known.record.service].pop(identity, None)
