Move the calls to the store out of its client

Sending a call, its time-outs, connections, status and era are in a module of their own; the client builds and decodes documents.

--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -1,18 +1,12 @@
 """Client of the platform's store, over HTTP and JSON."""
 
 import base64
-import json
-import socket
 from collections.abc import Iterable, Mapping, Sequence
-from http import HTTPStatus
-from types import SimpleNamespace
 from typing import TypeVar
 
-import aiohttp
 import msgspec
 
 from oriolestage.entry._ports import (
-    HistoryLostError,
     HistoryReplacedError,
     Lease,
     LeaseEndedError,
@@ -29,21 +23,15 @@
     decode_removal,
     encode_host,
 )
+from oriolestage.platform._store_calls import (
+    MS_PER_S,
+    NotConnectedError,
+    StoreAnswer,
+    StoreCalls,
+)
 from oriolestage.routing._crash_detector import CrashReport
 from oriolestage.routing._facts import HostRecord, StoredFact
 
-MS_PER_S = 1000
-#: Timeout of a call, in seconds, in addition to the time that a watch waits.
-#: The store answers in milliseconds, and in up to about 0.3 s while it is slow.
-RESPONSE_TIMEOUT_S = 2.0
-#: Timeout for a connection to be established, in seconds.
-CONNECT_TIMEOUT_S = 1.0
-#: Keep-alive probes detect a dead connection after about 3 s. Times in seconds.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-#: Time after which unacknowledged data breaks a connection, in milliseconds.
-TCP_USER_TIMEOUT_MS = 2500
 #: Prefixes of the keys that concern an entry host.
 RELEVANT_PREFIXES = (
     _names.CONFIGURATION_KEY,
@@ -52,8 +40,6 @@
     _names.HOST_PREFIX,
     _names.CRASH_PREFIX,
 )
-#: Key of a call's trace context: whether it may only use an open connection.
-REQUIRES_CONNECTION = 'requires_connection'
 #: Prefix of all keys, so that one watch reports every change.
 ALL_KEYS = ''
 
@@ -81,18 +67,6 @@
     lease: int
 
 
-class _NotConnectedError(Exception):
-    """A call that needs an open connection found none."""
-
-
-class _Answer(msgspec.Struct, frozen=True):
-    """A successful answer of the store."""
-
-    body: bytes
-    #: Era that it states; None if it states none.
-    era: int | None
-
-
 _Shape = TypeVar('_Shape', bound=msgspec.Struct)
 
 
@@ -107,15 +81,16 @@
 
         It connects with the first call.
         """
-        self.eras = StoreEras()
-        self._address = address
-        self._session: aiohttp.ClientSession | None = None
+        self._calls = StoreCalls(address)
+
+    @property
+    def eras(self) -> StoreEras:
+        """The era of the store, as its answers state it."""
+        return self._calls.eras
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        await self._calls.close()
 
     async def read_all(self) -> StoreContents:
         """Read all items that concern an entry host, page by page.
@@ -129,7 +104,9 @@
             query = {'pathPrefix': ALL_KEYS}
             if after:
                 query['after'] = after
-            answer = await self._call('GET', _names.STORE_RANGE_PATH, query)
+            answer = await self._calls.call(
+                'GET', _names.STORE_RANGE_PATH, query
+            )
             page = self._decode(answer.body, _Range)
             # The pages are not one snapshot. Following the changes from the
             # revision of the first page covers those made between pages.
@@ -156,7 +133,7 @@
         """
         try:
             answer = await self._watch(position, wait_s)
-        except _NotConnectedError:
+        except NotConnectedError:
             answer = await self._watch(position, 0)
         # The store answers from a revision that it has given out again as if
         # nothing had happened.
@@ -169,8 +146,10 @@
             ),
         )
 
-    async def _watch(self, position: StorePosition, wait_s: float) -> _Answer:
-        return await self._call(
+    async def _watch(
+        self, position: StorePosition, wait_s: float
+    ) -> StoreAnswer:
+        return await self._calls.call(
             'GET',
             _names.STORE_WATCH_PATH,
             {
@@ -184,7 +163,7 @@
 
     async def open_lease(self, time_to_live_s: float) -> Lease:
         """Open a lease and return it."""
-        answer = await self._call(
+        answer = await self._calls.call(
             'POST',
             _names.LEASE_PATH,
             content={'ttlMs': int(time_to_live_s * MS_PER_S)},
@@ -198,7 +177,7 @@
         has.
         """
         self._check_lease(lease, self.eras.era)
-        answer = await self._call(
+        answer = await self._calls.call(
             'POST', f'{_names.LEASE_RENEW_PATH}/{lease.number}'
         )
         self._check_lease(lease, answer.era)
@@ -210,7 +189,9 @@
         has.
         """
         self._check_lease(lease, self.eras.era)
-        await self._call('DELETE', f'{_names.LEASE_END_PATH}/{lease.number}')
+        await self._calls.call(
+            'DELETE', f'{_names.LEASE_END_PATH}/{lease.number}'
+        )
 
     async def register_host(self, record: HostRecord, lease: Lease) -> None:
         """Register this host until its lease ends."""
@@ -245,80 +226,28 @@
             }
             for key, content in documents.items()
         ]
-        answer = await self._call(
+        answer = await self._calls.call(
             'POST',
             _names.STORE_WRITE_PATH,
             content={'expectedRev': [], 'writes': writes, 'remove': []},
         )
         self._check_lease(lease, answer.era)
 
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        query: dict[str, str] | None = None,
-        *,
-        content: dict[str, object] | None = None,
-        wait_s: float = 0,
-    ) -> _Answer:
-        """Send one request and return its 200 response.
-
-        A call that waits raises :class:`_NotConnectedError` if it needs a new
-        connection.
-        """
-        step = f'store.{path.rpartition("/")[2] or path}'
-        session = self._get_session()
-        body = None if content is None else json.dumps(content).encode()
-        try:
-            async with session.request(
-                method,
-                f'http://{self._address}{path}',
-                params=query,
-                data=body,
-                headers={'Content-Type': 'application/json'} if body else {},
-                trace_request_ctx={REQUIRES_CONNECTION: wait_s > 0},
-                timeout=aiohttp.ClientTimeout(
-                    total=wait_s + RESPONSE_TIMEOUT_S,
-                    sock_connect=CONNECT_TIMEOUT_S,
-                ),
-            ) as response:
-                received = await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            cause = f'{type(error).__name__}: {error}'
-            raise StoreError(step, self._address, cause) from error
-        stated = response.headers.get(_names.STORE_ERA_HEADER)
-        valid = self._record_era(step, stated)
-        self._check_status(step, response.status)
-        if not valid:
-            cause = f'{_names.STORE_ERA_HEADER} is {stated!r}'
-            raise StoreError(step, self._address, cause)
-        return _Answer(received, None if stated is None else int(stated))
-
-    def _record_era(self, step: str, stated: str | None) -> bool:
-        """Record the era that an answer states; return whether it is valid.
-
-        It is not valid if it is malformed, missing in the answer of a store
-        that states eras, or older than that of another answer.
-        """
-        if stated is None:
-            return self.eras.record_unstated()
-        if not (stated.isascii() and stated.isdigit()):
-            return False
-        return self.eras.record(int(stated), step, self._address)
-
     def _check_lease(self, lease: Lease, era: int | None) -> None:
         """Raise an error if a lease is not of an era."""
         if lease.era != era:
             raise LeaseEndedError(
-                'store.era', self._address, f'era {era} after {lease.era}'
+                'store.era', self._calls.address, f'era {era} after {lease.era}'
             )
 
-    def _check_same_era(self, position: StorePosition, answer: _Answer) -> None:
+    def _check_same_era(
+        self, position: StorePosition, answer: StoreAnswer
+    ) -> None:
         """Raise an error if an answer is of another era than a position."""
         if answer.era != position.era:
             raise HistoryReplacedError(
                 'store.era',
-                self._address,
+                self._calls.address,
                 f'era {answer.era} after {position.era}',
             )
 
@@ -332,35 +261,10 @@
         except msgspec.DecodeError as error:
             raise StoreError(
                 'store.decode',
-                self._address,
+                self._calls.address,
                 str(error),
             ) from error
 
-    def _check_status(self, step: str, status: int) -> None:
-        """Raise an error unless the status is 200."""
-        match status:
-            case HTTPStatus.OK:
-                return
-            case HTTPStatus.GONE:
-                raise HistoryLostError(step, self._address, 'history lost')
-            case HTTPStatus.NOT_FOUND:
-                raise LeaseEndedError(step, self._address, 'not found')
-        raise StoreError(step, self._address, f'status {status}')
-
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            trace_config = aiohttp.TraceConfig()
-            trace_config.on_connection_create_start.append(_check_may_connect)
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
-                    socket_factory=_make_keepalive_socket
-                ),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                trust_env=False,
-                trace_configs=[trace_config],
-            )
-        return self._session
-
 
 def _items_to_facts(stored: Iterable[_Item]) -> list[StoredFact]:
     facts: list[StoredFact] = []
@@ -377,29 +281,3 @@
     if item.removed:
         return decode_removal(item.key)
     return decode_item(item.key, base64.b64decode(item.value))
-
-
-async def _check_may_connect(
-    _: aiohttp.ClientSession,
-    context: SimpleNamespace,
-    parameters: aiohttp.TraceConnectionCreateStartParams,
-) -> None:
-    """Raise an error if a call may only use an open connection."""
-    if context.trace_request_ctx[REQUIRES_CONNECTION]:
-        raise _NotConnectedError
-
-
-def _make_keepalive_socket(
-    address: aiohttp.AddrInfoType,
-) -> socket.socket:
-    """Create a socket that detects a dead connection within seconds."""
-    created = socket.socket(*address[:3])
-    created.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, setting in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-    ):
-        created.setsockopt(socket.IPPROTO_TCP, option, setting)
-    return created
