--- a/oriolestage/entry/tests/model_store.py
+++ b/oriolestage/entry/tests/model_store.py
@@ -67,26 +67,27 @@
 
 
 class ModelStore:
-    """Implements the store in memory, on the time of the event loop."""
+    """The content of the store, and what happens to it."""
 
     def __init__(self) -> None:
         """Create a store with a configuration, in its first era."""
-        self.eras = StoreEras()
         self.truth = Truth()
+        #: Number of calls of all hosts.
+        self.calls = 0
         #: True while calls get no answer.
         self.silent = False
-        self._era = 1
-        self._content = _Content()
+        self.era = 1
+        self.content = _Content()
         self._copy = _Content()
-        self._changed = asyncio.Event()
+        self.changed = asyncio.Event()
 
     @property
     def registered_hosts(self) -> set[str]:
         """Names of the hosts whose registrations are under a valid lease."""
         return {
             record.name
-            for record, lease in self._content.hosts.items()
-            if lease in self._content.leases
+            for record, lease in self.content.hosts.items()
+            if lease in self.content.leases
         }
 
     def configure(self) -> None:
@@ -120,26 +121,26 @@
 
     def compact(self) -> None:
         """Forget the history."""
-        self._content.oldest = self._content.revision
-        self._content.history.clear()
+        self.content.oldest = self.content.revision
+        self.content.history.clear()
 
     def take_copy(self) -> None:
         """Copy the content."""
-        self._copy = copy.deepcopy(self._content)
+        self._copy = copy.deepcopy(self.content)
 
     def restore(self) -> None:
         """Return to the latest copy."""
-        self._content = copy.deepcopy(self._copy)
-        self._era += 1
+        self.content = copy.deepcopy(self._copy)
+        self.era += 1
         self._notify()
 
     def open_other_lease(self) -> None:
         """Open a lease as another host does."""
-        self._open_lease()
+        self.new_lease()
 
     def write_again(self) -> None:
         """Write what differs from the truth, as its writers do."""
-        content = self._content
+        content = self.content
         if content.version != self.truth.version:
             self._write_version()
         for name in self.truth.closed - content.closed:
@@ -152,18 +153,69 @@
             if content.targets.get(identity) != record:
                 self._write_target(record)
 
+    def new_lease(self) -> int:
+        """Open a lease and return its number."""
+        self.content.last_lease += 1
+        self.content.leases.add(self.content.last_lease)
+        return self.content.last_lease
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def add(self, fact: StoredFact) -> None:
+        """Add a change to the history."""
+        self.content.revision += 1
+        self.content.history.append((self.content.revision, fact))
+        self._notify()
+
+    def table(self) -> ConfigurationStored:
+        """Return the configuration as it is stored."""
+        version = self.content.version
+        return ConfigurationStored(build_table(version, (), (), CallerLimits()))
+
+    def _write_version(self) -> None:
+        self.content.version = self.truth.version
+        self.add(self.table())
+
+    def _write_target(self, record: TargetRecord) -> None:
+        self.content.targets[record.identity] = record
+        self.add(TargetStored(record))
+
+    def _remove_target(self, identity: str) -> None:
+        if self.content.targets.pop(identity, None) is not None:
+            self.add(TargetRemoved(identity))
+
+    def _close(self, name: str) -> None:
+        self.content.closed.add(name)
+        self.add(DataCentreClosed(name))
+
+    def _open(self, name: str) -> None:
+        if name in self.content.closed:
+            self.content.closed.discard(name)
+            self.add(DataCentreOpened(name))
+
+
+class ModelStoreClient:
+    """Implements the store for one host, on the time of the event loop."""
+
+    def __init__(self, store: ModelStore) -> None:
+        """Create a client of ``store`` that has made no call."""
+        self.eras = StoreEras()
+        self._store = store
+
     async def close(self) -> None:
         """Do nothing."""
 
     async def read_all(self) -> StoreContents:
         """Return everything."""
         await self._call(0)
-        content = self._content
-        facts: list[StoredFact] = [self._table()]
+        content = self._store.content
+        facts: list[StoredFact] = [self._store.table()]
         facts.extend(map(TargetStored, content.targets.values()))
         facts.extend(map(DataCentreClosed, content.closed))
         facts.extend(map(HostStored, content.hosts))
-        position = StorePosition(self._era, content.revision)
+        position = StorePosition(self._store.era, content.revision)
         return StoreContents(tuple(facts), position)
 
     async def changes_after(
@@ -171,14 +223,14 @@
     ) -> StoreChanges:
         """Return the changes after a position, or wait for them."""
         await self._call(wait_s)
-        content = self._content
+        content = self._store.content
         if not content.oldest <= position.revision <= content.revision:
             raise HistoryLostError('watch', 'store', 'history lost')
         if content.revision <= position.revision:
             await self._wait(wait_s)
-        await self._call(0)
-        content = self._content
-        if position.era != self._era:
+        await self._answer(0)
+        content = self._store.content
+        if position.era != self._store.era:
             raise HistoryReplacedError('watch', 'store', 'restored')
         if content.oldest > position.revision:
             raise HistoryLostError('watch', 'store', 'history lost')
@@ -187,12 +239,14 @@
             for revision, fact in content.history
             if revision > position.revision
         )
-        return StoreChanges(facts, StorePosition(self._era, content.revision))
+        return StoreChanges(
+            facts, StorePosition(self._store.era, content.revision)
+        )
 
     async def open_lease(self, time_to_live_s: float) -> Lease:
         """Open a lease."""
         await self._call(0)
-        return Lease(self._era, self._open_lease())
+        return Lease(self._store.era, self._store.new_lease())
 
     async def renew_lease(self, lease: Lease) -> None:
         """Renew a lease."""
@@ -201,75 +255,40 @@
     async def end_lease(self, lease: Lease) -> None:
         """End a lease."""
         await self._use(lease)
-        self._content.leases.discard(lease.number)
+        self._store.content.leases.discard(lease.number)
 
     async def register_host(self, record: HostRecord, lease: Lease) -> None:
         """Register a host."""
         await self._use(lease)
-        self._content.hosts[record] = lease.number
-        self._add(HostStored(record))
+        self._store.content.hosts[record] = lease.number
+        self._store.add(HostStored(record))
 
     async def report_crashes(
         self, reports: Sequence[CrashReport], lease: Lease
     ) -> None:
         """Do nothing."""
 
-    def _open_lease(self) -> int:
-        self._content.last_lease += 1
-        self._content.leases.add(self._content.last_lease)
-        return self._content.last_lease
-
     async def _use(self, lease: Lease) -> None:
         await self._call(0)
-        known = lease.number in self._content.leases
-        if lease.era != self._era or not known:
+        known = lease.number in self._store.content.leases
+        if lease.era != self._store.era or not known:
             raise LeaseEndedError('lease', 'store', 'ended')
 
     async def _call(self, wait_s: float) -> None:
-        """Take the time of a call, and fail while the store is silent."""
+        self._store.calls += 1
         await asyncio.sleep(CALL_S)
-        if self.silent:
+        await self._answer(wait_s)
+
+    async def _answer(self, wait_s: float) -> None:
+        """State the era, or fail while the store is silent."""
+        if self._store.silent:
             await asyncio.sleep(wait_s + TIMEOUT_S)
             raise StoreError('call', 'store', 'timeout')
-        self.eras.record(self._era, 'call', 'store')
+        self.eras.record(self._store.era, 'call', 'store')
 
     async def _wait(self, wait_s: float) -> None:
         try:
             async with asyncio.timeout(wait_s):
-                await self._changed.wait()
+                await self._store.changed.wait()
         except TimeoutError:
             return
-
-    def _notify(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    def _add(self, fact: StoredFact) -> None:
-        self._content.revision += 1
-        self._content.history.append((self._content.revision, fact))
-        self._notify()
-
-    def _table(self) -> ConfigurationStored:
-        version = self._content.version
-        return ConfigurationStored(build_table(version, (), (), CallerLimits()))
-
-    def _write_version(self) -> None:
-        self._content.version = self.truth.version
-        self._add(self._table())
-
-    def _write_target(self, record: TargetRecord) -> None:
-        self._content.targets[record.identity] = record
-        self._add(TargetStored(record))
-
-    def _remove_target(self, identity: str) -> None:
-        if self._content.targets.pop(identity, None) is not None:
-            self._add(TargetRemoved(identity))
-
-    def _close(self, name: str) -> None:
-        self._content.closed.add(name)
-        self._add(DataCentreClosed(name))
-
-    def _open(self, name: str) -> None:
-        if name in self._content.closed:
-            self._content.closed.discard(name)
-            self._add(DataCentreOpened(name))
--- a/oriolestage/entry/tests/test_store_model.py
+++ b/oriolestage/entry/tests/test_store_model.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from oriolestage.entry._store_follower import HostRegistration, StoreFollower
-from oriolestage.entry.tests.model_store import ModelStore
+from oriolestage.entry.tests.model_store import ModelStore, ModelStoreClient
 from oriolestage.entry.tests.virtual_time import (
     VirtualTimeLoop,
     run_in_virtual_time,
@@ -82,8 +82,9 @@
         PeerDirectory(placement.location),
         make_crash_detector(),
     )
-    follower = StoreFollower(store, state, directory, PROPAGATION_LIMIT_S)
-    registration = HostRegistration(store, HOST)
+    client = ModelStoreClient(store)
+    follower = StoreFollower(client, state, directory, PROPAGATION_LIMIT_S)
+    registration = HostRegistration(client, HOST)
     tasks = [
         asyncio.create_task(work())
         for work in (follower.run, follower.expire, registration.run)
