--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -278,7 +278,7 @@
                 continue
             except StoreError as error:
                 log_event('registration_failed', {'error': error})
-            await self._sleep()
+            await self._wait_for_renewal()
 
     async def withdraw(self) -> None:
         """End the lease, so that other hosts no longer use this one."""
@@ -291,7 +291,7 @@
         except StoreError as error:
             log_event('registration_not_ended', {'error': error})
 
-    async def _sleep(self) -> None:
+    async def _wait_for_renewal(self) -> None:
         """Wait for the next renewal, or until the store was restored."""
         try:
             async with asyncio.timeout(
