--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -11,6 +11,7 @@
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._control_server import ControlServer
 from oriolestage.entry._crash_tracking import CrashReporter, CrashTrackingSender
+from oriolestage.entry._host_registration import HostRegistration
 from oriolestage.entry._listening import listen_on
 from oriolestage.entry._metrics import EntryMetrics
 from oriolestage.entry._peer_client import PeerClient
@@ -20,7 +21,7 @@
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._request_router import RequestRouter
 from oriolestage.entry._settings import EntrySettings
-from oriolestage.entry._store_follower import HostRegistration, StoreFollower
+from oriolestage.entry._store_follower import StoreFollower
 from oriolestage.entry._supervision import keep_running
 from oriolestage.entry._target_client import TargetClient
 from oriolestage.routing._cluster_state import ClusterState
--- a/oriolestage/entry/tests/test_store_model.py
+++ b/oriolestage/entry/tests/test_store_model.py
@@ -9,7 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from oriolestage.entry._store_follower import HostRegistration, StoreFollower
+from oriolestage.entry._host_registration import HostRegistration
+from oriolestage.entry._store_follower import StoreFollower
 from oriolestage.entry.tests.model_store import ModelStore, ModelStoreClient
 from oriolestage.entry.tests.virtual_time import (
     VirtualTimeLoop,
--- a/oriolestage/platform/tests/test_store_restored.py
+++ b/oriolestage/platform/tests/test_store_restored.py
@@ -5,11 +5,8 @@
 from collections.abc import Callable
 from unittest import IsolatedAsyncioTestCase, mock
 
-from oriolestage.entry._store_follower import (
-    COALESCING_DELAY_S,
-    HostRegistration,
-    StoreFollower,
-)
+from oriolestage.entry._host_registration import HostRegistration
+from oriolestage.entry._store_follower import COALESCING_DELAY_S, StoreFollower
 from oriolestage.platform._names import STORE_RANGE_PATH
 from oriolestage.platform._store import StoreClient
 from oriolestage.platform.tests.platform_store import (
@@ -43,7 +40,7 @@
 }
 HOST = HostRecord('host-1', 'dc-a', '127.0.0.1:9')
 #: Path of the interval that tests shorten.
-RENEWAL_INTERVAL = 'oriolestage.entry._store_follower.RENEWAL_INTERVAL_S'
+RENEWAL_INTERVAL = 'oriolestage.entry._host_registration.RENEWAL_INTERVAL_S'
 
 
 def configuration(version: int) -> dict[str, object]:
