Read the store although one of its values is malformed

Cause: a value that is not base64 text, or not a text at all, raised out of the decoding of a whole page or watch. Every host would have failed to read the store, again and again: no configuration, no targets.

Ruled out: documents that do not match their key; these were unreadable items already.

--- a/oriolestage/platform/_documents.py
+++ b/oriolestage/platform/_documents.py
@@ -4,6 +4,8 @@
 their own registrations and crash reports. Unknown fields are ignored.
 """
 
+import base64
+
 import msgspec
 
 from oriolestage.platform import _names
@@ -125,10 +127,29 @@
     try:
         return _decode_by_key(key, content)
     except (msgspec.DecodeError, ValueError) as error:
-        target = ''
-        if key.startswith(_names.TARGET_PREFIX):
-            target = key.removeprefix(_names.TARGET_PREFIX)
-        return UnreadableItem(key, str(error), target)
+        return _unreadable(key, str(error))
+
+
+def decode_value(key: str, value: object) -> StoredFact | None:
+    """Decode one item from its value as the store returns it: base64 text.
+
+    The result is that of :func:`decode_item`; a value that is no such text
+    makes the item unreadable.
+    """
+    if not isinstance(value, str):
+        return _unreadable(key, f'value of type {type(value).__name__}')
+    try:
+        content = base64.b64decode(value, validate=True)
+    except ValueError as error:
+        return _unreadable(key, str(error))
+    return decode_item(key, content)
+
+
+def _unreadable(key: str, problem: str) -> UnreadableItem:
+    target = ''
+    if key.startswith(_names.TARGET_PREFIX):
+        target = key.removeprefix(_names.TARGET_PREFIX)
+    return UnreadableItem(key, problem, target)
 
 
 def decode_removal(key: str) -> StoredFact | None:
--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -19,8 +19,8 @@
 from oriolestage.platform import _names
 from oriolestage.platform._documents import (
     crash_key,
-    decode_item,
     decode_removal,
+    decode_value,
     encode_host,
 )
 from oriolestage.platform._store_calls import (
@@ -46,7 +46,9 @@
 
 class _Item(msgspec.Struct, frozen=True):
     key: str
-    value: str = ''
+    # Base64 text. Any JSON is accepted, so that one bad item does not make
+    # the others unreadable.
+    value: object = ''
     revision: int = 0
     removed: bool = False
 
@@ -280,4 +282,4 @@
         return None
     if item.removed:
         return decode_removal(item.key)
-    return decode_item(item.key, base64.b64decode(item.value))
+    return decode_value(item.key, item.value)
--- a/oriolestage/platform/tests/test_store.py
+++ b/oriolestage/platform/tests/test_store.py
@@ -23,6 +23,7 @@
     DataCentreClosed,
     HostRecord,
     TargetRemoved,
+    UnreadableItem,
 )
 
 
@@ -90,6 +91,28 @@
         self.assertEqual(changes.facts, (TargetRemoved('i-1'),))
         self.assertEqual(changes.position, StorePosition(None, 7))
 
+    async def test_unreadable_values(self) -> None:
+        """Guards against one bad value that stops the reading of all others.
+
+        Every host would fail to read the store, and the fleet would know no
+        configuration and no targets.
+        """
+        good = _item('op/evacuate/dc-a', {})
+        for value in ('!', 'a', 'YQ', '\u00e9', 7, None, ['YQ==']):
+            bad = {'key': 'servers/i-1', 'value': value, 'revision': 4}
+            with self.subTest(value=value):
+                self._answers = [
+                    (200, {'items': [bad, good], 'storeRevision': 5}),
+                    (200, {'events': [bad, good], 'storeRevision': 6}),
+                ]
+                stored = await self._client.read_all()
+                changes = await self._client.changes_after(stored.position, 0.1)
+                for facts in (stored.facts, changes.facts):
+                    unreadable, closed = facts
+                    assert isinstance(unreadable, UnreadableItem)
+                    self.assertEqual(unreadable.target, 'i-1')
+                    self.assertEqual(closed, DataCentreClosed('dc-a'))
+
     async def test_invalid_eras(self) -> None:
         """An answer whose era is missing, malformed or older is an error.
 
