Apply the changes of the store that follow one with an error

Cause: the follower moves its position past all changes of a watch before it applies them. An unexpected error on one of them lost those after it for good, a new configuration among them; after an error on a full read the store was never read again.

Ruled out: items that cannot be parsed; they are facts of their own.

Change: an error on one change is logged (change_not_applied) and counted (store_changes_unapplied), and the next change is applied; after an error on a full read the store is read again.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -162,6 +162,9 @@
     )
     metrics.add_gauge('hosts', lambda: len(placement.hosts))
     metrics.add_gauge('store_age_seconds', lambda: follower.age_s)
+    metrics.add_gauge(
+        'store_changes_unapplied', lambda: follower.unapplied_count
+    )
     metrics.add_gauge('store_era_rises', lambda: store.eras.rises)
     metrics.add_gauge(
         'configuration_version',
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -11,10 +11,12 @@
     HistoryReplacedError,
     Store,
     StoreChanges,
+    StoreContents,
     StoreError,
     StorePosition,
 )
 from oriolestage.routing._cluster_state import ClusterState
+from oriolestage.routing._facts import StoredFact
 from oriolestage.routing._state_changes import Freshness, StateChange
 from oriolestage.routing._targets import TargetDirectory
 
@@ -60,6 +62,7 @@
         self._answered_at = time.monotonic()
         self._outage_since: float | None = None
         self._backoff_s = INITIAL_BACKOFF_S
+        self._unapplied = 0
         self._first_read = asyncio.Event()
         #: Limits the call for changes that is in progress.
         self._call_limit: asyncio.Timeout | None = None
@@ -81,6 +84,11 @@
         """
         return Freshness(self._known.revision, self.age_s, self._known.era)
 
+    @property
+    def unapplied_count(self) -> int:
+        """Number of changes that were dropped because of an error."""
+        return self._unapplied
+
     async def wait_first_read(self, timeout_s: float) -> bool:
         """Wait for the first read of the store, up to ``timeout_s`` seconds.
 
@@ -132,9 +140,7 @@
                     **self._log_position(),
                 },
             )
-            self._log(
-                self._cluster_state.replace_all(stored.facts, time.monotonic()),
-            )
+            self._replace_all(stored)
             self._first_read.set()
             return
         # A call that is lost in an outage takes until its timeout, which
@@ -145,10 +151,41 @@
         self._set_position(changes.position)
         now = time.monotonic()
         for fact in changes.facts:
-            self._log(self._cluster_state.apply(fact, now))
+            self._apply(fact, now)
         if changes.facts:
             await asyncio.sleep(COALESCING_DELAY_S)
 
+    def _replace_all(self, stored: StoreContents) -> None:
+        """Apply a full read; after an error the store is read again."""
+        applied = False
+        try:
+            changes = self._cluster_state.replace_all(
+                stored.facts, time.monotonic()
+            )
+            applied = True
+        finally:
+            if not applied:
+                self._position = None
+        self._log(changes)
+
+    def _apply(self, fact: StoredFact, now: float) -> None:
+        """Apply one change; an error does not keep the next from its turn."""
+        try:
+            changes = self._cluster_state.apply(fact, now)
+        except Exception as error:
+            self._unapplied += 1
+            log_event(
+                'change_not_applied',
+                {
+                    'step': 'store',
+                    'kind': type(fact).__name__,
+                    'error': repr(error),
+                    **self._log_position(),
+                },
+            )
+            return
+        self._log(changes)
+
     async def _changes_after(
         self, position: StorePosition, wait_s: float
     ) -> StoreChanges:
--- a/oriolestage/entry/tests/test_store_follower.py
+++ b/oriolestage/entry/tests/test_store_follower.py
@@ -14,6 +14,7 @@
 )
 from oriolestage.entry._store_eras import StoreEras
 from oriolestage.entry._store_follower import StoreFollower
+from oriolestage.entry._supervision import keep_running
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._crash_detector import CrashReport
 from oriolestage.routing._facts import (
@@ -32,6 +33,8 @@
 )
 
 PROPAGATION_LIMIT_S = 5.0
+#: A fact on which the host fails, as it would on an error in its own code.
+BROKEN_FACT = TargetStored(None)  # type: ignore[arg-type]
 
 
 def _table(version: int) -> ConfigurationStored:
@@ -116,7 +119,7 @@
         follower = StoreFollower(
             store, cluster_state, self._directory, PROPAGATION_LIMIT_S
         )
-        task = asyncio.create_task(follower.run())
+        task = asyncio.create_task(keep_running('follow', follower.run))
         await asyncio.sleep(1.2)
         task.cancel()
         return cluster_state
@@ -154,6 +157,33 @@
         if cluster_state.table is not None:
             self.assertEqual(cluster_state.table.version, 8)
 
+    async def test_error_in_one_change(self) -> None:
+        """Guards against losing the changes after one that raises an error.
+
+        The watch continues after all of them, so they would never be seen.
+        """
+        facts = (_table(4), TargetStored(make_record('t-2')))
+        store = ScriptedStore(
+            StoreContents(facts, _at(1)),
+            StoreChanges(
+                (BROKEN_FACT, _table(8), TargetRemoved('t-2')), _at(2)
+            ),
+        )
+        cluster_state = await self._follow(store)
+        assert cluster_state.table is not None
+        self.assertEqual(cluster_state.table.version, 8)
+        self.assertIsNone(self._directory.find('t-2'))
+
+    async def test_error_in_first_read(self) -> None:
+        """The store is read again after an error on what was read."""
+        store = ScriptedStore(
+            StoreContents((BROKEN_FACT, _table(4)), _at(1)),
+            StoreContents((_table(8),), _at(2)),
+        )
+        cluster_state = await self._follow(store)
+        assert cluster_state.table is not None
+        self.assertEqual(cluster_state.table.version, 8)
+
     async def test_failed_calls(self) -> None:
         """A failed call is repeated, and the known state is kept."""
         facts: tuple[StoredFact, ...] = (
