Do not take a second copy of a store answer for the next one

Cause: aiohttp's client session keeps bytes that arrive on an idle connection and parses them as the response to the next request. After a late second copy of one answer, each call to the store got the answer of the call before it: a host followed the store one watch late, and a renewal could be taken for done.

Ruled out: targets; their connections close on bytes outside of an exchange, and their answers are compared by id. A copy that arrives together with the answer: aiohttp closes the connection.

Change: calls to the store use the connections and the pool of the target client. Changes that are not after the revision asked for, and a page that does not follow the one before, are errors. Responses of the store are bounded by that as well.

The own interface's client of the store still uses aiohttp's session.

--- a/oriolestage/entry/_connection_pool.py
+++ b/oriolestage/entry/_connection_pool.py
@@ -1,4 +1,7 @@
-"""Open connections to targets that wait for their next request."""
+"""Open connections that wait for their next request.
+
+The platform's store is called over them as well as the targets.
+"""
 
 import asyncio
 
@@ -79,16 +82,19 @@
             self._sweep_timer = loop.call_later(IDLE_TIMEOUT_S, self._sweep)
 
 
-async def connect(address: str, held: HeldBytes) -> TargetConnection:
+async def connect(
+    address: str, held: HeldBytes, timeout_s: float = CONNECT_TIMEOUT_S
+) -> TargetConnection:
     """Open a connection to an address, given as ``ip:port``.
 
     ``held`` counts the bytes that all connections hold. Raises
-    :class:`NotConnectedError`.
+    :class:`NotConnectedError` if that fails or takes longer than
+    ``timeout_s`` seconds.
     """
     loop = asyncio.get_running_loop()
     host, _, port = address.rpartition(':')
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
                 lambda: TargetConnection(loop, held), host, int(port)
             )
--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -25,7 +25,7 @@
 )
 from oriolestage.platform._store_calls import (
     MS_PER_S,
-    NotConnectedError,
+    NoOpenConnectionError,
     StoreAnswer,
     StoreCalls,
 )
@@ -92,7 +92,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._calls.close()
+        self._calls.close()
 
     async def read_all(self) -> StoreContents:
         """Read all items that concern an entry host, page by page.
@@ -115,6 +115,8 @@
             if position is None:
                 position = StorePosition(answer.era, page.store_revision)
             self._check_same_era(position, answer)
+            if after and page.listed and page.listed[0].key <= after:
+                raise self._foreign_answer('store.kv-range')
             facts.extend(_items_to_facts(page.listed))
             if not page.has_more or not page.listed:
                 return StoreContents(tuple(facts), position)
@@ -135,12 +137,15 @@
         """
         try:
             answer = await self._watch(position, wait_s)
-        except NotConnectedError:
+        except NoOpenConnectionError:
             answer = await self._watch(position, 0)
         # The store answers from a revision that it has given out again as if
         # nothing had happened.
         self._check_same_era(position, answer)
         listed = self._decode(answer.body, _Events)
+        outdated = listed.store_revision <= position.revision
+        if outdated and listed.events:
+            raise self._foreign_answer('store.kv-watch')
         return StoreChanges(
             tuple(_items_to_facts(listed.events)),
             StorePosition(
@@ -235,6 +240,14 @@
         )
         self._check_lease(lease, answer.era)
 
+    def _foreign_answer(self, step: str) -> StoreError:
+        """Return the error of an answer that belongs to an earlier call.
+
+        The store's answers do not name their call; a second copy of an answer
+        shows only by what it repeats.
+        """
+        return StoreError(step, self._calls.address, 'answer to another call')
+
     def _check_lease(self, lease: Lease, era: int | None) -> None:
         """Raise an error if a lease is not of an era."""
         if lease.era != era:
--- a/oriolestage/platform/_store_calls.py
+++ b/oriolestage/platform/_store_calls.py
@@ -1,19 +1,27 @@
 """HTTP calls to the platform's store, with the era of each answer."""
 
+import asyncio
 import json
 import socket
 from http import HTTPStatus
-from types import SimpleNamespace
+from urllib.parse import urlencode
 
 import aiohttp
 import msgspec
 
+from oriolestage.entry._connection_pool import (
+    ConnectionPool,
+    NotConnectedError,
+    connect,
+)
+from oriolestage.entry._held_bytes import HeldBytes
 from oriolestage.entry._ports import (
     HistoryLostError,
     LeaseEndedError,
     StoreError,
 )
 from oriolestage.entry._store_eras import StoreEras
+from oriolestage.entry._target_connection import RawResponse, TargetConnection
 from oriolestage.platform import _names
 
 MS_PER_S = 1000
@@ -28,11 +36,26 @@
 KEEPALIVE_PROBES = 2
 #: Time after which unacknowledged data breaks a connection, in milliseconds.
 TCP_USER_TIMEOUT_MS = 2500
-#: Key of a call's trace context: whether it may only use an open connection.
-REQUIRES_CONNECTION = 'requires_connection'
+KEEPALIVE_OPTIONS = (
+    (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+)
+#: Methods whose calls may be sent again if their connection breaks.
+REPEATABLE_METHODS = frozenset(('GET',))
+#: Errors with which a call fails: the store is not reached, breaks the
+#: connection, does not answer in time, or sends no valid response.
+CALL_ERRORS = (
+    aiohttp.ClientError,
+    OSError,
+    TimeoutError,
+    ValueError,
+    NotConnectedError,
+)
 
 
-class NotConnectedError(Exception):
+class NoOpenConnectionError(Exception):
     """A call that needs an open connection found none."""
 
 
@@ -47,7 +70,9 @@
 class StoreCalls:
     """Sends calls to the store over connections that stay open.
 
-    All calls raise :class:`StoreError` if they fail.
+    All calls raise :class:`StoreError` if they fail. Bytes that arrive
+    outside of a call close the connection: a second copy of an answer must
+    not be taken for the answer to the next call.
     """
 
     def __init__(self, address: str) -> None:
@@ -57,13 +82,12 @@
         """
         self.eras = StoreEras()
         self.address = address
-        self._session: aiohttp.ClientSession | None = None
+        self._pool = ConnectionPool()
+        self._held = HeldBytes()
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        self._pool.close()
 
     async def call(
         self,
@@ -76,27 +100,19 @@
     ) -> StoreAnswer:
         """Send one request and return its 200 response.
 
-        A call that waits raises :class:`NotConnectedError` if it needs a new
-        connection.
+        A call that waits raises :class:`NoOpenConnectionError` if it needs a
+        new connection.
         """
         step = f'store.{path.rpartition("/")[2] or path}'
-        session = self._get_session()
-        body = None if content is None else json.dumps(content).encode()
+        request = self._encode(method, path, query, content)
         try:
-            async with session.request(
-                method,
-                f'http://{self.address}{path}',
-                params=query,
-                data=body,
-                headers={'Content-Type': 'application/json'} if body else {},
-                trace_request_ctx={REQUIRES_CONNECTION: wait_s > 0},
-                timeout=aiohttp.ClientTimeout(
-                    total=wait_s + RESPONSE_TIMEOUT_S,
-                    sock_connect=CONNECT_TIMEOUT_S,
-                ),
-            ) as response:
-                received = await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            async with asyncio.timeout(wait_s + RESPONSE_TIMEOUT_S):
+                response = await self._send(
+                    request,
+                    repeatable=method in REPEATABLE_METHODS,
+                    waits=wait_s > 0,
+                )
+        except CALL_ERRORS as error:
             cause = f'{type(error).__name__}: {error}'
             raise StoreError(step, self.address, cause) from error
         stated = response.headers.get(_names.STORE_ERA_HEADER)
@@ -105,7 +121,9 @@
         if not valid:
             cause = f'{_names.STORE_ERA_HEADER} is {stated!r}'
             raise StoreError(step, self.address, cause)
-        return StoreAnswer(received, None if stated is None else int(stated))
+        return StoreAnswer(
+            response.body, None if stated is None else int(stated)
+        )
 
     def _record_era(self, step: str, stated: str | None) -> bool:
         """Record the era that an answer states; return whether it is valid.
@@ -130,42 +148,65 @@
                 raise LeaseEndedError(step, self.address, 'not found')
         raise StoreError(step, self.address, f'status {status}')
 
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            trace_config = aiohttp.TraceConfig()
-            trace_config.on_connection_create_start.append(_check_may_connect)
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
-                    socket_factory=_make_keepalive_socket
-                ),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                trust_env=False,
-                trace_configs=[trace_config],
-            )
-        return self._session
-
-
-async def _check_may_connect(
-    _: aiohttp.ClientSession,
-    context: SimpleNamespace,
-    parameters: aiohttp.TraceConnectionCreateStartParams,
-) -> None:
-    """Raise an error if a call may only use an open connection."""
-    if context.trace_request_ctx[REQUIRES_CONNECTION]:
-        raise NotConnectedError
-
-
-def _make_keepalive_socket(
-    address: aiohttp.AddrInfoType,
-) -> socket.socket:
-    """Create a socket that detects a dead connection within seconds."""
-    created = socket.socket(*address[:3])
-    created.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, setting in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-    ):
-        created.setsockopt(socket.IPPROTO_TCP, option, setting)
-    return created
+    async def _send(
+        self, request: bytes, *, repeatable: bool, waits: bool
+    ) -> RawResponse:
+        """Send a request on an open connection, or on a new one.
+
+        The store may close an open connection just as the request is sent. A
+        ``repeatable`` one is then sent again on a new connection, unless it
+        ``waits``.
+        """
+        connection = self._pool.take(self.address)
+        if connection is not None:
+            try:
+                return await self._exchange(connection, request)
+            except (aiohttp.ServerDisconnectedError, ConnectionError):
+                if not repeatable:
+                    raise
+        if waits:
+            raise NoOpenConnectionError
+        connection = await self._connect()
+        return await self._exchange(connection, request)
+
+    async def _exchange(
+        self, connection: TargetConnection, request: bytes
+    ) -> RawResponse:
+        completed = False
+        try:
+            response = await connection.exchange(request, without_body=False)
+            completed = True
+        finally:
+            if not completed:
+                connection.abort()
+        self._pool.put(self.address, connection)
+        return response
+
+    async def _connect(self) -> TargetConnection:
+        """Open a connection on which a silent store is noticed in seconds."""
+        connection = await connect(self.address, self._held, CONNECT_TIMEOUT_S)
+        if connection.transport is None:
+            raise aiohttp.ServerDisconnectedError
+        opened = connection.transport.get_extra_info('socket')
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, setting in KEEPALIVE_OPTIONS:
+            opened.setsockopt(socket.IPPROTO_TCP, option, setting)
+        return connection
+
+    def _encode(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None,
+        content: dict[str, object] | None,
+    ) -> bytes:
+        """Return the bytes of a request."""
+        body = b'' if content is None else json.dumps(content).encode()
+        if query:
+            path = f'{path}?{urlencode(query, safe="/")}'
+        lines = [f'{method} {path} HTTP/1.1', f'Host: {self.address}']
+        if body:
+            lines.append('Content-Type: application/json')
+        if body or method not in REPEATABLE_METHODS:
+            lines.append(f'Content-Length: {len(body)}')
+        return '\r\n'.join((*lines, '', '')).encode() + body
--- a/oriolestage/platform/tests/platform_store.py
+++ b/oriolestage/platform/tests/platform_store.py
@@ -53,6 +53,8 @@
         self.calls: list[str] = []
         #: True while calls get no answer.
         self.silent = False
+        #: True while calls are lost: they are never answered.
+        self.loses_calls = False
         #: Called before each page of a listing.
         self.before_page: Callable[[], None] = _do_nothing
         self.address = ''
@@ -137,6 +139,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         self.calls.append(request.path)
+        if self.loses_calls:
+            await asyncio.Event().wait()
         while self.silent:
             await asyncio.sleep(POLL_INTERVAL_S)
         match request.path:
--- a/oriolestage/platform/tests/test_store.py
+++ b/oriolestage/platform/tests/test_store.py
@@ -113,6 +113,23 @@
                     self.assertEqual(unreadable.target, 'i-1')
                     self.assertEqual(closed, DataCentreClosed('dc-a'))
 
+    async def test_answer_to_earlier_call(self) -> None:
+        """Changes and pages before those that were asked for are an error.
+
+        They are a second copy of an earlier answer.
+        """
+        first = _item('op/evacuate/dc-a', {})
+        page = {'items': [first], 'hasMore': True, 'storeRevision': 5}
+        self._answers = [
+            (200, {'events': [first], 'storeRevision': 5}),
+            (200, page),
+            (200, page),
+        ]
+        with self.assertRaises(StoreError):
+            await self._client.changes_after(StorePosition(None, 5), 0.1)
+        with self.assertRaises(StoreError):
+            await self._client.read_all()
+
     async def test_invalid_eras(self) -> None:
         """An answer whose era is missing, malformed or older is an error.
 
