State the time left when a request is sent

Cause: the time left for an attempt was computed before its connection was opened, and that of a batch or relayed request before the stream was. While a process is paused in between, that time passes, and the target or host is given more than is left.

Ruled out: the deadline of the attempt itself; it is enforced by a timer.

Conclusion: one way in which a paused process acted on a permission that had run out. A host that is paused after a batch has arrived still hands on the time that the batch states.

--- a/oriolestage/entry/_peer_client.py
+++ b/oriolestage/entry/_peer_client.py
@@ -63,6 +63,8 @@
 )
 #: Time after which a stream with unacknowledged bytes fails, in ms.
 TCP_USER_TIMEOUT_MS = 2000
+#: Lowest time left that is sent with a request, in seconds.
+MIN_TIME_LEFT_S = 0.001
 MS_PER_S = 1000
 
 
@@ -258,6 +260,14 @@
             return True
 
 
+def _time_left_s(deadline: float) -> float:
+    """Return the time left for a request that is sent now, in seconds.
+
+    Opening a stream takes time, and the process may have been paused.
+    """
+    return max(MIN_TIME_LEFT_S, deadline - time.monotonic())
+
+
 class PeerClient:
     """Keeps streams to other entry hosts and sends batches over them."""
 
@@ -286,6 +296,7 @@
         ``request`` gets a number of its own. Closing the iterator early
         cancels the batch at the host.
         """
+        deadline = time.monotonic() + request.time_left_s
         link = self._links.setdefault(address, _Link(address, self._on_leaving))
         try:
             await link.open()
@@ -295,6 +306,7 @@
         numbered = msgspec.structs.replace(
             request,
             number=next(self._numbers),
+            time_left_s=_time_left_s(deadline),
         )
         async with contextlib.aclosing(link.gather(numbered)) as replies:
             async for outcome in replies:
@@ -307,13 +319,18 @@
 
         ``request`` gets a number of its own. Cancelling the call cancels it.
         """
+        deadline = time.monotonic() + request.time_left_s
         link = self._links.setdefault(address, _Link(address, self._on_leaving))
         try:
             await link.open()
         except (OSError, TimeoutError):
             return AttemptNotRun(NotRunReason.NOT_REACHED)
         return await link.relay(
-            msgspec.structs.replace(request, number=next(self._numbers)),
+            msgspec.structs.replace(
+                request,
+                number=next(self._numbers),
+                time_left_s=_time_left_s(deadline),
+            ),
         )
 
     async def check_links(self, addresses: set[str]) -> dict[str, LinkState]:
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -131,12 +131,18 @@
             return AttemptLost(f'target.{type(error).__name__}', broken)
 
     async def _send_request(self, call: TargetCall) -> AttemptOutcome:
-        request = self._encode(call)
+        deadline = time.monotonic() + call.time_left_s
         connection = await self._connection_for(call)
         completed = False
         try:
+            # The time left is stated as late as possible: connecting takes
+            # time, and the process may have been paused meanwhile.
+            time_left_s = deadline - time.monotonic()
+            if time_left_s <= 0:
+                raise TimeoutError
             response = await connection.exchange(
-                request, without_body=call.method == 'HEAD'
+                self._encode(call, time_left_s),
+                without_body=call.method == 'HEAD',
             )
             completed = True
         finally:
@@ -196,13 +202,13 @@
             signature=self._wire_protocol.signature(response.headers),
         )
 
-    def _encode(self, call: TargetCall) -> bytes:
-        """Return the bytes of the request.
+    def _encode(self, call: TargetCall, time_left_s: float) -> bytes:
+        """Return the bytes of the request, with the time left in seconds.
 
         Raises ``ValueError`` if a line would end early.
         """
         headers = self._wire_protocol.target_headers(
-            call.headers, call.target, call.time_left_s
+            call.headers, call.target, time_left_s
         )
         if not any(name.lower() == 'host' for name, _ in headers):
             headers.insert(0, ('Host', call.address))
--- a/oriolestage/platform/tests/test_target_wire.py
+++ b/oriolestage/platform/tests/test_target_wire.py
@@ -1,8 +1,14 @@
 """Tests of the target client against faulty targets."""
 
+import asyncio
 import time
 import unittest
+from unittest.mock import patch
 
+from oriolestage.entry import _target_client
+from oriolestage.entry._connection_pool import connect
+from oriolestage.entry._held_bytes import HeldBytes
+from oriolestage.entry._target_connection import TargetConnection
 from oriolestage.platform.tests.target_calls import (
     COMPLETE_ANSWER,
     HEAD,
@@ -17,6 +23,19 @@
     NotRunReason,
 )
 
+#: Time left for a request when its attempt starts, and a pause before its
+#: connection is open, in seconds.
+TIME_LEFT_S = 2.0
+PAUSE_S = 0.4
+MS_PER_S = 1000
+
+
+async def _connect_after_pause(
+    address: str, held: HeldBytes
+) -> TargetConnection:
+    await asyncio.sleep(PAUSE_S)
+    return await connect(address, held)
+
 
 class TargetClientTest(unittest.TestCase):
     """Bytes that are not the complete answer are never passed on."""
@@ -65,6 +84,24 @@
                 outcome = run_calls(RawTarget(answer))[0]
                 self.assertIsInstance(outcome, AttemptLost)
 
+    def test_deadline_after_connecting(self) -> None:
+        """Guards against handing on time that has passed.
+
+        The time left was stated as it was before the connection was opened,
+        although the process may have been paused meanwhile.
+        """
+        target = RawTarget(COMPLETE_ANSWER)
+        with patch.object(_target_client, 'connect', _connect_after_pause):
+            run_calls(target, time_left_s=TIME_LEFT_S)
+        fields = dict(
+            line.split(b': ', 1)
+            for line in target.received.split(b'\r\n')
+            if b': ' in line
+        )
+        self.assertLessEqual(
+            float(fields[b'Deadline-Ms']), MS_PER_S * (TIME_LEFT_S - PAUSE_S)
+        )
+
     def test_extra_answer(self) -> None:
         """Extra bytes after an answer do not reach the next request.
 
