Reply to a batch after an unexpected error

Cause: an exception in the task of a batch left the asking host without a reply until the deadline of its request.

Change: an error on one shard fails that shard, any other error on a batch all of its shards; the asking host is told at once, and both are logged (attempt_crashed, batch_crashed).

Figures: test_crashed_attempt and test_crashed_batch: no reply within 1 s before, a reply at once after.

The commit also holds the test of the time left of a batch.

--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -64,6 +64,9 @@
 #: Retry-after for all services while this host reaches no target, in seconds:
 #: the interval at which it looks for a path.
 CUT_OFF_RETRY_AFTER_S = 0.5
+#: Step of a batch or of one of its attempts that ended with an error of this
+#: program.
+CRASH_STEP = 'batch.crash'
 
 
 class PeerServer:
@@ -148,7 +151,7 @@
     ) -> None:
         match message:
             case GatherRequest(number=number):
-                task = asyncio.create_task(self._serve_batch(message, frames))
+                task = asyncio.create_task(self._run_batch(message, frames))
                 running[number] = task
                 task.add_done_callback(lambda _: running.pop(number, None))
             case RelayRequest(number=number):
@@ -171,10 +174,31 @@
             freshness.era,
         )
 
+    async def _run_batch(
+        self, request: GatherRequest, frames: FrameWriter
+    ) -> None:
+        """Serve a batch; after an error, reply that its shards have failed."""
+        replies = ReplyWriter(request, frames, self._freshness)
+        try:
+            await self._serve_batch(request, replies)
+        except Exception as error:
+            log_event(
+                'batch_crashed',
+                {
+                    'id': request.request_id,
+                    'step': CRASH_STEP,
+                    'error': repr(error),
+                },
+            )
+            replies.answer(
+                [ShardResult(service, None) for service in request.services],
+                request.work_s,
+                merged=False,
+                final=True,
+            )
+
     async def _serve_batch(
-        self,
-        request: GatherRequest,
-        frames: FrameWriter,
+        self, request: GatherRequest, replies: ReplyWriter
     ) -> None:
         """Send a batch to targets and write the replies.
 
@@ -184,7 +208,6 @@
         """
         started_at = time.monotonic()
         stragglers = StragglerDetector(len(request.services), request.work_s)
-        replies = ReplyWriter(request, frames, self._freshness)
         chosen, declined = self._choose_targets(request, started_at)
         if declined:
             unreachable = self._find_unreachable(request, declined, started_at)
@@ -287,6 +310,7 @@
         """
         attempt = next(self._attempt_numbers)
         self._placement.record_sent(target, attempt, time.monotonic())
+        outcome: AttemptOutcome
         try:
             outcome = await self._sender.send(
                 TargetCall(
@@ -310,6 +334,17 @@
                 time.monotonic(),
             )
             raise
+        except Exception as error:
+            log_event(
+                'attempt_crashed',
+                {
+                    'id': request.request_id,
+                    'step': CRASH_STEP,
+                    'peer': target.record.address,
+                    'error': repr(error),
+                },
+            )
+            outcome = AttemptLost(CRASH_STEP)
         return ShardResult(
             service,
             self._record_outcome(target, attempt, outcome, stragglers),
--- a/oriolestage/entry/tests/test_peer_link.py
+++ b/oriolestage/entry/tests/test_peer_link.py
@@ -5,6 +5,7 @@
 import itertools
 import unittest
 from collections.abc import Callable
+from unittest.mock import patch
 
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_messages import GatherRequest
@@ -32,6 +33,11 @@
     shard_records,
 )
 
+#: Time within which a reply has to arrive; that of the request is 2 s.
+REPLY_TIMEOUT_S = 1.0
+#: Time that opening a stream takes, in seconds.
+OPENING_S = 0.2
+
 
 class ScriptedTargets:
     """Answers attempts at once, except for slow and broken targets."""
@@ -40,15 +46,22 @@
         """Create targets that all answer at once."""
         self.slow: set[str] = set()
         self.broken: set[str] = set()
+        #: Targets at which an attempt ends with an error of this program.
+        self.crashing: set[str] = set()
         self.pause_s = 10.0
         self.cancelled = 0
         self.bodies: list[bytes] = []
+        #: Times left in seconds that the attempts state.
+        self.times_left: list[float] = []
         #: Called with the identity of each target that answers.
         self.on_answer: Callable[[str], None] = lambda _: None
 
     async def send(self, call: TargetCall) -> AttemptOutcome:
         """Answer an attempt."""
         self.bodies.append(call.body)
+        self.times_left.append(call.time_left_s)
+        if call.target in self.crashing:
+            raise RuntimeError(call.target)
         if call.target in self.broken:
             return AttemptLost('reset')
         if call.target in self.slow:
@@ -151,6 +164,49 @@
         assert isinstance(answer, BatchAnswered)
         self.assertNotIn(SERVICES[0], answer.signatures)
 
+    async def test_deadline_after_opening(self) -> None:
+        """Guards against handing on time that has passed.
+
+        Opening the stream takes time, and the process may be paused.
+        """
+        open_stream = asyncio.open_connection
+
+        async def open_late(
+            host: str, port: int
+        ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+            await asyncio.sleep(OPENING_S)
+            return await open_stream(host, port)
+
+        with patch('asyncio.open_connection', open_late):
+            await self._first_reply(make_gather_request())
+        self.assertLessEqual(
+            max(self._targets.times_left),
+            make_gather_request().time_left_s - OPENING_S,
+        )
+
+    async def test_crashed_attempt(self) -> None:
+        """An error on one shard does not keep back the answers of others."""
+        self._targets.crashing = {'t-0-0', 't-0-1'}
+        async with asyncio.timeout(REPLY_TIMEOUT_S):
+            answer = await self._first_reply(make_gather_request())
+        assert isinstance(answer, BatchAnswered)
+        self.assertEqual(set(answer.signatures), set(SERVICES[1:]))
+        self.assertEqual(answer.failed, frozenset(SERVICES[:1]))
+
+    async def test_crashed_batch(self) -> None:
+        """Guards against a batch that is never answered after an error.
+
+        The asking host would wait for its shards until the deadline.
+        """
+        with patch.object(
+            self._placement, 'choose', side_effect=RuntimeError('choose')
+        ):
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                answer = await self._first_reply(make_gather_request())
+        assert isinstance(answer, BatchAnswered)
+        self.assertTrue(answer.final)
+        self.assertEqual(answer.failed, frozenset(SERVICES))
+
     async def test_unknown_service(self) -> None:
         """A shard without a target is declined before others answer."""
         self._targets.slow = {'t-0-0', 't-0-1'}
