Assign what even shares of the retry budget leave over

Cause: each host spends its share of the allowance of a service, and nothing if the share is below one. With 195 hosts and an allowance of 430 no request is hedged or retried in the first 10 s after a start (0.35 of 430 / 195 = 0.77), and with 258 hosts or more never, but for the ratio of a host's own few requests.

Ruled out: the reserve; it is checked against the budget that is left.

Change: the allowance is divided in whole attempts, and the remainder goes to the hosts that rank first for the service by rendezvous hashing, as for cold targets; both use EvenShare, which counts its rank without sorting all hosts.

Conclusion: what hosts may spend no longer falls to zero as the fleet grows.

--- a/oriolestage/_rendezvous.py
+++ b/oriolestage/_rendezvous.py
@@ -18,6 +18,15 @@
     )
 
 
+def rendezvous_position(key: str, name: str, names: Iterable[str]) -> int:
+    """Return the index of ``name`` in ``rendezvous_rank(key, names)``.
+
+    Hosts use it to find their own place without ranking all others.
+    """
+    own_weight = _weight(key, name)
+    return sum(1 for other in names if _weight(key, other) > own_weight)
+
+
 def rendezvous_owner(key: str, names: Iterable[str]) -> str:
     """Return the name with the highest weight for ``key``.
 
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -27,6 +27,7 @@
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._crash_detector import CrashDetector
 from oriolestage.routing._delivery_margin import DeliveryMargin
+from oriolestage.routing._even_shares import EvenShare
 from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
@@ -206,7 +207,11 @@
     ) -> PartRequest:
         budget = self._retry_budgets.get(name)
         if budget is None:
-            budget = RetryBudget(self._budget_bounds, self._started_at)
+            budget = RetryBudget(
+                self._budget_bounds,
+                self._started_at,
+                EvenShare(name, self._placement.location.name),
+            )
             self._retry_budgets[name] = budget
         requirements = build_requirements(table, name, rule.name, rule.regions)
         return PartRequest(requirements, budget)
--- a/oriolestage/routing/_attempt_policy.py
+++ b/oriolestage/routing/_attempt_policy.py
@@ -162,7 +162,7 @@
         Return False if it is refused. When the budget is nearly exhausted,
         only attempts that a sufficient answer depends on may use it.
         """
-        hosts = len(self._placement.hosts)
+        hosts = self._placement.hosts
         budget = part.request.budget
         if self._progress.remaining_optional and budget.nearly_exhausted(
             hosts, now
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Collection, Iterator, Mapping
 
+from oriolestage.routing._even_shares import EvenShare
 from oriolestage.routing._observations import Observations
 from oriolestage.routing._placement_types import (
     ChosenTarget,
@@ -311,11 +312,7 @@
             return FULL_WAIT_S
         if requirements.warm_up_rate and target.cold_until > now:
             allowed = self._pacer(target).allows(
-                target.record.identity,
-                requirements.warm_up_rate,
-                self.location.name,
-                self._hosts,
-                now,
+                requirements.warm_up_rate, self._hosts, now
             )
             if not allowed:
                 return FULL_WAIT_S
@@ -324,6 +321,7 @@
     def _pacer(self, target: KnownTarget) -> WarmUpPacer:
         pacer = self._pacers.get(target.process)
         if pacer is None:
-            pacer = WarmUpPacer(self._warm_up)
+            share = EvenShare(target.record.identity, self.location.name)
+            pacer = WarmUpPacer(self._warm_up, share)
             self._pacers[target.process] = pacer
         return pacer
--- a/oriolestage/routing/_retry_budget.py
+++ b/oriolestage/routing/_retry_budget.py
@@ -4,12 +4,15 @@
 a fixed allowance in each window. Each host spends the ratio of its own
 requests and its share of the allowance, so the sum stays within the budget
 without coordination. This bounds the extra load when many targets slow down
-at the same time and every host hedges.
+at the same time and every host hedges. With more hosts than the allowance has
+attempts, some hosts have an attempt for a service and the others have none.
 """
 
 import dataclasses
 from collections import deque
 
+from oriolestage.routing._even_shares import EvenShare
+
 #: Length of the intervals that the sliding window consists of, in seconds.
 INTERVAL_S = 0.5
 #: Fraction of the allowance that hosts spend; the rest covers hosts that
@@ -51,9 +54,15 @@
     An extra attempt is a retry or a hedge.
     """
 
-    def __init__(self, bounds: BudgetBounds, started_at: float) -> None:
-        """Start an empty window at ``started_at``, in monotonic time."""
+    def __init__(
+        self, bounds: BudgetBounds, started_at: float, share: EvenShare
+    ) -> None:
+        """Start an empty window at ``started_at``, in monotonic time.
+
+        ``share`` divides the allowance among the hosts.
+        """
         self._bounds = bounds
+        self._share = share
         self._started_at = started_at
         self._intervals: deque[_Interval] = deque()
         self._requests = 0
@@ -64,11 +73,11 @@
         self._interval(now).requests += 1
         self._requests += 1
 
-    def remaining(self, hosts: int, now: float) -> float:
+    def remaining(self, hosts: tuple[str, ...], now: float) -> float:
         """Return the extra attempts left when ``hosts`` share the budget."""
         return self._window_budget(hosts, now) - self._extra_attempts
 
-    def nearly_exhausted(self, hosts: int, now: float) -> bool:
+    def nearly_exhausted(self, hosts: tuple[str, ...], now: float) -> bool:
         """Return whether only the reserve of the window is left.
 
         Callers keep the reserve for attempts without which a request fails.
@@ -76,7 +85,7 @@
         budget = self._window_budget(hosts, now)
         return budget - self._extra_attempts < RESERVE_FRACTION * budget
 
-    def try_acquire(self, hosts: int, now: float) -> bool:
+    def try_acquire(self, hosts: tuple[str, ...], now: float) -> bool:
         """Spend one extra attempt; return False if none is left."""
         if self.remaining(hosts, now) < 1:
             return False
@@ -84,12 +93,13 @@
         self._extra_attempts += 1
         return True
 
-    def _window_budget(self, hosts: int, now: float) -> float:
+    def _window_budget(self, hosts: tuple[str, ...], now: float) -> float:
         self._interval(now)
         fraction = ALLOWANCE_FRACTION
         if now - self._started_at < self._bounds.window_s:
             fraction = INITIAL_ALLOWANCE_FRACTION
-        allowance = fraction * self._bounds.allowance / max(1, hosts)
+        total = int(fraction * self._bounds.allowance)
+        allowance = self._share.of_total(total, hosts)
         return allowance + RATIO_FRACTION * self._bounds.ratio * self._requests
 
     def _interval(self, now: float) -> _Interval:
--- a/oriolestage/routing/tests/builders.py
+++ b/oriolestage/routing/tests/builders.py
@@ -7,10 +7,12 @@
     TargetAnswer,
 )
 from oriolestage.routing._crash_detector import CrashDetector
+from oriolestage.routing._even_shares import EvenShare
 from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._placement_types import HostLocation
+from oriolestage.routing._retry_budget import BudgetBounds, RetryBudget
 from oriolestage.routing._rules import (
     Destination,
     RouteRule,
@@ -109,6 +111,19 @@
     return CrashDetector(lambda _: None)
 
 
+def make_budget(
+    bounds: BudgetBounds | None = None,
+    started_at: float = 0,
+    *,
+    host: str = 'host-1',
+    service: str = 'shard-0',
+) -> RetryBudget:
+    """Return the budget of one host for one service."""
+    return RetryBudget(
+        bounds or BudgetBounds(), started_at, EvenShare(service, host)
+    )
+
+
 def shard_records(shards: int = 20) -> tuple[TargetRecord, ...]:
     """Return two targets per shard, distributed over the data centres."""
     records: list[TargetRecord] = []
--- a/oriolestage/routing/tests/replay.py
+++ b/oriolestage/routing/tests/replay.py
@@ -34,6 +34,7 @@
     FAR_S,
     NEAR_S,
     make_answer,
+    make_budget,
     make_peers,
     make_placement,
     shard_records,
@@ -150,7 +151,12 @@
                 TargetRequirements(name, self._rule.name),
                 self._budgets.setdefault(
                     name,
-                    RetryBudget(self._bounds, now - 60),
+                    make_budget(
+                        self._bounds,
+                        now - 60,
+                        host=self.placement.location.name,
+                        service=name,
+                    ),
                 ),
             )
             for name in names
--- a/oriolestage/routing/tests/runs.py
+++ b/oriolestage/routing/tests/runs.py
@@ -6,7 +6,7 @@
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._placement_types import TargetRequirements
 from oriolestage.routing._request_run import RequestRun
-from oriolestage.routing._retry_budget import BudgetBounds, RetryBudget
+from oriolestage.routing._retry_budget import BudgetBounds
 from oriolestage.routing._rules import RouteRule, ShardGroup
 from oriolestage.routing._run_types import (
     Action,
@@ -19,6 +19,7 @@
 from oriolestage.routing._targets import TargetRecord
 from oriolestage.routing.tests.builders import (
     DELIVERY_MARGIN_S,
+    make_budget,
     make_peers,
     make_placement,
 )
@@ -55,7 +56,7 @@
         parts=tuple(
             PartRequest(
                 TargetRequirements(name, rule.name),
-                RetryBudget(bounds or BudgetBounds(), started - 60),
+                make_budget(bounds, started - 60),
             )
             for name in names
         ),
--- a/oriolestage/routing/tests/test_decision_cost.py
+++ b/oriolestage/routing/tests/test_decision_cost.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterator
 
 from oriolestage.routing._answers import AttemptAnswered, Gathered
+from oriolestage.routing._even_shares import EvenShare
 from oriolestage.routing._request_run import RequestRun
 from oriolestage.routing._run_types import Action, BatchAnswered, SendBatch
 from oriolestage.routing._warm_up import WarmUpBounds, WarmUpPacer
@@ -122,11 +123,11 @@
     def test_hosts_are_ranked_once(self) -> None:
         """Guards against ranking all hosts for each attempt at a target."""
         hosts = tuple(f'host-{number}' for number in range(MANY_HOSTS))
-        pacer = WarmUpPacer(WarmUpBounds())
+        pacer = WarmUpPacer(WarmUpBounds(), EvenShare('t-1', 'host-0'))
 
         def decide() -> None:
             for number in range(DECISIONS):
-                pacer.allows('t-1', 20, hosts[0], hosts, number * STEP_S)
+                pacer.allows(20, hosts, number * STEP_S)
 
         lines = count_lines('_rendezvous', decide)
         self.assertLess(lines, DECISIONS * MANY_HOSTS / 2)
--- a/oriolestage/routing/tests/test_due_parts.py
+++ b/oriolestage/routing/tests/test_due_parts.py
@@ -6,10 +6,9 @@
 from oriolestage.routing._due_parts import DueParts
 from oriolestage.routing._parts import Attempt, Part, PartTally
 from oriolestage.routing._placement_types import TargetRequirements
-from oriolestage.routing._retry_budget import BudgetBounds, RetryBudget
 from oriolestage.routing._run_types import PartRequest
 from oriolestage.routing._stragglers import StragglerDetector
-from oriolestage.routing.tests.builders import make_answer
+from oriolestage.routing.tests.builders import make_answer, make_budget
 
 PARTS = 12
 STEPS = 400
@@ -28,7 +27,7 @@
         self.stragglers = StragglerDetector(PARTS, USUAL_S)
         self.due = DueParts(self.stragglers, repeatable=True)
         requirements = TargetRequirements('shard', 'route')
-        part_request = PartRequest(requirements, RetryBudget(BudgetBounds(), 0))
+        part_request = PartRequest(requirements, make_budget())
         tally = PartTally(PARTS)
         self.parts = [
             Part(position, part_request, tally) for position in range(PARTS)
--- a/oriolestage/routing/tests/test_limits.py
+++ b/oriolestage/routing/tests/test_limits.py
@@ -3,18 +3,28 @@
 import random
 import unittest
 
+from oriolestage.routing._even_shares import EvenShare
 from oriolestage.routing._retry_budget import BudgetBounds, RetryBudget
 from oriolestage.routing._warm_up import WarmUpBounds, WarmUpPacer
+from oriolestage.routing.tests.builders import make_budget
 
 HOSTS = tuple(f'host-{number}' for number in range(6))
+#: Numbers of hosts of small and large deployments.
+FLEET_SIZES = (6, 85, 195, 300, 620)
 #: Extra attempts that a host tries to take at one moment.
 MAX_TRIES = 1000
 
 
-def _spend_all(budgets: list[RetryBudget], now: float) -> int:
+def _make_hosts(count: int) -> tuple[str, ...]:
+    return tuple(f'host-{number}' for number in range(count))
+
+
+def _spend_all(
+    budgets: list[RetryBudget], now: float, hosts: tuple[str, ...] = HOSTS
+) -> int:
     """Exhaust all budgets; return the number of extra attempts."""
     return sum(
-        budget.try_acquire(len(HOSTS), now)
+        budget.try_acquire(hosts, now)
         for budget in budgets
         for _ in range(MAX_TRIES)
     )
@@ -31,7 +41,7 @@
         """Hosts that take all they can stay within the budget."""
         bounds = BudgetBounds()
         rng = random.Random(7)
-        budgets = [RetryBudget(bounds, 0) for _ in HOSTS]
+        budgets = [make_budget(bounds, 0, host=host) for host in HOSTS]
         requests: list[float] = []
         extra: list[float] = []
         for step in range(4000):
@@ -41,7 +51,7 @@
                 budget.record_request(now)
                 requests.append(now)
             for other in budgets:
-                if other.try_acquire(len(HOSTS), now):
+                if other.try_acquire(HOSTS, now):
                     extra.append(now)
         for start in range(0, 30):
             end = start + bounds.window_s
@@ -58,21 +68,51 @@
         The restarted hosts do not know what was spent before.
         """
         bounds = BudgetBounds()
-        before = [RetryBudget(bounds, 0) for _ in HOSTS]
-        after = [RetryBudget(bounds, 21) for _ in HOSTS]
+        before = [make_budget(bounds, 0, host=host) for host in HOSTS]
+        after = [make_budget(bounds, 21, host=host) for host in HOSTS]
         spent = _spend_all(before, 20) + _spend_all(after, 21)
         self.assertLessEqual(spent, bounds.allowance)
 
+    def test_many_hosts(self) -> None:
+        """Guards against shares below one attempt, of which none is spent.
+
+        After a start of all hosts no request was hedged for 10 s, with 195
+        hosts and an allowance of 430.
+        """
+        bounds = BudgetBounds(ratio=0, allowance=430)
+        for count in FLEET_SIZES:
+            hosts = _make_hosts(count)
+            started = [make_budget(bounds, 20, host=host) for host in hosts]
+            running = [make_budget(bounds, 0, host=host) for host in hosts]
+            with self.subTest(hosts=count):
+                after_start = _spend_all(started, 21, hosts)
+                usual = _spend_all(running, 21, hosts)
+                self.assertGreaterEqual(after_start, 0.3 * bounds.allowance)
+                self.assertGreaterEqual(usual, 0.5 * bounds.allowance)
+                self.assertLessEqual(after_start + usual, bounds.allowance)
+
+    def test_services_have_other_hosts(self) -> None:
+        """A host without an attempt for one service has some for others."""
+        bounds = BudgetBounds(ratio=0, allowance=52)
+        hosts = _make_hosts(195)
+        spent = sum(
+            make_budget(
+                bounds, 0, host=hosts[0], service=f'shard-{shard}'
+            ).try_acquire(hosts, 21)
+            for shard in range(300)
+        )
+        self.assertGreater(spent, 0)
+
     def test_nearly_exhausted(self) -> None:
         """A reserve of extra attempts is left when nearly exhausted."""
-        budget = RetryBudget(BudgetBounds(allowance=100), 0)
-        self.assertFalse(budget.nearly_exhausted(1, 20))
+        budget = make_budget(BudgetBounds(allowance=100), 0)
+        self.assertFalse(budget.nearly_exhausted(HOSTS[:1], 20))
         for _ in range(MAX_TRIES):
-            if budget.nearly_exhausted(1, 20):
+            if budget.nearly_exhausted(HOSTS[:1], 20):
                 break
-            self.assertTrue(budget.try_acquire(1, 20))
-        self.assertTrue(budget.nearly_exhausted(1, 20))
-        self.assertTrue(budget.try_acquire(1, 20))
+            self.assertTrue(budget.try_acquire(HOSTS[:1], 20))
+        self.assertTrue(budget.nearly_exhausted(HOSTS[:1], 20))
+        self.assertTrue(budget.try_acquire(HOSTS[:1], 20))
 
 
 class WarmUpPacerTest(unittest.TestCase):
@@ -82,12 +122,15 @@
         """Hosts that send all they may stay within the bound."""
         bounds = WarmUpBounds()
         for rate in (0.5, 2.0, 20.0):
-            pacers = {host: WarmUpPacer(bounds) for host in HOSTS}
+            pacers = {
+                host: WarmUpPacer(bounds, EvenShare('t-1', host))
+                for host in HOSTS
+            }
             sent: list[float] = []
             for step in range(300):
                 now = step * 0.01
-                for host, pacer in pacers.items():
-                    if pacer.allows('t-1', rate, host, HOSTS, now):
+                for pacer in pacers.values():
+                    if pacer.allows(rate, HOSTS, now):
                         pacer.record_sent(now)
                         sent.append(now)
             most = max(
