Log which fact refused a request, and its age

Cause: a request refused for want of capacity logged `no_room` only. Whether a target rested, was in back-off or limited its rate, and since when that was known, had to be guessed from other lines.

Change: the decision whether a target may get an attempt is a module of its own (_target_capacity), and names the cause with the age of the fact; request_done has them under `shortages`.

--- a/oriolestage/routing/_attempt_policy.py
+++ b/oriolestage/routing/_attempt_policy.py
@@ -89,8 +89,10 @@
                 ):
                     part.give_up(GiveUpReason.NO_BUDGET)
                     return
+                part.shortage = None
                 self._dispatch.enqueue(part, placed)
-            case NoCapacity(wait_s=wait_s):
+            case NoCapacity(wait_s=wait_s, shortage=shortage):
+                part.shortage = shortage
                 part.retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
                 part.reason = GiveUpReason.NO_ROOM
                 part.next_placement_at = now + wait_s
--- a/oriolestage/routing/_parts.py
+++ b/oriolestage/routing/_parts.py
@@ -6,8 +6,10 @@
 
 import dataclasses
 import enum
+from collections.abc import Iterable
 
 from oriolestage.routing._answers import GiveUpReason, TargetAnswer
+from oriolestage.routing._placement_types import Shortage, ShortageCause
 from oriolestage.routing._run_types import PartRequest
 from oriolestage.routing._targets import KnownTarget
 
@@ -111,6 +113,8 @@
     #: One entry per attempt, for the log: the data centre, or the region for
     #: a batch, then ``+`` and the milliseconds since the request arrived.
     trace: list[str] = dataclasses.field(default_factory=list)
+    #: Why no target had capacity when it was placed last; None if one had.
+    shortage: Shortage | None = None
     #: Time after which a target may be free, in seconds.
     retry_after_s: float = MIN_RETRY_AFTER_S
 
@@ -162,3 +166,20 @@
         if state != self.state:
             self.tally.move(self.state, state)
             self.state = state
+
+
+def describe_shortages(parts: Iterable[Part]) -> str:
+    """Return why unanswered parts found no capacity, for the log.
+
+    The text has ``CAUSE:PARTS:AGE`` for each cause, separated by commas; the
+    age is that of the newest of the facts, in seconds.
+    """
+    ages: dict[ShortageCause, list[float]] = {}
+    for part in parts:
+        if part.answer is None and part.shortage is not None:
+            shortage = part.shortage
+            ages.setdefault(shortage.cause, []).append(shortage.age_s)
+    return ','.join(
+        f'{cause.value}:{len(known)}:{min(known):.2f}'
+        for cause, known in ages.items()
+    )
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Callable, Collection, Iterator, Mapping
 
-from oriolestage.routing._even_shares import EvenShare
 from oriolestage.routing._observations import Observations
 from oriolestage.routing._placement_types import (
     ChosenTarget,
@@ -19,14 +18,11 @@
     TargetRequirements,
 )
 from oriolestage.routing._state_changes import StateChange
+from oriolestage.routing._target_capacity import TargetCapacity
 from oriolestage.routing._target_rates import TargetRates
 from oriolestage.routing._targets import KnownTarget, TargetDirectory
-from oriolestage.routing._warm_up import WarmUpBounds, WarmUpPacer
+from oriolestage.routing._warm_up import WarmUpBounds
 
-#: Attempts that one host may queue at a target beyond its slots.
-QUEUED_LIMIT = 4
-#: Time after which to try a target at its limit again, in seconds.
-FULL_WAIT_S = 0.01
 #: Shortest time for which no attempt is sent to targets for which another
 #: host had no capacity, in seconds: a round trip between regions.
 MIN_DECLINED_S = 0.05
@@ -55,8 +51,9 @@
         self.rates = TargetRates(location, on_change)
         self._directory = directory
         self._on_change = on_change
-        self._warm_up = warm_up
-        self._pacers: dict[str, WarmUpPacer] = {}
+        self._capacity = TargetCapacity(
+            location.name, self.observations, self.rates, warm_up
+        )
         self._hosts: tuple[str, ...] = (location.name,)
 
     @property
@@ -85,8 +82,7 @@
     def forget_removed_targets(self) -> None:
         """Drop the observations of targets that are no longer known."""
         known = {target.process for target in self._directory.all_targets()}
-        for name in self.observations.prune(known):
-            self._pacers.pop(name, None)
+        self._capacity.forget(self.observations.prune(known))
         self.rates.prune(known)
 
     def choose(
@@ -101,20 +97,21 @@
         were tried before.
         """
         best: ChosenTarget | None = None
-        wait_s = float('inf')
+        first: NoCapacity | None = None
         for target in self._candidates(requirements, excluded):
-            retry_after_s = self._retry_after_s(target, requirements, now)
-            if retry_after_s > 0:
-                wait_s = min(wait_s, retry_after_s)
+            refused = self._capacity.refuse(
+                target, requirements, self._hosts, now
+            )
+            if refused is not None:
+                if first is None or refused.wait_s < first.wait_s:
+                    first = refused
                 continue
             expected_s = self.observations.expected_s(
                 target, requirements.route, now
             )
             if best is None or expected_s < best.expected_s:
                 best = ChosenTarget(target, expected_s)
-        if best is not None:
-            return best
-        return NoTarget() if wait_s == float('inf') else NoCapacity(wait_s)
+        return best or first or NoTarget()
 
     def unreachable(self, requirements: TargetRequirements, now: float) -> bool:
         """Return whether no target is used because none is reached from here.
@@ -173,18 +170,14 @@
     ) -> None:
         """Record that an attempt was sent to a target."""
         self.observations.record_sent(target, attempt, now)
-        self.rates.record_sent(target, now)
-        if target.cold_until > now:
-            self._pacer(target).record_sent(now)
+        self._capacity.record_sent(target, now)
 
     def record_withdrawn(
         self, target: KnownTarget, attempt: int, now: float
     ) -> None:
         """Record that an attempt that was decided is not sent after all."""
         self.observations.load_of(target).record_withdrawn(attempt)
-        self.rates.record_withdrawn(target, now)
-        if target.cold_until > now:
-            self._pacer(target).withdraw()
+        self._capacity.record_withdrawn(target, now)
 
     def record_rate_limit(
         self, identity: str, limit: float | None, now: float
@@ -221,7 +214,7 @@
         if target is None:
             return
         load = self.observations.load_of(target)
-        load.record_rest(now + rest_s)
+        load.record_rest(now + rest_s, now)
         named = {
             'target': identity,
             'service': target.record.service,
@@ -265,7 +258,7 @@
         """
         for target in self.targets_in_region(service, region):
             self.observations.load_of(target).record_full(
-                now + max(retry_after_s, MIN_DECLINED_S),
+                now + max(retry_after_s, MIN_DECLINED_S), now
             )
 
     def _candidates(
@@ -281,47 +274,3 @@
             if requirements.regions and region not in requirements.regions:
                 continue
             yield target
-
-    def _retry_after_s(
-        self,
-        target: KnownTarget,
-        requirements: TargetRequirements,
-        now: float,
-    ) -> float:
-        """Return the seconds until a target may have capacity, 0 if it has.
-
-        A target has no capacity while it rests, in back-off, while another
-        host declines attempts at it, at the rate limit that it states, and at
-        its limit of attempts, of connections or of requests while it is cold.
-        """
-        load = self.observations.load_of(target)
-        if now < load.rest_until:
-            return load.rest_until - now
-        if load.in_backoff(now):
-            return max(FULL_WAIT_S, load.backoff_until - now)
-        if now < load.full_until:
-            return max(FULL_WAIT_S, load.full_until - now)
-        rate_wait_s = self.rates.wait_s(target, now)
-        if rate_wait_s:
-            return max(FULL_WAIT_S, rate_wait_s)
-        limit = target.record.slots + QUEUED_LIMIT
-        if requirements.connection_limit:
-            share = requirements.connection_limit // len(self._hosts)
-            limit = min(limit, max(1, share))
-        if load.outstanding >= limit:
-            return FULL_WAIT_S
-        if requirements.warm_up_rate and target.cold_until > now:
-            allowed = self._pacer(target).allows(
-                requirements.warm_up_rate, self._hosts, now
-            )
-            if not allowed:
-                return FULL_WAIT_S
-        return 0
-
-    def _pacer(self, target: KnownTarget) -> WarmUpPacer:
-        pacer = self._pacers.get(target.process)
-        if pacer is None:
-            share = EvenShare(target.record.identity, self.location.name)
-            pacer = WarmUpPacer(self._warm_up, share)
-            self._pacers[target.process] = pacer
-        return pacer
--- a/oriolestage/routing/_placement_types.py
+++ b/oriolestage/routing/_placement_types.py
@@ -1,6 +1,7 @@
 """Inputs and results of the choice of a target."""
 
 import dataclasses
+import enum
 from collections.abc import Mapping
 
 from oriolestage.routing._targets import KnownTarget
@@ -53,6 +54,31 @@
     relayed: bool = False
 
 
+class ShortageCause(enum.Enum):
+    """Why a target has no capacity for this host.
+
+    ``REST`` and ``RATE_LIMIT`` are stated by the target, ``BACKOFF`` follows
+    from this host's attempts and ``DECLINED`` from the reply of another host.
+    ``OUTSTANDING`` and ``WARM_UP`` are limits on this host's attempts.
+    """
+
+    REST = 'rest'
+    BACKOFF = 'backoff'
+    DECLINED = 'declined'
+    RATE_LIMIT = 'rate_limit'
+    OUTSTANDING = 'outstanding'
+    WARM_UP = 'warm_up'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shortage:
+    """What keeps a target from getting an attempt, for the log."""
+
+    cause: ShortageCause
+    #: Time since this host learned of it, in seconds.
+    age_s: float = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoCapacity:
     """No target that meets the requirements has capacity now.
@@ -62,6 +88,10 @@
 
     #: Time after which a target may have capacity, in seconds.
     wait_s: float
+    #: Why the target that may have capacity first has none now.
+    shortage: Shortage = dataclasses.field(
+        default=Shortage(ShortageCause.OUTSTANDING), compare=False
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -25,7 +25,7 @@
 from oriolestage.routing._dispatch import AttemptDispatcher
 from oriolestage.routing._due_parts import DueParts
 from oriolestage.routing._merge import GatheredRecords
-from oriolestage.routing._parts import Part, PartTally
+from oriolestage.routing._parts import Part, PartTally, describe_shortages
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._progress import Progress
@@ -235,6 +235,7 @@
                 for reason, count in self._policy.unhedged.items()
             ),
             'batches': self._dispatch.batch_count,
+            'shortages': describe_shortages(self._parts),
             'lacking': ','.join(
                 f'{part.service}:{part.reason.value}:{"/".join(part.trace)}'
                 for part in self._parts
--- /dev/null
+++ b/oriolestage/routing/_target_capacity.py
@@ -0,0 +1,140 @@
+"""Decides whether this host may send one more attempt to a target now.
+
+Answers the load pattern in which targets turn hosts away, are slow to start or
+are reached by more hosts than they have slots: each host keeps to its part of
+every limit, without asking the others.
+"""
+
+from collections.abc import Iterable
+
+from oriolestage.routing._even_shares import EvenShare
+from oriolestage.routing._observations import Observations
+from oriolestage.routing._placement_types import (
+    NoCapacity,
+    Shortage,
+    ShortageCause,
+    TargetRequirements,
+)
+from oriolestage.routing._target_rates import TargetRates
+from oriolestage.routing._targets import KnownTarget
+from oriolestage.routing._warm_up import WarmUpBounds, WarmUpPacer
+
+#: Attempts that one host may queue at a target beyond its slots.
+QUEUED_LIMIT = 4
+#: Shortest time after which to try a target without capacity again, in
+#: seconds.
+FULL_WAIT_S = 0.01
+
+
+class TargetCapacity:
+    """The limits on this host's attempts at each target."""
+
+    def __init__(
+        self,
+        host: str,
+        observations: Observations,
+        rates: TargetRates,
+        warm_up: WarmUpBounds,
+    ) -> None:
+        """Create the limits of ``host``, without attempts."""
+        self._host = host
+        self._observations = observations
+        self._rates = rates
+        self._warm_up = warm_up
+        self._pacers: dict[str, WarmUpPacer] = {}
+
+    def refuse(
+        self,
+        target: KnownTarget,
+        requirements: TargetRequirements,
+        hosts: tuple[str, ...],
+        now: float,
+    ) -> NoCapacity | None:
+        """Return why a target has no capacity now, None if it has.
+
+        A target has no capacity while it rests, in back-off, while another
+        host declines attempts at it, at the rate limit that it states, and at
+        its limit of attempts, of connections or of requests while it is cold.
+        All ``hosts`` share these limits.
+        """
+        load = self._observations.load_of(target)
+        if now < load.rest_until:
+            rests = Shortage(ShortageCause.REST, now - load.rest_known_at)
+            return NoCapacity(load.rest_until - now, rests)
+        if load.in_backoff(now):
+            age_s = now - load.backoff_started_at
+            wait_s = load.backoff_until - now
+            return _retry_after(wait_s, ShortageCause.BACKOFF, age_s)
+        if now < load.full_until:
+            age_s = now - load.full_known_at
+            wait_s = load.full_until - now
+            return _retry_after(wait_s, ShortageCause.DECLINED, age_s)
+        rate_wait_s = self._rates.wait_s(target, now)
+        if rate_wait_s:
+            age_s = self._rates.limit_age_s(target, now)
+            return _retry_after(rate_wait_s, ShortageCause.RATE_LIMIT, age_s)
+        if load.outstanding >= _attempt_limit(target, requirements, hosts):
+            return _retry_after(FULL_WAIT_S, ShortageCause.OUTSTANDING)
+        if not self._warm_up_allows(target, requirements, hosts, now):
+            return _retry_after(FULL_WAIT_S, ShortageCause.WARM_UP)
+        return None
+
+    def record_sent(self, target: KnownTarget, now: float) -> None:
+        """Count an attempt that is sent."""
+        self._rates.record_sent(target, now)
+        if target.cold_until > now:
+            self._pacer(target).record_sent(now)
+
+    def record_withdrawn(self, target: KnownTarget, now: float) -> None:
+        """Give back what an attempt took that is not sent after all."""
+        self._rates.record_withdrawn(target, now)
+        if target.cold_until > now:
+            self._pacer(target).withdraw()
+
+    def forget(self, processes: Iterable[str]) -> None:
+        """Drop target processes that are gone."""
+        for name in processes:
+            self._pacers.pop(name, None)
+
+    def _warm_up_allows(
+        self,
+        target: KnownTarget,
+        requirements: TargetRequirements,
+        hosts: tuple[str, ...],
+        now: float,
+    ) -> bool:
+        if not requirements.warm_up_rate or target.cold_until <= now:
+            return True
+        pacer = self._pacer(target)
+        return pacer.allows(requirements.warm_up_rate, hosts, now)
+
+    def _pacer(self, target: KnownTarget) -> WarmUpPacer:
+        pacer = self._pacers.get(target.process)
+        if pacer is None:
+            share = EvenShare(target.record.identity, self._host)
+            pacer = WarmUpPacer(self._warm_up, share)
+            self._pacers[target.process] = pacer
+        return pacer
+
+
+def _attempt_limit(
+    target: KnownTarget,
+    requirements: TargetRequirements,
+    hosts: tuple[str, ...],
+) -> int:
+    """Return how many attempts at a target one host may have outstanding."""
+    limit = target.record.slots + QUEUED_LIMIT
+    if requirements.connection_limit:
+        share = requirements.connection_limit // max(1, len(hosts))
+        limit = min(limit, max(1, share))
+    return limit
+
+
+def _retry_after(
+    wait_s: float, cause: ShortageCause, age_s: float = 0
+) -> NoCapacity:
+    """Return a shortage that is looked at again after `FULL_WAIT_S` at least.
+
+    ``age_s`` is the time since this host learned of it, in seconds.
+    """
+    return NoCapacity(max(FULL_WAIT_S, wait_s), Shortage(cause, age_s))
--- a/oriolestage/routing/_target_load.py
+++ b/oriolestage/routing/_target_load.py
@@ -56,7 +56,9 @@
         self._backoff_until = float('-inf')
         self._backoff_started_at = float('-inf')
         self._full_until = float('-inf')
+        self._full_known_at = float('-inf')
         self._rest_until = float('-inf')
+        self._rest_known_at = float('-inf')
         self._backoff_s = BACKOFF_S
 
     @property
@@ -69,6 +71,11 @@
         """Monotonic time until which the target is in back-off."""
         return self._backoff_until
 
+    @property
+    def backoff_started_at(self) -> float:
+        """Monotonic time at which the latest back-off began."""
+        return self._backoff_started_at
+
     @property
     def awaiting_recovery(self) -> bool:
         """Whether it was in back-off and has not answered since."""
@@ -79,11 +86,21 @@
         """Monotonic time until which another host has no capacity for it."""
         return self._full_until
 
+    @property
+    def full_known_at(self) -> float:
+        """Monotonic time at which another host said so last."""
+        return self._full_known_at
+
     @property
     def rest_until(self) -> float:
         """Monotonic time until which it wants no request of this host."""
         return self._rest_until
 
+    @property
+    def rest_known_at(self) -> float:
+        """Monotonic time at which it said so last."""
+        return self._rest_known_at
+
     def in_backoff(self, now: float) -> bool:
         """Return whether the target gets no attempt now.
 
@@ -166,13 +183,15 @@
         """Forget an attempt that was decided and not sent."""
         self._outstanding.pop(attempt, None)
 
-    def record_full(self, until: float) -> None:
+    def record_full(self, until: float, now: float) -> None:
         """Record that another host has no capacity for the target."""
         self._full_until = max(self._full_until, until)
+        self._full_known_at = now
 
-    def record_rest(self, until: float) -> None:
+    def record_rest(self, until: float, now: float) -> None:
         """Record until when the target wants no request of this host."""
         self._rest_until = max(self._rest_until, until)
+        self._rest_known_at = now
 
     def record_abandoned(self, attempt: int, now: float, late_s: float) -> None:
         """Record an abandoned attempt.
--- a/oriolestage/routing/_target_rates.py
+++ b/oriolestage/routing/_target_rates.py
@@ -37,6 +37,8 @@
     sent: _RequestCount
     #: Requests per second that it takes from all hosts; None for no limit.
     limit: float | None = None
+    #: Monotonic time of the latest response that states the limit.
+    stated_at: float = 0
     #: This host's part of the limit; None without a limit.
     limiter: RateLimiter | None = None
 
@@ -75,6 +77,14 @@
             return 0
         return rate.limiter.wait_s(now)
 
+    def limit_age_s(self, target: KnownTarget, now: float) -> float:
+        """Return the time since a target stated its limit last, in seconds.
+
+        0 if it has not stated one.
+        """
+        rate = self._rates.get(target.process)
+        return 0 if rate is None else now - rate.stated_at
+
     def replace_hosts(
         self,
         regions: Mapping[str, str],
@@ -100,9 +110,12 @@
         """Record the rate limit in a response, or that it states none."""
         rate = self._rates.get(target.process)
         previous = None if rate is None else rate.limit
+        if rate is not None:
+            rate.stated_at = now
         if limit == previous:
             return
         rate = self._rate(target, now)
+        rate.stated_at = now
         rate.limit = limit
         if limit is None:
             rate.limiter = None
