Let many hosts pause longer between changes of the store

Longer waits of a watch: with changes all the time they do not matter.

Change: the pause after changes grows with the number of hosts, so that all of them make 100 watches a second together, up to 0.2 of the propagation limit. While lapsed registrations are kept, it ends in time for another watch before they are dropped. Six hosts pause as before.

A second fault, shown by the test of lapsed registrations: an outage counted from its first failed call. A watch that was lost in it fails only after its waiting time and time-out, so an outage of 6 s counted as 0.1 s and targets whose registrations had lapsed were dropped at once. It now counts from the last answer.

Conclusion: a step only.

--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -24,10 +24,15 @@
 #: watch may miss changes without an error while the store discards its
 #: history, so it has to end early enough for another read within the limit.
 WATCH_WAIT_SHARE = 0.6
-#: Pause after a watch returned changes, so that the next call returns a burst
-#: of changes at once, in seconds. Also the interval of checks for expired
-#: registrations.
+#: Shortest pause after a watch returned changes, so that the next call returns
+#: a burst of changes at once, in seconds. Also the interval of checks for
+#: expired registrations.
 COALESCING_DELAY_S = 0.3
+#: Watches a second that all hosts together make while changes come without a
+#: pause. The pause grows with the number of hosts.
+FLEET_WATCHES_PER_S = 100
+#: Longest pause, as a share of the propagation limit.
+COALESCING_SHARE = 0.2
 #: Initial and maximum back-off after a failed call, in seconds.
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
@@ -53,6 +58,7 @@
         the store has to know of a change, in seconds.
         """
         self._watch_wait_s = propagation_limit_s * WATCH_WAIT_SHARE
+        self._longest_delay_s = propagation_limit_s * COALESCING_SHARE
         self._store = store
         self._cluster_state = cluster_state
         self._directory = directory
@@ -153,7 +159,20 @@
         for fact in changes.facts:
             self._apply(fact, now)
         if changes.facts:
-            await asyncio.sleep(COALESCING_DELAY_S)
+            await asyncio.sleep(self._coalescing_delay_s(now))
+
+    def _coalescing_delay_s(self, now: float) -> float:
+        """Return the pause after changes, in seconds.
+
+        While targets with lapsed registrations are kept, it ends in time for
+        another watch before they are dropped.
+        """
+        delay_s = self._cluster_state.host_count / FLEET_WATCHES_PER_S
+        delay_s = min(delay_s, self._longest_delay_s)
+        grace_left_s = self._directory.grace_left_s(now)
+        if grace_left_s > 0:
+            delay_s = min(delay_s, grace_left_s - COALESCING_DELAY_S)
+        return max(COALESCING_DELAY_S, delay_s)
 
     def _replace_all(self, stored: StoreContents) -> None:
         """Apply a full read; after an error the store is read again."""
@@ -232,7 +251,9 @@
         now = time.monotonic()
         self._backoff_s = INITIAL_BACKOFF_S
         if self._outage_since is not None:
-            outage_s = now - self._outage_since
+            # It may have been away since its last answer: a lost watch fails
+            # only after its waiting time and its time-out.
+            outage_s = now - self._answered_at
             self._outage_since = None
             log_event(
                 'store_regained',
--- a/oriolestage/entry/tests/model_store.py
+++ b/oriolestage/entry/tests/model_store.py
@@ -108,6 +108,11 @@
         if self.truth.targets.pop(identity, None) is not None:
             self._remove_target(identity)
 
+    def lapse_targets(self) -> None:
+        """Let the registrations of all targets expire; they go on running."""
+        for identity in tuple(self.content.targets):
+            self._remove_target(identity)
+
     def close_data_centre(self, name: str) -> None:
         """Take a data centre out of service."""
         self.truth.closed.add(name)
--- a/oriolestage/routing/_cluster_state.py
+++ b/oriolestage/routing/_cluster_state.py
@@ -71,6 +71,11 @@
         """Routing table in force; None before the first one was read."""
         return self._table
 
+    @property
+    def host_count(self) -> int:
+        """Number of hosts that share the limits."""
+        return len(self._hosts)
+
     @property
     def limits(self) -> CallerLimits:
         """Limits on callers in force; the defaults without a table."""
--- a/oriolestage/routing/_targets.py
+++ b/oriolestage/routing/_targets.py
@@ -167,6 +167,10 @@
         """
         self._grace_period_end = now + LAPSE_GRACE_PERIOD_S
 
+    def grace_left_s(self, now: float) -> float:
+        """Return the rest of the grace period in seconds, 0 after it."""
+        return max(0, self._grace_period_end - now)
+
     def expire(self, now: float) -> list[str]:
         """Remove targets whose grace period is over.
 
