Publish the hosts of a full read once

The work grows with the square of the hosts.

Ruled out: single changes; a host that restarts keeps its record, which is not published again.

Change: a full read publishes the hosts once, if any of them is new.

Figures: test_hosts_of_full_read_are_published_once: 50 publications for 50 hosts before, 1 after.

Registrations that arrive one by one are still published one by one.

--- a/oriolestage/routing/_cluster_state.py
+++ b/oriolestage/routing/_cluster_state.py
@@ -256,22 +256,27 @@
         listed: Iterable[StoredFact],
         now: float,
     ) -> list[StateChange]:
-        changes: list[StateChange] = []
+        """Replace the hosts, and publish them once whatever their number."""
         missing = set(self._hosts)
+        changed = False
         for fact in listed:
             if isinstance(fact, HostStored):
                 missing.discard(fact.record.name)
-                changes += self._apply_host(fact.record, now)
+                changed |= self._add_host(fact.record)
         for name in missing:
             self._unregistered_at.setdefault(name, now)
-        return changes
+        return [self._publish_hosts(now)] if changed else []
 
     def _apply_host(self, host: HostRecord, now: float) -> list[StateChange]:
+        return [self._publish_hosts(now)] if self._add_host(host) else []
+
+    def _add_host(self, host: HostRecord) -> bool:
+        """Add a host or replace its record; return whether that is new."""
         self._unregistered_at.pop(host.name, None)
         if self._hosts.get(host.name) == host:
-            return []
+            return False
         self._hosts[host.name] = host
-        return [self._publish_hosts(now)]
+        return True
 
     def _publish_closed_data_centres(self) -> StateChange:
         self._directory.replace_closed_data_centres(self._closed)
--- a/oriolestage/routing/tests/test_cluster_state.py
+++ b/oriolestage/routing/tests/test_cluster_state.py
@@ -55,6 +55,22 @@
         self._state.expire(10 + HOST_RETENTION_S)
         self.assertEqual(len(self._placement.hosts), 2)
 
+    def test_hosts_of_full_read_are_published_once(self) -> None:
+        """Guards against work that grows with the square of the hosts.
+
+        Each publication ranks all hosts, and a host that starts reads them.
+        """
+        records = [
+            HostRecord(f'host-{number}', 'dc-a', f'{number}:1')
+            for number in range(50)
+        ]
+        changes = self._state.replace_all(map(HostStored, records), 1)
+        published = [
+            change for change in changes if change.event == 'hosts_known'
+        ]
+        self.assertEqual(len(published), 1)
+        self.assertEqual(len(self._placement.hosts), 50)
+
     def test_closed_data_centres(self) -> None:
         """A full read replaces the closed data centres of single changes."""
         self._state.apply(DataCentreClosed('dc-a'), 0)
