Keep fractions of shares of the retry budget above one attempt

Cause: with whole attempts for each host, the fraction of a share was lost that together with a host's own requests makes another attempt: 430 attempts and 195 hosts leave 1.32 each, and with four requests 2.04.

Change: shares of one attempt or more are divided evenly with their fraction, as before; the remainder is assigned by rank only below one.

Conclusion: small fleets keep exactly the shares that they had.

--- a/oriolestage/routing/_retry_budget.py
+++ b/oriolestage/routing/_retry_budget.py
@@ -98,8 +98,10 @@
         fraction = ALLOWANCE_FRACTION
         if now - self._started_at < self._bounds.window_s:
             fraction = INITIAL_ALLOWANCE_FRACTION
-        total = int(fraction * self._bounds.allowance)
-        allowance = self._share.of_total(total, hosts)
+        total = fraction * self._bounds.allowance
+        allowance = total / max(1, len(hosts))
+        if allowance < 1:
+            allowance = self._share.of_total(int(total), hosts)
         return allowance + RATIO_FRACTION * self._bounds.ratio * self._requests
 
     def _interval(self, now: float) -> _Interval:
