Give each store call of the own interface its own connection

Cause: aiohttp's client session takes bytes that arrive on an idle connection for the answer to the next call. After a late second copy of the answer to a write, a write that the store refused counted as accepted: two different changes were accepted as the same version. And an answer without a version raised KeyError past the client, so that the call never ended.

Ruled out: answers of targets to shard requests; they are compared by id.

Change: the session closes each connection after its call; a missing version is an error like a malformed one.

Status requests to targets still share connections; a second copy there is an older status.

--- a/oriolestage/daemon/_store_client.py
+++ b/oriolestage/daemon/_store_client.py
@@ -24,6 +24,10 @@
 #: Response header with the version of a key.
 VERSION_HEADER = 'X-Version'
 
+#: Errors of a call that may have been carried out. The last two are raised
+#: for an answer whose version is malformed or missing.
+CALL_ERRORS = (aiohttp.ClientError, TimeoutError, ValueError, KeyError)
+
 StoreEffect = StoreRead | StoreWrite | StoreWatch | ReadHostList
 
 
@@ -69,7 +73,7 @@
             outcome = await self._call(effect)
         except aiohttp.ClientConnectorError:
             outcome = StoreUnreachable(sent=False)
-        except (aiohttp.ClientError, TimeoutError, ValueError):
+        except CALL_ERRORS:
             outcome = StoreUnreachable(sent=True)
         self._inbox.put_nowait(StoreCallEnded(effect.operation, outcome))
 
@@ -78,6 +82,10 @@
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(
                     limit=0,
+                    # aiohttp takes bytes that arrive on an idle connection,
+                    # such as a second copy of an answer, for the answer to
+                    # the next call.
+                    force_close=True,
                     local_addr=(self._source_ip, 0),
                 ),
             )
