--- a/oriolestage/entry/_target_connection.py
+++ b/oriolestage/entry/_target_connection.py
@@ -1,5 +1,7 @@
 """A connection to a target, for one HTTP/1.1 exchange at a time.
 
+Calls to the store use such connections as well.
+
 aiohttp parses the responses. Its client session is not used: for a query over
 many shards, about half of the host's processor time would go into it.
 """
