Review case 5: hosts without a registration overload cold servers

A script loses the answers to four of the writes with which hosts register, and does these writes late.

--- a/review/tests/cases.py
+++ b/review/tests/cases.py
@@ -37,7 +37,11 @@
     """Play a case and return its exit code."""
     deployment = Deployment(seed=1)
     try:
-        await deployment.start(case.config(), case.servers())
+        await deployment.start(
+            case.config(),
+            case.servers(),
+            getattr(case, 'late_registrations', {}) if trouble else {},
+        )
         await case.play(deployment, trouble=trouble)
     except NotStartedError as error:
         sys.stdout.write(f'not run: {error}\n')
--- a/review/tests/deployment.py
+++ b/review/tests/deployment.py
@@ -39,11 +39,18 @@
         self._net = f'127.{draw.randint(16, 250)}.{draw.randint(1, 250)}'
         self.seed = seed
 
-    async def start(self, config: dict, servers: dict[str, list[str]]) -> None:
+    async def start(
+        self,
+        config: dict,
+        servers: dict[str, list[str]],
+        late_registrations: dict[str, float] | None = None,
+    ) -> None:
         """Start all parts.
 
-        ``servers`` has the zones of the servers of each service.
+        ``servers`` has the zones of the servers of each service;
+        ``late_registrations`` is for the store.
         """
+        self.store.late_registrations = dict(late_registrations or {})
         names = [
             (f'edge-{zone}-{number}', zone)
             for zone, count in HOSTS.items()
--- a/review/tests/servers.py
+++ b/review/tests/servers.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 import uuid
+from collections import deque
 
 from messages import Message, encode, read_message
 from record import Record
@@ -40,6 +41,10 @@
         self.address = ''
         #: Time for which it works on a request, in seconds.
         self.work_s = 0.06
+        #: Time for which it is cold after a start during traffic, in seconds.
+        self.cold_s: float = 0
+        #: Requests in one second beyond which it crashes while it is cold.
+        self.cold_limit: float = float('inf')
         #: Paths of requests that crash it.
         self.crashing: set[str] = set()
         #: Called after a crash with this server.
@@ -50,6 +55,9 @@
         self._slots = slots
         self._port = 0
         self._born = 0
+        self._cold_until: float = 0
+        #: Times of the arrivals in the last second while it was cold.
+        self._arrivals: deque[float] = deque()
         self._sequence = 0
         self._state = 'ready'
         self._running = 0
@@ -64,6 +72,8 @@
         """Listen and register as a new incarnation with a new id."""
         self.identity = f'i-{uuid.uuid4().hex[:8]}'
         self._born = int(time.time() * 1000)
+        self._cold_until = time.monotonic() + self.cold_s
+        self._arrivals.clear()
         self._sequence = 0
         self._running = 0
         self._waiting = 0
@@ -103,6 +113,7 @@
     async def _beat(self, identity: str) -> None:
         while True:
             self._sequence += 1
+            cold_left_s = max(0, self._cold_until - time.monotonic())
             await self._store.put(
                 f'servers/{identity}',
                 {
@@ -112,7 +123,7 @@
                     'version': 'v1',
                     'concurrencyLimit': self._slots,
                     'state': self._state,
-                    'warmupLeftMs': 0,
+                    'warmupLeftMs': int(cold_left_s * 1000),
                     'sequence': self._sequence,
                     'born': self._born,
                 },
@@ -153,6 +164,7 @@
             return encode(
                 'HTTP/1.1 421 Misdirected Request', {'Instance-Id': identity}
             )
+        self._count_cold(attempt, identity)
         if self._waiting >= QUEUE:
             return _not_executed(attempt)
         if not await self._wait_for_slot(request):
@@ -182,6 +194,22 @@
             f'answer to {attempt} of {identity}'.encode(),
         )
 
+    def _count_cold(self, attempt: str, identity: str) -> None:
+        """Count an arrival while the server is cold; crash beyond the limit.
+
+        Raises ``CrashError`` then.
+        """
+        now = time.monotonic()
+        if now >= self._cold_until:
+            return
+        self._record.add('cold', attempt=attempt, server=identity)
+        self._arrivals.append(now)
+        while now - self._arrivals[0] >= 1:
+            self._arrivals.popleft()
+        if len(self._arrivals) > self.cold_limit:
+            self._record.add('overloaded', server=identity)
+            raise CrashError
+
     async def _wait_for_slot(self, request: Message) -> bool:
         deadline_s = int(request.headers.get('deadline-ms', '5000')) / 1000
         self._waiting += 1
--- a/review/tests/store.py
+++ b/review/tests/store.py
@@ -34,6 +34,12 @@
         self._record = record
         #: Hosts whose calls are answered with 503.
         self.refused: set[str] = set()
+        #: Time after which the first registration of a host is done, by
+        #: host, in seconds. It is not answered, nor is anything that follows
+        #: on its connection.
+        self.late_registrations: dict[str, float] = {}
+        #: Number of writing calls.
+        self.writes = 0
         self.revision = 1
         self._entries: dict[str, dict] = {}
         self._events: list[tuple[float, dict]] = []
@@ -44,6 +50,7 @@
         self._changed = asyncio.Condition()
         self._servers: list[asyncio.Server] = []
         self._task: asyncio.Task | None = None
+        self._late: list[asyncio.Task] = []
 
     async def start(self, ip: str, hosts: list[str]) -> dict[str, str]:
         """Listen for each host; return the addresses by host."""
@@ -136,6 +143,9 @@
             while True:
                 request = await read_message(reader)
                 await asyncio.sleep(ANSWER_S)
+                if self._is_lost(host, request):
+                    await reader.read()
+                    return
                 status, document = 503, {}
                 if host not in self.refused:
                     status, document = await self._answer(request)
@@ -154,6 +164,22 @@
         finally:
             writer.close()
 
+    def _is_lost(self, host: str, request: Message) -> bool:
+        """Return whether an answer gets lost; do the call later then."""
+        method, target, _ = request.start
+        self.writes += method != 'GET' and 'kv-keep' not in target
+        if 'kv-txn' not in target or host not in self.late_registrations:
+            return False
+        delay_s = self.late_registrations.pop(host)
+        self._record.add('write_lost', host=host, writes=self.writes)
+        self._late.append(asyncio.create_task(self._do_late(request, delay_s)))
+        return True
+
+    async def _do_late(self, request: Message, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        status, _ = await self._answer(request)
+        self._record.add('write_done_late', status=status)
+
     async def _answer(self, request: Message) -> tuple[int, dict]:
         method, target, _ = request.start
         split = urlsplit(target)
