--- a/review/tests/deployment.py
+++ b/review/tests/deployment.py
@@ -62,11 +62,7 @@
         await self.store.put('op/config', config)
         for service, zones in servers.items():
             for zone in zones:
-                server = Server(
-                    self.record, self.store, service, zone, f'{self._net}.2'
-                )
-                await server.start()
-                self.servers.append(server)
+                await self.build_server(service, zone).start()
         folder = Path(self._folder.name)
         for number, (name, zone) in enumerate(names, 10):
             host = EntryHost(
@@ -79,6 +75,14 @@
         self.clients = Clients(self.balancer, self.record)
         await self._wait_ready()
 
+    def build_server(self, service: str, zone: str) -> Server:
+        """Return a new server that does not run yet."""
+        server = Server(
+            self.record, self.store, service, zone, f'{self._net}.2'
+        )
+        self.servers.append(server)
+        return server
+
     async def close(self) -> None:
         """End all processes and stand-ins."""
         for host in self.hosts:
--- a/review/tests/store.py
+++ b/review/tests/store.py
@@ -38,8 +38,6 @@
         #: host, in seconds. It is not answered, nor is anything that follows
         #: on its connection.
         self.late_registrations: dict[str, float] = {}
-        #: Number of writing calls.
-        self.writes = 0
         self.revision = 1
         self._entries: dict[str, dict] = {}
         self._events: list[tuple[float, dict]] = []
@@ -167,11 +165,13 @@
     def _is_lost(self, host: str, request: Message) -> bool:
         """Return whether an answer gets lost; do the call later then."""
         method, target, _ = request.start
-        self.writes += method != 'GET' and 'kv-keep' not in target
+        if method == 'GET' or 'kv-keep' in target:
+            return False
+        self._record.add('write', host=host, call=target)
         if 'kv-txn' not in target or host not in self.late_registrations:
             return False
         delay_s = self.late_registrations.pop(host)
-        self._record.add('write_lost', host=host, writes=self.writes)
+        self._record.add('write_lost', host=host)
         self._late.append(asyncio.create_task(self._do_late(request, delay_s)))
         return True
 
