--- a/review/tests/balancer.py
+++ b/review/tests/balancer.py
@@ -16,15 +16,19 @@
     """Checks readiness and chooses hosts as the platform's page says."""
 
     def __init__(self, hosts: list[EntryHost], seed: int) -> None:
-        """Start with no host in rotation."""
+        """Start with no host in rotation.
+
+        Hosts may be added until it is started.
+        """
         self._hosts = hosts
         self._random = random.Random(seed)
-        self._misses = {host.name: MISSES for host in hosts}
+        self._misses: dict[str, int] = {}
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
         """Check each host once a second."""
         for host in self._hosts:
+            self._misses[host.name] = MISSES
             self._tasks.append(asyncio.create_task(self._check(host)))
 
     def close(self) -> None:
--- a/review/tests/cases.py
+++ b/review/tests/cases.py
@@ -2,7 +2,9 @@
 
 import argparse
 import asyncio
+import signal
 import sys
+import traceback
 from pathlib import Path
 from typing import Protocol
 
@@ -34,7 +36,15 @@
 
 
 async def run_case(case: Case, record_path: Path, *, trouble: bool) -> int:
-    """Play a case and return its exit code."""
+    """Play a case and return its exit code.
+
+    SIGTERM cancels it, so that its processes are ended.
+    """
+    task = asyncio.current_task()
+    if task is not None:
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
     deployment = Deployment(seed=1)
     try:
         await deployment.start(
@@ -57,11 +67,18 @@
 
 
 def main(case: Case) -> int:
-    """Run a case from the command line; return its exit code."""
+    """Run a case from the command line; return its exit code.
+
+    An error of the case itself means that it could not run.
+    """
     parser = argparse.ArgumentParser(description=type(case).__doc__)
     parser.add_argument('--trouble', type=int, default=1)
     parser.add_argument('--record', type=Path, required=True)
     arguments = parser.parse_args()
-    return asyncio.run(
-        run_case(case, arguments.record, trouble=bool(arguments.trouble))
-    )
+    try:
+        return asyncio.run(
+            run_case(case, arguments.record, trouble=bool(arguments.trouble))
+        )
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        return NOT_RUN
--- a/review/tests/deployment.py
+++ b/review/tests/deployment.py
@@ -37,7 +37,8 @@
         draw = random.Random()
         #: Hosts have addresses of their own, since their ports are the same.
         self._net = f'127.{draw.randint(16, 250)}.{draw.randint(1, 250)}'
-        self.seed = seed
+        self.balancer = Balancer(self.hosts, seed)
+        self.clients = Clients(self.balancer, self.record)
 
     async def start(
         self,
@@ -70,9 +71,7 @@
             )
             self.hosts.append(host)
             await host.start()
-        self.balancer = Balancer(self.hosts, self.seed)
         self.balancer.start()
-        self.clients = Clients(self.balancer, self.record)
         await self._wait_ready()
 
     def build_server(self, service: str, zone: str) -> Server:
@@ -87,8 +86,7 @@
         """End all processes and stand-ins."""
         for host in self.hosts:
             await host.end()
-        if self.hosts:
-            self.balancer.close()
+        self.balancer.close()
         for server in self.servers:
             server.close()
         self.store.close()
