Review case 1: the other writer repeats its entry

The entry is written with each heartbeat, as servers do, since the platform removes entries after three of silence.

--- a/review/1/tests/case.py
+++ b/review/1/tests/case.py
@@ -8,6 +8,8 @@
 from clients import Call, Shape
 from configs import build_config, build_route
 from deployment import Deployment
+from servers import BEAT_S
+from store import Store
 
 ZONES = ('marmara-a', 'ege-a', 'ic-anadolu-a')
 OLD_SERVICE = 'visit-log'
@@ -59,9 +61,8 @@
             for shape in (MOVED, ADDED)
         ]
         await asyncio.sleep(ENTRY_S)
-        if trouble:
-            record.add('foreign_entry', levels=LEVELS)
-            await store.put_bytes('servers/i-foreign', _foreign_entry())
+        writer = asyncio.create_task(_write_entries(store, trouble=trouble))
+        record.add('foreign_entry', levels=LEVELS if trouble else 0)
         await asyncio.sleep(CHANGE_S - ENTRY_S)
         routes = [
             build_route('moved', NEW_SERVICE, idempotent=True),
@@ -74,6 +75,7 @@
         self._acknowledged_at = record.now
         await asyncio.gather(*traffic)
         await deployment.clients.finish()
+        writer.cancel()
 
     def judge(self, deployment: Deployment) -> list[str]:
         """Return the requests that only the older version explains."""
@@ -112,6 +114,13 @@
         ]
 
 
+async def _write_entries(store: Store, *, trouble: bool) -> None:
+    """Write the entry with each heartbeat, so that it is not removed."""
+    while trouble:
+        await store.put_bytes('servers/i-foreign', _foreign_entry())
+        await asyncio.sleep(BEAT_S)
+
+
 def _foreign_entry() -> bytes:
     """Return an entry whose version is lists in lists, not a text."""
     entry = json.dumps(
