--- a/review/tests/servers.py
+++ b/review/tests/servers.py
@@ -60,6 +60,7 @@
         self._arrivals: deque[float] = deque()
         self._sequence = 0
         self._state = 'ready'
+        self._down = True
         self._running = 0
         self._free = asyncio.Condition()
         self._waiting = 0
@@ -82,6 +83,7 @@
         )
         self._port = self._listener.sockets[0].getsockname()[1]
         self.address = f'{self._ip}:{self._port}'
+        self._down = False
         self._record.add(
             'server_up', server=self.identity, service=self.service
         )
@@ -89,6 +91,7 @@
 
     async def crash(self) -> None:
         """End without a word: connections are reset, the entry lapses."""
+        self._down = True
         self._record.add('server_down', server=self.identity)
         self._stop_listening()
         asyncio.create_task(self._lapse(self.identity))
@@ -149,7 +152,7 @@
             writer.close()
 
     async def _crash_now(self, identity: str) -> None:
-        if identity != self.identity:
+        if self._down or identity != self.identity:
             return
         await self.crash()
         if self.on_crash is not None:
