Report a copy of the store that is not kept up to date

What was missing: a host that stops following the store serves old routes and targets, and its logs showed that only by the age of the copy in the lines of requests. An unexpected error was logged without a counter, a task that hangs was not logged at all.

Change: store_stalled and store_current, from the age of the copy alone, with the failed attempts and the last cause; counters of failed attempts by step and of errors that ended background work. No logic has changed.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -51,6 +51,7 @@
     """The components of one entry host."""
 
     settings: EntrySettings
+    metrics: EntryMetrics
     router: RequestRouter
     callers: CallerServer
     control: ControlServer
@@ -94,7 +95,9 @@
         ('links', lambda: _check_links(host)),
     )
     tasks = [
-        asyncio.create_task(keep_running(name, work))
+        asyncio.create_task(
+            keep_running(name, work, host.metrics.record_background_failure)
+        )
         for name, work in background_work
     ]
     await _listen(host, caller_listener)
@@ -165,6 +168,13 @@
     metrics.add_gauge(
         'store_changes_unapplied', lambda: follower.unapplied_count
     )
+    metrics.add_gauge('store_stalled', lambda: int(follower.stalled))
+    metrics.add_counts(
+        'store_follow_failures',
+        'Failed attempts to bring the copy of the store up to date.',
+        'step',
+        lambda: follower.failures,
+    )
     metrics.add_gauge('store_era_rises', lambda: store.eras.rises)
     metrics.add_gauge(
         'configuration_version',
@@ -174,6 +184,7 @@
     )
     return EntryHost(
         settings=settings,
+        metrics=metrics,
         router=router,
         callers=CallerServer(
             router, wire_protocol, lambda: cluster_state.limits
--- a/oriolestage/entry/_metrics.py
+++ b/oriolestage/entry/_metrics.py
@@ -1,7 +1,8 @@
 """Prometheus metrics of one entry host."""
 
+import dataclasses
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from prometheus_client.core import (
     CounterMetricFamily,
@@ -28,6 +29,25 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Counts:
+    """Counters by one label that are kept elsewhere."""
+
+    name: str
+    description: str
+    label: str
+    read: Callable[[], Mapping[str, int]]
+
+    def collect(self) -> CounterMetricFamily:
+        """Return the counters with their present values."""
+        family = CounterMetricFamily(
+            f'oriolestage_{self.name}', self.description, labels=[self.label]
+        )
+        for label, total in self.read().items():
+            family.add_metric((label,), total)
+        return family
+
+
 class EntryMetrics:
     """Counts requests and attempts by outcome and records latencies."""
 
@@ -40,11 +60,34 @@
         #: Longest delay of an event since the last collection, in seconds.
         self._event_delay_s: float = 0
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._background_failures: Counter[str] = Counter()
+        self._counts: list[_Counts] = [
+            _Counts(
+                'background_failures',
+                'Errors that ended background work, which started again.',
+                'work',
+                lambda: self._background_failures,
+            ),
+        ]
 
     def add_gauge(self, name: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value is read at each collection."""
         self._gauges[name] = read
 
+    def add_counts(
+        self,
+        name: str,
+        description: str,
+        label: str,
+        read: Callable[[], Mapping[str, int]],
+    ) -> None:
+        """Add counters by one label, which are read at each collection."""
+        self._counts.append(_Counts(name, description, label, read))
+
+    def record_background_failure(self, work: str) -> None:
+        """Count an error that ended background work."""
+        self._background_failures[work] += 1
+
     def record_request(
         self,
         route: str,
@@ -105,6 +148,8 @@
             value=self._event_delay_s,
         )
         self._event_delay_s = 0
+        for counts in self._counts:
+            yield counts.collect()
         for name, read in self._gauges.items():
             yield GaugeMetricFamily(f'oriolestage_{name}', name, value=read())
 
--- /dev/null
+++ b/oriolestage/entry/_stall_detector.py
@@ -0,0 +1,68 @@
+"""Notices that this host's copy of the store is no longer kept up to date.
+
+The causes differ: the store is not reached, its answers cannot be used, or the
+task that follows it does not get on. Callers see the same in each case: old
+routes and targets. The detector therefore looks at the age of the copy only.
+"""
+
+from oriolestage.routing._state_changes import StateChange
+
+
+class StallDetector:
+    """Compares the age of the copy with a limit."""
+
+    def __init__(self, limit_s: float) -> None:
+        """Start with a copy that is up to date.
+
+        ``limit_s`` is the age in seconds from which the copy is stalled.
+        """
+        self._limit_s = limit_s
+        self._stalled = False
+        self._greatest_age_s: float = 0
+        self._failures = 0
+        self._last_failure = 'none'
+
+    @property
+    def stalled(self) -> bool:
+        """Whether the copy was stalled at the latest check."""
+        return self._stalled
+
+    def record_failure(self, cause: str) -> None:
+        """Record that an attempt to bring the copy up to date has failed."""
+        self._failures += 1
+        self._last_failure = cause
+
+    def check(self, age_s: float) -> StateChange | None:
+        """Return the change of state at this age, if there is one."""
+        if age_s >= self._limit_s:
+            self._greatest_age_s = max(self._greatest_age_s, age_s)
+            return self._record_stall(age_s)
+        if not self._stalled:
+            self._failures = 0
+            return None
+        self._stalled = False
+        change = StateChange(
+            'store_current',
+            (
+                ('step', 'store'),
+                ('greatest_age_s', self._greatest_age_s),
+                ('failures', self._failures),
+            ),
+        )
+        self._failures = 0
+        self._greatest_age_s = 0
+        return change
+
+    def _record_stall(self, age_s: float) -> StateChange | None:
+        if self._stalled:
+            return None
+        self._stalled = True
+        return StateChange(
+            'store_stalled',
+            (
+                ('step', 'store'),
+                ('store_age_s', age_s),
+                ('failures', self._failures),
+                ('last_failure', self._last_failure),
+            ),
+        )
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 import time
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 
 from oriolestage._logging import log_event
 from oriolestage.entry._ports import (
@@ -15,6 +16,7 @@
     StoreError,
     StorePosition,
 )
+from oriolestage.entry._stall_detector import StallDetector
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._facts import StoredFact
 from oriolestage.routing._state_changes import Freshness, StateChange
@@ -40,6 +42,8 @@
 #: they could not be renewed, so that missing ones are kept for a while, in
 #: seconds.
 LONG_OUTAGE_S = 1.0
+#: Step of an error that is none of a call to the store.
+FOLLOW_STEP = 'store.follow'
 
 
 class StoreFollower:
@@ -69,6 +73,8 @@
         self._outage_since: float | None = None
         self._backoff_s = INITIAL_BACKOFF_S
         self._unapplied = 0
+        self._failures: Counter[str] = Counter()
+        self._stalls = StallDetector(propagation_limit_s)
         self._first_read = asyncio.Event()
         #: Limits the call for changes that is in progress.
         self._call_limit: asyncio.Timeout | None = None
@@ -95,6 +101,16 @@
         """Number of changes that were dropped because of an error."""
         return self._unapplied
 
+    @property
+    def failures(self) -> Mapping[str, int]:
+        """Number of failed attempts to follow the store, by step."""
+        return self._failures
+
+    @property
+    def stalled(self) -> bool:
+        """Whether the copy is older than the propagation limit."""
+        return self._stalls.stalled
+
     async def wait_first_read(self, timeout_s: float) -> bool:
         """Wait for the first read of the store, up to ``timeout_s`` seconds.
 
@@ -119,12 +135,16 @@
                 log_event('store_history_lost', {'error': error})
                 self._position = None
             except StoreError as error:
+                self._record_failure(error.step, str(error))
                 await self._handle_failure(error)
+            except Exception as error:
+                self._record_failure(FOLLOW_STEP, repr(error))
+                raise
 
     async def expire(self) -> None:
         """Drop targets, hosts and closed data centres that did not return.
 
-        Runs until cancelled.
+        Also report a copy of the store that is stalled. Runs until cancelled.
         """
         while True:
             await asyncio.sleep(COALESCING_DELAY_S)
@@ -132,6 +152,9 @@
             for identity in self._directory.expire(now):
                 log_event('target_expired', {'target': identity})
             self._log(self._cluster_state.expire(now))
+            stall = self._stalls.check(self.age_s)
+            if stall is not None:
+                self._log((stall,))
 
     async def _follow_once(self) -> None:
         if self._position is None:
@@ -263,6 +286,10 @@
                 self._directory.start_lapse_grace_period(now)
         self._answered_at = now
 
+    def _record_failure(self, step: str, cause: str) -> None:
+        self._failures[step] += 1
+        self._stalls.record_failure(cause)
+
     async def _handle_failure(self, error: StoreError) -> None:
         if self._outage_since is None:
             self._outage_since = time.monotonic()
--- a/oriolestage/entry/_supervision.py
+++ b/oriolestage/entry/_supervision.py
@@ -10,15 +10,24 @@
 RESTART_DELAY_S = 0.3
 
 
-async def keep_running(name: str, run: Callable[[], Awaitable[None]]) -> None:
+def _ignore(_: str) -> None:
+    """Do nothing."""
+
+
+async def keep_running(
+    name: str,
+    run: Callable[[], Awaitable[None]],
+    on_failure: Callable[[str], None] = _ignore,
+) -> None:
     """Call ``run`` again whenever it ends, until cancelled.
 
-    Exceptions are logged under ``name``.
+    Exceptions are logged under ``name``, with which ``on_failure`` is called.
     """
     while True:
         try:
             await run()
         except Exception as error:
+            on_failure(name)
             log_event(
                 'background_work_failed',
                 {'step': name, 'error': repr(error)},
