--- a/oriolestage/entry/tests/test_store_follower.py
+++ b/oriolestage/entry/tests/test_store_follower.py
@@ -49,7 +49,7 @@
     """A store that returns scripted answers, then blocks."""
 
     def __init__(
-        self, *steps: StoreContents | StoreChanges | StoreError
+        self, *steps: StoreContents | StoreChanges | Exception
     ) -> None:
         """Create a store that answers reads and watches with ``steps``."""
         self.eras = StoreEras()
@@ -100,7 +100,7 @@
         if not self._steps:
             await asyncio.Event().wait()
         step = self._steps.pop(0)
-        if isinstance(step, StoreError):
+        if isinstance(step, Exception):
             raise step
         return step
 
@@ -184,6 +184,32 @@
         assert cluster_state.table is not None
         self.assertEqual(cluster_state.table.version, 8)
 
+    async def test_error_in_one_item_of_full_read(self) -> None:
+        """Guards against losing a whole read because of one of its items.
+
+        The next read holds the same item, so no read would ever succeed.
+        """
+        facts = (BROKEN_FACT, _table(4), TargetStored(make_record('t-2')))
+        store = ScriptedStore(StoreContents(facts, _at(1)))
+        cluster_state = await self._follow(store)
+        assert cluster_state.table is not None
+        self.assertEqual(cluster_state.table.version, 4)
+        self.assertIsNotNone(self._directory.find('t-2'))
+        self.assertEqual(len(store.waits), 1)
+
+    async def test_unexpected_error_in_watch(self) -> None:
+        """Guards against asking again for an answer that cannot be used."""
+        for error in (RecursionError('deep'), OverflowError('port')):
+            with self.subTest(error=error):
+                store = ScriptedStore(
+                    StoreContents((_table(4),), _at(1)),
+                    error,
+                    StoreContents((_table(8),), _at(2)),
+                )
+                cluster_state = await self._follow(store)
+                assert cluster_state.table is not None
+                self.assertEqual(cluster_state.table.version, 8)
+
     async def test_failed_calls(self) -> None:
         """A failed call is repeated, and the known state is kept."""
         facts: tuple[StoredFact, ...] = (
--- a/oriolestage/platform/tests/platform_store.py
+++ b/oriolestage/platform/tests/platform_store.py
@@ -102,6 +102,10 @@
         """Write an item as the operators or the targets do."""
         self._write(key, msgspec.json.encode(document), lease)
 
+    def write_bytes(self, key: str, encoded: bytes) -> None:
+        """Write an item as another writer may: its bytes can be anything."""
+        self._write(key, encoded, 0)
+
     def remove(self, key: str) -> None:
         """Remove an item if it exists."""
         if self.content.listed.pop(key, None) is None:
--- a/oriolestage/platform/tests/test_store_restored.py
+++ b/oriolestage/platform/tests/test_store_restored.py
@@ -6,30 +6,28 @@
 from unittest import IsolatedAsyncioTestCase, mock
 
 from oriolestage.entry._host_registration import HostRegistration
-from oriolestage.entry._store_follower import COALESCING_DELAY_S, StoreFollower
+from oriolestage.entry._store_follower import COALESCING_DELAY_S
 from oriolestage.platform._names import STORE_RANGE_PATH
 from oriolestage.platform._store import StoreClient
+from oriolestage.platform.tests.following_host import (
+    CONFIGURATION_KEY,
+    FollowingHost,
+    configuration,
+    holds_within,
+)
 from oriolestage.platform.tests.platform_store import (
     PlatformStore,
     StoreContent,
 )
-from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._facts import HostRecord
-from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._targets import (
     LAPSE_GRACE_PERIOD_S,
     RESURRECTED_HOLD_S,
 )
-from oriolestage.routing.tests.builders import (
-    make_crash_detector,
-    make_placement,
-)
 
-CONFIGURATION_KEY = 'op/config'
 #: Time within which a host knows the content of a restored store, in seconds;
 #: a watch that was cut is repeated after a back-off.
 NOTICE_S = 2.0
-PROPAGATION_LIMIT_S = 5.0
 TARGET = {  # noqa: WPS407
     'service': 's-1',
     'address': '10.0.0.1:80',
@@ -43,53 +41,9 @@
 RENEWAL_INTERVAL = 'oriolestage.entry._host_registration.RENEWAL_INTERVAL_S'
 
 
-def configuration(version: int) -> dict[str, object]:
-    """Return a configuration without routes."""
-    return {'version': version, 'routes': [], 'services': []}
-
-
 async def holds_in_time(condition: Callable[[], bool]) -> bool:
     """Wait until a condition holds; return False if `NOTICE_S` passes first."""
-    try:
-        async with asyncio.timeout(NOTICE_S):
-            while not condition():
-                await asyncio.sleep(0.01)
-    except TimeoutError:
-        return False
-    return True
-
-
-class FollowingHost:
-    """The parts of a host that follow the store."""
-
-    def __init__(self, address: str) -> None:
-        """Create a host that follows the store at ``address``."""
-        placement, self.directory = make_placement()
-        self.client = StoreClient(address)
-        self.state = ClusterState(
-            self.directory,
-            placement,
-            PeerDirectory(placement.location),
-            make_crash_detector(),
-        )
-        self.follower = StoreFollower(
-            self.client, self.state, self.directory, PROPAGATION_LIMIT_S
-        )
-        self._tasks = [
-            asyncio.create_task(self.follower.run()),
-            asyncio.create_task(self.follower.expire()),
-        ]
-
-    @property
-    def version(self) -> int:
-        """Version of the configuration in force; -1 without one."""
-        return -1 if self.state.table is None else self.state.table.version
-
-    async def close(self) -> None:
-        """Stop following the store."""
-        for task in self._tasks:
-            task.cancel()
-        await self.client.close()
+    return await holds_within(NOTICE_S, condition)
 
 
 class StoreRestoredTest(IsolatedAsyncioTestCase):
