A host does not ask the store again for what it cannot use

What callers saw: after one answer that raised an error, a host served old routes and targets until the store had discarded the changes in question, 20 s or more, or for good.

Cause: the class is an error in one item that ends or repeats the reading of many. The follower recognized failed calls only; any other error ended its task, which started again at the same position and got the same answer. In a full read, an error in one item lost all of it, and the next read held the same item. Ruled out: retrying with back-off, which asks for the same answer.

Change: ClusterState drops and counts a fact that raises an error, also in a full read, and applies the others. After an answer that cannot be used the follower gives up its position and reads everything, after a pause that spreads the fleet; store_answer_rejected has the cause and the revision. The pauses are decided in a module without I/O, and the known hosts have one of their own.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -166,7 +166,7 @@
     metrics.add_gauge('hosts', lambda: len(placement.hosts))
     metrics.add_gauge('store_age_seconds', lambda: follower.age_s)
     metrics.add_gauge(
-        'store_changes_unapplied', lambda: follower.unapplied_count
+        'store_changes_unapplied', lambda: cluster_state.unapplied_count
     )
     metrics.add_gauge('store_stalled', lambda: int(follower.stalled))
     metrics.add_counts(
--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -28,6 +28,10 @@
         self.cause = cause
 
 
+class AnswerRejectedError(StoreError):
+    """The answer of the store cannot be used; it would be the same again."""
+
+
 class HistoryLostError(StoreError):
     """The store no longer has all changes after the requested revision."""
 
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -1,43 +1,26 @@
 """Mirrors the store into this host's state."""
 
 import asyncio
-import random
 import time
 from collections import Counter
 from collections.abc import Iterable, Mapping
 
 from oriolestage._logging import log_event
 from oriolestage.entry._ports import (
+    AnswerRejectedError,
     HistoryLostError,
     HistoryReplacedError,
     Store,
     StoreChanges,
-    StoreContents,
     StoreError,
     StorePosition,
 )
 from oriolestage.entry._stall_detector import StallDetector
+from oriolestage.entry._store_pacing import COALESCING_DELAY_S, StorePacing
 from oriolestage.routing._cluster_state import ClusterState
-from oriolestage.routing._facts import StoredFact
 from oriolestage.routing._state_changes import Freshness, StateChange
 from oriolestage.routing._targets import TargetDirectory
 
-#: Longest wait of one watch call, as a share of the propagation limit. A
-#: watch may miss changes without an error while the store discards its
-#: history, so it has to end early enough for another read within the limit.
-WATCH_WAIT_SHARE = 0.6
-#: Shortest pause after a watch returned changes, so that the next call returns
-#: a burst of changes at once, in seconds. Also the interval of checks for
-#: expired registrations.
-COALESCING_DELAY_S = 0.3
-#: Watches a second that all hosts together make while changes come without a
-#: pause. The pause grows with the number of hosts.
-FLEET_WATCHES_PER_S = 100
-#: Longest pause, as a share of the propagation limit.
-COALESCING_SHARE = 0.2
-#: Initial and maximum back-off after a failed call, in seconds.
-INITIAL_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 0.8
 #: Outage of the store after which registrations may have lapsed only because
 #: they could not be renewed, so that missing ones are kept for a while, in
 #: seconds.
@@ -61,8 +44,9 @@
         ``propagation_limit_s`` is the time within which a host that reaches
         the store has to know of a change, in seconds.
         """
-        self._watch_wait_s = propagation_limit_s * WATCH_WAIT_SHARE
-        self._longest_delay_s = propagation_limit_s * COALESCING_SHARE
+        self._pacing = StorePacing(
+            propagation_limit_s, lambda: cluster_state.host_count
+        )
         self._store = store
         self._cluster_state = cluster_state
         self._directory = directory
@@ -71,8 +55,6 @@
         self._known = StorePosition(None, 0)
         self._answered_at = time.monotonic()
         self._outage_since: float | None = None
-        self._backoff_s = INITIAL_BACKOFF_S
-        self._unapplied = 0
         self._failures: Counter[str] = Counter()
         self._stalls = StallDetector(propagation_limit_s)
         self._first_read = asyncio.Event()
@@ -96,11 +78,6 @@
         """
         return Freshness(self._known.revision, self.age_s, self._known.era)
 
-    @property
-    def unapplied_count(self) -> int:
-        """Number of changes that were dropped because of an error."""
-        return self._unapplied
-
     @property
     def failures(self) -> Mapping[str, int]:
         """Number of failed attempts to follow the store, by step."""
@@ -125,21 +102,14 @@
     async def run(self) -> None:
         """Follow the store until cancelled.
 
-        Reads everything again if the store has discarded changes, and retries
-        with back-off if a call fails.
+        Reads everything again if the store has discarded changes or if its
+        answer cannot be used, and retries with back-off if a call fails.
         """
         while True:
             try:
                 await self._follow_once()
-            except HistoryLostError as error:
-                log_event('store_history_lost', {'error': error})
-                self._position = None
-            except StoreError as error:
-                self._record_failure(error.step, str(error))
-                await self._handle_failure(error)
             except Exception as error:
-                self._record_failure(FOLLOW_STEP, repr(error))
-                raise
+                await self._recover(error)
 
     async def expire(self) -> None:
         """Drop targets, hosts and closed data centres that did not return.
@@ -169,64 +139,24 @@
                     **self._log_position(),
                 },
             )
-            self._replace_all(stored)
+            self._log(
+                self._cluster_state.replace_all(stored.facts, time.monotonic())
+            )
             self._first_read.set()
             return
         # A call that is lost in an outage takes until its timeout, which
         # includes the time that it may wait for changes.
-        wait_s = self._watch_wait_s if self._outage_since is None else 0
+        wait_s = self._pacing.watch_wait_s if self._outage_since is None else 0
         changes = await self._changes_after(self._position, wait_s)
         self._record_success()
         self._set_position(changes.position)
         now = time.monotonic()
         for fact in changes.facts:
-            self._apply(fact, now)
+            self._log(self._cluster_state.apply(fact, now))
         if changes.facts:
-            await asyncio.sleep(self._coalescing_delay_s(now))
-
-    def _coalescing_delay_s(self, now: float) -> float:
-        """Return the pause after changes, in seconds.
-
-        While targets with lapsed registrations are kept, it ends in time for
-        another watch before they are dropped.
-        """
-        delay_s = self._cluster_state.host_count / FLEET_WATCHES_PER_S
-        delay_s = min(delay_s, self._longest_delay_s)
-        grace_left_s = self._directory.grace_left_s(now)
-        if grace_left_s > 0:
-            delay_s = min(delay_s, grace_left_s - COALESCING_DELAY_S)
-        return max(COALESCING_DELAY_S, delay_s)
-
-    def _replace_all(self, stored: StoreContents) -> None:
-        """Apply a full read; after an error the store is read again."""
-        applied = False
-        try:
-            changes = self._cluster_state.replace_all(
-                stored.facts, time.monotonic()
-            )
-            applied = True
-        finally:
-            if not applied:
-                self._position = None
-        self._log(changes)
-
-    def _apply(self, fact: StoredFact, now: float) -> None:
-        """Apply one change; an error does not keep the next from its turn."""
-        try:
-            changes = self._cluster_state.apply(fact, now)
-        except Exception as error:
-            self._unapplied += 1
-            log_event(
-                'change_not_applied',
-                {
-                    'step': 'store',
-                    'kind': type(fact).__name__,
-                    'error': repr(error),
-                    **self._log_position(),
-                },
-            )
-            return
-        self._log(changes)
+            grace_left_s = self._directory.grace_left_s(now)
+            pause_s = self._pacing.pause_after_changes_s(grace_left_s)
+            await asyncio.sleep(pause_s)
 
     async def _changes_after(
         self, position: StorePosition, wait_s: float
@@ -272,7 +202,7 @@
 
     def _record_success(self) -> None:
         now = time.monotonic()
-        self._backoff_s = INITIAL_BACKOFF_S
+        self._pacing.reset_backoff()
         if self._outage_since is not None:
             # It may have been away since its last answer: a lost watch fails
             # only after its waiting time and its time-out.
@@ -290,6 +220,20 @@
         self._failures[step] += 1
         self._stalls.record_failure(cause)
 
+    async def _recover(self, error: Exception) -> None:
+        """Prepare the next attempt after an error."""
+        match error:
+            case HistoryLostError():
+                log_event('store_history_lost', {'error': error})
+                self._position = None
+            case AnswerRejectedError(step=step, cause=cause):
+                await self._read_again(step, cause)
+            case StoreError(step=step):
+                self._record_failure(step, str(error))
+                await self._handle_failure(error)
+            case _:
+                await self._read_again(FOLLOW_STEP, repr(error))
+
     async def _handle_failure(self, error: StoreError) -> None:
         if self._outage_since is None:
             self._outage_since = time.monotonic()
@@ -303,8 +247,23 @@
                     'targets': len(self._directory),
                 },
             )
-        await asyncio.sleep(self._backoff_s * random.uniform(0.5, 1))
-        self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
+        await asyncio.sleep(self._pacing.next_backoff_s())
+
+    async def _read_again(self, step: str, cause: str) -> None:
+        """Give up the position, since the same call would fail again.
+
+        A full read that fails in this way is repeated with back-off.
+        """
+        self._record_failure(step, cause)
+        log_event(
+            'store_answer_rejected',
+            {'step': step, 'cause': cause, **self._log_position()},
+        )
+        if self._position is None:
+            await asyncio.sleep(self._pacing.next_backoff_s())
+            return
+        self._position = None
+        await asyncio.sleep(self._pacing.pause_before_reading_again_s())
 
     def _log(self, changes: Iterable[StateChange]) -> None:
         for change in changes:
--- a/oriolestage/platform/tests/test_store_restored.py
+++ b/oriolestage/platform/tests/test_store_restored.py
@@ -6,7 +6,7 @@
 from unittest import IsolatedAsyncioTestCase, mock
 
 from oriolestage.entry._host_registration import HostRegistration
-from oriolestage.entry._store_follower import COALESCING_DELAY_S
+from oriolestage.entry._store_pacing import COALESCING_DELAY_S
 from oriolestage.platform._names import STORE_RANGE_PATH
 from oriolestage.platform._store import StoreClient
 from oriolestage.platform.tests.following_host import (
--- a/oriolestage/routing/_cluster_state.py
+++ b/oriolestage/routing/_cluster_state.py
@@ -4,7 +4,8 @@
 some arrive twice or late: an older routing table never replaces a newer one.
 """
 
-from collections.abc import Iterable
+import functools
+from collections.abc import Callable, Iterable
 
 from oriolestage.routing._crash_detector import CrashDetector
 from oriolestage.routing._facts import (
@@ -12,7 +13,6 @@
     CrashStored,
     DataCentreClosed,
     DataCentreOpened,
-    HostRecord,
     HostRemoved,
     HostStored,
     StoredFact,
@@ -20,6 +20,7 @@
     TargetStored,
     UnreadableItem,
 )
+from oriolestage.routing._known_hosts import KnownHosts
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._rules import CallerLimits, RoutingTable
@@ -29,11 +30,6 @@
     TargetDirectory,
 )
 
-#: Time for which a host still shares the limits after its registration was
-#: removed, in seconds. The retries that it sent count in a window of 10 s,
-#: and its lease may expire while it runs and the store is unavailable.
-HOST_RETENTION_S = 12.0
-
 
 class ClusterState:
     """Applies facts from the store to the state that requests are routed by.
@@ -51,7 +47,6 @@
     ) -> None:
         """Start without a configuration and without hosts."""
         self._crashes = crashes
-        self._peers = peers
         self._directory = directory
         self._placement = placement
         self._table: RoutingTable | None = None
@@ -61,10 +56,9 @@
         self._restored_until = float('-inf')
         #: Data centres that stay closed until then.
         self._unconfirmed: set[str] = set()
-        self._hosts: dict[str, HostRecord] = {}
-        #: Monotonic time at which the registration of a host was removed.
-        self._unregistered_at: dict[str, float] = {}
+        self._hosts = KnownHosts(placement, peers)
         self._unreadable: dict[str, str] = {}
+        self._unapplied = 0
 
     @property
     def table(self) -> RoutingTable | None:
@@ -76,6 +70,11 @@
         """Number of hosts that share the limits."""
         return len(self._hosts)
 
+    @property
+    def unapplied_count(self) -> int:
+        """Number of facts that were dropped because of an error."""
+        return self._unapplied
+
     @property
     def limits(self) -> CallerLimits:
         """Limits on callers in force; the defaults without a table."""
@@ -93,16 +92,11 @@
         """
         listed = tuple(facts)
         changes = self._replace_closed(listed, now)
-        changes += self._replace_hosts(listed, now)
-        records = [
-            fact.record for fact in listed if isinstance(fact, TargetStored)
-        ]
-        restored = now < self._restored_until
-        for identity in self._directory.replace_all(
-            records, now, restored=restored
-        ):
-            changes.append(_change('target_missing', target=identity))
-        changes.append(_change('targets_read', targets=len(records)))
+        changes += self._hosts.replace_all(
+            (fact.record for fact in listed if isinstance(fact, HostStored)),
+            now,
+        )
+        changes += self._replace_targets(listed, now)
         for fact in listed:
             if isinstance(
                 fact,
@@ -123,7 +117,32 @@
         self._directory.start_lapse_grace_period(now)
 
     def apply(self, fact: StoredFact, now: float) -> list[StateChange]:
-        """Apply one fact; return the changes to log."""
+        """Apply one fact; return the changes to log.
+
+        A fact that raises an error is dropped, so that the others are applied.
+        """
+        return self._attempt(fact, lambda: self._apply(fact, now))
+
+    def _attempt(
+        self,
+        fact: StoredFact,
+        apply: Callable[[], list[StateChange]],
+    ) -> list[StateChange]:
+        """Call ``apply`` for a fact; report an error as a change to log."""
+        try:
+            return apply()
+        except Exception as error:
+            self._unapplied += 1
+            return [
+                _change(
+                    'change_not_applied',
+                    step='store',
+                    kind=type(fact).__name__,
+                    error=repr(error),
+                ),
+            ]
+
+    def _apply(self, fact: StoredFact, now: float) -> list[StateChange]:
         match fact:
             case ConfigurationStored(table=table):
                 return self._apply_table(table)
@@ -165,13 +184,17 @@
                 self._unconfirmed.discard(name)
                 return [self._publish_closed_data_centres()]
             case HostStored(record=host):
-                return self._apply_host(host, now)
+                return self._hosts.register(host, now)
             case HostRemoved(name=name):
-                self._unregistered_at.setdefault(name, now)
-                return [_change('host_unregistered', host=name)]
+                return [self._hosts.unregister(name, now)]
+
+    @property
+    def _version(self) -> int:
+        """Version of the routing table in force; -1 without one."""
+        return -1 if self._table is None else self._table.version
 
     def _apply_table(self, table: RoutingTable) -> list[StateChange]:
-        known = -1 if self._table is None else self._table.version
+        known = self._version
         if table.version == known:
             return []
         if table.version < known:
@@ -221,18 +244,7 @@
             self._closed -= self._unconfirmed
             self._unconfirmed.clear()
             changes.append(self._publish_closed_data_centres())
-        return changes + self._expire_hosts(now)
-
-    def _expire_hosts(self, now: float) -> list[StateChange]:
-        expired = [
-            name
-            for name, unregistered_at in self._unregistered_at.items()
-            if now - unregistered_at >= HOST_RETENTION_S
-        ]
-        for name in expired:
-            self._unregistered_at.pop(name)
-            self._hosts.pop(name, None)
-        return [self._publish_hosts(now)] if expired else []
+        return changes + self._hosts.expire(now)
 
     def _replace_closed(
         self,
@@ -251,32 +263,31 @@
         self._closed = closed
         return [self._publish_closed_data_centres()]
 
-    def _replace_hosts(
-        self,
-        listed: Iterable[StoredFact],
-        now: float,
+    def _replace_targets(
+        self, listed: Iterable[StoredFact], now: float
     ) -> list[StateChange]:
-        """Replace the hosts, and publish them once whatever their number."""
-        missing = set(self._hosts)
-        changed = False
+        restored = now < self._restored_until
+        changes: list[StateChange] = []
+        names: set[str] = set()
         for fact in listed:
-            if isinstance(fact, HostStored):
-                missing.discard(fact.record.name)
-                changed |= self._add_host(fact.record)
-        for name in missing:
-            self._unregistered_at.setdefault(name, now)
-        return [self._publish_hosts(now)] if changed else []
-
-    def _apply_host(self, host: HostRecord, now: float) -> list[StateChange]:
-        return [self._publish_hosts(now)] if self._add_host(host) else []
+            if not isinstance(fact, TargetStored):
+                continue
+            register = functools.partial(
+                self._register_listed, fact, names, now, restored=restored
+            )
+            changes.extend(self._attempt(fact, register))
+        for identity in self._directory.remove_unlisted(names, now):
+            changes.append(_change('target_missing', target=identity))
+        changes.append(_change('targets_read', targets=len(names)))
+        return changes
 
-    def _add_host(self, host: HostRecord) -> bool:
-        """Add a host or replace its record; return whether that is new."""
-        self._unregistered_at.pop(host.name, None)
-        if self._hosts.get(host.name) == host:
-            return False
-        self._hosts[host.name] = host
-        return True
+    def _register_listed(
+        self, fact: TargetStored, names: set[str], now: float, *, restored: bool
+    ) -> list[StateChange]:
+        """Register a listed target and add its identity to ``names``."""
+        names.add(fact.record.identity)
+        self._directory.register_listed(fact.record, now, restored=restored)
+        return []
 
     def _publish_closed_data_centres(self) -> StateChange:
         self._directory.replace_closed_data_centres(self._closed)
@@ -285,16 +296,6 @@
             names=','.join(sorted(self._closed)) or 'none',
         )
 
-    def _publish_hosts(self, now: float) -> StateChange:
-        location = self._placement.location
-        regions = {
-            name: location.region_of(record.data_centre)
-            for name, record in self._hosts.items()
-        }
-        self._placement.replace_hosts(regions, now)
-        self._peers.replace_hosts(self._hosts.values())
-        return _change('hosts_known', hosts=len(self._hosts))
-
 
 def _change(event: str, **fields: object) -> StateChange:
     return StateChange(event, tuple(fields.items()))
--- a/oriolestage/routing/_targets.py
+++ b/oriolestage/routing/_targets.py
@@ -137,24 +137,36 @@
         return True
 
     def replace_all(
-        self,
-        records: Iterable[TargetRecord],
-        now: float,
-        *,
-        restored: bool = False,
+        self, records: Iterable[TargetRecord], now: float
     ) -> list[str]:
         """Replace the directory by a full listing.
 
-        Return the identities of the known targets that are not listed. If the
-        store was ``restored``, its entries may be older than what is known.
+        Return the identities of the known targets that are not listed.
         """
         listed: set[str] = set()
         for record in records:
             listed.add(record.identity)
-            if restored:
-                self._register_restored(record, now)
-            else:
-                self.register(record, now)
+            self.register_listed(record, now)
+        return self.remove_unlisted(listed, now)
+
+    def register_listed(
+        self, record: TargetRecord, now: float, *, restored: bool = False
+    ) -> None:
+        """Add or update a target of a full listing.
+
+        If the store was ``restored``, its entries may be older than what is
+        known.
+        """
+        if restored:
+            self._register_restored(record, now)
+        else:
+            self.register(record, now)
+
+    def remove_unlisted(self, listed: set[str], now: float) -> list[str]:
+        """Remove the targets that are not in a full listing.
+
+        Return their identities.
+        """
         missing = [name for name in self._targets if name not in listed]
         for identity in missing:
             self.remove(identity, now)
--- a/oriolestage/routing/tests/test_cluster_state.py
+++ b/oriolestage/routing/tests/test_cluster_state.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from oriolestage.routing._cluster_state import HOST_RETENTION_S, ClusterState
+from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._facts import (
     DataCentreClosed,
     DataCentreOpened,
@@ -12,6 +12,7 @@
     TargetStored,
     UnreadableItem,
 )
+from oriolestage.routing._known_hosts import HOST_RETENTION_S
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing.tests.builders import (
     make_crash_detector,
