A target whose entry is unreadable again is not used

Callers' requests went on reaching a target after its entry could not be parsed, if the same problem had been seen before the entry was valid: the check for a known problem came before the removal of the target. An operator was not told a second time either.

The target is now removed each time; a problem is forgotten once the item is valid, removed or no longer listed, so the number of remembered ones is bounded by that of the items. store_items_unreadable shows it.

Evidence: on the tree before, test_configuration_unreadable_again fails, and test_target_unreadable_again and test_unreadable_items_are_forgotten end with an error (the target is still there; the gauge is new). All pass now.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -168,6 +168,9 @@
     metrics.add_gauge(
         'store_changes_unapplied', lambda: cluster_state.unapplied_count
     )
+    metrics.add_gauge(
+        'store_items_unreadable', lambda: cluster_state.unreadable_count
+    )
     metrics.add_gauge('store_stalled', lambda: int(follower.stalled))
     metrics.add_counts(
         'store_follow_failures',
--- a/oriolestage/routing/_cluster_state.py
+++ b/oriolestage/routing/_cluster_state.py
@@ -29,6 +29,7 @@
     LAPSE_GRACE_PERIOD_S,
     TargetDirectory,
 )
+from oriolestage.routing._unreadable_items import UnreadableItems
 
 
 class ClusterState:
@@ -57,7 +58,7 @@
         #: Data centres that stay closed until then.
         self._unconfirmed: set[str] = set()
         self._hosts = KnownHosts(placement, peers)
-        self._unreadable: dict[str, str] = {}
+        self._unreadable = UnreadableItems()
         self._unapplied = 0
 
     @property
@@ -75,6 +76,11 @@
         """Number of facts that were dropped because of an error."""
         return self._unapplied
 
+    @property
+    def unreadable_count(self) -> int:
+        """Number of items that cannot be parsed."""
+        return len(self._unreadable)
+
     @property
     def limits(self) -> CallerLimits:
         """Limits on callers in force; the defaults without a table."""
@@ -91,6 +97,7 @@
         unregistered. Return the changes to log.
         """
         listed = tuple(facts)
+        self._unreadable.forget_unlisted(listed)
         changes = self._replace_closed(listed, now)
         changes += self._hosts.replace_all(
             (fact.record for fact in listed if isinstance(fact, HostStored)),
@@ -147,6 +154,7 @@
             case ConfigurationStored(table=table):
                 return self._apply_table(table)
             case TargetStored(record=record):
+                self._unreadable.forget(record.identity)
                 known = self._directory.find(record.identity)
                 added = self._directory.register(record, now)
                 if added and known is not None:
@@ -162,6 +170,7 @@
                     ),
                 ]
             case TargetRemoved(identity=identity):
+                self._unreadable.forget(identity)
                 known = self._directory.find(identity)
                 at_once = self._directory.remove(identity, now)
                 if known is not None and not known.record.draining:
@@ -222,13 +231,13 @@
     ) -> list[StateChange]:
         """Stop using a target whose registration cannot be parsed.
 
-        Return a change only when the problem with the item is a new one.
+        Return a change unless the same problem with the item is known. It is
+        a new one after the item was valid.
         """
-        if self._unreadable.get(fact.key) == fact.problem:
-            return []
-        self._unreadable[fact.key] = fact.problem
         if fact.target:
             self._directory.remove(fact.target, now)
+        if not self._unreadable.record(fact, self._version):
+            return []
         return [
             _change('item_unreadable', key=fact.key, problem=fact.problem),
         ]
@@ -286,6 +295,7 @@
     ) -> list[StateChange]:
         """Register a listed target and add its identity to ``names``."""
         names.add(fact.record.identity)
+        self._unreadable.forget(fact.record.identity)
         self._directory.register_listed(fact.record, now, restored=restored)
         return []
 
--- a/oriolestage/routing/tests/test_cluster_state.py
+++ b/oriolestage/routing/tests/test_cluster_state.py
@@ -4,16 +4,19 @@
 
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._facts import (
+    ConfigurationStored,
     DataCentreClosed,
     DataCentreOpened,
     HostRecord,
     HostRemoved,
     HostStored,
+    TargetRemoved,
     TargetStored,
     UnreadableItem,
 )
 from oriolestage.routing._known_hosts import HOST_RETENTION_S
 from oriolestage.routing._peers import PeerDirectory
+from oriolestage.routing._rules import CallerLimits, build_table
 from oriolestage.routing.tests.builders import (
     make_crash_detector,
     make_placement,
@@ -89,3 +92,37 @@
         self.assertIsNone(self._directory.find('t-1'))
         again = self._state.apply(UnreadableItem('k', 'bad', 't-1'), 2)
         self.assertEqual(again, [])
+
+    def test_target_unreadable_again(self) -> None:
+        """Guards against using a target whose entry is unreadable again.
+
+        The same problem was known from before its entry was valid.
+        """
+        unreadable = UnreadableItem('k', 'bad', 't-1')
+        for now in range(3):
+            self._state.apply(TargetStored(make_record('t-1')), 2 * now)
+            changes = self._state.apply(unreadable, 2 * now + 1)
+            self.assertEqual(len(changes), 1)
+            self.assertIsNone(self._directory.find('t-1'))
+            self.assertEqual(self._state.unreadable_count, 1)
+
+    def test_unreadable_items_are_forgotten(self) -> None:
+        """Items that are removed or no longer listed are not counted."""
+        for number in range(4):
+            identity = f't-{number}'
+            fact = UnreadableItem(f'k-{number}', 'bad', identity)
+            self._state.apply(fact, 1)
+        self._state.apply(TargetRemoved('t-0'), 2)
+        self.assertEqual(self._state.unreadable_count, 3)
+        self._state.replace_all((UnreadableItem('k-1', 'bad', 't-1'),), 3)
+        self.assertEqual(self._state.unreadable_count, 1)
+
+    def test_configuration_unreadable_again(self) -> None:
+        """Each time that the configuration cannot be parsed is logged."""
+        unreadable = UnreadableItem('op/config', 'bad')
+        for version in range(3):
+            table = build_table(version, (), (), CallerLimits())
+            self._state.apply(ConfigurationStored(table), version)
+            self.assertEqual(len(self._state.apply(unreadable, version)), 1)
+            self.assertEqual(self._state.apply(unreadable, version), [])
+            self.assertEqual(self._state.table, table)
