Changes that are too long for one answer are read in pages

Cause: an answer that is over the limit, cannot be decoded or refuses the call as such was a failed call like any other, so the follower asked for the same changes again. Ruled out: a higher limit, which only moves the fault.

Change: the client tells an answer that would be the same again from a call that may succeed later (no connection, time-out, 408, 429, 5xx); the follower then reads everything in pages. Each kind of call has a limit of its own for its answer. A 404 means an ended lease only where there is one.

--- a/oriolestage/entry/_target_connection.py
+++ b/oriolestage/entry/_target_connection.py
@@ -67,6 +67,7 @@
     __slots__ = (
         '_chunks',
         '_held',
+        '_max_body_bytes',
         '_message',
         '_payload',
         '_received',
@@ -87,6 +88,7 @@
         self._held = held
         self._reusable = True
         self._without_body = False
+        self._max_body_bytes = MAX_RESPONSE_BYTES
         self._response_future: asyncio.Future[RawResponse] | None = None
         self._message: RawResponseMessage | None = None
         self._payload: StreamReader | None = None
@@ -114,7 +116,11 @@
         )
 
     async def exchange(
-        self, request: bytes, *, without_body: bool
+        self,
+        request: bytes,
+        *,
+        without_body: bool,
+        max_body_bytes: int = MAX_RESPONSE_BYTES,
     ) -> RawResponse:
         """Send a request and return the response.
 
@@ -126,6 +132,7 @@
         if self.transport is None:
             raise aiohttp.ServerDisconnectedError
         self._without_body = without_body
+        self._max_body_bytes = max_body_bytes
         self._parser = HttpResponseParser(
             self,
             self._loop,
@@ -232,7 +239,7 @@
             self._chunks.append(chunk)
             self._size += len(chunk)
             self._held.add(len(chunk))
-        too_long = self._size > MAX_RESPONSE_BYTES
+        too_long = self._size > self._max_body_bytes
         if too_long or not self._held.accepts(self._size):
             self._fail(OversizedResponseError(f'body of {self._size} bytes'))
         elif payload.is_eof():
--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from oriolestage.entry._ports import (
+    AnswerRejectedError,
     HistoryReplacedError,
     Lease,
     LeaseEndedError,
@@ -269,15 +270,16 @@
     def _decode(self, body: bytes, kind: type[_Shape]) -> _Shape:
         """Decode a body.
 
-        Raises :class:`StoreError` if it does not match ``kind``.
+        Raises :class:`AnswerRejectedError` if that fails, whatever the error
+        is: deep nesting is none of the decoder's own errors.
         """
         try:
             return msgspec.json.decode(body, type=kind)
-        except msgspec.DecodeError as error:
-            raise StoreError(
+        except Exception as error:
+            raise AnswerRejectedError(
                 'store.decode',
                 self._calls.address,
-                str(error),
+                repr(error),
             ) from error
 
 
--- a/oriolestage/platform/_store_calls.py
+++ b/oriolestage/platform/_store_calls.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import socket
+import types
+from collections.abc import Mapping
 from http import HTTPStatus
 from urllib.parse import urlencode
 
@@ -16,12 +18,18 @@
 )
 from oriolestage.entry._held_bytes import HeldBytes
 from oriolestage.entry._ports import (
+    AnswerRejectedError,
     HistoryLostError,
     LeaseEndedError,
     StoreError,
 )
 from oriolestage.entry._store_eras import StoreEras
-from oriolestage.entry._target_connection import RawResponse, TargetConnection
+from oriolestage.entry._target_connection import (
+    MalformedResponseError,
+    OversizedResponseError,
+    RawResponse,
+    TargetConnection,
+)
 from oriolestage.platform import _names
 
 MS_PER_S = 1000
@@ -44,6 +52,28 @@
 )
 #: Methods whose calls may be sent again if their connection breaks.
 REPEATABLE_METHODS = frozenset(('GET',))
+#: Largest body of an answer to a watch, in bytes. Changes that are longer
+#: together are read in pages instead.
+MAX_CHANGES_BYTES = 8 * 1024 * 1024
+#: Largest body of a page, in bytes: about 1 MB, and one value of 1 MiB as
+#: base64 beyond that.
+MAX_PAGE_BYTES = 4 * 1024 * 1024
+#: Largest body of any other answer, in bytes.
+MAX_ANSWER_BYTES = 262_144
+#: Largest body of an answer by path.
+MAX_BYTES_BY_PATH: Mapping[str, int] = types.MappingProxyType(
+    {
+        _names.STORE_WATCH_PATH: MAX_CHANGES_BYTES,
+        _names.STORE_RANGE_PATH: MAX_PAGE_BYTES,
+    },
+)
+#: Statuses of answers to calls that may succeed later: too many calls, too
+#: slow a call.
+PASSING_STATUSES = frozenset(
+    (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_MANY_REQUESTS)
+)
+#: Errors of an answer that would be the same again.
+UNUSABLE_ANSWER_ERRORS = (MalformedResponseError, OversizedResponseError)
 #: Errors with which a call fails: the store is not reached, breaks the
 #: connection, does not answer in time, or sends no valid response.
 CALL_ERRORS = (
@@ -67,6 +97,18 @@
     era: int | None
 
 
+class _Call(msgspec.Struct, frozen=True, kw_only=True):
+    """The bytes of a request and how to send them."""
+
+    request: bytes
+    #: Whether it may be sent again if its connection breaks.
+    repeatable: bool
+    #: Whether the store may wait before it answers.
+    waits: bool
+    #: Largest body of the answer, in bytes.
+    max_bytes: int
+
+
 class StoreCalls:
     """Sends calls to the store over connections that stay open.
 
@@ -100,6 +142,9 @@
     ) -> StoreAnswer:
         """Send one request and return its 200 response.
 
+        Raises :class:`AnswerRejectedError` for an answer that would be the
+        same again: it is too long, no HTTP, or refuses the call as such.
+
         A call that waits raises :class:`NoOpenConnectionError` if it needs a
         new connection.
         """
@@ -108,16 +153,22 @@
         try:
             async with asyncio.timeout(wait_s + RESPONSE_TIMEOUT_S):
                 response = await self._send(
-                    request,
-                    repeatable=method in REPEATABLE_METHODS,
-                    waits=wait_s > 0,
+                    _Call(
+                        request=request,
+                        repeatable=method in REPEATABLE_METHODS,
+                        waits=wait_s > 0,
+                        max_bytes=MAX_BYTES_BY_PATH.get(path, MAX_ANSWER_BYTES),
+                    ),
                 )
         except CALL_ERRORS as error:
             cause = f'{type(error).__name__}: {error}'
-            raise StoreError(step, self.address, cause) from error
+            kind = StoreError
+            if isinstance(error, UNUSABLE_ANSWER_ERRORS):
+                kind = AnswerRejectedError
+            raise kind(step, self.address, cause) from error
         stated = response.headers.get(_names.STORE_ERA_HEADER)
         valid = self._record_era(step, stated)
-        self._check_status(step, response.status)
+        self._check_status(path, step, response.status)
         if not valid:
             cause = f'{_names.STORE_ERA_HEADER} is {stated!r}'
             raise StoreError(step, self.address, cause)
@@ -137,44 +188,46 @@
             return False
         return self.eras.record(int(stated), step, self.address)
 
-    def _check_status(self, step: str, status: int) -> None:
+    def _check_status(self, path: str, step: str, status: int) -> None:
         """Raise an error unless the status is 200."""
         match status:
             case HTTPStatus.OK:
                 return
             case HTTPStatus.GONE:
                 raise HistoryLostError(step, self.address, 'history lost')
-            case HTTPStatus.NOT_FOUND:
+            case HTTPStatus.NOT_FOUND if path not in MAX_BYTES_BY_PATH:
                 raise LeaseEndedError(step, self.address, 'not found')
-        raise StoreError(step, self.address, f'status {status}')
+        kind = StoreError
+        if _is_client_error(status) and status not in PASSING_STATUSES:
+            kind = AnswerRejectedError
+        raise kind(step, self.address, f'status {status}')
 
-    async def _send(
-        self, request: bytes, *, repeatable: bool, waits: bool
-    ) -> RawResponse:
-        """Send a request on an open connection, or on a new one.
+    async def _send(self, call: _Call) -> RawResponse:
+        """Send a call on an open connection, or on a new one.
 
-        The store may close an open connection just as the request is sent. A
-        ``repeatable`` one is then sent again on a new connection, unless it
-        ``waits``.
+        The store may close an open connection just as the call is sent. A
+        repeatable one is then sent again on a new connection, unless it waits.
         """
         connection = self._pool.take(self.address)
         if connection is not None:
             try:
-                return await self._exchange(connection, request)
+                return await self._exchange(connection, call)
             except (aiohttp.ServerDisconnectedError, ConnectionError):
-                if not repeatable:
+                if not call.repeatable:
                     raise
-        if waits:
+        if call.waits:
             raise NoOpenConnectionError
         connection = await self._connect()
-        return await self._exchange(connection, request)
+        return await self._exchange(connection, call)
 
     async def _exchange(
-        self, connection: TargetConnection, request: bytes
+        self, connection: TargetConnection, call: _Call
     ) -> RawResponse:
         completed = False
         try:
-            response = await connection.exchange(request, without_body=False)
+            response = await connection.exchange(
+                call.request, without_body=False, max_body_bytes=call.max_bytes
+            )
             completed = True
         finally:
             if not completed:
@@ -210,3 +263,9 @@
         if body or method not in REPEATABLE_METHODS:
             lines.append(f'Content-Length: {len(body)}')
         return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+def _is_client_error(status: int) -> bool:
+    """Return whether the call as such was refused."""
+    first = HTTPStatus.BAD_REQUEST
+    return first <= status < HTTPStatus.INTERNAL_SERVER_ERROR
--- a/oriolestage/platform/tests/test_store.py
+++ b/oriolestage/platform/tests/test_store.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from oriolestage.entry._ports import (
+    AnswerRejectedError,
     HistoryLostError,
     HistoryReplacedError,
     Lease,
@@ -17,6 +18,7 @@
     StorePosition,
 )
 from oriolestage.platform._store import StoreClient
+from oriolestage.platform._store_calls import MAX_PAGE_BYTES
 from oriolestage.routing._crash_detector import CrashReport
 from oriolestage.routing._facts import (
     CrashStored,
@@ -26,6 +28,9 @@
     UnreadableItem,
 )
 
+#: Levels of lists; the JSON decoders recurse for each.
+NESTING_LEVELS = 3000
+
 
 def _item(key: str, content: object) -> dict[str, object]:
     value = base64.b64encode(json.dumps(content).encode()).decode()
@@ -113,6 +118,34 @@
                     self.assertEqual(unreadable.target, 'i-1')
                     self.assertEqual(closed, DataCentreClosed('dc-a'))
 
+    async def test_answers_that_stay_unusable(self) -> None:
+        """Guards against repeating a call whose answer would be the same."""
+        lists = b'[' * NESTING_LEVELS + b']' * NESTING_LEVELS
+        nested = b'{"items":[{"key":"k","value":%b}],"storeRevision":5}' % lists
+        for status, content in (
+            (200, b'no JSON'),
+            (200, {'items': 7, 'storeRevision': 5}),
+            (200, nested),
+            (200, b' ' * (MAX_PAGE_BYTES + 1)),
+            (400, {}),
+            (403, {}),
+            (404, {}),
+            (414, {}),
+        ):
+            with self.subTest(status=status, content=str(content)[:40]):
+                self._answers = [(status, content)]
+                with self.assertRaises(AnswerRejectedError):
+                    await self._client.read_all()
+
+    async def test_answers_that_may_change(self) -> None:
+        """A store that is busy or down is called again."""
+        for status in (408, 429, 500, 502, 503):
+            with self.subTest(status=status):
+                self._answers = [(status, {})]
+                with self.assertRaises(StoreError) as raised:
+                    await self._client.read_all()
+                self.assertNotIsInstance(raised.exception, AnswerRejectedError)
+
     async def test_answer_to_earlier_call(self) -> None:
         """Changes and pages before those that were asked for are an error.
 
