Decoding an item of the store never raises an error

Operators saw hosts end again and again, or stop following the store, after another writer had left one very deeply nested entry.

msgspec raises RecursionError for about 1,000 lists within lists, also in a field that is ignored. decode_item turned only DecodeError and ValueError into an UnreadableItem, so the error passed through the client of the store and ended the reading of all other items, each time that the store was read.

Ruled out: a limit of the nesting before decoding. It would be a special case, and the next unforeseen error would end the reading as this one did. Every Exception now makes its own item unreadable; a cancellation is none and still passes. The text of the problem has a bound, since it may quote the input.

--- a/oriolestage/platform/_documents.py
+++ b/oriolestage/platform/_documents.py
@@ -46,6 +46,8 @@
 ROUTE_TYPE_NON_IDEMPOTENT = 'non_idempotent'
 #: Base of the fingerprints in the keys of crash reports.
 FINGERPRINT_BASE = 16
+#: Longest text that says why an item cannot be read, in characters.
+MAX_PROBLEM_CHARACTERS = 300
 #: Value of ``maxAttempts`` for a route without one.
 DEFAULT_MAX_ATTEMPTS = 1
 
@@ -122,12 +124,15 @@
     """Decode one item.
 
     Return :class:`UnreadableItem` if it is invalid, and None if its key does
-    not concern an entry host.
+    not concern an entry host. Whatever the bytes are, no error is raised:
+    the items before and after this one are still to be read.
     """
     try:
         return _decode_by_key(key, content)
     except (msgspec.DecodeError, ValueError) as error:
         return _unreadable(key, str(error))
+    except Exception as error:  # noqa: BLE001 - such as a nesting too deep
+        return _unreadable(key, f'{type(error).__name__}: {error}')
 
 
 def decode_value(key: str, value: object) -> StoredFact | None:
@@ -149,7 +154,7 @@
     target = ''
     if key.startswith(_names.TARGET_PREFIX):
         target = key.removeprefix(_names.TARGET_PREFIX)
-    return UnreadableItem(key, problem, target)
+    return UnreadableItem(key, problem[:MAX_PROBLEM_CHARACTERS], target)
 
 
 def decode_removal(key: str) -> StoredFact | None:
