An address of the store is an IPv4 address and a port, or unreadable

Operators saw hosts end again and again after one entry had a port out of range. Callers' attempts at such a target failed with an unexpected error instead of going to another one.

decode_item accepted any text that ended in a colon and digits, also '²' and 99,999, and any peer address of a host. connect() then raised OverflowError for the port, which nothing catches, or looked the name up in a thread, which nothing on the platform can answer.

Addresses are now parsed in one place, which accepts only a dotted IPv4 address and a port from 1 to 65,535, with no conversion of unbounded digits. Items keep the one text form of a parsed address, and must name one process: no unspecified, multicast or reserved address. connect() parses with the same function and turns its ValueError into NotConnectedError, so an address from elsewhere cannot raise anything else either.

Ruled out: catching OverflowError in connect() alone. The odd target would stay a candidate and take attempts from the good ones.

--- a/oriolestage/entry/_connection_pool.py
+++ b/oriolestage/entry/_connection_pool.py
@@ -5,6 +5,7 @@
 
 import asyncio
 
+from oriolestage._addresses import parse_address
 from oriolestage.entry._held_bytes import HeldBytes
 from oriolestage.entry._target_connection import TargetConnection
 
@@ -89,14 +90,14 @@
 
     ``held`` counts the bytes that all connections hold. Raises
     :class:`NotConnectedError` if that fails or takes longer than
-    ``timeout_s`` seconds.
+    ``timeout_s`` seconds, or if ``address`` is none.
     """
     loop = asyncio.get_running_loop()
-    host, _, port = address.rpartition(':')
     try:
+        peer = parse_address(address)
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: TargetConnection(loop, held), host, int(port)
+                lambda: TargetConnection(loop, held), peer.ip, peer.port
             )
     except (OSError, TimeoutError, ValueError) as error:
         raise NotConnectedError(f'{address}: {error!r}') from error
--- /dev/null
+++ b/oriolestage/platform/_configuration.py
@@ -0,0 +1,141 @@
+"""Decodes the configuration that operators write. Ignores unknown fields."""
+
+import msgspec
+
+from oriolestage.routing._rules import (
+    CallerLimits,
+    Destination,
+    RouteRule,
+    RoutingTable,
+    ServiceRule,
+    ShardGroup,
+    SingleService,
+    WeightedService,
+    WeightedServices,
+    build_table,
+)
+
+MS_PER_S = 1000
+#: Values of ``routeType``.
+ROUTE_TYPE_IDEMPOTENT = 'idempotent'
+ROUTE_TYPE_NON_IDEMPOTENT = 'non_idempotent'
+#: Value of ``maxAttempts`` for a route without one.
+DEFAULT_MAX_ATTEMPTS = 1
+
+
+class _Weighted(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True, rename='camel'):
+    name: str
+    host: str
+    path_prefix: str
+    # Says only whether a request may run more than once.
+    route_type: str
+    timeout_ms: float
+    # Bound within which an answer has its full use, not a latency to aim for.
+    # Zero stands for the timeout.
+    target_latency_ms: float = 0
+    priority: int = 0
+    # Number of targets of one service that may run a request; attempts that
+    # certainly did not run do not count.
+    max_attempts: int = DEFAULT_MAX_ATTEMPTS
+    allowed_regions: tuple[str, ...] = ()
+    # One of the next three is set.
+    service: str | None = None
+    backends: tuple[_Weighted, ...] | None = None
+    gather: tuple[str, ...] | None = None
+    top_k: int = 0
+    min_coverage: float = 1.0
+
+
+class _Service(msgspec.Struct, frozen=True, rename='camel'):
+    name: str
+    # Connections that one target accepts from all hosts together; zero means
+    # no limit.
+    max_connections: int = 0
+    # Requests per second that a cold target carries; zero means no limit.
+    warmup_per_s: float = msgspec.field(default=0, name='warmupPerS')
+
+
+class _Limits(msgspec.Struct, frozen=True, rename='camel'):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = _Limits()
+
+
+def decode_configuration(content: bytes) -> RoutingTable:
+    """Return the routing table of a configuration.
+
+    Raises ``msgspec.DecodeError`` or ``ValueError`` if it is invalid.
+    """
+    return _build_table(msgspec.json.decode(content, type=_Configuration))
+
+
+def _build_table(document: _Configuration) -> RoutingTable:
+    limits = document.limits
+    return build_table(
+        version=document.version,
+        rules=tuple(_build_rule(route) for route in document.routes),
+        services=tuple(
+            ServiceRule(
+                name=service.name,
+                connection_limit=service.max_connections,
+                warm_up_rate=service.warmup_per_s,
+            )
+            for service in document.services
+        ),
+        limits=CallerLimits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / MS_PER_S,
+            idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def _build_rule(route: _Route) -> RouteRule:
+    timeout_s = route.timeout_ms / MS_PER_S
+    objective_s = route.target_latency_ms / MS_PER_S
+    if route.route_type not in {
+        ROUTE_TYPE_IDEMPOTENT,
+        ROUTE_TYPE_NON_IDEMPOTENT,
+    }:
+        raise ValueError(f'unknown routeType {route.route_type!r}')
+    return RouteRule(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        destination=_build_destination(route),
+        repeatable=route.route_type == ROUTE_TYPE_IDEMPOTENT,
+        timeout_s=timeout_s,
+        objective_s=objective_s or timeout_s,
+        max_attempts=max(1, route.max_attempts),
+        priority=route.priority,
+        regions=frozenset(route.allowed_regions),
+    )
+
+
+def _build_destination(route: _Route) -> Destination:
+    if route.gather is not None:
+        return ShardGroup(route.gather, route.top_k, route.min_coverage)
+    if route.backends is not None:
+        return WeightedServices(
+            tuple(
+                WeightedService(backend.service, backend.weight)
+                for backend in route.backends
+            ),
+        )
+    if route.service is not None:
+        return SingleService(route.service)
+    raise ValueError(f'route {route.name!r} has no service, backends or gather')
--- a/oriolestage/platform/tests/test_odd_items.py
+++ b/oriolestage/platform/tests/test_odd_items.py
@@ -32,6 +32,12 @@
     ('hosts/h-5', with_deep_field(make_host()), UnreadableItem),
     ('op/config', with_deep_field(make_configuration()), UnreadableItem),
     ('crashes/00000000000000ff/i-5', with_deep_field(b'{"a": 1}'), CrashStored),
+    (
+        'servers/i-5',
+        make_registration(address='127.0.0.1:99999'),
+        UnreadableItem,
+    ),
+    ('hosts/h-5', make_host(peer_address='127.0.0.1:99999'), UnreadableItem),
     ('op/evacuate/dc-e', with_deep_field(b'{"a": 1}'), DataCentreClosed),
 )
 
