Numbers out of range make an item of the store unreadable

Operators saw hosts end again and again after one entry had a number too large.

Decoding checked the type of a number only. Values such as a concurrencyLimit of 400 digits, a warm-up of 1e300 ms, or an empty list of backends were stored and raised errors later (OverflowError of float arithmetic, IndexError of the choice by weight), far from the item that caused them.

Each number has a range now, by a named constant with its unit, and the problem names the field and the range. The ranges are wide: they leave out only what no target, route or limit can have, such as a timeout of 0. An empty list of backends or shards counts as none given. An unreadable configuration leaves the last one in force.

Ruled out: reducing a number to its range. A configuration or an entry with such a number comes from another writer or is damaged, and the rest of it cannot be trusted either.

--- a/oriolestage/platform/_configuration.py
+++ b/oriolestage/platform/_configuration.py
@@ -1,5 +1,7 @@
 """Decodes the configuration that operators write. Ignores unknown fields."""
 
+from typing import Annotated
+
 import msgspec
 
 from oriolestage.routing._rules import (
@@ -21,11 +23,25 @@
 ROUTE_TYPE_NON_IDEMPOTENT = 'non_idempotent'
 #: Value of ``maxAttempts`` for a route without one.
 DEFAULT_MAX_ATTEMPTS = 1
+#: Longest duration in a configuration, in milliseconds: 366 days.
+MAX_DURATION_MS = 31_622_400_000
+#: Highest number of attempts, connections or records.
+MAX_COUNT = 1_000_000
+#: Highest rate, in requests per second, and highest weight.
+MAX_RATE = 1_000_000_000.0
+#: Largest size of a head or body, in bytes: 1 TiB.
+MAX_SIZE_BYTES = 1_099_511_627_776
+#: Highest version: that of a signed 64-bit number.
+MAX_VERSION = 9_223_372_036_854_775_807
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
+_DurationMs = Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_MS)]
 
 
 class _Weighted(msgspec.Struct, frozen=True):
     service: str
-    weight: float
+    weight: _Rate
 
 
 class _Route(msgspec.Struct, frozen=True, rename='camel'):
@@ -34,41 +50,47 @@
     path_prefix: str
     # Says only whether a request may run more than once.
     route_type: str
-    timeout_ms: float
+    timeout_ms: _DurationMs
     # Bound within which an answer has its full use, not a latency to aim for.
     # Zero stands for the timeout.
-    target_latency_ms: float = 0
-    priority: int = 0
+    target_latency_ms: Annotated[
+        float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)
+    ] = 0
+    priority: _Count = 0
     # Number of targets of one service that may run a request; attempts that
     # certainly did not run do not count.
-    max_attempts: int = DEFAULT_MAX_ATTEMPTS
+    max_attempts: _Count = DEFAULT_MAX_ATTEMPTS
     allowed_regions: tuple[str, ...] = ()
-    # One of the next three is set.
+    # One of the next three is set and not empty.
     service: str | None = None
     backends: tuple[_Weighted, ...] | None = None
     gather: tuple[str, ...] | None = None
-    top_k: int = 0
-    min_coverage: float = 1.0
+    top_k: _Count = 0
+    min_coverage: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
 
 
 class _Service(msgspec.Struct, frozen=True, rename='camel'):
     name: str
     # Connections that one target accepts from all hosts together; zero means
     # no limit.
-    max_connections: int = 0
+    max_connections: _Count = 0
     # Requests per second that a cold target carries; zero means no limit.
-    warmup_per_s: float = msgspec.field(default=0, name='warmupPerS')
+    warmup_per_s: _Rate = msgspec.field(default=0, name='warmupPerS')
 
 
 class _Limits(msgspec.Struct, frozen=True, rename='camel'):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: Annotated[int, msgspec.Meta(ge=1, le=MAX_SIZE_BYTES)] = (
+        16_384
+    )
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=0, le=MAX_SIZE_BYTES)] = (
+        262_144
+    )
+    header_timeout_ms: _DurationMs = 3000
+    idle_timeout_ms: _DurationMs = 15_000
 
 
 class _Configuration(msgspec.Struct, frozen=True):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
@@ -127,9 +149,9 @@
 
 
 def _build_destination(route: _Route) -> Destination:
-    if route.gather is not None:
+    if route.gather:
         return ShardGroup(route.gather, route.top_k, route.min_coverage)
-    if route.backends is not None:
+    if route.backends:
         return WeightedServices(
             tuple(
                 WeightedService(backend.service, backend.weight)
--- a/oriolestage/platform/_documents.py
+++ b/oriolestage/platform/_documents.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+from typing import Annotated
 
 import msgspec
 
@@ -31,6 +32,12 @@
 #: Values of ``state`` in the registration of a target.
 STATE_READY = 'ready'
 STATE_DRAINING = 'draining'
+#: Most requests that a target processes concurrently.
+MAX_CONCURRENCY = 1_000_000
+#: Longest time for which a target stays cold, in milliseconds: a day.
+MAX_WARM_UP_MS = 86_400_000
+#: Latest start of a process, Unix time in milliseconds: the year 9999.
+MAX_STARTED_MS = 253_402_300_799_999
 #: Base of the fingerprints in the keys of crash reports.
 FINGERPRINT_BASE = 16
 #: Longest text that says why an item cannot be read, in characters.
@@ -42,11 +49,11 @@
     address: str
     # Zone is the platform's word for a data centre.
     zone: str
-    concurrency_limit: int
+    concurrency_limit: Annotated[int, msgspec.Meta(ge=1, le=MAX_CONCURRENCY)]
     state: str
-    warmup_left_ms: float = 0
+    warmup_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARM_UP_MS)] = 0
     # Start of the process, Unix time in milliseconds.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_STARTED_MS)] = 0
 
 
 class _Host(msgspec.Struct, frozen=True):
@@ -154,8 +161,6 @@
     entry = msgspec.json.decode(content, type=_Registration)
     if entry.state not in {STATE_READY, STATE_DRAINING}:
         raise ValueError(f'unknown state {entry.state!r}')
-    if entry.concurrency_limit < 1:
-        raise ValueError('concurrencyLimit must be at least 1')
     return TargetRecord(
         identity=identity,
         service=entry.service,
--- a/oriolestage/platform/tests/stored_items.py
+++ b/oriolestage/platform/tests/stored_items.py
@@ -7,6 +7,8 @@
 
 #: Lists within lists that exceed the depth that the decoder can follow.
 DEEP_NESTING = 1500
+#: A whole number that no arithmetic with floating-point numbers can take.
+HUGE = int('9' * 400)
 
 ROUTE: Mapping[str, object] = {  # noqa: WPS407
     'name': 'r-1',
--- a/oriolestage/platform/tests/test_odd_fields.py
+++ b/oriolestage/platform/tests/test_odd_fields.py
@@ -7,17 +7,55 @@
     SHARED_ADDRESSES,
 )
 from oriolestage.platform._documents import decode_item
+from oriolestage.platform.tests.cluster_states import make_cluster_state
 from oriolestage.platform.tests.stored_items import (
+    HUGE,
+    make_configuration,
     make_host,
     make_registration,
 )
 from oriolestage.routing._facts import (
+    ConfigurationStored,
     HostStored,
     TargetStored,
     UnreadableItem,
 )
 
 
+#: Numbers that are none of a kind, by the field of a registration.
+ODD_TARGET_NUMBERS: tuple[tuple[str, tuple[object, ...]], ...] = (
+    (
+        'concurrencyLimit',
+        (0, -1, 2.5, 1e300, HUGE, -HUGE, 1_000_001, '2', True),
+    ),
+    ('warmupLeftMs', (1e300, HUGE, 86_400_001, '0', None, [])),
+    ('born', (-1, 0.5, 1e300, HUGE, -HUGE, '77', None)),
+)
+ODD_VERSIONS: tuple[object, ...] = (-1, 0.5, HUGE, None)
+#: The same for routes, services and limits.
+ODD_ROUTE_NUMBERS: tuple[tuple[str, tuple[object, ...]], ...] = (
+    ('timeoutMs', (0, -1, 1e300, HUGE, '1', None)),
+    ('targetLatencyMs', (-1, 1e300, HUGE)),
+    ('priority', (-1, HUGE, 0.5)),
+    ('maxAttempts', (-1, HUGE, 1.5)),
+    ('topK', (-1, HUGE)),
+    ('minCoverage', (-0.1, 1.1, HUGE)),
+    ('backends', ([{'service': 's-1', 'weight': -1}], HUGE)),
+    ('weight', ([{'service': 's-1', 'weight': HUGE}],)),
+    ('gather', ([1], 's-1')),
+)
+ODD_SERVICE_NUMBERS: tuple[tuple[str, tuple[object, ...]], ...] = (
+    ('maxConnections', (-1, HUGE, 0.5)),
+    ('warmupPerS', (-1, 1e300, HUGE)),
+)
+ODD_LIMIT_NUMBERS: tuple[tuple[str, tuple[object, ...]], ...] = (
+    ('maxHeaderBytes', (0, -1, HUGE)),
+    ('maxBodyBytes', (-1, HUGE)),
+    ('headerTimeoutMs', (0, -1, 1e300, HUGE)),
+    ('idleTimeoutMs', (0, -1, 1e300, HUGE)),
+)
+
+
 class OddFieldTest(unittest.TestCase):
     """Guards against odd fields that fail later, far from their item."""
 
@@ -53,3 +91,86 @@
         host = decode_item('hosts/h-1', make_host(peer_address='10.0.0.1:0080'))
         assert isinstance(host, HostStored)
         self.assertEqual(host.record.peer_address, '10.0.0.1:80')
+
+    def test_target_numbers(self) -> None:
+        """A number that no target can have makes its entry unreadable."""
+        for field, numbers in ODD_TARGET_NUMBERS:
+            for number in numbers:
+                with self.subTest(field=field, number=str(number)[:40]):
+                    self.assert_unreadable(
+                        'servers/i-1',
+                        make_registration(**{field: number}),
+                        field,
+                    )
+
+    def test_configuration_numbers(self) -> None:
+        """A number without sense makes the configuration unreadable."""
+        for number in ODD_VERSIONS:
+            with self.subTest(field='version', number=str(number)[:40]):
+                self.assert_unreadable(
+                    'op/config', make_configuration(version=number), 'version'
+                )
+        for part, table in (
+            ('route', ODD_ROUTE_NUMBERS),
+            ('service', ODD_SERVICE_NUMBERS),
+            ('limits', ODD_LIMIT_NUMBERS),
+        ):
+            for field, numbers in table:
+                for number in numbers:
+                    with self.subTest(field=field, number=str(number)[:40]):
+                        name = 'backends' if field == 'weight' else field
+                        encoded = make_configuration(**{part: {name: number}})
+                        self.assert_unreadable('op/config', encoded, field)
+
+    def test_no_destination(self) -> None:
+        """A route without a service to send to cannot be followed."""
+        routes: tuple[dict[str, object], ...] = (
+            {'service': None},
+            {'service': None, 'gather': []},
+            {'service': None, 'backends': []},
+        )
+        for route in routes:
+            with self.subTest(route=route):
+                self.assert_unreadable(
+                    'op/config', make_configuration(route), 'has no service'
+                )
+
+    def test_accepted_numbers(self) -> None:
+        """Numbers at the ends of the ranges are accepted."""
+        for registration in (
+            {'concurrencyLimit': 1, 'warmupLeftMs': 0, 'born': 0},
+            {'concurrencyLimit': 1_000_000, 'warmupLeftMs': 86_400_000},
+            {'warmupLeftMs': -1, 'born': 1_796_000_000_000},
+        ):
+            with self.subTest(registration=registration):
+                decoded = decode_item(
+                    'servers/i-1', make_registration(**registration)
+                )
+                self.assertIsInstance(decoded, TargetStored)
+        for route in (
+            {'targetLatencyMs': 0, 'maxAttempts': 0, 'priority': 0},
+            {'gather': ['s-1'], 'topK': 0, 'minCoverage': 0},
+            {'gather': ['s-1'], 'topK': 1000, 'minCoverage': 1},
+            {'backends': [{'service': 's-1', 'weight': 0}]},
+        ):
+            with self.subTest(route=route):
+                encoded = make_configuration(
+                    route,
+                    {'maxConnections': 0, 'warmupPerS': 0},
+                    {'maxBodyBytes': 0},
+                )
+                decoded = decode_item('op/config', encoded)
+                self.assertIsInstance(decoded, ConfigurationStored)
+
+    def test_last_configuration_stays(self) -> None:
+        """An unreadable configuration leaves the last one in force."""
+        state = make_cluster_state()
+        for encoded in (
+            make_configuration(),
+            make_configuration({'timeoutMs': -1}, version=8),
+        ):
+            fact = decode_item('op/config', encoded)
+            assert fact is not None
+            state.apply(fact, 1)
+        assert state.table is not None
+        self.assertEqual(state.table.version, 7)
--- a/oriolestage/platform/tests/test_odd_items.py
+++ b/oriolestage/platform/tests/test_odd_items.py
@@ -5,6 +5,7 @@
 from oriolestage.platform._store import StoreClient
 from oriolestage.platform.tests.platform_store import PlatformStore
 from oriolestage.platform.tests.stored_items import (
+    HUGE,
     as_json,
     make_configuration,
     make_host,
@@ -38,6 +39,10 @@
         UnreadableItem,
     ),
     ('hosts/h-5', make_host(peer_address='127.0.0.1:99999'), UnreadableItem),
+    ('servers/i-5', make_registration(concurrencyLimit=HUGE), UnreadableItem),
+    ('servers/i-5', make_registration(warmupLeftMs=1e300), UnreadableItem),
+    ('op/config', make_configuration(version=HUGE), UnreadableItem),
+    ('op/config', make_configuration({'timeoutMs': 1e300}), UnreadableItem),
     ('op/evacuate/dc-e', with_deep_field(b'{"a": 1}'), DataCentreClosed),
 )
 
