Crash reports and identities of the store are checked

A host could have quarantined a request that nobody sends, and callers' attempts at a target could have been lost, after an odd key in the store.

The fingerprint in the key of a crash report was read with int(), which takes signs, underscores, spaces, other scripts and thousands of digits. The identity of a target goes into a header of each attempt: with a line break in it, no attempt could be written, which counted as lost, so the request may not have been sent again. An empty identity named a target or a host as well.

A fingerprint now has 1 to 16 hexadecimal digits, and an identity consists of visible ASCII characters. Anything else makes the item unreadable.

--- a/oriolestage/platform/_documents.py
+++ b/oriolestage/platform/_documents.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import string
 from typing import Annotated
 
 import msgspec
@@ -38,8 +39,11 @@
 MAX_WARM_UP_MS = 86_400_000
 #: Latest start of a process, Unix time in milliseconds: the year 9999.
 MAX_STARTED_MS = 253_402_300_799_999
-#: Base of the fingerprints in the keys of crash reports.
+#: Base of the fingerprints in the keys of crash reports, and the most digits
+#: of one: a fingerprint is a 64-bit number.
 FINGERPRINT_BASE = 16
+FINGERPRINT_DIGITS = 16
+HEXADECIMAL_DIGITS = frozenset(string.hexdigits)
 #: Longest text that says why an item cannot be read, in characters.
 MAX_PROBLEM_CHARACTERS = 300
 
@@ -135,28 +139,27 @@
         name = key.removeprefix(_names.CLOSED_DATA_CENTRE_PREFIX)
         return DataCentreClosed(name)
     if key.startswith(_names.TARGET_PREFIX):
-        identity = key.removeprefix(_names.TARGET_PREFIX)
+        identity = _read_identity(key.removeprefix(_names.TARGET_PREFIX))
         return TargetStored(_decode_target(identity, content))
     if key.startswith(_names.HOST_PREFIX):
-        host = msgspec.json.decode(content, type=_Host)
-        name = key.removeprefix(_names.HOST_PREFIX)
-        return HostStored(
-            HostRecord(
-                name,
-                host.data_centre,
-                _read_address('peer_address', host.peer_address),
-            ),
-        )
+        name = _read_identity(key.removeprefix(_names.HOST_PREFIX))
+        return HostStored(_decode_host(name, content))
     if key.startswith(_names.CRASH_PREFIX):
         fingerprint, _, target = key.removeprefix(
             _names.CRASH_PREFIX,
         ).partition('/')
         return CrashStored(
-            CrashReport(int(fingerprint, FINGERPRINT_BASE), target)
+            CrashReport(_read_fingerprint(fingerprint), _read_identity(target)),
         )
     return None
 
 
+def _decode_host(name: str, content: bytes) -> HostRecord:
+    host = msgspec.json.decode(content, type=_Host)
+    address = _read_address('peer_address', host.peer_address)
+    return HostRecord(name, host.data_centre, address)
+
+
 def _decode_target(identity: str, content: bytes) -> TargetRecord:
     entry = msgspec.json.decode(content, type=_Registration)
     if entry.state not in {STATE_READY, STATE_DRAINING}:
@@ -173,6 +176,30 @@
     )
 
 
+def _read_identity(text: str) -> str:
+    """Return the identity of a target or host, which may stand in a header.
+
+    Raises ``ValueError`` if it is empty or has other characters than visible
+    ones of ASCII.
+    """
+    visible = text.isascii() and text.isprintable() and ' ' not in text
+    if not text or not visible:
+        raise ValueError(f'identity {text!r} in the key')
+    return text
+
+
+def _read_fingerprint(digits: str) -> int:
+    """Return the fingerprint of a request.
+
+    Raises ``ValueError`` if it is no 64-bit number in hexadecimal digits.
+    """
+    if not 0 < len(digits) <= FINGERPRINT_DIGITS or not (
+        HEXADECIMAL_DIGITS.issuperset(digits)
+    ):
+        raise ValueError(f'fingerprint {digits!r} in the key')
+    return int(digits, FINGERPRINT_BASE)
+
+
 def _read_address(field: str, text: str) -> str:
     """Return the one form of an address to connect to.
 
--- a/oriolestage/platform/tests/test_odd_fields.py
+++ b/oriolestage/platform/tests/test_odd_fields.py
@@ -6,7 +6,7 @@
     ODD_ADDRESSES,
     SHARED_ADDRESSES,
 )
-from oriolestage.platform._documents import decode_item
+from oriolestage.platform._documents import crash_key, decode_item
 from oriolestage.platform.tests.cluster_states import make_cluster_state
 from oriolestage.platform.tests.stored_items import (
     HUGE,
@@ -14,14 +14,43 @@
     make_host,
     make_registration,
 )
+from oriolestage.routing._crash_detector import CrashReport
 from oriolestage.routing._facts import (
     ConfigurationStored,
+    CrashStored,
     HostStored,
     TargetStored,
     UnreadableItem,
 )
 
 
+#: Parts of keys that name no target or host.
+ODD_IDENTITIES = (
+    '',
+    ' ',
+    'i 1',
+    'i\r\nHost: x',
+    'i\x00',
+    'i\x7f',
+    '\u00e9',
+    '\u0663',
+    '\u200b',
+)
+#: Parts of keys that are no fingerprint of a request.
+ODD_FINGERPRINTS = (
+    '',
+    '-1',
+    '+1',
+    '0x1f',
+    '1_0',
+    ' 1f',
+    '1f ',
+    'xyz',
+    '\u0663',
+    'f' * 17,
+    'f' * 4000,
+    '9' * 5000,
+)
 #: Numbers that are none of a kind, by the field of a registration.
 ODD_TARGET_NUMBERS: tuple[tuple[str, tuple[object, ...]], ...] = (
     (
@@ -92,6 +121,44 @@
         assert isinstance(host, HostStored)
         self.assertEqual(host.record.peer_address, '10.0.0.1:80')
 
+    def test_identities(self) -> None:
+        """An identity that cannot stand in a header names nothing."""
+        for text in ODD_IDENTITIES:
+            with self.subTest(text=text):
+                for key, encoded in (
+                    (f'servers/{text}', make_registration()),
+                    (f'hosts/{text}', make_host()),
+                    (f'crashes/00000000000000ff/{text}', b''),
+                ):
+                    self.assert_unreadable(key, encoded, 'identity')
+
+    def test_fingerprints(self) -> None:
+        """A crash report is of a request with a 64-bit fingerprint."""
+        for text in ODD_FINGERPRINTS:
+            with self.subTest(text=text[:40]):
+                self.assert_unreadable(
+                    f'crashes/{text}/i-1', b'', 'fingerprint'
+                )
+        for report in (CrashReport(0, 'i-1'), CrashReport(2**64 - 1, 'i/1')):
+            with self.subTest(report=report):
+                self.assertEqual(
+                    decode_item(crash_key(report), b''), CrashStored(report)
+                )
+
+    def test_hosts(self) -> None:
+        """The record of a host has a data centre and an address."""
+        for field, odd in (
+            ('data_centre', None),
+            ('data_centre', 7),
+            ('peer_address', None),
+            ('peer_address', HUGE),
+            ('peer_address', ['127.0.0.1:80']),
+        ):
+            with self.subTest(field=field, odd=str(odd)[:40]):
+                self.assert_unreadable(
+                    'hosts/h-1', make_host(**{field: odd}), field
+                )
+
     def test_target_numbers(self) -> None:
         """A number that no target can have makes its entry unreadable."""
         for field, numbers in ODD_TARGET_NUMBERS:
--- a/oriolestage/platform/tests/test_odd_items.py
+++ b/oriolestage/platform/tests/test_odd_items.py
@@ -43,6 +43,9 @@
     ('servers/i-5', make_registration(warmupLeftMs=1e300), UnreadableItem),
     ('op/config', make_configuration(version=HUGE), UnreadableItem),
     ('op/config', make_configuration({'timeoutMs': 1e300}), UnreadableItem),
+    (f'crashes/{"f" * 17}/i-5', b'{}', UnreadableItem),
+    ('crashes/-1/i-5', b'{}', UnreadableItem),
+    ('hosts/', make_host(), UnreadableItem),
     ('op/evacuate/dc-e', with_deep_field(b'{"a": 1}'), DataCentreClosed),
 )
 
