Keep the last good configuration when a stored value cannot be used

An entry of the store with deeply nested lists, or any other value of a revision key that cannot be decoded, ended the daemon of each host that watches the store, and again after each start.

The cause is the same in each case: errors of decoders reach the task that reads, and nothing remembers which version was bad. RecursionError is neither a msgspec.DecodeError nor a ValueError.

All decoders now raise one error, MalformedError, with the position where msgspec knows it. The part that reads the configuration from the store is a module of its own. It records the key, version, reason and age of a bad value, logs and counts it once, and watches for a version after it, so the last good revision stays in force and a repaired value is used at once. A change whose revision key holds a bad value is refused and names the key; `show` warns of bad keys. A peer that sends a configuration that cannot be applied is not asked again for 5 s.

--- a/oriolestage/core/__init__.py
+++ b/oriolestage/core/__init__.py
@@ -5,6 +5,11 @@
 """
 
 from oriolestage.core._charts import StateChart, load_chart
+from oriolestage.core._decoding import (
+    decode_json,
+    decode_msgpack,
+    parse_count,
+)
 from oriolestage.core._effects import (
     AnswerCaller,
     CallTarget,
@@ -21,7 +26,11 @@
     StoreWatch,
     StoreWrite,
 )
-from oriolestage.core._errors import ChangeRefusedError, OriolestageError
+from oriolestage.core._errors import (
+    ChangeRefusedError,
+    MalformedError,
+    OriolestageError,
+)
 from oriolestage.core._messages import (
     DataMessage,
     GossipMessage,
@@ -78,6 +87,7 @@
     ChangeUnknown,
     OperatorCommand,
 )
+from oriolestage.core._unreadable_values import UnreadableValue
 from oriolestage.core.keys._idempotency_keys import key_created_ms, make_key
 from oriolestage.core.membership._host_list import HostList, ListedHost
 from oriolestage.core.queries._caller_request import CallerRequest
@@ -139,6 +149,7 @@
     'ListedHost',
     'LogEvent',
     'MAXIMUM_TIMEOUT_MS',
+    'MalformedError',
     'MayHaveRun',
     'Member',
     'MemberState',
@@ -188,16 +199,20 @@
     'TargetResult',
     'TargetStatus',
     'TargetTimedOut',
+    'UnreadableValue',
     'apply_change',
     'check_document',
     'coverage_of',
     'covered_keys',
     'decode_data',
     'decode_gossip',
+    'decode_json',
+    'decode_msgpack',
     'encode_message',
     'keep_disjoint',
     'key_created_ms',
     'load_chart',
     'make_key',
+    'parse_count',
     'serving_targets',
 )
--- a/oriolestage/core/_errors.py
+++ b/oriolestage/core/_errors.py
@@ -7,3 +7,7 @@
 
 class ChangeRefusedError(OriolestageError):
     """A configuration change was refused; nothing was changed."""
+
+
+class MalformedError(OriolestageError, ValueError):
+    """Bytes from outside cannot be decoded; the message names the position."""
--- a/oriolestage/core/_node.py
+++ b/oriolestage/core/_node.py
@@ -26,6 +26,7 @@
     ChangeOutcome,
     OperatorCommand,
 )
+from oriolestage.core._unreadable_values import UnreadableValues
 from oriolestage.core.membership._membership import Membership
 from oriolestage.core.queries._attempts import AttemptTable
 from oriolestage.core.queries._caller_request import CallerRequest
@@ -76,6 +77,11 @@
         """The configuration in force at this host, and its history."""
         return self._parts.configuration
 
+    @property
+    def unreadable(self) -> UnreadableValues:
+        """The values in the store that this host cannot use."""
+        return self._parts.store.unreadable
+
     @property
     def owner(self) -> TargetOwner:
         """The targets that this host owns."""
@@ -127,7 +133,7 @@
     def start(self) -> None:
         """Start probing, loading the configuration and the periodic timers."""
         self._parts.membership.start()
-        self._parts.configuration.start()
+        self._parts.configuration_store.start()
         self._parts.directory.start()
         self._probe_leaving_targets()
         self._tick()
--- a/oriolestage/core/_node_parts.py
+++ b/oriolestage/core/_node_parts.py
@@ -8,6 +8,9 @@
 from oriolestage.core._parameters import Identity, Parameters
 from oriolestage.core._store_port import StorePort
 from oriolestage.core._timers import Timers
+from oriolestage.core.configuration._configuration_store import (
+    ConfigurationStore,
+)
 from oriolestage.core.configuration._configuration_tracker import (
     ConfigurationTracker,
 )
@@ -39,6 +42,7 @@
     store: StorePort
     membership: Membership
     configuration: ConfigurationTracker
+    configuration_store: ConfigurationStore
     operator_commands: OperatorCommands
     revision_polls: RevisionPolls
     peers: PeerMessenger
@@ -75,23 +79,28 @@
     """Build the components; ``seeds`` are gossip addresses of other hosts."""
     outbox = Outbox()
     timers = Timers(now)
-    freshness = Freshness(parameters.freshness_limit_s)
-    store = StorePort(outbox, timers, freshness)
+    store = StorePort(outbox, timers, Freshness(parameters.freshness_limit_s))
     membership = Membership(
         identity,
         parameters,
         randomness,
         outbox,
         timers,
-        freshness,
+        store.freshness,
     )
     configuration = ConfigurationTracker(
+        parameters,
+        outbox,
+        timers,
+        membership,
+    )
+    configuration_store = ConfigurationStore(
         parameters,
         randomness,
         outbox,
         timers,
         store,
-        membership,
+        configuration,
     )
     ownership = OwnershipView(membership, configuration)
     peers = PeerMessenger(membership, outbox)
@@ -111,12 +120,18 @@
         parameters=parameters,
         outbox=outbox,
         timers=timers,
-        freshness=freshness,
+        freshness=store.freshness,
         store=store,
         membership=membership,
         configuration=configuration,
+        configuration_store=configuration_store,
         operator_commands=OperatorCommands(
-            outbox, timers, store, membership, configuration
+            outbox,
+            timers,
+            store,
+            membership,
+            configuration,
+            configuration_store,
         ),
         revision_polls=RevisionPolls(outbox, timers, membership),
         peers=peers,
--- a/oriolestage/core/_store_port.py
+++ b/oriolestage/core/_store_port.py
@@ -15,6 +15,7 @@
     StoreWrite,
 )
 from oriolestage.core._timers import Timers
+from oriolestage.core._unreadable_values import UnreadableValues
 from oriolestage.core.configuration._freshness import Freshness
 
 
@@ -80,6 +81,17 @@
         self._freshness = freshness
         self._pending_calls: dict[int, _PendingCall] = {}
         self._last_operation = 0
+        self._unreadable = UnreadableValues(outbox, timers)
+
+    @property
+    def freshness(self) -> Freshness:
+        """The confirmations that the configuration is current."""
+        return self._freshness
+
+    @property
+    def unreadable(self) -> UnreadableValues:
+        """The values that were read and cannot be used."""
+        return self._unreadable
 
     def read(self, key: str, callback: StoreCallback) -> None:
         """Read a key; ``callback`` is called with the outcome."""
--- a/oriolestage/core/configuration/_changes.py
+++ b/oriolestage/core/configuration/_changes.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from oriolestage.core._errors import ChangeRefusedError
+from oriolestage.core._field_types import Count
 from oriolestage.core.configuration._configuration import (
     Configuration,
     DataCentre,
@@ -86,7 +87,7 @@
 class RevisionRecord(msgspec.Struct, frozen=True):
     """One entry of the configuration history, which is the audit trail."""
 
-    revision: int
+    revision: Count
     change: Change
     #: Name of the operator who made the change.
     operator: str
@@ -94,7 +95,7 @@
     #: lost reply.
     command_id: str
     #: Wall-clock time in milliseconds since the epoch.
-    at_ms: int
+    at_ms: Count
     #: State before the change, as short text.
     before: str
     #: State after the change, as short text.
--- a/oriolestage/core/configuration/_configuration.py
+++ b/oriolestage/core/configuration/_configuration.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from oriolestage.core._field_types import Count
+
 #: Size of the key space that the services of a group partition.
 KEY_SPACE_SIZE = 65536
 
@@ -75,7 +77,7 @@
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole configuration at one revision."""
 
-    revision: int = 0
+    revision: Count = 0
     data_centres: tuple[DataCentre, ...] = ()
     services: tuple[Service, ...] = ()
     targets: tuple[Target, ...] = ()
--- a/oriolestage/core/configuration/_configuration_tracker.py
+++ b/oriolestage/core/configuration/_configuration_tracker.py
@@ -6,12 +6,10 @@
 missing records.
 """
 
-import random
 from collections.abc import Callable, Sequence
 
-import msgspec
-
 from oriolestage._rendezvous import rendezvous_rank
+from oriolestage.core._decoding import MAX_ERROR_CHARACTERS
 from oriolestage.core._effects import Outbox, RevisionInForce, SendGossip
 from oriolestage.core._errors import ChangeRefusedError
 from oriolestage.core._messages import (
@@ -20,34 +18,18 @@
     MemberState,
 )
 from oriolestage.core._parameters import Parameters
-from oriolestage.core._store_port import (
-    StoreFound,
-    StoreMissing,
-    StoreOutcome,
-    StorePort,
-    StoreWritten,
-)
 from oriolestage.core._timers import Timers
 from oriolestage.core.configuration._changes import RevisionRecord, apply_change
 from oriolestage.core.configuration._configuration import Configuration
+from oriolestage.core.configuration._document_checks import check_document
 from oriolestage.core.membership._membership import Membership
 from oriolestage.core.queries._index import ConfigurationIndex
 
+#: Time for which a peer is not asked again after it sent a configuration that
+#: cannot be applied, in seconds.
+REFUSED_PEER_PAUSE_S = 5.0
 #: Latest records kept in memory, for lagging peers and for the history.
 MAX_RECORDS_IN_MEMORY = 256
-#: Time that peers have to send the configuration to a starting host before
-#: it reads the store, in seconds.
-STORE_READ_DELAY_S = 0.4
-#: Time between checks whether to watch the store, in seconds. After a store
-#: error, the delay is this times a random factor from 1 to 2.
-STORE_RETRY_S = 0.5
-#: Store key of the newest snapshot.
-SNAPSHOT_KEY = 'config/snapshot'
-
-
-def revision_key(revision: int) -> str:
-    """Return the store key of a revision."""
-    return f'config/revision/{revision:010d}'
 
 
 class ConfigurationTracker:
@@ -56,24 +38,21 @@
     def __init__(
         self,
         parameters: Parameters,
-        randomness: random.Random,
         outbox: Outbox,
         timers: Timers,
-        store: StorePort,
         membership: Membership,
     ) -> None:
         """Start with the empty document, revision 0."""
         self._parameters = parameters
-        self._random = randomness
         self._outbox = outbox
         self._timers = timers
-        self._store = store
         self._membership = membership
         self._index = ConfigurationIndex(Configuration())
         self._records: dict[int, RevisionRecord] = {}
-        self._watching = False
         self._loaded = False
         self._requested_at = float('-inf')
+        #: Times until which peers are not asked for the configuration.
+        self._peer_pauses: dict[str, float] = {}
         self._on_change: list[Callable[[], None]] = []
 
     @property
@@ -121,15 +100,6 @@
         """Call ``callback`` whenever a new revision comes into force."""
         self._on_change.append(callback)
 
-    def start(self) -> None:
-        """Load the configuration and start to watch for new revisions.
-
-        Peers may send it first; the store is read after a short delay if
-        they did not.
-        """
-        self._timers.call_after(STORE_READ_DELAY_S, self._load_if_empty)
-        self._timers.call_after(STORE_READ_DELAY_S, self._watch_next_revision)
-
     # Replication from peers.
 
     def on_peer_revision(self, sender: str, revision: int) -> None:
@@ -140,6 +110,8 @@
         """
         if revision <= self.revision:
             return
+        if self._timers.now < self._peer_pauses.get(sender, 0):
+            return
         reply_timeout_s = self._parameters.probe_timeout_s
         if self._timers.now - self._requested_at < reply_timeout_s:
             return
@@ -166,6 +138,20 @@
 
     def on_reply(self, reply: ConfigurationReply) -> None:
         """Adopt the records or the document that a peer sent."""
+        try:
+            self._adopt_reply(reply)
+        except ChangeRefusedError as error:
+            until = self._timers.now + REFUSED_PEER_PAUSE_S
+            self._peer_pauses[reply.sender] = until
+            self._outbox.log(
+                'record_not_applicable',
+                step='configuration.apply',
+                peer=reply.sender,
+                revision=self.revision + 1,
+                error=str(error)[:MAX_ERROR_CHARACTERS],
+            )
+
+    def _adopt_reply(self, reply: ConfigurationReply) -> None:
         if reply.document is not None:
             self.adopt_document(reply.document)
             for record in reply.records:
@@ -192,35 +178,41 @@
 
     # Applying new revisions.
 
-    def adopt_document(self, document: Configuration) -> None:
-        """Put a document in force if it is newer than the current one."""
+    def start_empty(self) -> None:
+        """Start from revision 0, since the store has no document to load."""
         self._loaded = True
+
+    def adopt_document(self, document: Configuration) -> None:
+        """Put a document in force if it is newer than the current one.
+
+        Raises :class:`ChangeRefusedError` if it is inconsistent.
+        """
         if document.revision > self.revision:
+            check_document(document)
+            self._loaded = True
             self._put_in_force(document, None)
+        self._loaded = True
 
     def adopt_records(self, records: Sequence[RevisionRecord]) -> None:
         """Apply each record that directly follows the current revision.
 
-        Other records are skipped. A record that cannot be applied is logged
-        and ends the loop.
+        Other records are skipped. Raises :class:`ChangeRefusedError` at the
+        first one that cannot be applied.
         """
         for record in records:
-            if record.revision != self.revision + 1:
-                continue
-            self._loaded = True
-            try:
-                document = apply_change(self._index.document, record.change)
-            except ChangeRefusedError as error:
-                self._outbox.log(
-                    'record_not_applicable',
-                    step='configuration.apply',
-                    revision=record.revision,
-                    error=str(error),
-                )
-                return
-            self._records[record.revision] = record
-            self._records.pop(record.revision - MAX_RECORDS_IN_MEMORY, None)
-            self._put_in_force(document, record)
+            if record.revision == self.revision + 1:
+                self.apply_record(record)
+
+    def apply_record(self, record: RevisionRecord) -> None:
+        """Put the record of the next revision in force.
+
+        Raises :class:`ChangeRefusedError` if it cannot be applied.
+        """
+        document = apply_change(self._index.document, record.change)
+        self._loaded = True
+        self._records[record.revision] = record
+        self._records.pop(record.revision - MAX_RECORDS_IN_MEMORY, None)
+        self._put_in_force(document, record)
 
     def _put_in_force(
         self,
@@ -234,90 +226,3 @@
             self._membership.announce(self._parameters.announce_fanout)
         for callback in self._on_change:
             callback()
-
-    # Loading from the store.
-
-    def _load_if_empty(self) -> None:
-        if not self._loaded:
-            self._store.read(SNAPSHOT_KEY, self._on_snapshot)
-
-    def _on_snapshot(self, outcome: StoreOutcome) -> None:
-        match outcome:
-            case StoreFound(content=content):
-                self.adopt_document(
-                    msgspec.msgpack.decode(content, type=Configuration),
-                )
-            case StoreMissing():
-                self._loaded = True
-            case _:
-                jitter = 1 + self._random.random()
-                self._timers.call_after(
-                    STORE_RETRY_S * jitter,
-                    self._load_if_empty,
-                )
-
-    def _watch_next_revision(self) -> None:
-        if self._watching:
-            return
-        if not self._loaded or not self.is_reader:
-            self._timers.call_after(STORE_RETRY_S, self._watch_next_revision)
-            return
-        self._watching = True
-        self._store.watch(revision_key(self.revision + 1), 0, self._on_watched)
-
-    def _on_watched(self, outcome: StoreOutcome) -> None:
-        self._watching = False
-        match outcome:
-            case StoreFound(content=content):
-                self.adopt_records([decode_record(content)])
-                self._watch_next_revision()
-            case StoreMissing():
-                self._watch_next_revision()
-            case _:
-                jitter = 1 + self._random.random()
-                self._timers.call_after(
-                    STORE_RETRY_S * jitter, self._watch_next_revision
-                )
-
-    # Snapshots in the store.
-
-    def write_snapshot_if_due(self) -> None:
-        """Write a snapshot to the store every ``snapshot_interval`` revisions.
-
-        A starting host then need not read the whole history.
-        """
-        if self.revision % self._parameters.snapshot_interval:
-            return
-        self._store.read(SNAPSHOT_KEY, self._replace_snapshot)
-
-    def _replace_snapshot(self, outcome: StoreOutcome) -> None:
-        expected = 0
-        if isinstance(outcome, StoreFound):
-            stored = msgspec.msgpack.decode(outcome.content, type=Configuration)
-            if stored.revision >= self.revision:
-                return
-            expected = outcome.version
-        elif not isinstance(outcome, StoreMissing):
-            return
-        content = msgspec.msgpack.encode(self._index.document)
-        self._store.write(
-            SNAPSHOT_KEY, expected, content, self._on_snapshot_written
-        )
-
-    def _on_snapshot_written(self, outcome: StoreOutcome) -> None:
-        self._outbox.log(
-            'snapshot_written',
-            step='configuration.snapshot',
-            revision=self.revision,
-            written=int(isinstance(outcome, StoreWritten)),
-        )
-
-
-def encode_record(record: RevisionRecord) -> bytes:
-    """Encode a record as JSON for the store."""
-    return msgspec.json.encode(record)
-
-
-def decode_record(content: bytes) -> RevisionRecord:
-    """Decode a stored record; raise ``msgspec.DecodeError`` if malformed."""
-    return msgspec.json.decode(content, type=RevisionRecord)
--- a/oriolestage/core/configuration/_operator_commands.py
+++ b/oriolestage/core/configuration/_operator_commands.py
@@ -12,7 +12,7 @@
 
 from oriolestage.core._charts import StateChart, load_chart
 from oriolestage.core._effects import Outbox
-from oriolestage.core._errors import ChangeRefusedError
+from oriolestage.core._errors import ChangeRefusedError, MalformedError
 from oriolestage.core._store_port import (
     StoreFound,
     StoreMismatch,
@@ -29,13 +29,18 @@
     apply_change,
     describe_change,
 )
+from oriolestage.core.configuration._configuration_store import (
+    ConfigurationStore,
+)
 from oriolestage.core.configuration._configuration_tracker import (
     ConfigurationTracker,
+)
+from oriolestage.core.configuration._freshness import has_majority
+from oriolestage.core.configuration._stored_revisions import (
     decode_record,
     encode_record,
     revision_key,
 )
-from oriolestage.core.configuration._freshness import has_majority
 from oriolestage.core.membership._membership import Membership
 
 #: Time limit for finding out whether a write took effect, in seconds.
@@ -112,6 +117,7 @@
         store: StorePort,
         membership: Membership,
         configuration: ConfigurationTracker,
+        configuration_store: ConfigurationStore,
     ) -> None:
         """Start without commands in progress."""
         self._outbox = outbox
@@ -119,6 +125,8 @@
         self._store = store
         self._membership = membership
         self._configuration = configuration
+        self._configuration_store = configuration_store
+        self._unreadable = store.unreadable
 
     def submit(
         self,
@@ -209,7 +217,7 @@
     def _accept(self, submission: _Submission) -> None:
         submission.chart.fire('written')
         self._configuration.adopt_records([submission.record])
-        self._configuration.write_snapshot_if_due()
+        self._configuration_store.write_snapshot_if_due()
         submission.callback(ChangeAccepted(submission.record.revision))
 
     def _check_outcome_later(self, submission: _Submission) -> None:
@@ -240,8 +248,8 @@
         outcome: StoreOutcome,
     ) -> None:
         match outcome:
-            case StoreFound(content=content):
-                self._compare(submission, decode_record(content))
+            case StoreFound():
+                self._on_found(submission, outcome)
             case StoreMissing():
                 # The first write may still reach the store. Writing again is
                 # safe, since only one of the writes can create the key.
@@ -249,12 +257,43 @@
             case _:
                 self._check_outcome_later(submission)
 
-    def _compare(self, submission: _Submission, found: RevisionRecord) -> None:
-        if found.command_id == submission.record.command_id:
+    def _on_found(self, submission: _Submission, found: StoreFound) -> None:
+        try:
+            record = decode_record(found.content, submission.record.revision)
+        except MalformedError as error:
+            self._on_unreadable(submission, found.version, str(error))
+            return
+        if record.command_id == submission.record.command_id:
             self._accept(submission)
             return
         submission.chart.fire('other_found')
-        self._configuration.adopt_records([found])
+        self._adopt_other(record, found.version)
         submission.callback(
-            ChangeConflict(found.revision, found.operator, found.after),
+            ChangeConflict(record.revision, record.operator, record.after),
         )
+
+    def _adopt_other(self, record: RevisionRecord, version: int) -> None:
+        try:
+            self._configuration.adopt_records([record])
+        except ChangeRefusedError as error:
+            key = revision_key(record.revision)
+            self._unreadable.report(key, version, str(error))
+
+    def _on_unreadable(
+        self, submission: _Submission, version: int, why: str
+    ) -> None:
+        """End a command whose revision key holds a malformed value.
+
+        A write without a reply may have been accepted and then overwritten.
+        """
+        key = revision_key(submission.record.revision)
+        self._unreadable.report(key, version, why)
+        text = f'the store key {key} holds a value that cannot be read: {why}'
+        if submission.chart.was_in('settling'):
+            submission.chart.fire('give_up')
+            submission.callback(
+                ChangeUnknown(submission.record.command_id, text),
+            )
+            return
+        submission.chart.fire('unreadable')
+        submission.callback(ChangeRefused(f'{text}; nothing was changed'))
--- a/oriolestage/daemon/_caller_metrics.py
+++ b/oriolestage/daemon/_caller_metrics.py
@@ -88,6 +88,16 @@
             'Configuration revision in force.',
             value=core.configuration.revision,
         )
+        yield GaugeMetricFamily(
+            'oriolestage_unreadable_store_keys',
+            'Keys of the store whose values cannot be used now.',
+            value=len(core.unreadable.current),
+        )
+        yield CounterMetricFamily(
+            'oriolestage_unreadable_store_values',
+            'Values of the store that could not be used.',
+            value=core.unreadable.total,
+        )
         yield GaugeMetricFamily(
             'oriolestage_targets_owned',
             'Targets that this host owns.',
--- a/oriolestage/tool/_session.py
+++ b/oriolestage/tool/_session.py
@@ -30,7 +30,7 @@
 from oriolestage.tool._exit_codes import ExitCode
 from oriolestage.tool._language import HELP_TEXT, parse_command
 from oriolestage.tool._tables import history_row, render_table, select_rows
-from oriolestage.views import ChangeRequest, ErrorView
+from oriolestage.views import ChangeRequest, ErrorView, NodeView
 
 #: How long to wait for a change to be in force on all hosts, in
 #: milliseconds.
@@ -104,6 +104,7 @@
 
     async def _show(self, show: Show) -> ExitCode:
         view = await self._client.view()
+        self._warn_of_unreadable_values(view)
         if show.subject == 'configuration':
             if self._as_json:
                 self._write(msgspec.json.encode(view.document).decode())
@@ -117,6 +118,15 @@
             self._write(render_table(rows))
         return ExitCode.DONE
 
+    def _warn_of_unreadable_values(self, view: NodeView) -> None:
+        for unreadable in view.unreadable:
+            self._write_error(
+                f'warning: {view.host} cannot use the value of the store key '
+                f'{unreadable.key} (version {unreadable.version}) since '
+                f'{unreadable.age_s:.0f} s: {unreadable.why}; the last good '
+                'value stays in force',
+            )
+
     async def _compare(self, compare: Compare) -> ExitCode:
         view = await self._client.view()
         revisions = range(compare.older + 1, compare.newer + 1)
--- a/oriolestage/views.py
+++ b/oriolestage/views.py
@@ -13,6 +13,7 @@
     NotRun,
     QueryAnswer,
     RevisionRecord,
+    UnreadableValue,
 )
 
 
@@ -59,6 +60,9 @@
     targets: tuple[TargetView, ...]
     document: Configuration
     history: tuple[RevisionRecord, ...]
+    #: Values in the store that cannot be used; the last good ones are in
+    #: force.
+    unreadable: tuple[UnreadableValue, ...] = ()
 
 
 class ChangeRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -120,6 +124,7 @@
         targets=tuple(targets),
         document=index.document,
         history=core.configuration.records,
+        unreadable=core.unreadable.current,
     )
 
 
