--- a/oriolestage/core/_effects.py
+++ b/oriolestage/core/_effects.py
@@ -5,8 +5,10 @@
 """
 
 import dataclasses
+import traceback
 from collections.abc import Mapping
 
+from oriolestage.core._decoding import MAX_ERROR_CHARACTERS
 from oriolestage.core._messages import DataMessage, GossipMessage
 from oriolestage.core.configuration._changes import RevisionRecord
 from oriolestage.core.configuration._configuration import Target
@@ -152,6 +154,12 @@
     def __init__(self) -> None:
         """Start empty."""
         self._effects: list[Effect] = []
+        self._failures = 0
+
+    @property
+    def failures(self) -> int:
+        """Number of unexpected errors logged since the start."""
+        return self._failures
 
     def add(self, effect: Effect) -> None:
         """Append one effect."""
@@ -161,8 +169,26 @@
         """Append a log event."""
         self._effects.append(LogEvent(event, fields))
 
+    def log_failure(self, step: str, error: Exception) -> None:
+        """Log and count an unexpected error that ended one step."""
+        self._failures += 1
+        self.log(
+            'internal_error',
+            step=step,
+            error=repr(error)[:MAX_ERROR_CHARACTERS],
+            at=_innermost_location(error),
+        )
+
     def take(self) -> list[Effect]:
         """Return all queued effects, oldest first, and empty the queue."""
         effects = self._effects
         self._effects = []
         return effects
+
+
+def _innermost_location(error: Exception) -> str:
+    """Return the file and line at which an error was raised."""
+    frames = traceback.extract_tb(error.__traceback__)
+    if not frames:
+        return 'unknown'
+    return f'{frames[-1].filename}:{frames[-1].lineno}'
--- a/oriolestage/core/configuration/_configuration_store.py
+++ b/oriolestage/core/configuration/_configuration_store.py
@@ -146,6 +146,7 @@
             self._unreadable.report(key, version, str(error))
         except Exception as error:
             # The watch must go on and must not read this version again.
+            self._outbox.log_failure('configuration.apply', error)
             self._unreadable.report(key, version, repr(error))
 
     def _apply_revision(self, revision: int, content: bytes) -> None:
--- a/oriolestage/core/keys/_claims.py
+++ b/oriolestage/core/keys/_claims.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+from oriolestage.core._decoding import decode_msgpack
+from oriolestage.core._field_types import Count
+
 
 class Claim(msgspec.Struct, frozen=True, array_like=True):
     """The stored record that a key was claimed."""
@@ -16,7 +19,7 @@
     #: ``HOST/INCARNATION/NUMBER``.
     holder: str
     #: When the caller made the key, in milliseconds since the epoch.
-    created_ms: int
+    created_ms: Count
 
 
 class JournalHead(msgspec.Struct, frozen=True, array_like=True):
@@ -52,8 +55,10 @@
 
 
 def decode_claims(content: bytes) -> tuple[Claim, ...]:
-    """Decode the claims of a sealed segment.
+    """Decode the claims of a sealed segment; raise `MalformedError`."""
+    return decode_msgpack(content, tuple[Claim, ...])
 
-    Raises ``msgspec.DecodeError`` when the content is malformed.
-    """
-    return msgspec.msgpack.decode(content, type=tuple[Claim, ...])
+
+def decode_head(content: bytes) -> JournalHead:
+    """Decode the head of a journal; raise `MalformedError`."""
+    return decode_msgpack(content, JournalHead)
--- a/oriolestage/core/keys/_key_journal.py
+++ b/oriolestage/core/keys/_key_journal.py
@@ -19,9 +19,7 @@
 from oriolestage.core._effects import Outbox
 from oriolestage.core._parameters import Parameters
 from oriolestage.core._store_port import (
-    StoreFound,
     StoreMismatch,
-    StoreMissing,
     StoreOutcome,
     StorePort,
     StoreWritten,
@@ -31,10 +29,16 @@
     Claim,
     ClaimCallback,
     ClaimGranted,
+    ClaimOutcome,
     ClaimTaken,
     ClaimUnconfirmed,
     JournalHead,
-    decode_claims,
+)
+from oriolestage.core.keys._journal_reader import (
+    JournalContent,
+    JournalOutcome,
+    JournalReader,
+    JournalUnreachable,
 )
 
 #: Time for which claims are kept beyond the retention of their keys, because
@@ -47,6 +51,9 @@
 MAX_REREADS = 8
 #: Delay before each of these rereads, in seconds.
 REREAD_DELAY_S = 0.1
+#: Time for which all claims fail after a value of the journal could not be
+#: decoded, in seconds; it is read again after that.
+UNREADABLE_PAUSE_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,9 +94,14 @@
         self._writing: list[_PendingClaim] = []
         self._reread_count = 0
         self._next_write_at: float = 0
+        self._paused_until: float = 0
+        self._reader = JournalReader(self._head_key, outbox, store)
 
     def claim(self, claim: Claim, callback: ClaimCallback) -> None:
         """Queue a claim; ``callback`` is called once with its outcome."""
+        if self._timers.now < self._paused_until:
+            callback(ClaimUnconfirmed())
+            return
         self._queued.append(_PendingClaim(claim, callback))
         self._process_queue()
 
@@ -98,7 +110,7 @@
             return
         self._busy = True
         if not self._loaded:
-            self._store.read(self._head_key, self._on_head)
+            self._reader.read(self._on_loaded)
             return
         wait_s = self._next_write_at - self._timers.now
         if wait_s > 0:
@@ -106,54 +118,32 @@
             return
         self._write_batch()
 
-    def _on_head(self, outcome: StoreOutcome) -> None:
+    def _on_loaded(self, outcome: JournalOutcome) -> None:
         match outcome:
-            case StoreFound(content=content, version=version):
-                self._version = version
-                self._head = msgspec.msgpack.decode(content, type=JournalHead)
-            case StoreMissing():
-                self._version = 0
-                self._head = JournalHead()
-            case _:
+            case JournalContent():
+                self._adopt(outcome)
+            case JournalUnreachable():
                 self._fail_all()
-                return
-        self._claims_by_key = {claim.key: claim for claim in self._head.claims}
-        self._load_segments(list(self._head.segments))
-
-    def _load_segments(self, remaining: list[str]) -> None:
-        if not remaining:
-            self._on_loaded()
-            return
-        name = remaining.pop()
-        self._store.read(
-            name,
-            lambda outcome: self._on_segment(outcome, remaining),
-        )
-
-    def _on_segment(self, outcome: StoreOutcome, remaining: list[str]) -> None:
-        match outcome:
-            case StoreFound(content=content):
-                for claim in decode_claims(content):
-                    self._claims_by_key[claim.key] = claim
-            case StoreMissing():
-                # The store drops a segment only after the retention of its
-                # claims.
-                self._outbox.log(
-                    'segment_expired',
-                    step='keys.load',
-                    key=self._head_key,
-                )
             case _:
-                self._fail_all()
-                return
-        self._load_segments(remaining)
+                self._pause()
 
-    def _on_loaded(self) -> None:
+    def _adopt(self, content: JournalContent) -> None:
+        self._version = content.version
+        self._head = content.head
+        self._claims_by_key = content.claims_by_key
         self._loaded = True
         self._busy = False
         self._resolve_unconfirmed()
         self._process_queue()
 
+    def _pause(self) -> None:
+        """Fail all claims until the journal may have been repaired.
+
+        Without its whole journal, a key could be granted twice.
+        """
+        self._paused_until = self._timers.now + UNREADABLE_PAUSE_S
+        self._fail_all()
+
     def _resolve_unconfirmed(self) -> None:
         """Resolve claims whose write had no reply, after the journal is reread.
 
@@ -166,9 +156,9 @@
             if found is None:
                 self._queued.append(pending)
             elif found == pending.claim:
-                pending.callback(ClaimGranted())
+                self._resolve(pending, ClaimGranted())
             else:
-                pending.callback(ClaimTaken(found))
+                self._resolve(pending, ClaimTaken(found))
 
     def _write_batch(self) -> None:
         batch: list[_PendingClaim] = []
@@ -179,7 +169,7 @@
             key = pending.claim.key
             existing = self._claims_by_key.get(key) or new_claims.get(key)
             if existing is not None:
-                pending.callback(ClaimTaken(existing))
+                self._resolve(pending, ClaimTaken(existing))
                 continue
             new_claims[key] = pending.claim
             batch.append(pending)
@@ -226,7 +216,7 @@
         for pending in granted:
             self._claims_by_key[pending.claim.key] = pending.claim
         for pending in granted:
-            pending.callback(ClaimGranted())
+            self._resolve(pending, ClaimGranted())
         self._evict_expired()
         self._process_queue()
 
@@ -239,13 +229,13 @@
 
     def _reload(self) -> None:
         self._loaded = False
-        self._store.read(self._head_key, self._on_reread)
+        self._reader.read(self._on_reread)
 
-    def _on_reread(self, outcome: StoreOutcome) -> None:
-        if isinstance(outcome, StoreFound | StoreMissing):
-            self._on_head(outcome)
+    def _on_reread(self, outcome: JournalOutcome) -> None:
+        if isinstance(outcome, JournalUnreachable):
+            self._reread_later()
             return
-        self._reread_later()
+        self._on_loaded(outcome)
 
     def _seal(self) -> None:
         """Write the claims of the full head to a new segment."""
@@ -297,4 +287,11 @@
         self._loaded = False
         self._busy = False
         for pending in failed:
-            pending.callback(ClaimUnconfirmed())
+            self._resolve(pending, ClaimUnconfirmed())
+
+    def _resolve(self, pending: _PendingClaim, outcome: ClaimOutcome) -> None:
+        """Report the outcome of a claim; an error affects only this claim."""
+        try:
+            pending.callback(outcome)
+        except Exception as error:
+            self._outbox.log_failure('keys.claim', error)
