Check messages between hosts where they are decoded

A gossip message with deeply nested lists after its last field raised RecursionError out of the decoder and ended the task that receives gossip: the host then heard from no other host until it was restarted. On a data stream it ended the task of the stream without a log line of ours. Messages with values out of range were accepted and failed later: an address without a valid port in the task that writes to the peer, which kept the link for ever without sending, or in pynng's dial; an incarnation of 2**64 - 1 when this host refuted it, and then could not encode its own messages; an age of the store below 0 kept a stale configuration fresh. A request of a member that is dead and unknown here raised KeyError in the core, which ended the daemon.

Ranges of counts, addresses and host names are now part of the types of the message fields, so that the decoder refuses them and names the position, and all errors of the decoders are MalformedError. A member that was not added is answered without an update about itself.

--- a/oriolestage/core/_messages.py
+++ b/oriolestage/core/_messages.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from oriolestage.core._decoding import decode_with
+from oriolestage.core._field_types import Address, Count, HostName
 from oriolestage.core.configuration._changes import RevisionRecord
 from oriolestage.core.configuration._configuration import Configuration
 from oriolestage.core.queries._outcomes import CallerOutcome, ShardOutcome
@@ -34,16 +36,16 @@
 class Member(msgspec.Struct, frozen=True, array_like=True):
     """One host, as seen by the sender."""
 
-    name: str
+    name: HostName
     #: Address for gossip messages, as ``ip:port``.
-    gossip_address: str
+    gossip_address: Address
     #: Address for data streams, as ``ip:port``.
-    data_address: str
+    data_address: Address
     data_centre: str
     #: Start of the process in milliseconds since the epoch, plus one for
     #: each change of state that the host itself announced, such as a
     #: refuted suspicion. A restarted host counts as a new member.
-    incarnation: int
+    incarnation: Count
     state: MemberState = MemberState.ALIVE
 
 
@@ -53,7 +55,7 @@
     fingerprint: int
     target: str
     #: Time between the loss and sending the message, in milliseconds.
-    age_ms: int
+    age_ms: Count
 
 
 class GossipHeader(msgspec.Struct, frozen=True, array_like=True):
@@ -62,12 +64,12 @@
     #: Name of the sending host.
     sender: str
     #: Incarnation of the sending host.
-    incarnation: int
+    incarnation: Count
     #: Configuration revision in force at the sender.
-    revision: int
+    revision: Count
     #: Age of the sender's last proof that the store is reachable, in
     #: milliseconds.
-    store_age_ms: int
+    store_age_ms: Count
     #: Membership updates, the least often sent first.
     members: tuple[Member, ...] = ()
     #: Recent crashes of targets.
@@ -105,7 +107,7 @@
     """Asks for the whole member list; sent by a joining host."""
 
     member: Member
-    revision: int
+    revision: Count
 
 
 class SyncReply(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -113,14 +115,14 @@
 
     sender: str
     members: tuple[Member, ...]
-    revision: int
+    revision: Count
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True, array_like=True, tag=6):
     """Asks for the configuration changes after a revision."""
 
     sender: str
-    have_revision: int
+    have_revision: Count
 
 
 class ConfigurationReply(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -143,7 +145,7 @@
 
     sender: str
     sequence: int
-    revision: int
+    revision: Count
 
 
 class ShardEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -166,14 +168,14 @@
     route: str
     body: bytes
     #: Index version to read, or 0 for the newest.
-    version: int
+    version: Count
     #: Time left until the deadline, in milliseconds.
-    timeout_ms: int
+    timeout_ms: Count
     #: False if the work must not be started more than once.
     idempotent: bool
     entries: tuple[ShardEntry, ...]
     #: Configuration revision at the sender.
-    revision: int
+    revision: Count
 
 
 class ShardReply(msgspec.Struct, frozen=True, array_like=True):
@@ -192,7 +194,7 @@
 
     sender: str
     replies: tuple[ShardReply, ...]
-    revision: int
+    revision: Count
 
 
 class CancelAttempts(msgspec.Struct, frozen=True, array_like=True, tag=22):
@@ -233,10 +235,10 @@
     claim: int
     key: str
     #: Time at which the caller created the key, in ms since the epoch.
-    created_ms: int
+    created_ms: Count
     #: Fingerprint of the request, to detect a key reused for another one.
     fingerprint: int
-    timeout_ms: int
+    timeout_ms: Count
 
 
 class ClaimReply(msgspec.Struct, frozen=True, array_like=True, tag=26):
@@ -294,10 +296,10 @@
 
 
 def decode_gossip(payload: bytes) -> GossipMessage:
-    """Decode a gossip message; raise ``msgspec.DecodeError`` if malformed."""
-    return _gossip_decoder.decode(payload)
+    """Decode a gossip message; raise `MalformedError`."""
+    return decode_with(_gossip_decoder.decode, payload)
 
 
 def decode_data(payload: bytes) -> DataMessage:
-    """Decode a data message; raise ``msgspec.DecodeError`` if malformed."""
-    return _data_decoder.decode(payload)
+    """Decode a data message; raise `MalformedError`."""
+    return decode_with(_data_decoder.decode, payload)
--- a/oriolestage/core/membership/_member_table.py
+++ b/oriolestage/core/membership/_member_table.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from oriolestage.core._effects import Outbox
+from oriolestage.core._field_types import MAX_COUNT
 from oriolestage.core._messages import Member, MemberState
 from oriolestage.core._parameters import Identity, Parameters
 from oriolestage.core._timers import Timers
@@ -136,6 +137,9 @@
             or update.incarnation < self._local_member.incarnation
         ):
             return
+        if update.incarnation >= MAX_COUNT:
+            # No host would accept a higher incarnation.
+            return
         self._outbox.log(
             'suspicion_refuted',
             step='membership',
--- a/oriolestage/core/membership/_membership.py
+++ b/oriolestage/core/membership/_membership.py
@@ -229,8 +229,8 @@
 
     def _on_sync_request(self, request: SyncRequest) -> None:
         self._table.merge_one(request.member)
-        known = self._table[request.member.name]
-        if known.state >= MemberState.SUSPECT:
+        known = self._table.get(request.member.name)
+        if known is not None and known.state >= MemberState.SUSPECT:
             self._table.outgoing_updates.add(known.name, len(self._table))
         reply = SyncReply(
             self._table.local_member.name, self.members, self.revision
--- a/oriolestage/core/tests/nodes.py
+++ b/oriolestage/core/tests/nodes.py
@@ -11,6 +11,7 @@
 
 from oriolestage.core import (
     Effect,
+    GossipMessage,
     Identity,
     LogEvent,
     NodeCore,
@@ -18,6 +19,7 @@
     ReadHostList,
     ReplaceDocument,
     RevisionRecord,
+    SendGossip,
     StoreOutcome,
     StoreRead,
     StoreWatch,
@@ -98,6 +100,14 @@
             for _, effect in self.effects
         )
 
+    def gossip_sent(self) -> list[GossipMessage]:
+        """Return the gossip messages that the core sent."""
+        return [
+            effect.message
+            for _, effect in self.effects
+            if isinstance(effect, SendGossip)
+        ]
+
     def logged(self, event: str) -> list[dict]:
         """Return the fields of the lines of an event."""
         return [
--- a/oriolestage/daemon/_data_links.py
+++ b/oriolestage/daemon/_data_links.py
@@ -8,7 +8,6 @@
 import contextlib
 import socket
 
-import msgspec
 from aiomisc import Service
 
 from oriolestage._frames import frame, read_frame
@@ -194,7 +193,7 @@
             await self._receive(reader)
         except (asyncio.IncompleteReadError, OSError):
             return
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
             log_event(
                 'data_malformed',
                 {'step': 'link.decode', 'error': error},
--- a/oriolestage/daemon/_gossip.py
+++ b/oriolestage/daemon/_gossip.py
@@ -3,12 +3,16 @@
 import asyncio
 from collections import OrderedDict
 
-import msgspec
 import pynng
 from aiomisc import Service
 
 from oriolestage._logging import log_event
-from oriolestage.core import GossipMessage, decode_gossip, encode_message
+from oriolestage.core import (
+    GossipMessage,
+    MalformedError,
+    decode_gossip,
+    encode_message,
+)
 from oriolestage.daemon._events import GossipArrived, Inbox
 
 #: Number of sockets to peers that are kept open.
@@ -95,7 +99,7 @@
             payload = await self._socket.arecv()
             try:
                 message = decode_gossip(payload)
-            except msgspec.DecodeError as error:
+            except MalformedError as error:
                 log_event(
                     'gossip_malformed',
                     {'step': 'gossip.decode', 'error': error},
