Keep receiving from and sending to hosts after one bad message

One message on a data stream that could not be decoded closed the stream, and its peer reported every request on it as one that may have run. One message that could not be encoded, or an address without a valid port, ended the task of the link but left the link marked as open: all later messages to that peer waited in its queue for ever. A message above the limit of the receiver made it close the stream.

Messages on a stream are framed by their length, so the reader now skips a payload that it cannot decode and reads on; only an invalid length ends the stream. A link encodes each message by itself and reports one that it cannot send as not sent; any other error ends the link as lost, so that the next message opens a new one. Each case is logged with its step and counted in the new metric oriolestage_failures.

--- a/oriolestage/core/_node.py
+++ b/oriolestage/core/_node.py
@@ -82,6 +82,11 @@
         """The values in the store that this host cannot use."""
         return self._parts.store.unreadable
 
+    @property
+    def failures(self) -> int:
+        """Number of unexpected errors that ended one step of the core."""
+        return self._parts.outbox.failures
+
     @property
     def owner(self) -> TargetOwner:
         """The targets that this host owns."""
--- a/oriolestage/daemon/_caller_metrics.py
+++ b/oriolestage/daemon/_caller_metrics.py
@@ -17,14 +17,19 @@
     NotRun,
     QueryAnswer,
 )
+from oriolestage.daemon._failure_log import FailureLog
 
 
 class CallerMetrics:
     """Counts caller requests, records latencies and exports the metrics."""
 
-    def __init__(self, core: NodeCore) -> None:
-        """Start all counts at zero; ``core`` is read at each scrape."""
+    def __init__(self, core: NodeCore, failures: FailureLog) -> None:
+        """Start all counts at zero.
+
+        ``core`` and ``failures`` are read at each scrape.
+        """
         self._core = core
+        self._failures = failures
         self._outcomes: Counter[str] = Counter()
         self._latencies = RouteLatencies()
 
@@ -60,8 +65,20 @@
             outcomes.add_metric([name], total)
         yield outcomes
         yield self._latencies.metric()
+        yield self._failure_metric()
         yield from self._core_metrics()
 
+    def _failure_metric(self) -> Metric:
+        failures = CounterMetricFamily(
+            'oriolestage_failures',
+            'Malformed input and unexpected errors by step.',
+            labels=['step'],
+        )
+        for step, total in self._failures.counts.items():
+            failures.add_metric([step], total)
+        failures.add_metric(['core'], self._core.failures)
+        return failures
+
     def _core_metrics(self) -> Iterable[Metric]:
         core = self._core
         shard_requests = CounterMetricFamily(
--- a/oriolestage/daemon/_composition.py
+++ b/oriolestage/daemon/_composition.py
@@ -17,6 +17,7 @@
 from oriolestage.daemon._core_service import CoreService
 from oriolestage.daemon._data_links import DataLinks, DataListener
 from oriolestage.daemon._events import Event, Inbox, StopRequested
+from oriolestage.daemon._failure_log import FailureLog
 from oriolestage.daemon._gossip import GossipListener, GossipSender
 from oriolestage.daemon._operator_server import OperatorServer
 from oriolestage.daemon._settings import (
@@ -131,9 +132,10 @@
         seeds=settings.seeds,
     )
     source_ip = settings.listen.data.rsplit(':', 1)[0]
-    metrics = CallerMetrics(core)
-    links = DataLinks(source_ip, inbox)
-    gossip_listener = GossipListener(settings.listen.gossip, inbox)
+    failures = FailureLog()
+    metrics = CallerMetrics(core, failures)
+    links = DataLinks(source_ip, inbox, failures)
+    gossip_listener = GossipListener(settings.listen.gossip, inbox, failures)
     try:
         gossip_listener.bind()
     except pynng.NNGException as error:
@@ -143,7 +145,7 @@
     core_service = CoreService(
         core=core,
         inbox=inbox,
-        gossip=GossipSender(source_ip),
+        gossip=GossipSender(source_ip, failures),
         links=links,
         targets=TargetClient(source_ip, inbox),
         store=StoreClient(
@@ -158,7 +160,9 @@
         core_service,
         gossip_listener,
         DataListener(
-            _open_listener(settings.listen.data, 'listen.data'), inbox
+            _open_listener(settings.listen.data, 'listen.data'),
+            inbox,
+            failures,
         ),
         OperatorServer(
             _open_listener(settings.listen.operators, 'listen.operators'),
--- a/oriolestage/daemon/_data_links.py
+++ b/oriolestage/daemon/_data_links.py
@@ -7,10 +7,11 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Sequence
 
 from aiomisc import Service
 
-from oriolestage._frames import frame, read_frame
+from oriolestage._frames import MAX_MESSAGE_BYTES, frame, read_frame
 from oriolestage._logging import log_event
 from oriolestage.core import DataMessage, decode_data, encode_message
 from oriolestage.daemon._events import (
@@ -19,6 +20,7 @@
     Inbox,
     PeerLost,
 )
+from oriolestage.daemon._failure_log import FailureLog
 
 #: Timeout for connecting to a peer, in seconds.
 CONNECT_TIMEOUT_S = 0.5
@@ -37,11 +39,13 @@
         address: str,
         source_ip: str,
         inbox: Inbox,
+        failures: FailureLog,
     ) -> None:
         self._peer = peer
         self._address = address
         self._source_ip = source_ip
         self._inbox = inbox
+        self._failures = failures
         self._outgoing: asyncio.Queue[DataMessage] = asyncio.Queue()
         self._closed = False
         self._task = asyncio.create_task(self._run())
@@ -67,13 +71,15 @@
     async def _run(self) -> None:
         try:
             reader, writer = await self._connect()
-        except (OSError, TimeoutError) as error:
+        except Exception as error:
+            self._count_unexpected('link.connect', error)
             self._end('link.connect', error)
             return
         read_task = asyncio.create_task(reader.read(1))
         try:
             await self._write_until_closed(writer, read_task)
-        except OSError as error:
+        except Exception as error:
+            self._count_unexpected('link.write', error)
             self._report_lost('link.write', error)
         finally:
             read_task.cancel()
@@ -97,21 +103,35 @@
     ) -> None:
         while True:
             get_task = asyncio.create_task(self._outgoing.get())
-            await asyncio.wait(
-                (get_task, read_task),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
+            try:
+                await asyncio.wait(
+                    (get_task, read_task),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            except asyncio.CancelledError:
+                get_task.cancel()
+                raise
             if read_task.done():
                 await self._cancel_get(get_task)
                 self._report_lost('link.read', 'closed by peer')
                 return
-            frames = [frame(encode_message(get_task.result()))]
+            messages = [get_task.result()]
             while not self._outgoing.empty():
-                message = self._outgoing.get_nowait()
-                frames.append(frame(encode_message(message)))
-            writer.writelines(frames)
+                messages.append(self._outgoing.get_nowait())
+            writer.writelines(self._encode_all(messages))
             await writer.drain()
 
+    def _encode_all(self, messages: Sequence[DataMessage]) -> list[bytes]:
+        """Return the frames of messages; report those that have none."""
+        frames: list[bytes] = []
+        for message in messages:
+            try:
+                frames.append(_encode_frame(message))
+            except Exception as error:
+                self._failures.record_unexpected('link.encode', error)
+                self._inbox.put_nowait(DataNotSent(self._peer, message))
+        return frames
+
     async def _cancel_get(self, get_task: asyncio.Task[DataMessage]) -> None:
         if get_task.done():
             self._outgoing.put_nowait(get_task.result())
@@ -120,6 +140,10 @@
         with contextlib.suppress(asyncio.CancelledError):
             await get_task
 
+    def _count_unexpected(self, step: str, error: Exception) -> None:
+        if not isinstance(error, OSError):
+            self._failures.record_unexpected(step, error)
+
     def _report_lost(self, step: str, error: object) -> None:
         self._end(step, error)
         self._inbox.put_nowait(PeerLost(self._peer))
@@ -138,10 +162,13 @@
 class DataLinks:
     """Sends messages to peers, over one outgoing stream for each."""
 
-    def __init__(self, source_ip: str, inbox: Inbox) -> None:
+    def __init__(
+        self, source_ip: str, inbox: Inbox, failures: FailureLog
+    ) -> None:
         """Create a sender that connects from ``source_ip``."""
         self._source_ip = source_ip
         self._inbox = inbox
+        self._failures = failures
         self._links: dict[str, _Link] = {}
 
     def send(self, peer: str, address: str, message: DataMessage) -> None:
@@ -152,7 +179,9 @@
         """
         link = self._links.get(peer)
         if link is None or link.closed or link.address != address:
-            link = _Link(peer, address, self._source_ip, self._inbox)
+            link = _Link(
+                peer, address, self._source_ip, self._inbox, self._failures
+            )
             self._links[peer] = link
         link.send(message)
 
@@ -165,11 +194,14 @@
 class DataListener(Service):
     """Accepts streams of peers and passes their messages to the inbox."""
 
-    def __init__(self, listener: socket.socket, inbox: Inbox) -> None:
+    def __init__(
+        self, listener: socket.socket, inbox: Inbox, failures: FailureLog
+    ) -> None:
         """Create a server on a socket that is bound and listening."""
         super().__init__()
         self._listener = listener
         self._inbox = inbox
+        self._failures = failures
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -190,18 +222,37 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         try:
-            await self._receive(reader)
+            await self._receive(reader, _peer_address(writer))
         except (asyncio.IncompleteReadError, OSError):
             return
-        except ValueError as error:
-            log_event(
-                'data_malformed',
-                {'step': 'link.decode', 'error': error},
+        except Exception as error:
+            # The length of a message is invalid, so the next one cannot be
+            # found.
+            self._failures.record_malformed(
+                'data_malformed', 'link.frame', error, _peer_address(writer)
             )
         finally:
             writer.close()
 
-    async def _receive(self, reader: asyncio.StreamReader) -> None:
+    async def _receive(self, reader: asyncio.StreamReader, peer: str) -> None:
         while True:
-            message = decode_data(await read_frame(reader))
+            payload = await read_frame(reader)
+            try:
+                message = decode_data(payload)
+            except Exception as error:
+                self._failures.record_malformed(
+                    'data_malformed', 'link.decode', error, peer
+                )
+                continue
             self._inbox.put_nowait(DataArrived(message))
+
+
+def _peer_address(writer: asyncio.StreamWriter) -> str:
+    return str(writer.get_extra_info('peername', ''))
+
+
+def _encode_frame(message: DataMessage) -> bytes:
+    payload = encode_message(message)
+    if len(payload) > MAX_MESSAGE_BYTES:
+        raise ValueError(f'message of {len(payload)} bytes is too long')
+    return frame(payload)
