Target answers: a body whose end is unknown is lost

They also got, as the content, the bytes of bodies with a transfer coding that nobody decodes (gzip, identity, an unknown one, chunked with a parameter or between tabs, several codings), since Transfer-Encoding is not forwarded. Answers in HTTP/0.9 and HTTP/2.0 syntax, chunks in HTTP/1.0 and names with a space before the colon ("Content-Length : 4", forwarded beside the caller's own length) were passed on too. Parts of queries over many shards were merged from such bodies.

Cause: the parser accepts these heads, and nothing checked what it made of them. check_framing now ends the attempt as lost (may have run) before the body is read, and the connection is closed.

Ruled out by the same table (lost before and after): lengths with a sign, a list, two numbers, hexadecimal, none, no ASCII, 400 digits, 2^64 and 2^64+4; two lengths; a length beside chunks; chunk sizes with a sign, 0x, over 64 bits or too small; other version and status texts; a status line alone; an interim answer alone; a protocol switch.

Evidence: test_invalid_framing, 0 to all bytes of each body followed by a close, on uvloop and asyncio, real sockets.

--- /dev/null
+++ b/oriolestage/entry/_response_framing.py
@@ -0,0 +1,51 @@
+"""Tells whether the end of a target's response is known.
+
+The parser accepts some heads that say nothing valid about where the body ends
+or how it is coded.
+"""
+
+import aiohttp
+from aiohttp.http import HttpVersion11, RawResponseMessage
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+
+#: Major version of HTTP whose messages are framed as here.
+HTTP_MAJOR = 1
+#: The only transfer coding that is decoded.
+CHUNKED = 'chunked'
+
+
+class MalformedResponseError(aiohttp.ClientError):
+    """The bytes received are not an HTTP response."""
+
+
+def check_framing(
+    message: RawResponseMessage, payload: StreamReader, *, without_body: bool
+) -> None:
+    """Raise :class:`MalformedResponseError` if a body's end is unknown.
+
+    ``without_body`` is True if the response has no body whatever its headers
+    say.
+    """
+    if message.version.major != HTTP_MAJOR:
+        raise MalformedResponseError(f'version {message.version}')
+    if any(name[-1:].isspace() for name in message.headers):
+        # A reader that ignores such a field would look for another end.
+        raise MalformedResponseError('space after the name of a field')
+    if without_body:
+        return
+    if payload is EMPTY_PAYLOAD:
+        # The length is the one that the parser takes for none.
+        raise MalformedResponseError('length out of range')
+    codings = message.headers.getall('Transfer-Encoding', ())
+    if codings and not _is_chunked(message, codings):
+        raise MalformedResponseError(f'transfer codings {codings}')
+
+
+def _is_chunked(message: RawResponseMessage, codings: list[str]) -> bool:
+    """Return whether the parser has removed the only coding.
+
+    With HTTP/1.0 the length is unknown if there is any (RFC 9112, 6.1).
+    """
+    if message.version < HttpVersion11 or len(codings) > 1:
+        return False
+    return message.chunked and codings[0].lower() == CHUNKED
--- /dev/null
+++ b/oriolestage/entry/_socket_peeking.py
@@ -0,0 +1,34 @@
+"""Looks at what a socket has received and the event loop has not read yet."""
+
+import asyncio
+import enum
+import socket
+
+
+class Unread(enum.Enum):
+    """What a read of a socket would return now."""
+
+    NOTHING = enum.auto()
+    CONTENT = enum.auto()
+    #: The other side has closed its direction of the stream.
+    END = enum.auto()
+    #: The connection was reset or is not open any more.
+    ERROR = enum.auto()
+
+
+def peek(transport: asyncio.BaseTransport) -> Unread:
+    """Return what the socket of a transport has not given to the loop yet."""
+    descriptor = transport.get_extra_info('socket').fileno()
+    if descriptor < 0:
+        return Unread.ERROR
+    probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=descriptor)
+    try:
+        content = probe.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return Unread.NOTHING
+    except OSError:
+        return Unread.ERROR
+    finally:
+        # The descriptor belongs to the transport and must stay open.
+        probe.detach()
+    return Unread.CONTENT if content else Unread.END
--- a/oriolestage/entry/_target_connection.py
+++ b/oriolestage/entry/_target_connection.py
@@ -23,6 +23,11 @@
 from multidict import CIMultiDictProxy
 
 from oriolestage.entry._held_bytes import HeldBytes
+from oriolestage.entry._response_framing import (
+    MalformedResponseError,
+    check_framing,
+)
+from oriolestage.entry._socket_peeking import Unread, peek
 
 #: Largest response body accepted from a target, in bytes.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -40,10 +45,6 @@
 TCP_USER_TIMEOUT_MS = 3000
 
 
-class MalformedResponseError(aiohttp.ClientError):
-    """The bytes received are not an HTTP response."""
-
-
 class OversizedResponseError(ValueError):
     """A response is longer than accepted."""
 
@@ -204,6 +205,8 @@
             return
         for message, payload in messages:
             self._start_response(message, payload)
+            if self._parser is not parser:
+                return
         self._read_payload()
         overhead = self._received - self._size
         if overhead > MAX_OVERHEAD_BYTES + self._size:
@@ -219,11 +222,17 @@
             # Bytes of another response follow the first one.
             self._reusable = False
             return
+        without_body = self._without_body or message.code in EMPTY_STATUSES
+        try:
+            check_framing(message, payload, without_body=without_body)
+        except MalformedResponseError as error:
+            self._fail(error)
+            return
         self._message = message
         self._payload = payload
         if message.should_close or message.version < HttpVersion11:
             self._reusable = False
-        if self._without_body or message.code in EMPTY_STATUSES:
+        if without_body:
             self._complete()
 
     def _read_payload(self) -> None:
@@ -286,17 +295,6 @@
         self._received = 0
 
     def _was_reset(self) -> bool:
-        transport = self.transport
-        if transport is None:
-            return True
-        descriptor = transport.get_extra_info('socket').fileno()
-        probe = socket.socket(fileno=descriptor)
-        try:
-            return probe.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b''
-        except BlockingIOError:
-            return False
-        except OSError:
+        if self.transport is None:
             return True
-        finally:
-            # The descriptor belongs to the transport and must stay open.
-            probe.detach()
+        return peek(self.transport) in {Unread.CONTENT, Unread.ERROR}
--- /dev/null
+++ b/oriolestage/platform/tests/cutting_target.py
@@ -0,0 +1,105 @@
+"""A target that cuts off its answers."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Coroutine
+from typing import Self
+
+from oriolestage.platform.tests.broken_answers import Ending
+from oriolestage.platform.tests.target_calls import LINGER_ZERO
+
+
+class CuttingTarget:
+    """Sends a prefix of an answer and ends the connection.
+
+    It runs in the loop of its caller. What it sends at once, the caller's
+    side has received before it is read.
+    """
+
+    def __init__(self) -> None:
+        """Listen on loopback; :meth:`cut_off` has to follow."""
+        self._listener = socket.create_server(('127.0.0.1', 0), backlog=512)
+        self._listener.setblocking(False)
+        #: Address at which it listens, as ``ip:port``.
+        self.address = f'127.0.0.1:{self._listener.getsockname()[1]}'
+        self._sent = b''
+        self._ending = Ending.CLOSED
+        self._bytewise = False
+        self._connections: list[socket.socket] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> Self:
+        """Start to accept connections."""
+        self._start(self._accept())
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        """End all connections."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        self._listener.close()
+        self.end_connections()
+
+    @property
+    def connections(self) -> list[socket.socket]:
+        """The target's ends of the open connections."""
+        return self._connections
+
+    def cut_off(self, sent: bytes, ending: Ending, *, bytewise: bool) -> None:
+        """Set what the next connection gets as the answer to a request."""
+        self._sent = sent
+        self._ending = ending
+        self._bytewise = bytewise
+
+    def end_connections(self) -> None:
+        """Close all connections."""
+        for connection in self._connections:
+            connection.close()
+        self._connections.clear()
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            connection, _ = await loop.sock_accept(self._listener)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._connections.append(connection)
+            self._start(self._serve(connection))
+
+    async def _serve(self, connection: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(OSError):
+            while await loop.sock_recv(connection, 65536):
+                await self._send(connection)
+                if self._ending == Ending.CLOSED_LATER:
+                    await asyncio.sleep(0.001)
+                if self._end(connection):
+                    return
+
+    async def _send(self, connection: socket.socket) -> None:
+        if not self._bytewise:
+            connection.send(self._sent)
+            return
+        for byte in self._sent:
+            connection.send(bytes((byte,)))
+            # The caller's side reads in the next iteration of the loop.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+
+    def _end(self, connection: socket.socket) -> bool:
+        """End a connection as set; return whether it is closed."""
+        match self._ending:
+            case Ending.HALF_CLOSED:
+                connection.shutdown(socket.SHUT_WR)
+                return False
+            case Ending.RESET:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO
+                )
+        connection.close()
+        return True
--- /dev/null
+++ b/oriolestage/platform/tests/test_broken_answers.py
@@ -0,0 +1,98 @@
+"""Tests of the target client against answers that end at any byte."""
+
+import asyncio
+import itertools
+import unittest
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
+
+import uvloop
+
+from oriolestage.entry._target_client import TargetClient
+from oriolestage.platform._wire_protocol import PlatformWireProtocol
+from oriolestage.platform.tests.broken_answers import (
+    INVALID_ANSWERS,
+    Answer,
+    Ending,
+)
+from oriolestage.platform.tests.cutting_target import CuttingTarget
+from oriolestage.platform.tests.target_calls import (
+    RecordingObserver,
+    make_call,
+)
+from oriolestage.routing._answers import AttemptAnswered, AttemptOutcome
+
+#: Production runs on uvloop; benches may run on asyncio's own loop.
+LOOPS: tuple[Callable[[Coroutine[None, None, list[str]]], list[str]], ...] = (
+    uvloop.run,
+    asyncio.run,
+)
+METHODS = ('GET', 'HEAD')
+
+
+def _client() -> TargetClient:
+    return TargetClient(PlatformWireProtocol(), RecordingObserver())
+
+
+def _body(outcome: AttemptOutcome) -> bytes | None:
+    """Return the body that is passed on, None if there is no answer."""
+    if isinstance(outcome, AttemptAnswered):
+        return outcome.answer.body
+    return None
+
+
+async def _attempts(
+    answers: Iterable[Answer], endings: Iterable[Ending], *, bytewise: bool
+) -> AsyncIterator[tuple[str, bytes | None, bytes | None]]:
+    """Yield a description, the body passed on and the one to pass on."""
+    async with CuttingTarget() as target:
+        for answer, ending, method in itertools.product(
+            answers, endings, METHODS
+        ):
+            for cut in answer.cuts(method):
+                target.cut_off(answer.wire[:cut], ending, bytewise=bytewise)
+                client = _client()
+                outcome = await client.send(
+                    make_call(address=target.address, method=method)
+                )
+                client.close()
+                target.end_connections()
+                expected = answer.expected(
+                    cut, ending, without_body=method == 'HEAD'
+                )
+                name = f'{method} {answer.name}, {cut} bytes, {ending.name}'
+                yield name, _body(outcome), expected
+
+
+async def _differences(
+    answers: Iterable[Answer], endings: Iterable[Ending], *, bytewise: bool
+) -> list[str]:
+    """Return the cuts at which the body passed on is not the right one."""
+    found: list[str] = []
+    attempts = _attempts(answers, endings, bytewise=bytewise)
+    async for name, body, expected in attempts:
+        if body != expected:
+            found.append(f'{name}: {body!r} instead of {expected!r}')
+    return found
+
+
+class BrokenAnswerTest(unittest.TestCase):
+    """An answer is passed on whole, or it is lost."""
+
+    def _check(
+        self,
+        answers: Iterable[Answer],
+        endings: tuple[Ending, ...],
+        *,
+        bytewise: bool = False,
+    ) -> None:
+        for run in LOOPS:
+            differences = run(_differences(answers, endings, bytewise=bytewise))
+            self.assertEqual(differences, [], run.__module__)
+
+    def test_invalid_framing(self) -> None:
+        """Guards against an answer without a known end that is passed on.
+
+        A length of 2 ** 64 - 1 was taken for no body, and a body with an
+        unknown transfer coding for the content.
+        """
+        self._check(INVALID_ANSWERS, (Ending.CLOSED,))
