--- a/oriolestage/entry/_stall_detector.py
+++ b/oriolestage/entry/_stall_detector.py
@@ -19,6 +19,8 @@
         self._limit_s = limit_s
         self._stalled = False
         self._greatest_age_s: float = 0
+        self._previous_age_s: float = 0
+        #: Failed attempts since the copy was brought up to date.
         self._failures = 0
         self._last_failure = 'none'
 
@@ -34,11 +36,14 @@
 
     def check(self, age_s: float) -> StateChange | None:
         """Return the change of state at this age, if there is one."""
+        renewed = age_s < self._previous_age_s
+        self._previous_age_s = age_s
         if age_s >= self._limit_s:
             self._greatest_age_s = max(self._greatest_age_s, age_s)
             return self._record_stall(age_s)
         if not self._stalled:
-            self._failures = 0
+            if renewed:
+                self._failures = 0
             return None
         self._stalled = False
         change = StateChange(
--- a/oriolestage/entry/tests/test_stall_detector.py
+++ b/oriolestage/entry/tests/test_stall_detector.py
@@ -35,15 +35,17 @@
 
     def test_cause(self) -> None:
         """A stall names the number of failed attempts and the last cause."""
+        self._detector.check(3)
         self._detector.record_failure('an earlier one')
         self._detector.check(0.1)
-        self._detector.record_failure('first')
-        self._detector.record_failure('second')
+        for age_s in (1, 2, 3):
+            self._detector.record_failure(f'after {age_s} s')
+            self._detector.check(age_s)
         change = self._detector.check(6)
         assert change is not None
         fields = dict(change.fields)
-        self.assertEqual(fields['last_failure'], 'second')
-        self.assertEqual(fields['failures'], 2)
+        self.assertEqual(fields['last_failure'], 'after 3 s')
+        self.assertEqual(fields['failures'], 3)
 
     def test_stall_without_failure(self) -> None:
         """A stall without a failed attempt says so: nothing was tried."""
