Give every call to the store an outcome and check its version

An error of a call that was not in the list of expected ones, such as OSError or RuntimeError, ended its task without an outcome. The core waits for the outcome before it watches the store again, so the host followed the store no more. Versions were read by int(), which accepts "-5", "1_0" and digits of other scripts, and a missing one counted as 0: a watch for a version after such a one is answered at once, again and again. The body of an answer had no limit.

Unexpected errors are now logged and counted, and the call ends as one that may have been carried out, so it is repeated after the usual delay. A version is 1 to 15 ASCII digits; only the host list has none. Bodies have the same limit as those of targets.

--- a/oriolestage/daemon/_bodies.py
+++ b/oriolestage/daemon/_bodies.py
@@ -2,7 +2,7 @@
 
 import aiohttp
 
-#: Largest body accepted from a target, in bytes.
+#: Largest body accepted from a target or the store, in bytes.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
 
--- a/oriolestage/daemon/_composition.py
+++ b/oriolestage/daemon/_composition.py
@@ -154,6 +154,7 @@
             source_ip,
             parse_duration(settings.platform.timeout, 'platform.timeout'),
             inbox,
+            failures,
         ),
     )
     services = (
--- a/oriolestage/daemon/_store_client.py
+++ b/oriolestage/daemon/_store_client.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from oriolestage.core import (
+    MalformedError,
     ReadHostList,
     StoreFound,
     StoreMismatch,
@@ -16,17 +17,20 @@
     StoreWatch,
     StoreWrite,
     StoreWritten,
+    parse_count,
 )
+from oriolestage.daemon._bodies import read_body
 from oriolestage.daemon._events import Inbox, StoreCallEnded
+from oriolestage.daemon._failure_log import FailureLog
 
 #: How long the store lets a watch wait for a change, in milliseconds.
 WATCH_WAIT_MS = 1000
 #: Response header with the version of a key.
 VERSION_HEADER = 'X-Version'
 
-#: Errors of a call that may have been carried out. The last two are raised
-#: for an answer whose version is malformed or missing.
-CALL_ERRORS = (aiohttp.ClientError, TimeoutError, ValueError, KeyError)
+#: Errors of a call that may have been carried out. ``ValueError`` is raised
+#: for an answer whose version is malformed or missing, or that is too long.
+CALL_ERRORS = (aiohttp.ClientError, TimeoutError, ValueError)
 
 StoreEffect = StoreRead | StoreWrite | StoreWatch | ReadHostList
 
@@ -41,6 +45,7 @@
         source_ip: str,
         timeout_s: float,
         inbox: Inbox,
+        failures: FailureLog,
     ) -> None:
         """Create a client.
 
@@ -52,6 +57,7 @@
         self._source_ip = source_ip
         self._timeout_s = timeout_s
         self._inbox = inbox
+        self._failures = failures
         self._session: aiohttp.ClientSession | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -73,7 +79,15 @@
             outcome = await self._call(effect)
         except aiohttp.ClientConnectorError:
             outcome = StoreUnreachable(sent=False)
-        except CALL_ERRORS:
+        except CALL_ERRORS as error:
+            if isinstance(error, ValueError):
+                self._failures.record_malformed(
+                    'store_answer_malformed', 'store.answer', error
+                )
+            outcome = StoreUnreachable(sent=True)
+        except Exception as error:
+            # The core waits for an outcome before it calls the store again.
+            self._failures.record_unexpected('store.call', error)
             outcome = StoreUnreachable(sent=True)
         self._inbox.put_nowait(StoreCallEnded(effect.operation, outcome))
 
@@ -101,7 +115,7 @@
                     wait_s,
                 )
             case ReadHostList():
-                return await self._get(self._hosts_url, {}, 0)
+                return await self._get_host_list()
             case StoreWrite():
                 return await self._put(effect)
 
@@ -115,15 +129,25 @@
         timeout = aiohttp.ClientTimeout(total=self._timeout_s + wait_s)
         request = self._session.get(url, params=query, timeout=timeout)
         async with request as response:
-            content = await response.read()
+            content = await read_body(response)
             match response.status:
                 case HTTPStatus.OK:
-                    version = int(response.headers.get(VERSION_HEADER, '0'))
-                    return StoreFound(content, version)
+                    return StoreFound(content, _parse_version(response))
                 case HTTPStatus.NOT_FOUND:
                     return StoreMissing()
             return StoreUnreachable(sent=True)
 
+    async def _get_host_list(self) -> StoreOutcome:
+        """Read the host list, which has no version."""
+        assert self._session is not None
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s)
+        request = self._session.get(self._hosts_url, timeout=timeout)
+        async with request as response:
+            content = await read_body(response)
+            if response.status == HTTPStatus.OK:
+                return StoreFound(content, 0)
+            return StoreUnreachable(sent=True)
+
     async def _put(self, effect: StoreWrite) -> StoreOutcome:
         assert self._session is not None
         query = {'expected': str(effect.expected), 'ttl_s': str(effect.ttl_s)}
@@ -134,10 +158,18 @@
             timeout=aiohttp.ClientTimeout(total=self._timeout_s),
         )
         async with request as response:
-            await response.read()
+            await read_body(response)
             match response.status:
                 case HTTPStatus.OK:
-                    return StoreWritten(int(response.headers[VERSION_HEADER]))
+                    return StoreWritten(_parse_version(response))
                 case HTTPStatus.CONFLICT:
                     return StoreMismatch()
             return StoreUnreachable(sent=True)
+
+
+def _parse_version(response: aiohttp.ClientResponse) -> int:
+    """Return the version in an answer; raise ``ValueError`` if malformed."""
+    version = parse_count(response.headers.get(VERSION_HEADER, ''))
+    if not version:
+        raise MalformedError('version 0 is that of an absent key')
+    return version
