Read the good entries of a host list that has a bad one

One entry with an invalid type made the whole host list unreadable, so hosts contacted no new host and learnt of no leaving target. A deeply nested list in a field raised RecursionError in the core, which ended the daemon.

Each entry is now decoded by itself. While one cannot be read, no dead member is removed and no target counts as back, since the entry may name them. A list that cannot be read as a whole, also one with deep nesting, is logged, and the next one is read after the usual period.

--- a/oriolestage/core/membership/_host_directory.py
+++ b/oriolestage/core/membership/_host_directory.py
@@ -7,9 +7,8 @@
 
 from collections.abc import Sequence
 
-import msgspec
-
 from oriolestage.core._effects import Outbox
+from oriolestage.core._errors import MalformedError
 from oriolestage.core._messages import MemberState, TargetLeaving
 from oriolestage.core._parameters import Parameters
 from oriolestage.core._store_port import StoreFound, StoreOutcome, StorePort
@@ -79,16 +78,22 @@
             return
         try:
             listed = decode_host_list(outcome.content)
-        except msgspec.DecodeError as error:
-            self._outbox.log(
-                'host_list_malformed',
-                step='host_list',
-                error=str(error),
-            )
+        except MalformedError as error:
+            self._log_malformed(str(error), 1)
             return
+        if listed.errors:
+            self._log_malformed(listed.errors[0], len(listed.errors))
         self._update_members(listed)
         self._report_leaving_targets(listed)
 
+    def _log_malformed(self, error: str, count: int) -> None:
+        self._outbox.log(
+            'host_list_malformed',
+            step='host_list',
+            error=error,
+            count=count,
+        )
+
     def _update_members(self, listed: HostList) -> None:
         names: set[str] = set()
         for host in listed.hosts:
@@ -98,7 +103,9 @@
             known = self._membership.member(host.name)
             if known is None or known.state is MemberState.REMOVED:
                 self._membership.contact(host.address)
-        self._membership.remove_absent(frozenset(names))
+        # An entry that cannot be read may name any of the dead members.
+        if not listed.errors:
+            self._membership.remove_absent(frozenset(names))
 
     def _report_leaving_targets(self, listed: HostList) -> None:
         leaving = frozenset(
@@ -106,6 +113,8 @@
             for host in listed.hosts
             if host.kind == 'target' and host.leaving
         )
+        if listed.errors:
+            leaving |= self._leaving
         for name in leaving | self._leaving:
             target = self._configuration.index.target(name)
             if target is None:
