Malformed headers of callers and targets have a stated result

Callers saw a 500 for a Deadline-Ms of 400 digits, which says that the request may be retried elsewhere. They saw a closed connection, with no response, when a target's answer had one header with a control character, or when its signature had one and stood in a merged answer. A target that stated a Server-Limit of 1e308 made its host's attempt fail with an unexpected error.

Numbers were read with int() and float(). These take signs, underscores, other scripts, exponents and any size; later arithmetic raised OverflowError, which nothing on the way expects. aiohttp accepts control characters in the headers of a response, but refuses to write them.

A number in a header now consists of a bounded number of ASCII digits, and of one decimal point where fractions are allowed, up to a named maximum. Malformed headers of a caller, its Attempt-Id included, get a 400. A malformed notice of a target is logged and ignored as before. A signature that cannot stand in a list of signatures is none, so a success with it is lost. Other headers with control characters are left out of the answer and logged.

Ruled out: treating such an answer as lost. It is complete and signed, and its request has run.

--- a/oriolestage/platform/_wire_protocol.py
+++ b/oriolestage/platform/_wire_protocol.py
@@ -1,11 +1,19 @@
 """HTTP headers and statuses of the exchange with callers and targets."""
 
-import math
 from collections.abc import Mapping
 from http import HTTPStatus
 
+from oriolestage._logging import log_event
 from oriolestage.entry._ports import RequestMetadata, Response
 from oriolestage.platform import _names
+from oriolestage.platform._header_values import (
+    can_be_sent,
+    is_list_element,
+    is_visible,
+    malformed,
+    parse_decimal,
+    parse_whole,
+)
 from oriolestage.routing._answers import (
     AttemptAnswered,
     AttemptLost,
@@ -49,6 +57,10 @@
 #: Values of the header that says whether a target leaves.
 LEAVING = '1'
 NOT_LEAVING = '0'
+#: Highest rate limit of a target, in requests per second.
+MAX_RATE_LIMIT = 1_000_000_000.0
+#: Longest time for which a target wants no request, in seconds: a day.
+MAX_REST_S = 86_400.0
 #: Maximum number of signatures in one header line; more take several lines.
 SIGNATURES_PER_LINE = 50
 
@@ -59,19 +71,17 @@
     def request_metadata(self, headers: Mapping[str, str]) -> RequestMetadata:
         """Return the identity and deadline of a request from its headers.
 
-        Raises ``ValueError`` for an invalid deadline.
+        Raises ``ValueError`` if one of them is malformed.
         """
         text = headers.get(_names.DEADLINE_HEADER)
         time_left_s: float | None = None
         if text is not None:
             # Whole milliseconds, counted from when the caller sent the request.
-            time_left_s = int(text) / MS_PER_S
-            if time_left_s < 0:
-                raise ValueError(f'{_names.DEADLINE_HEADER} is negative')
-        return RequestMetadata(
-            request_id=headers.get(_names.REQUEST_ID_HEADER, ''),
-            time_left_s=time_left_s,
-        )
+            time_left_s = parse_whole(_names.DEADLINE_HEADER, text) / MS_PER_S
+        request_id = headers.get(_names.REQUEST_ID_HEADER, '')
+        if not is_visible(request_id):
+            raise malformed(_names.REQUEST_ID_HEADER, request_id)
+        return RequestMetadata(request_id, time_left_s)
 
     def target_headers(
         self,
@@ -109,15 +119,13 @@
     def rate_limit(self, headers: Mapping[str, str]) -> float | None:
         """Return the rate limit that a target states, None if it has none.
 
-        Raises ``ValueError`` for anything but a finite number of at least 0.
+        Raises ``ValueError`` for anything but a decimal number from 0 to
+        `MAX_RATE_LIMIT`.
         """
         text = headers.get(_names.RATE_LIMIT_HEADER)
         if text is None:
             return None
-        limit = float(text)
-        if not 0 <= limit < math.inf:
-            raise ValueError(f'{_names.RATE_LIMIT_HEADER} is {text!r}')
-        return limit
+        return parse_decimal(_names.RATE_LIMIT_HEADER, text, MAX_RATE_LIMIT)
 
     def leaving(self, headers: Mapping[str, str]) -> bool:
         """Return whether a target states that it is about to leave.
@@ -126,26 +134,27 @@
         """
         text = headers.get(_names.LEAVING_HEADER, NOT_LEAVING)
         if text not in {LEAVING, NOT_LEAVING}:
-            raise ValueError(f'{_names.LEAVING_HEADER} is {text!r}')
+            raise malformed(_names.LEAVING_HEADER, text)
         return text == LEAVING
 
     def rest_s(self, status: int, headers: Mapping[str, str]) -> float:
         """Return for how long a target wants no request of this host.
 
         0 if its response does not say so. Raises ``ValueError`` for anything
-        but a finite number of at least 0.
+        but a decimal number from 0 to `MAX_REST_S`.
         """
         text = headers.get(_names.RETRY_AFTER_HEADER)
         if text is None or status != HTTPStatus.SERVICE_UNAVAILABLE:
             return 0
-        rest_s = float(text)
-        if not 0 <= rest_s < math.inf:
-            raise ValueError(f'{_names.RETRY_AFTER_HEADER} is {text!r}')
-        return rest_s
+        return parse_decimal(_names.RETRY_AFTER_HEADER, text, MAX_REST_S)
 
     def signature(self, headers: Mapping[str, str]) -> str:
-        """Return the signature of a target's response, empty if it has none."""
-        return headers.get(_names.SIGNATURE_HEADER, '')
+        """Return the signature of a target's response, empty if it has none.
+
+        A text that cannot stand in a list of signatures is none.
+        """
+        text = headers.get(_names.SIGNATURE_HEADER, '')
+        return text if is_list_element(text) else ''
 
     def response(self, result: RequestResult, request_id: str) -> Response:
         """Return the response to the caller for the result of its request."""
@@ -153,9 +162,7 @@
             case Delivered(answer=answer):
                 return Response(
                     answer.status,
-                    tuple(
-                        end_to_end_headers(answer.headers, frozenset()),
-                    ),
+                    _sendable_headers(answer),
                     answer.body,
                 )
             case Gathered():
@@ -190,6 +197,21 @@
     ]
 
 
+def _sendable_headers(answer: TargetAnswer) -> tuple[tuple[str, str], ...]:
+    """Return the headers of an answer to pass on to the caller.
+
+    Headers with control characters are logged and left out: with them, the
+    response could not be written at all.
+    """
+    sendable: list[tuple[str, str]] = []
+    for name, text in end_to_end_headers(answer.headers, frozenset()):
+        if can_be_sent(name) and can_be_sent(text):
+            sendable.append((name, text))
+            continue
+        log_event('header_dropped', {'step': 'answer', 'name': name})
+    return tuple(sendable)
+
+
 def _build_merged_response(result: Gathered, request_id: str) -> Response:
     lines: list[tuple[str, str]] = [(_names.REQUEST_ID_HEADER, request_id)]
     signatures = result.signatures
--- a/oriolestage/platform/tests/test_caller_wire.py
+++ b/oriolestage/platform/tests/test_caller_wire.py
@@ -6,6 +6,7 @@
 
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._caller_server import CallerServer
+from oriolestage.entry._ports import RequestMetadata
 from oriolestage.platform._wire_protocol import PlatformWireProtocol
 from oriolestage.routing import _connection_ages
 from oriolestage.routing._answers import (
@@ -149,6 +150,45 @@
                 self.assertIn(status, answer.partition(b'\r\n')[0])
         self.assertEqual(self._router.requests, [])
 
+    async def test_odd_headers(self) -> None:
+        """Guards against a 500 for a malformed header of the system's own."""
+        deadlines = ('9' * 400, '\u00b2', '\u0663', '+5', '1_000', '-1', '1.5')
+        for line in (
+            *(f'Deadline-Ms: {text}' for text in deadlines),
+            'Attempt-Id: \u00e9',
+            'Attempt-Id: a b',
+        ):
+            with self.subTest(line=line[:40]):
+                answer = await self._send(
+                    f'GET /a/ HTTP/1.1\r\nHost: h\r\n{line}\r\n\r\n'
+                )
+                self.assertIn(b' 400 ', answer.partition(b'\r\n')[0])
+        self.assertEqual(self._router.requests, [])
+
+    async def test_spaces_around_values(self) -> None:
+        """Spaces around a header value do not belong to it."""
+        answer = await self._send(
+            'GET /a/ HTTP/1.1\r\nHost: h\r\nDeadline-Ms: \t 800 \t\r\n'
+            'Attempt-Id:  a \t\r\n\r\n'
+        )
+        self.assertIn(b' 200 ', answer.partition(b'\r\n')[0])
+        metadata = self._router.requests[0].metadata
+        self.assertEqual(metadata, RequestMetadata('a', 0.8))
+
+    async def test_odd_answer(self) -> None:
+        """Guards against an answer that is lost because of one odd header.
+
+        A header with a control character cannot be written.
+        """
+        stamp = ('Server-Stamp', 's')
+        self._router.result = Delivered(
+            TargetAnswer(200, (stamp, ('X-Odd', 'a\x1bb')), b'body', 's')
+        )
+        answer = await self._send(f'GET /a/ HTTP/1.1\r\n{HEAD}\r\n')
+        self.assertIn(b' 200 ', answer.partition(b'\r\n')[0])
+        self.assertIn(b'Server-Stamp: s\r\n', answer)
+        self.assertNotIn(b'X-Odd', answer)
+
     async def test_slow_head(self) -> None:
         """A head that is not complete in time gets a 408 and is not run."""
         answer = await self._send('GET /a/ HTTP/1.1\r\nHost: h')
--- /dev/null
+++ b/oriolestage/platform/tests/test_odd_headers.py
@@ -0,0 +1,142 @@
+"""Tests of malformed header values of callers and targets."""
+
+import unittest
+
+from oriolestage.platform._wire_protocol import PlatformWireProtocol
+from oriolestage.platform.tests.target_calls import (
+    COMPLETE_ANSWER,
+    RawTarget,
+    RecordingObserver,
+    run_calls,
+)
+from oriolestage.routing._answers import (
+    AttemptAnswered,
+    AttemptLost,
+    Delivered,
+    TargetAnswer,
+)
+
+#: Texts that are no number: signs, underscores, spaces, other scripts, too
+#: many digits, and what Python reads as a floating-point number.
+ODD_NUMBERS = (
+    '',
+    ' ',
+    '.',
+    '-1',
+    '+5',
+    '1_000',
+    ' 5',
+    '5 ',
+    '0x5',
+    '\u00b2',
+    '\u0663',
+    '\udcff',
+    '9' * 400,
+    '9' * 5000,
+    '1e3',
+    '1e308',
+    '1.2.3',
+    '1,5',
+    'inf',
+    'Infinity',
+    'nan',
+    'soon',
+)
+
+
+class OddHeaderTest(unittest.TestCase):
+    """Guards against a header whose error is not the one that is expected."""
+
+    def setUp(self) -> None:
+        """Create a wire protocol."""
+        self._protocol = PlatformWireProtocol()
+
+    def test_deadlines(self) -> None:
+        """A deadline of a caller is a whole number of milliseconds."""
+        for text in (*ODD_NUMBERS, '1.5', '9' * 16):
+            with self.subTest(text=text[:40]):
+                with self.assertRaises(ValueError) as caught:
+                    self._protocol.request_metadata({'Deadline-Ms': text})
+                self.assertIn('Deadline-Ms', str(caught.exception))
+                self.assertLess(len(str(caught.exception)), 300)
+        for text, expected in (('0', 0), ('0800', 0.8), ('9' * 15, 1e12)):
+            with self.subTest(text=text):
+                metadata = self._protocol.request_metadata(
+                    {'Deadline-Ms': text}
+                )
+                assert metadata.time_left_s is not None
+                self.assertAlmostEqual(
+                    metadata.time_left_s, expected, delta=0.01
+                )
+
+    def test_request_ids(self) -> None:
+        """An identity of a request consists of visible characters."""
+        for text in ('a b', 'a\tb', '\u00e9', '\udcff', 'a\x1b'):
+            with self.subTest(text=text), self.assertRaises(ValueError):
+                self._protocol.request_metadata({'Attempt-Id': text})
+
+    def test_rate_limits(self) -> None:
+        """A rate limit is a decimal number that arithmetic can take."""
+        for text in (*ODD_NUMBERS, '1000000001'):
+            with self.subTest(text=text[:40]), self.assertRaises(ValueError):
+                self._protocol.rate_limit({'Server-Limit': text})
+
+    def test_rests(self) -> None:
+        """A time of rest is a decimal number of at most a day."""
+        for text in (*ODD_NUMBERS, '86401', 'Fri, 04 Dec 2026 15:00:00 GMT'):
+            with self.subTest(text=text[:40]), self.assertRaises(ValueError):
+                self._protocol.rest_s(503, {'Retry-After': text})
+        self.assertEqual(self._protocol.rest_s(503, {'Retry-After': '.5'}), 0.5)
+
+    def test_signatures(self) -> None:
+        """A text that breaks a list of signatures is no signature."""
+        for text in ('', ' ', 'a, b', 'a b', 'a\tb', 'a\x1b', '\udcff'):
+            with self.subTest(text=text):
+                signature = self._protocol.signature({'Server-Stamp': text})
+                self.assertEqual(signature, '')
+
+    def test_control_characters(self) -> None:
+        """A header that cannot be written is left out of an answer.
+
+        Otherwise the caller gets no response although its request has run.
+        """
+        stamp = ('Server-Stamp', 's')
+        kept = (stamp, ('X-Tab', 'a\tb'), ('X-Text', '\u00e9'))
+        for char in '\x00\x01\x1b\x7f\r\n':
+            with self.subTest(char=char):
+                headers = (*kept, ('X-Odd', f'a{char}'), (f'X{char}', '1'))
+                answer = TargetAnswer(200, headers, b'body', 's')
+                response = self._protocol.response(Delivered(answer), 'a')
+                self.assertEqual(response.headers, kept)
+
+
+class OddTargetTest(unittest.TestCase):
+    """Odd headers of a target harm neither its answer nor this host."""
+
+    def test_notices(self) -> None:
+        """A malformed notice is ignored, and the answer is passed on."""
+        for line in (
+            b'Server-Limit: 1e308',
+            b'Server-Limit: 1_0',
+            b'Server-Limit: \xd9\xa3',
+            b'Server-Limit: ' + b'9' * 5000,
+        ):
+            with self.subTest(line=line[:40]):
+                observer = RecordingObserver()
+                outcome = self._call(line, observer)
+                self.assertIsInstance(outcome, AttemptAnswered)
+                self.assertEqual(observer.limits, [])
+
+    def test_signatures(self) -> None:
+        """An answer whose signature is none is lost, as an unsigned one."""
+        for stamp in (b'a, b', b'a b', b's\xff', b's\x1b'):
+            with self.subTest(stamp=stamp):
+                answer = COMPLETE_ANSWER.replace(b': s\r', b': %s\r' % stamp, 1)
+                outcome = run_calls(RawTarget(answer))[0]
+                self.assertEqual(outcome, AttemptLost('answer.unsigned'))
+
+    def _call(self, line: bytes, observer: RecordingObserver) -> object:
+        answer = COMPLETE_ANSWER.replace(
+            b'Server-Stamp', line + b'\r\nServer-Stamp', 1
+        )
+        return run_calls(RawTarget(answer), observer=observer)[0]
