A malformed settings file is an error that names its field

Operators who sent SIGHUP after a faulty change of the settings file would have seen a traceback in place of reload_failed; at the start, a port out of range or a host name as the store's address would have shown only when it was used.

The YAML parser raises ValueError for odd dates and for numbers of more than 4,300 digits, and RecursionError for deep nesting, none of which was expected. Numbers were checked by type only: a grace of .nan or -1 s was accepted.

Any error of the parser is now an EntrySettingsError. Addresses are parsed as those of the store's items are, and durations, ports and amounts have ranges.

Evidence: on the tree before, 14 of the 15 cases of the new test fail, 3 with such an unexpected error. Now all pass, and so do the tests of the program.

--- a/oriolestage/platform/_settings.py
+++ b/oriolestage/platform/_settings.py
@@ -3,10 +3,12 @@
 import os
 from collections.abc import Mapping
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 import yaml
 
+from oriolestage._addresses import MAX_PORT, MIN_PORT, parse_address
 from oriolestage.entry._settings import EntrySettings, EntrySettingsError
 from oriolestage.platform import _names
 from oriolestage.routing._placement_types import HostLocation
@@ -16,6 +18,16 @@
 MS_PER_S = 1000
 #: Port of the metrics server. The deploy file repeats it.
 METRICS_PORT = 9464
+#: Longest duration, in milliseconds: 366 days; and in seconds.
+MAX_DURATION_MS = 31_622_400_000
+MAX_DURATION_S = MAX_DURATION_MS / MS_PER_S
+#: Highest ratio or number of requests that a bound allows.
+MAX_REQUESTS = 1_000_000_000.0
+
+_DurationS = Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_S)]
+_DurationMs = Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_MS)]
+_Requests = Annotated[float, msgspec.Meta(ge=0, le=MAX_REQUESTS)]
+_Port = Annotated[int, msgspec.Meta(ge=MIN_PORT, le=MAX_PORT)]
 
 
 class _Endpoints(msgspec.Struct, frozen=True):
@@ -27,18 +39,20 @@
 
 class _Bounds(msgspec.Struct, frozen=True, rename='camel'):
     # Time between a request to stop and the kill.
-    grace_s: float
+    grace_s: _DurationS
     # Time within which a host that reaches the store must know its contents.
-    contact_ms: float = 5000
+    contact_ms: _DurationMs = 5000
     # Extra attempts (retries and hedges) per request.
-    retry_budget: float = 0.2
-    budget_window_s: float = msgspec.field(default=10, name='budgetWindowS')
+    retry_budget: _Requests = 0.2
+    budget_window_s: _DurationS = msgspec.field(
+        default=10, name='budgetWindowS'
+    )
     # Extra attempts per window, independent of the number of requests.
-    retry_slack: float = 52
+    retry_slack: _Requests = 52
     # All hosts together send a cold target at most
     # warmupPerS * warmupOverage + warmupSlack requests per second.
-    warmup_overage: float = 1.5
-    warmup_slack: float = 5
+    warmup_overage: _Requests = 1.5
+    warmup_slack: _Requests = 5
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -55,7 +69,7 @@
     zones: Mapping[str, str]
     endpoints: _Endpoints
     # First and last port; requests of other entry hosts go to the first.
-    port_range: tuple[int, int]
+    port_range: tuple[_Port, _Port]
     bounds: _Bounds
     platform: _Platform
 
@@ -79,17 +93,20 @@
     """
     try:
         content = yaml.safe_load(path.read_text('utf-8'))
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+    except Exception as error:  # noqa: BLE001 - also RecursionError
         detail = ' '.join(str(error).split())
         raise EntrySettingsError(f'{path}: {detail}') from error
     try:
-        document = msgspec.convert(content, _Settings)
-    except msgspec.ValidationError as error:
+        return _to_entry_settings(msgspec.convert(content, _Settings))
+    except ValueError as error:
         raise EntrySettingsError(f'{path}: {error}') from error
-    return _to_entry_settings(document)
 
 
 def _to_entry_settings(document: _Settings) -> EntrySettings:
+    """Translate the settings.
+
+    Raises ``ValueError`` if one of the addresses is none.
+    """
     first_port = document.port_range[0]
     bounds = document.bounds
     return EntrySettings(
@@ -98,11 +115,17 @@
             data_centre=document.zone,
             regions=dict(document.zones),
         ),
-        caller_address=document.endpoints.front,
-        ready_address=document.endpoints.ready,
-        peer_address=f'{document.ip}:{first_port}',
+        caller_address=_read_address(
+            'endpoints.front', document.endpoints.front
+        ),
+        ready_address=_read_address(
+            'endpoints.ready', document.endpoints.ready
+        ),
+        peer_address=_read_address('ip', f'{document.ip}:{first_port}'),
         metrics_address=f'{document.ip}:{METRICS_PORT}',
-        store_address=document.platform.address,
+        store_address=_read_address(
+            'platform.address', document.platform.address
+        ),
         stop_grace_s=bounds.grace_s,
         propagation_limit_s=bounds.contact_ms / MS_PER_S,
         budget=BudgetBounds(
@@ -115,3 +138,10 @@
             slack=bounds.warmup_slack,
         ),
     )
+
+
+def _read_address(field: str, text: str) -> str:
+    try:
+        return str(parse_address(text))
+    except ValueError as error:
+        raise ValueError(f'{error} - at `$.{field}`') from error
--- a/oriolestage/platform/tests/test_settings.py
+++ b/oriolestage/platform/tests/test_settings.py
@@ -6,6 +6,7 @@
 
 from oriolestage.entry._settings import EntrySettingsError
 from oriolestage.platform._settings import load_settings
+from oriolestage.platform.tests.stored_items import DEEP_NESTING
 
 TEXT = """
 nodeName: host-1
@@ -57,3 +58,32 @@
                 with self.assertRaises(EntrySettingsError) as caught:
                     self._load(text)
                 self.assertIn(expected, str(caught.exception))
+
+    def test_odd(self) -> None:
+        """Guards against a file that ends a running host when it is read.
+
+        The host checks the file again on SIGHUP.
+        """
+        nested = '['.ljust(DEEP_NESTING, '[') + ']'.ljust(DEEP_NESTING, ']')
+        cases = (
+            (f'{TEXT}extra: {nested}', 'recursion'),
+            (f'{TEXT}extra: {"9" * 5000}', 'digits'),
+            (f'{TEXT}extra: 2020-99-99', 'month'),
+            (TEXT.replace('graceS: 6', 'graceS: .nan'), 'graceS'),
+            (TEXT.replace('graceS: 6', 'graceS: .inf'), 'graceS'),
+            (TEXT.replace('graceS: 6', 'graceS: -1'), 'graceS'),
+            (TEXT.replace('graceS: 6', f'graceS: {"9" * 400}'), 'graceS'),
+            (TEXT.replace('contactMs: 5000', 'contactMs: 0'), 'contactMs'),
+            (TEXT.replace('retrySlack: 40', 'retrySlack: -1'), 'retrySlack'),
+            (TEXT.replace('10.0.0.1:80"', '10.0.0.1:99999"'), 'front'),
+            (TEXT.replace('10.0.0.1:81"', 'a b:81"'), 'ready'),
+            (TEXT.replace('10.0.9.9:82', 'store:82'), 'platform.address'),
+            (TEXT.replace('[7380,', '[0,'), 'portRange'),
+            (TEXT.replace('7395]', '99999]'), 'portRange'),
+            (TEXT.replace('ip: 10.0.0.1', 'ip: nohost'), 'ip'),
+        )
+        for text, expected in cases:
+            with self.subTest(text=text[-60:], expected=expected):
+                with self.assertRaises(EntrySettingsError) as caught:
+                    self._load(text)
+                self.assertIn(expected, str(caught.exception))
