Refuse invalid requests with status 400 instead of 500

A change with deeply nested lists, or a revision or wait_ms with digits of another script or thousands of them, made the operator's handler fail: status 500 with a traceback in the log. str.isdigit() accepts digits that int() refuses or reads as others, and int() refuses more than 4300 digits. A handler that failed answered in plain text, which the operator tool and the clients of callers cannot decode.

Numbers in paths, queries and headers are now read by one function, which takes 1 to 15 ASCII digits, and JSON by the decoder with one type of error. A handler that fails answers with a document of its interface: an error for operators, may_have_run with the reason internal_error for callers. The error is logged with its location and counted.

--- a/oriolestage/daemon/_caller_server.py
+++ b/oriolestage/daemon/_caller_server.py
@@ -15,11 +15,14 @@
     MAXIMUM_TIMEOUT_MS,
     CallerOutcome,
     CallerRequest,
+    MalformedError,
     MayHaveRun,
     NodeCore,
     NotRun,
     Reason,
+    decode_json,
     key_created_ms,
+    parse_count,
 )
 from oriolestage.daemon._caller_metrics import CallerMetrics
 from oriolestage.daemon._events import (
@@ -27,7 +30,8 @@
     CallerRequestArrived,
     Inbox,
 )
-from oriolestage.daemon._http import json_response
+from oriolestage.daemon._failure_log import FailureLog
+from oriolestage.daemon._http import failure_middleware, json_response
 from oriolestage.views import caller_view
 
 #: Identifies a request in logs and at targets; generated if absent.
@@ -42,6 +46,8 @@
 DEFAULT_TIMEOUT_MS = 1000
 
 _IDENTIFIER = re.compile(r'^[A-Za-z0-9._:-]{1,128}$')
+#: Answer to a request whose handler failed.
+FAILED_REQUEST = MayHaveRun(Reason.INTERNAL_ERROR, 'entry.http', '')
 
 
 class BadRequest(msgspec.Struct, frozen=True, tag='bad_request'):
@@ -67,6 +73,7 @@
         core: NodeCore,
         inbox: Inbox,
         metrics: CallerMetrics,
+        failures: FailureLog,
     ) -> None:
         """Create a server; request bodies hold at most ``body_limit`` bytes.
 
@@ -77,7 +84,12 @@
         self._core = core
         self._inbox = inbox
         self._metrics = metrics
-        self._app = web.Application(client_max_size=body_limit)
+        self._app = web.Application(
+            client_max_size=body_limit,
+            middlewares=(
+                failure_middleware('caller.http', failures, FAILED_REQUEST),
+            ),
+        )
         self._app.router.add_post('/v1/requests/{route}', self._on_request)
         self._app.router.add_get('/health/live', self._on_live)
         self._app.router.add_get('/health/ready', self._on_ready)
@@ -175,20 +187,23 @@
 
 def _parse_timeout(request: web.Request) -> int:
     text = request.headers.get(TIMEOUT_HEADER, str(DEFAULT_TIMEOUT_MS))
-    valid = text.isascii() and text.isdigit() and len(text) < 10
-    if not valid or not 1 <= int(text) <= MAXIMUM_TIMEOUT_MS:
+    try:
+        timeout_ms = parse_count(text)
+    except MalformedError:
+        timeout_ms = 0
+    if not 1 <= timeout_ms <= MAXIMUM_TIMEOUT_MS:
         raise _BadRequestError(
             TIMEOUT_HEADER,
             f'must be a whole number from 1 to {MAXIMUM_TIMEOUT_MS}',
         )
-    return int(text)
+    return timeout_ms
 
 
 async def _read_json_body(request: web.Request) -> bytes:
     body = await request.read()
     try:
-        msgspec.json.decode(body)
-    except (msgspec.DecodeError, RecursionError) as error:
+        decode_json(body, object)
+    except MalformedError as error:
         raise _BadRequestError('body', f'not JSON: {error}') from error
     return body
 
--- a/oriolestage/daemon/_composition.py
+++ b/oriolestage/daemon/_composition.py
@@ -169,6 +169,7 @@
             _open_listener(settings.listen.operators, 'listen.operators'),
             inbox,
             metrics,
+            failures,
         ),
         CallerServer(
             _open_listener(settings.listen.callers, 'listen.callers'),
@@ -176,6 +177,7 @@
             core,
             inbox,
             metrics,
+            failures,
         ),
     )
     return Daemon(
--- a/oriolestage/daemon/_operator_server.py
+++ b/oriolestage/daemon/_operator_server.py
@@ -5,7 +5,6 @@
 import time
 from http import HTTPStatus
 
-import msgspec
 from aiohttp import web
 from aiomisc import Service
 from prometheus_client import CollectorRegistry, generate_latest
@@ -17,8 +16,11 @@
     ChangeOutcome,
     ChangeRefused,
     InForceReport,
+    MalformedError,
     NodeCore,
     OperatorCommand,
+    decode_json,
+    parse_count,
 )
 from oriolestage.daemon._caller_metrics import CallerMetrics
 from oriolestage.daemon._events import (
@@ -27,7 +29,8 @@
     RevisionPollRequested,
     ViewRequested,
 )
-from oriolestage.daemon._http import json_response
+from oriolestage.daemon._failure_log import FailureLog
+from oriolestage.daemon._http import failure_middleware, json_response
 from oriolestage.views import ChangeRequest, ErrorView, build_node_view
 
 #: Upper bound of the parameter ``wait_ms``, in milliseconds.
@@ -44,6 +47,7 @@
         listener: socket.socket,
         inbox: Inbox,
         metrics: CallerMetrics,
+        failures: FailureLog,
     ) -> None:
         """Create a server on a socket that is bound and listening."""
         super().__init__()
@@ -51,7 +55,14 @@
         self._inbox = inbox
         self._registry = CollectorRegistry()
         self._registry.register(metrics)
-        self._app = web.Application(client_max_size=MAX_BODY_BYTES)
+        self._app = web.Application(
+            client_max_size=MAX_BODY_BYTES,
+            middlewares=(
+                failure_middleware(
+                    'operator.http', failures, ErrorView('internal error')
+                ),
+            ),
+        )
         self._app.router.add_post('/v1/changes', self._on_change)
         self._app.router.add_get('/v1/view', self._on_view)
         self._app.router.add_get('/v1/in-force/{revision}', self._on_in_force)
@@ -71,11 +82,8 @@
 
     async def _on_change(self, request: web.Request) -> web.Response:
         try:
-            change_request = msgspec.json.decode(
-                await request.read(),
-                type=ChangeRequest,
-            )
-        except msgspec.DecodeError as error:
+            change_request = decode_json(await request.read(), ChangeRequest)
+        except MalformedError as error:
             return json_response(
                 ErrorView(str(error)), status=HTTPStatus.BAD_REQUEST
             )
@@ -107,19 +115,17 @@
         return json_response(build_node_view(await answer))
 
     async def _on_in_force(self, request: web.Request) -> web.Response:
-        revision = request.match_info['revision']
-        wait_ms = request.query.get('wait_ms', '0')
-        if not revision.isdigit() or not wait_ms.isdigit():
+        try:
+            revision = parse_count(request.match_info['revision'])
+            wait_ms = parse_count(request.query.get('wait_ms', '0'))
+        except MalformedError as error:
             return json_response(
-                ErrorView('not a number'),
-                status=HTTPStatus.BAD_REQUEST,
+                ErrorView(str(error)), status=HTTPStatus.BAD_REQUEST
             )
         loop = asyncio.get_running_loop()
         answer: asyncio.Future[InForceReport] = loop.create_future()
-        wait_s = min(int(wait_ms), MAX_IN_FORCE_WAIT_MS) / 1000
-        self._inbox.put_nowait(
-            RevisionPollRequested(int(revision), wait_s, answer)
-        )
+        wait_s = min(wait_ms, MAX_IN_FORCE_WAIT_MS) / 1000
+        self._inbox.put_nowait(RevisionPollRequested(revision, wait_s, answer))
         return json_response(await answer)
 
     async def _on_metrics(self, request: web.Request) -> web.Response:
