Report answers, files and numbers that the operator tool cannot use

An answer that could not be decoded, and a document or a number that the parsers refuse with an error of another type, ended the tool with a traceback. A change whose answer was lost was reported as "no daemon answered" with code 7, as if it had not been made. A record with a time after the year 9999 made the history unreadable.

A change whose answer was lost or unreadable ends as unknown (code 5) with its command id. Code 7 remains for requests that no daemon got, and for reads without a usable answer.

--- a/oriolestage/tool/__init__.py
+++ b/oriolestage/tool/__init__.py
@@ -6,6 +6,7 @@
 from oriolestage.tool._client import DaemonClient
 from oriolestage.tool._documents import dump_document, load_document
 from oriolestage.tool._errors import (
+    AnswerLostError,
     CommandSyntaxError,
     DaemonUnreachableError,
 )
@@ -14,6 +15,7 @@
 from oriolestage.tool._session import Session
 
 __all__ = (
+    'AnswerLostError',
     'CommandSyntaxError',
     'DaemonClient',
     'DaemonUnreachableError',
--- a/oriolestage/tool/__main__.py
+++ b/oriolestage/tool/__main__.py
@@ -62,7 +62,7 @@
     )
     try:
         lines = _command_lines(words, file)
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         _write_error_line(f'{file}: {error}')
         return ExitCode.USAGE
     highest_code = ExitCode.DONE
--- a/oriolestage/tool/_documents.py
+++ b/oriolestage/tool/_documents.py
@@ -5,6 +5,7 @@
 import msgspec
 import yaml
 
+from oriolestage._yaml_files import YamlFileError, load_yaml_file
 from oriolestage.core import (
     ChangeRefusedError,
     Configuration,
@@ -18,14 +19,8 @@
     Raise :class:`ChangeRefusedError` if it cannot be read or is invalid.
     """
     try:
-        content = yaml.safe_load(path.read_text('utf-8'))
-        document = msgspec.convert(content, Configuration)
-    except (OSError, UnicodeDecodeError) as error:
-        raise ChangeRefusedError(f'{path}: {error}') from error
-    except yaml.YAMLError as error:
-        details = ' '.join(str(error).split())
-        raise ChangeRefusedError(f'{path}: not YAML: {details}') from error
-    except msgspec.ValidationError as error:
+        document = load_yaml_file(path, Configuration)
+    except YamlFileError as error:
         raise ChangeRefusedError(f'{path}: {error}') from error
     try:
         check_document(document)
--- a/oriolestage/tool/_errors.py
+++ b/oriolestage/tool/_errors.py
@@ -7,3 +7,7 @@
 
 class DaemonUnreachableError(Exception):
     """No daemon could be reached, or the one reached did not respond."""
+
+
+class AnswerLostError(DaemonUnreachableError):
+    """A daemon got the request, and its answer was lost or unreadable."""
--- a/oriolestage/tool/_language.py
+++ b/oriolestage/tool/_language.py
@@ -10,11 +10,13 @@
     UnexpectedEOF,
     UnexpectedInput,
     UnexpectedToken,
+    VisitError,
 )
 
 from oriolestage.core import (
     AnswerPolicy,
     Change,
+    MalformedError,
     PutRoute,
     RemoveRoute,
     Route,
@@ -23,6 +25,7 @@
     SetServiceAccepting,
     SetTargetAccepting,
     SetTargetLimits,
+    parse_count,
 )
 from oriolestage.tool._commands import (
     ApplyFile,
@@ -72,7 +75,12 @@
         tree = _parser().parse(text)
     except UnexpectedInput as error:
         raise CommandSyntaxError(_describe_syntax_error(text, error)) from error
-    return _CommandBuilder().transform(tree)
+    try:
+        return _CommandBuilder().transform(tree)
+    except VisitError as error:
+        if isinstance(error.orig_exc, CommandSyntaxError):
+            raise error.orig_exc from error
+        raise
 
 
 @functools.cache
@@ -108,10 +116,17 @@
     return f'"{terminal.lower()}"'
 
 
+def _number(text: str) -> int:
+    try:
+        return parse_count(text)
+    except MalformedError as error:
+        raise CommandSyntaxError(str(error)) from error
+
+
 def _duration_ms(token: Token) -> int:
     for unit, factor in _MS_PER_UNIT:
         if token.endswith(unit):
-            return int(token.removesuffix(unit)) * factor
+            return _number(token.removesuffix(unit)) * factor
     raise CommandSyntaxError(f'{token} is not a duration')
 
 
@@ -146,7 +161,7 @@
         return tuple(children)
 
     def last(self, children):
-        return int(children[0])
+        return _number(children[0])
 
     def show(self, children):
         subject, conditions, last = children
@@ -208,19 +223,21 @@
 
     def set_limit(self, children):
         name, slots, connections = children
-        change = SetTargetLimits(str(name), int(slots), int(connections))
+        change = SetTargetLimits(
+            str(name), _number(slots), _number(connections)
+        )
         return MakeChange(change)
 
     def watch(self, children):
         revision, duration = children
         defaults = Watch()
         return Watch(
-            int(revision) if revision else defaults.revision,
+            _number(revision) if revision else defaults.revision,
             _duration_ms(duration) if duration else defaults.wait_ms,
         )
 
     def compare(self, children):
-        return Compare(int(children[0]), int(children[1]))
+        return Compare(_number(children[0]), _number(children[1]))
 
     def check(self, children):
         return CheckFile(Path(str(children[0])))
--- a/oriolestage/tool/_session.py
+++ b/oriolestage/tool/_session.py
@@ -26,7 +26,11 @@
     Watch,
 )
 from oriolestage.tool._documents import dump_document, load_document
-from oriolestage.tool._errors import CommandSyntaxError, DaemonUnreachableError
+from oriolestage.tool._errors import (
+    AnswerLostError,
+    CommandSyntaxError,
+    DaemonUnreachableError,
+)
 from oriolestage.tool._exit_codes import ExitCode
 from oriolestage.tool._language import HELP_TEXT, parse_command
 from oriolestage.tool._tables import history_row, render_table, select_rows
@@ -148,7 +152,14 @@
         return ExitCode.DONE
 
     async def _change(self, request: ChangeRequest) -> ExitCode:
-        outcome = await self._client.change(request)
+        try:
+            outcome = await self._client.change(request)
+        except AnswerLostError as error:
+            self._write_error(
+                f'unknown: command {request.command_id}: {error}; the history '
+                'shows whether it took effect',
+            )
+            return ExitCode.UNKNOWN
         if self._as_json:
             self._write(msgspec.json.encode(outcome).decode())
         match outcome:
--- a/oriolestage/tool/_tables.py
+++ b/oriolestage/tool/_tables.py
@@ -40,11 +40,10 @@
 
 def history_row(record: RevisionRecord) -> Row:
     """Return the row of one entry of the audit trail."""
-    when = datetime.fromtimestamp(record.at_ms / 1000, tz=UTC)
     change = msgspec.to_builtins(record.change)
     return {
         'revision': str(record.revision),
-        'when': when.isoformat(timespec='seconds'),
+        'when': _format_time(record.at_ms),
         'operator': record.operator,
         'command': record.command_id,
         'change': f'{change["type"]} {change.get("name", "")}'.strip(),
@@ -53,6 +52,15 @@
     }
 
 
+def _format_time(at_ms: int) -> str:
+    """Return a time in UTC; one after the year 9999 stays a number."""
+    try:
+        when = datetime.fromtimestamp(at_ms / 1000, tz=UTC)
+    except (ValueError, OverflowError, OSError):
+        return f'{at_ms} ms'
+    return when.isoformat(timespec='seconds')
+
+
 def _all_rows(subject: str, view: NodeView) -> list[Row]:
     match subject:
         case 'targets':
