Refuse settings that fail or never end at run time

Files with deep nesting, impossible dates or numbers of thousands of digits ended the daemon with a traceback instead of a line that names the file. A duration of 400 digits became infinite, `platform.timeout: 0s` switched the timeout off, digits of other scripts were accepted, names could end with a line break, and the addresses to advertise were not checked at all, although other hosts connect to them.

The file is read by the same function as the documents of the operator tool.

--- a/oriolestage/core/__init__.py
+++ b/oriolestage/core/__init__.py
@@ -31,6 +31,7 @@
     MalformedError,
     OriolestageError,
 )
+from oriolestage.core._field_types import is_address
 from oriolestage.core._messages import (
     DataMessage,
     GossipMessage,
@@ -209,6 +210,7 @@
     'decode_json',
     'decode_msgpack',
     'encode_message',
+    'is_address',
     'keep_disjoint',
     'key_created_ms',
     'load_chart',
--- a/oriolestage/daemon/_settings.py
+++ b/oriolestage/daemon/_settings.py
@@ -4,15 +4,16 @@
 from pathlib import Path
 
 import msgspec
-import yaml
+
+from oriolestage._yaml_files import YamlFileError, load_yaml_file
+from oriolestage.core import is_address
 
 #: Seconds in each unit of a duration.
 SECONDS_PER_UNIT = {'ms': 0.001, 's': 1.0, 'min': 60.0}  # noqa: WPS407
-_DURATION = re.compile(r'^(\d+(?:\.\d+)?)(ms|s|min)$')
-_ADDRESS = re.compile(r'^\d{1,3}(?:\.\d{1,3}){3}:(\d{1,5})$')
-_NAME = re.compile(r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')
-#: Largest port number.
-MAX_PORT = 65535
+_DURATION = re.compile(r'([0-9]{1,9}(?:\.[0-9]{1,9})?)(ms|s|min)')
+_NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+#: Longest duration, in seconds.
+MAX_DURATION_S = 86_400.0
 
 
 class SettingsError(Exception):
@@ -78,17 +79,8 @@
     Raise :class:`SettingsError` if it cannot be read or is invalid.
     """
     try:
-        text = path.read_text('utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(f'{path}: {error}') from error
-    try:
-        content = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        details = ' '.join(str(error).split())
-        raise SettingsError(f'{path}: not YAML: {details}') from error
-    try:
-        settings = msgspec.convert(content, Settings)
-    except msgspec.ValidationError as error:
+        settings = load_yaml_file(path, Settings)
+    except YamlFileError as error:
         raise SettingsError(f'{path}: {error}') from error
     try:
         _check(settings)
@@ -102,18 +94,23 @@
 
     Raise :class:`SettingsError`, which names ``key``, if it is malformed.
     """
-    match = _DURATION.match(text)
+    match = _DURATION.fullmatch(text)
     if match is None:
         raise SettingsError(
             f'{text!r} is not a duration; write a number with ms, s or min, '
             f'such as 200ms - at `$.{key}`',
         )
-    return float(match.group(1)) * SECONDS_PER_UNIT[match.group(2)]
+    duration_s = float(match.group(1)) * SECONDS_PER_UNIT[match.group(2)]
+    if duration_s > MAX_DURATION_S:
+        raise SettingsError(
+            f'{text!r} is longer than {MAX_DURATION_S:.0f} s - at `$.{key}`',
+        )
+    return duration_s
 
 
 def _check(settings: Settings) -> None:
     for key in ('name', 'data_centre'):
-        if not _NAME.match(getattr(settings, key)):
+        if not _NAME.fullmatch(getattr(settings, key)):
             raise SettingsError(
                 'not a name; write 1 to 64 letters, digits or any of . _ - '
                 f'that begin with a letter or digit - at `$.{key}`',
@@ -122,9 +119,13 @@
         _check_address(getattr(settings.listen, key), f'listen.{key}')
     _check_address(settings.platform.store, 'platform.store')
     _check_address(settings.platform.host_list, 'platform.host_list')
+    for advertised in ('advertise_gossip', 'advertise_data'):
+        if getattr(settings, advertised):
+            _check_address(getattr(settings, advertised), advertised)
     for seed in settings.seeds:
         _check_address(seed, 'seeds')
-    parse_duration(settings.platform.timeout, 'platform.timeout')
+    if not parse_duration(settings.platform.timeout, 'platform.timeout'):
+        raise SettingsError('must be above 0 - at `$.platform.timeout`')
     parse_duration(settings.stop.notice, 'stop.notice')
     parse_duration(settings.stop.deadline, 'stop.deadline')
     parse_duration(settings.freshness_limit, 'freshness_limit')
@@ -133,9 +134,7 @@
 
 
 def _check_address(address: str, key: str) -> None:
-    match = _ADDRESS.match(address)
-    port = int(match.group(1)) if match else 0
-    if not 1 <= port <= MAX_PORT:
+    if not is_address(address):
         raise SettingsError(
             f'{address!r} is not an address such as 10.0.0.1:8080 '
             f'- at `$.{key}`',
