A late write cannot undo a newer registration of a host

Cause: an unanswered write of a registration is done up to some seconds later. The host had opened another lease meanwhile and registered under it. The write had no condition and took the key to the old lease, which nobody renewed; with its end the key was gone for good. All hosts then divided the limits of targets by too small a number.

Ruled out: renewing several leases (the late write may come after the last of them is known), and a condition alone (the key would still be gone after a lease of an earlier process or of a build without conditions ends).

Changed tests: test_store expects the reading, the condition and what follows a 412 and a 404, besides what it expected; PlatformStore checks conditions and prefixes as the platform's store does; the model store counts the additional read.

--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -117,7 +117,10 @@
         """
 
     async def open_lease(self, time_to_live_s: float) -> Lease:
-        """Open a lease and return it."""
+        """Open a lease and return it.
+
+        If the call fails, a lease may be open that ends by itself.
+        """
 
     async def renew_lease(self, lease: Lease) -> None:
         """Renew a lease.
@@ -127,10 +130,18 @@
         """
 
     async def end_lease(self, lease: Lease) -> None:
-        """End a lease, which deletes its keys."""
+        """End a lease, which deletes its keys.
+
+        Calls under it that are done late have no effect afterwards. Raises
+        :class:`LeaseEndedError` if it has ended or is of an era that has.
+        """
+
+    async def register_host(self, record: HostRecord, lease: Lease) -> bool:
+        """Store the record of this host under a lease.
 
-    async def register_host(self, record: HostRecord, lease: Lease) -> None:
-        """Store the record of this host under a lease."""
+        Return False if it is stored so already. A call that is done late
+        neither replaces a newer record nor takes it to another lease.
+        """
 
     async def report_crashes(
         self,
--- a/oriolestage/entry/tests/model_store.py
+++ b/oriolestage/entry/tests/model_store.py
@@ -62,7 +62,7 @@
     #: Lease of each registered host.
     hosts: dict[HostRecord, int] = dataclasses.field(default_factory=dict)
     history: list[tuple[int, StoredFact]] = dataclasses.field(
-        default_factory=list,
+        default_factory=list
     )
 
 
@@ -84,11 +84,8 @@
     @property
     def registered_hosts(self) -> set[str]:
         """Names of the hosts whose registrations are under a valid lease."""
-        return {
-            record.name
-            for record, lease in self.content.hosts.items()
-            if lease in self.content.leases
-        }
+        hosts, leases = self.content.hosts, self.content.leases
+        return {host.name for host, lease in hosts.items() if lease in leases}
 
     def configure(self) -> None:
         """Write the next version of the configuration."""
@@ -262,11 +259,13 @@
         await self._use(lease)
         self._store.content.leases.discard(lease.number)
 
-    async def register_host(self, record: HostRecord, lease: Lease) -> None:
-        """Register a host."""
+    async def register_host(self, record: HostRecord, lease: Lease) -> bool:
+        """Register a host, in a read and a write."""
+        await self._call(0)
         await self._use(lease)
         self._store.content.hosts[record] = lease.number
         self._store.add(HostStored(record))
+        return True
 
     async def report_crashes(
         self, reports: Sequence[CrashReport], lease: Lease
--- a/oriolestage/entry/tests/test_store_follower.py
+++ b/oriolestage/entry/tests/test_store_follower.py
@@ -102,8 +102,9 @@
     async def end_lease(self, lease: Lease) -> None:
         """Do nothing."""
 
-    async def register_host(self, record: HostRecord, lease: Lease) -> None:
+    async def register_host(self, record: HostRecord, lease: Lease) -> bool:
         """Do nothing."""
+        return True
 
     async def report_crashes(
         self,
--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -1,7 +1,6 @@
 """Client of the platform's store, over HTTP and JSON."""
 
-import base64
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from typing import TypeVar
 
 import msgspec
@@ -10,7 +9,6 @@
     AnswerRejectedError,
     HistoryReplacedError,
     Lease,
-    LeaseEndedError,
     StoreChanges,
     StoreContents,
     StoreError,
@@ -24,6 +22,7 @@
     decode_value,
     encode_host,
 )
+from oriolestage.platform._leased_items import LeasedItems
 from oriolestage.platform._store_calls import (
     MS_PER_S,
     NoOpenConnectionError,
@@ -66,10 +65,6 @@
     store_revision: int
 
 
-class _Lease(msgspec.Struct, frozen=True):
-    lease: int
-
-
 _Shape = TypeVar('_Shape', bound=msgspec.Struct)
 
 
@@ -85,6 +80,7 @@
         It connects with the first call.
         """
         self._calls = StoreCalls(address)
+        self._leased = LeasedItems(self._calls)
 
     @property
     def eras(self) -> StoreEras:
@@ -171,12 +167,7 @@
 
     async def open_lease(self, time_to_live_s: float) -> Lease:
         """Open a lease and return it."""
-        answer = await self._calls.call(
-            'POST',
-            _names.LEASE_PATH,
-            content={'ttlMs': int(time_to_live_s * MS_PER_S)},
-        )
-        return Lease(answer.era, self._decode(answer.body, _Lease).lease)
+        return await self._leased.open(time_to_live_s)
 
     async def renew_lease(self, lease: Lease) -> None:
         """Renew a lease.
@@ -184,11 +175,7 @@
         Raises :class:`LeaseEndedError` if it has ended or is of an era that
         has.
         """
-        self._check_lease(lease, self.eras.era)
-        answer = await self._calls.call(
-            'POST', f'{_names.LEASE_RENEW_PATH}/{lease.number}'
-        )
-        self._check_lease(lease, answer.era)
+        await self._leased.renew(lease)
 
     async def end_lease(self, lease: Lease) -> None:
         """End a lease; the store removes all items under it.
@@ -196,15 +183,16 @@
         Raises :class:`LeaseEndedError` if it has ended or is of an era that
         has.
         """
-        self._check_lease(lease, self.eras.era)
-        await self._calls.call(
-            'DELETE', f'{_names.LEASE_END_PATH}/{lease.number}'
-        )
+        await self._leased.end(lease)
 
-    async def register_host(self, record: HostRecord, lease: Lease) -> None:
-        """Register this host until its lease ends."""
+    async def register_host(self, record: HostRecord, lease: Lease) -> bool:
+        """Register this host until its lease ends.
+
+        Return False if it is registered so already. The registration is
+        written only if it is still as it was read before.
+        """
         key = f'{_names.HOST_PREFIX}{record.name}'
-        await self._write({key: encode_host(record)}, lease)
+        return await self._leased.put(key, encode_host(record), lease)
 
     async def report_crashes(
         self,
@@ -212,35 +200,10 @@
         lease: Lease,
     ) -> None:
         """Store at most 32 crash reports, which the other hosts read."""
-        await self._write(
-            {crash_key(report): b'' for report in reports},
-            lease,
+        await self._leased.write(
+            {crash_key(report): b'' for report in reports}, lease
         )
 
-    async def _write(
-        self, documents: Mapping[str, bytes], lease: Lease
-    ) -> None:
-        """Write at most 32 items under a lease, atomically.
-
-        Raises :class:`LeaseEndedError` if it has ended or is of an era that
-        has.
-        """
-        self._check_lease(lease, self.eras.era)
-        writes = [
-            {
-                'key': key,
-                'value': base64.b64encode(content).decode(),
-                'lease': lease.number,
-            }
-            for key, content in documents.items()
-        ]
-        answer = await self._calls.call(
-            'POST',
-            _names.STORE_WRITE_PATH,
-            content={'expectedRev': [], 'writes': writes, 'remove': []},
-        )
-        self._check_lease(lease, answer.era)
-
     def _foreign_answer(self, step: str) -> StoreError:
         """Return the error of an answer that belongs to an earlier call.
 
@@ -249,13 +212,6 @@
         """
         return StoreError(step, self._calls.address, 'answer to another call')
 
-    def _check_lease(self, lease: Lease, era: int | None) -> None:
-        """Raise an error if a lease is not of an era."""
-        if lease.era != era:
-            raise LeaseEndedError(
-                'store.era', self._calls.address, f'era {era} after {lease.era}'
-            )
-
     def _check_same_era(
         self, position: StorePosition, answer: StoreAnswer
     ) -> None:
--- a/oriolestage/platform/tests/platform_store.py
+++ b/oriolestage/platform/tests/platform_store.py
@@ -162,7 +162,12 @@
     def _list(self, query: Mapping[str, str]) -> web.Response:
         self.before_page()
         after = query.get('after', '')
-        keys = [key for key in sorted(self.content.listed) if key > after]
+        prefix = query['pathPrefix']
+        keys = [
+            key
+            for key in sorted(self.content.listed)
+            if key > after and key.startswith(prefix)
+        ]
         page = keys[: self._page_items]
         return self._answer(
             {
@@ -193,6 +198,12 @@
         )
 
     def _transact(self, body: Mapping[str, list[dict]]) -> web.Response:
+        for row in body['expectedRev']:
+            known = self.content.listed.get(row['key'], {'revision': 0})
+            if known['revision'] != row['revision']:
+                return self._answer(
+                    {'items': [known]}, HTTPStatus.PRECONDITION_FAILED
+                )
         leases = {write['lease'] for write in body['writes']}
         if not leases <= self.content.leases | {0}:
             return self._answer({}, HTTPStatus.NOT_FOUND)
--- a/oriolestage/platform/tests/test_store.py
+++ b/oriolestage/platform/tests/test_store.py
@@ -219,20 +219,62 @@
                     )
 
     async def test_registration(self) -> None:
-        """A host registers under a lease; an ended lease raises an error."""
+        """A host registers under a lease; an ended lease raises an error.
+
+        It writes on the condition that its registration is as it was read,
+        and not if that is under its lease already.
+        """
+        record = HostRecord('h', 'dc', 'a:1')
+        other = _item('hosts/h2', {})
         self._answers = [
             (200, {'lease': 7, 'ttlMs': 3000}),
+            (200, {'items': [other], 'storeRevision': 7}),
             (200, {'revision': 8}),
-            (404, {}),
         ]
         lease = await self._client.open_lease(3)
-        await self._client.register_host(HostRecord('h', 'dc', 'a:1'), lease)
-        written = json.loads(self._requests[1][2])['writes'][0]
+        self.assertTrue(await self._client.register_host(record, lease))
+        transaction = json.loads(self._requests[2][2])
+        absent = [{'key': 'hosts/h', 'revision': 0}]
+        self.assertEqual(transaction['expectedRev'], absent)
+        self.assertEqual(len(transaction['writes']), 1)
+        written = transaction['writes'][0]
         self.assertEqual(written['key'], 'hosts/h')
         self.assertEqual(written['lease'], 7)
+        for known_lease, status in ((7, 0), (6, 200), (6, 412), (6, 404)):
+            stored = {**written, 'revision': 8, 'lease': known_lease}
+            self._answers = [(200, {'items': [stored], 'storeRevision': 8})]
+            if status:
+                self._answers.append((status, {}))
+            with self.subTest(lease=known_lease, status=status):
+                await self._register_again(record, lease, status)
+        self._answers = [(404, {})]
         with self.assertRaises(LeaseEndedError):
             await self._client.renew_lease(lease)
 
+    async def _register_again(
+        self, record: HostRecord, lease: Lease, status: int
+    ) -> None:
+        """Register a host that is known; 0 for a write that is not needed."""
+        calls = len(self._requests)
+        match status:
+            case 0:
+                self.assertFalse(
+                    await self._client.register_host(record, lease)
+                )
+                self.assertEqual(len(self._requests), calls + 1)
+                return
+            case 200:
+                self.assertTrue(await self._client.register_host(record, lease))
+            case 404:
+                with self.assertRaises(LeaseEndedError):
+                    await self._client.register_host(record, lease)
+            case _:
+                with self.assertRaises(StoreError):
+                    await self._client.register_host(record, lease)
+        transaction = json.loads(self._requests[-1][2])
+        known = [{'key': 'hosts/h', 'revision': 8}]
+        self.assertEqual(transaction['expectedRev'], known)
+
     async def test_crash_reports(self) -> None:
         """A crash report that is written is read back unchanged."""
         report = CrashReport(0x1F, 'i-1')
