A host that lost its registration puts it back

The composition passes the registration whether this host finds its own record in its copy of the store. Before, a registration whose key was gone came back only with the next lease.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -197,14 +197,7 @@
             metrics,
         ),
         follower=follower,
-        registration=HostRegistration(
-            store,
-            HostRecord(
-                settings.location.name,
-                settings.location.data_centre,
-                settings.peer_address,
-            ),
-        ),
+        registration=_build_registration(settings, store, cluster_state),
         crash_reporter=CrashReporter(store, crash_detector),
         client=client,
         reach_probe=ReachProbe(placement, client.try_connect),
@@ -220,6 +213,19 @@
     )
 
 
+def _build_registration(
+    settings: EntrySettings, store: Store, cluster_state: ClusterState
+) -> HostRegistration:
+    record = HostRecord(
+        settings.location.name,
+        settings.location.data_centre,
+        settings.peer_address,
+    )
+    return HostRegistration(
+        store, record, lambda: cluster_state.hosts.lists(record)
+    )
+
+
 async def _listen(host: EntryHost, caller_listener: socket.socket) -> None:
     """Start all servers, the one for callers last.
 
--- a/oriolestage/routing/_cluster_state.py
+++ b/oriolestage/routing/_cluster_state.py
@@ -71,6 +71,11 @@
         """Number of hosts that share the limits."""
         return len(self._hosts)
 
+    @property
+    def hosts(self) -> KnownHosts:
+        """Hosts that are registered, or were until recently."""
+        return self._hosts
+
     @property
     def unapplied_count(self) -> int:
         """Number of facts that were dropped because of an error."""
--- a/oriolestage/routing/_known_hosts.py
+++ b/oriolestage/routing/_known_hosts.py
@@ -31,6 +31,13 @@
         """Return the number of hosts that share the limits."""
         return len(self._hosts)
 
+    def lists(self, record: HostRecord) -> bool:
+        """Return whether a host is registered with this record."""
+        return (
+            self._hosts.get(record.name) == record
+            and record.name not in self._unregistered_at
+        )
+
     def register(self, record: HostRecord, now: float) -> list[StateChange]:
         """Add a host or replace its record; return the changes to log."""
         return [self._publish(now)] if self._add(record) else []
--- a/oriolestage/routing/tests/test_cluster_state.py
+++ b/oriolestage/routing/tests/test_cluster_state.py
@@ -51,6 +51,19 @@
         self._state.expire(10 + HOST_RETENTION_S)
         self.assertEqual(self._placement.hosts, ('host-1',))
 
+    def test_listed_hosts(self) -> None:
+        """A host finds itself only if its own record is registered."""
+        hosts = self._state.hosts
+        self.assertTrue(hosts.lists(self._other))
+        self.assertFalse(hosts.lists(HostRecord('host-2', 'dc-b', 'b:2')))
+        self.assertFalse(hosts.lists(HostRecord('host-3', 'dc-b', 'b:1')))
+        self._state.apply(HostRemoved('host-2'), 10)
+        self.assertFalse(hosts.lists(self._other))
+        self._state.apply(HostStored(self._other), 11)
+        self.assertTrue(hosts.lists(self._other))
+        self._state.replace_all((), 12)
+        self.assertFalse(hosts.lists(self._other))
+
     def test_host_missing_in_full_read(self) -> None:
         """A host missing in a full read is kept, and stays if it returns."""
         self._state.replace_all((), 10)
