Go on after an unexpected error in the core

Any error that a method of the core raised ended the daemon with code 70: one message, timer, result of a call or effect was enough, and callers and operators saw their connections end. An answer for a client whose request had been cancelled meanwhile did so too (InvalidStateError).

An error now ends the processing of one event, timer, effect or message of the host to itself. It is logged as internal_error with its step and location and counted in oriolestage_failures. A caller gets may_have_run with the reason internal_error, an operator an unknown outcome, and a poll fails at once; a call that could not be made is reported to the core as such, so that nothing waits for it. A timer or message that failed is not run again. The daemon still stops, in order and with code 70, when the timers or the effects failed in 100 batches in a row, since its view of other hosts is then out of date.

Before: 21 sub-tests of test_core_service fail, 20 of them with a time-out since the task had ended.

--- a/oriolestage/core/queries/_outcomes.py
+++ b/oriolestage/core/queries/_outcomes.py
@@ -49,6 +49,8 @@
     KEY_EXPIRED = 'key_expired'
     #: The idempotency key was used before for another request.
     KEY_REUSED = 'key_reused'
+    #: An unexpected error ended the processing of the request.
+    INTERNAL_ERROR = 'internal_error'
 
 
 class KeyRange(msgspec.Struct, frozen=True, array_like=True, order=True):
--- a/oriolestage/daemon/_composition.py
+++ b/oriolestage/daemon/_composition.py
@@ -156,6 +156,7 @@
             inbox,
             failures,
         ),
+        failures=failures,
     )
     services = (
         core_service,
