Decline other hosts' requests that outlast a stopping host

A host that gathers shards or sends requests for other hosts took such requests until it ended, whatever time they had left, and a planned stop waited only for those to single services: batches of shards were cut. The asking host then counts the request as lost; one that may not be repeated fails, though another host could have run it.

PeerRequests keeps the requests of other hosts in flight, batches too. Once it knows when its host ends, it declines what has more time left than that, as not run and out of reach here, so that the asking host turns to another host at once and doesn't take the targets for full. What can end in time is served.

How other hosts learn of a stop was looked at: its registration is withdrawn in the store; in an outage of the store they learn it from the declined requests.

--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -24,6 +24,7 @@
     decode_to_peer,
     encode,
 )
+from oriolestage.entry._peer_requests import PeerRequests
 from oriolestage.entry._relay_serving import RelayServer
 from oriolestage.entry._shard_gathering import (
     ReplyWriter,
@@ -88,12 +89,18 @@
         self._attempt_numbers = itertools.count(FIRST_ATTEMPT_NUMBER)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._requests = PeerRequests(freshness)
 
     @property
     def relays_in_flight(self) -> int:
         """Number of requests of other hosts to single services."""
         return self._relays.in_flight
 
+    @property
+    def requests(self) -> PeerRequests:
+        """Requests of other hosts in flight, for one or several services."""
+        return self._requests
+
     async def start(self, listener: socket.socket) -> None:
         """Accept streams of other hosts on a listening socket."""
         self._server = await asyncio.start_server(
@@ -150,12 +157,20 @@
         running: dict[int, asyncio.Task[None]],
     ) -> None:
         match message:
+            case GatherRequest() | RelayRequest() if (
+                self._requests.outlasts_host(message)
+            ):
+                self._requests.decline(message, frames)
             case GatherRequest(number=number):
-                task = asyncio.create_task(self._run_batch(message, frames))
+                task = self._requests.start(
+                    message, self._run_batch(message, frames)
+                )
                 running[number] = task
                 task.add_done_callback(lambda _: running.pop(number, None))
             case RelayRequest(number=number):
-                task = asyncio.create_task(self._relays.serve(message, frames))
+                task = self._requests.start(
+                    message, self._relays.serve(message, frames)
+                )
                 running[number] = task
                 task.add_done_callback(lambda _: running.pop(number, None))
             case Ping():
