A request that crashes targets stays refused while it still comes

Cause: a quarantine had a fixed end, and the crashes were forgotten with it, so that two crashes had to be confirmed anew at every host. A request that came more slowly than once in 60 s was never quarantined at all.

Ruled out: a longer quarantine (the same later), and a store call for each repetition.

Now - each refused repetition prolongs the quarantine at its host, which repeats two reports to the others after 10 to 20 s. The hosts wait for different times, so that one of them tells the others; - after 60 s of quiet one host, which all compute alike, lets the request through once. A further crash or an unanswered probe raises the quiet that is needed to 10 minutes and then to an hour, the time for which crashes are remembered. The other hosts refuse it with a Retry-After of 1 s meanwhile, and do not count that as a repetition; - a target's answer below 500 ends the quarantine, and that is reported: the request gets back in at all hosts. A 5xx of a failing target no longer clears a request; - records are bounded by number and time. Start, prolongation, probe and end are logged; - a report whose write failed or was not answered is repeated, under the same lease. A lease serves the reports of 10 s and lives long enough that a late write of another host under an older lease cannot end a newer report before its quarantine.

The own interface has the same bounds as before and gains those on memory.

Changed test: test_store_fails_once demanded that a report is dropped after one failed call. It now demands that it is repeated, for three kinds of failure, and moved to test_crash_reporter with tests of a store that is away.

--- a/oriolestage/_quarantine.py
+++ b/oriolestage/_quarantine.py
@@ -1,14 +1,54 @@
-"""Quarantine of requests that crash targets, by request fingerprint."""
+"""Quarantine of requests that crash targets, by request fingerprint.
+
+The load pattern that this answers: a caller repeats a request that crashes
+each target that runs it, at any pace, for as long as it likes. Waiting a fixed
+time and trying again would crash the targets again each time. So a request
+stays refused while it still comes; only quiet lets it run again, once and at
+one host, and after each further crash the quiet has to be longer.
+"""
 
 import dataclasses
 from collections import OrderedDict
 
+#: Factor by which the quiet grows that is needed after each further crash.
+QUIET_GROWTH = 10
+#: Most recently crashed targets that are remembered for each fingerprint.
+TARGETS_LIMIT = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineBounds:
+    """How long requests are refused, and how much is remembered."""
+
+    #: Crashed targets after which a fingerprint is refused.
+    threshold: int
+    #: Quiet after which it may run again, in seconds.
+    quiet_s: float
+    #: Time for which crashes are remembered after the last repetition, in
+    #: seconds. It is also the longest quiet that is needed.
+    retention_s: float
+    #: Most recently answered fingerprints that are remembered.
+    answered_limit: int
+    #: Fingerprints that are remembered with their crashes, those that are
+    #: refused and the others each.
+    crashed_limit: int
+
 
 @dataclasses.dataclass(slots=True)
 class _FingerprintRecord:
     #: Time of the crash of each target.
-    crashed_at: dict[str, float]
-    quarantined_until: float = float('-inf')
+    crashed_at: OrderedDict[str, float] = dataclasses.field(
+        default_factory=OrderedDict
+    )
+    #: Time of the latest crash or repetition.
+    touched_at: float = float('-inf')
+    refused_until: float = float('-inf')
+    #: Quiet that is needed, in seconds.
+    quiet_s: float = 0
+    #: Time at which that was last raised, or the fingerprint first refused.
+    raised_at: float = float('-inf')
+    #: Whether the end of the quiet was noticed.
+    quiet_noticed: bool = False
 
 
 class QuarantineTracker:
@@ -19,30 +59,30 @@
     cut.
     """
 
-    def __init__(
-        self,
-        threshold: int,
-        retention_s: float,
-        answered_limit: int,
-    ) -> None:
-        """Quarantine a fingerprint once ``threshold`` targets have crashed.
-
-        A quarantine lasts ``retention_s`` seconds. The crashes of a
-        fingerprint are forgotten ``retention_s`` after the last of them. The
-        ``answered_limit`` most recently answered fingerprints are remembered.
-        """
-        self._threshold = threshold
-        self._retention_s = retention_s
-        self._answered_limit = answered_limit
-        self._records: dict[int, _FingerprintRecord] = {}
+    def __init__(self, bounds: QuarantineBounds) -> None:
+        """Start without crashes."""
+        self._bounds = bounds
+        #: Records by the time of their latest touch; below the threshold, and
+        #: at it.
+        self._suspected: OrderedDict[int, _FingerprintRecord] = OrderedDict()
+        self._quarantined: OrderedDict[int, _FingerprintRecord] = OrderedDict()
         self._answered: OrderedDict[int, None] = OrderedDict()
 
-    def record_answered(self, fingerprint: int) -> None:
-        """Record that a target answered a request with this fingerprint."""
+    def __len__(self) -> int:
+        """Return the number of fingerprints with remembered crashes."""
+        return len(self._suspected) + len(self._quarantined)
+
+    def record_answered(self, fingerprint: int) -> bool:
+        """Record that a target answered a request with this fingerprint.
+
+        Return whether that ends a quarantine.
+        """
         self._answered[fingerprint] = None
         self._answered.move_to_end(fingerprint)
-        if len(self._answered) > self._answered_limit:
+        if len(self._answered) > self._bounds.answered_limit:
             self._answered.popitem(last=False)
+        self._suspected.pop(fingerprint, None)
+        return self._quarantined.pop(fingerprint, None) is not None
 
     def record_crash(
         self,
@@ -56,39 +96,126 @@
         Return False if the crash of this target is recorded already.
         """
         self._remove_expired(now)
-        record = self._records.setdefault(fingerprint, _FingerprintRecord({}))
+        record = self._record(fingerprint)
         if target in record.crashed_at:
             return False
+        self._raise_quiet(record, now)
         record.crashed_at[target] = crashed_at
-        if len(record.crashed_at) >= self._threshold:
-            record.quarantined_until = now + self._retention_s
+        if len(record.crashed_at) > TARGETS_LIMIT:
+            record.crashed_at.popitem(last=False)
+        self._touch(fingerprint, record, now)
         return True
 
+    def record_repetition(self, fingerprint: int, now: float) -> None:
+        """Record that a refused request came again, here or elsewhere."""
+        record = self._quarantined.get(fingerprint)
+        if record is not None:
+            self._touch(fingerprint, record, now)
+
+    def start_probe(self, fingerprint: int, now: float) -> None:
+        """Record that a request is let through after the quiet.
+
+        Until a target has answered it, it is refused for longer than before.
+        """
+        record = self._quarantined.get(fingerprint)
+        if record is not None:
+            self._raise_quiet(record, now)
+            self._touch(fingerprint, record, now)
+
     def was_answered(self, fingerprint: int) -> bool:
         """Return whether a target is known to have answered a fingerprint."""
         return fingerprint in self._answered
 
+    def is_quarantined(self, fingerprint: int) -> bool:
+        """Return whether a fingerprint is refused, or was until the quiet."""
+        return (
+            fingerprint in self._quarantined
+            and fingerprint not in self._answered
+        )
+
     def crash_count(self, fingerprint: int) -> int:
         """Return the number of distinct targets that a fingerprint crashed.
 
         Return 0 for a fingerprint that a target has answered.
         """
+        return len(self.crashed_targets(fingerprint))
+
+    def crashed_targets(self, fingerprint: int) -> tuple[str, ...]:
+        """Return the targets that a fingerprint crashed, the first first."""
         if fingerprint in self._answered:
-            return 0
-        record = self._records.get(fingerprint)
-        return 0 if record is None else len(record.crashed_at)
+            return ()
+        record = self._quarantined.get(fingerprint) or self._suspected.get(
+            fingerprint
+        )
+        return () if record is None else tuple(record.crashed_at)
 
     def quarantine_left_s(self, fingerprint: int, now: float) -> float:
-        """Return the seconds until a quarantine ends, 0 if there is none."""
-        record = self._records.get(fingerprint)
+        """Return the quiet that is still needed, in seconds; 0 for none."""
+        record = self._quarantined.get(fingerprint)
         if record is None or fingerprint in self._answered:
             return 0
-        return max(0, record.quarantined_until - now)
+        return max(0, record.refused_until - now)
+
+    def take_quiet(self, now: float) -> tuple[int, ...]:
+        """Return the fingerprints whose quiet has ended since the last call."""
+        quiet: list[int] = []
+        for fingerprint, record in self._quarantined.items():
+            if record.refused_until <= now and not record.quiet_noticed:
+                record.quiet_noticed = True
+                quiet.append(fingerprint)
+        self._remove_expired(now)
+        return tuple(quiet)
+
+    def _record(self, fingerprint: int) -> _FingerprintRecord:
+        record = self._quarantined.get(fingerprint)
+        if record is None:
+            record = self._suspected.setdefault(
+                fingerprint, _FingerprintRecord()
+            )
+        return record
+
+    def _raise_quiet(self, record: _FingerprintRecord, now: float) -> None:
+        """Raise the quiet for a crash after the quiet, or a probe.
+
+        The crashes of one outbreak are found within some seconds.
+        """
+        if record.quiet_s and now - record.raised_at > self._bounds.quiet_s / 2:
+            record.quiet_s = min(
+                record.quiet_s * QUIET_GROWTH, self._bounds.retention_s
+            )
+            record.raised_at = now
+
+    def _touch(
+        self, fingerprint: int, record: _FingerprintRecord, now: float
+    ) -> None:
+        """Refuse a fingerprint with enough crashes until it is quiet."""
+        record.touched_at = max(now, record.touched_at)
+        if len(record.crashed_at) < self._bounds.threshold:
+            self._keep(self._suspected, fingerprint, record)
+            return
+        if not record.quiet_s:
+            record.quiet_s = self._bounds.quiet_s
+            record.raised_at = now
+        record.refused_until = record.touched_at + record.quiet_s
+        record.quiet_noticed = False
+        self._suspected.pop(fingerprint, None)
+        self._keep(self._quarantined, fingerprint, record)
+
+    def _keep(
+        self,
+        records: OrderedDict[int, _FingerprintRecord],
+        fingerprint: int,
+        record: _FingerprintRecord,
+    ) -> None:
+        records[fingerprint] = record
+        records.move_to_end(fingerprint)
+        if len(records) > self._bounds.crashed_limit:
+            records.popitem(last=False)
 
     def _remove_expired(self, now: float) -> None:
-        oldest = now - self._retention_s
-        for fingerprint, record in tuple(self._records.items()):
-            if record.quarantined_until > now:
-                continue
-            if max(record.crashed_at.values(), default=oldest) <= oldest:
-                self._records.pop(fingerprint)
+        for records in (self._suspected, self._quarantined):
+            while records:
+                oldest = next(iter(records.values()))
+                if now - oldest.touched_at <= self._bounds.retention_s:
+                    break
+                records.popitem(last=False)
--- a/oriolestage/core/targets/_crashes.py
+++ b/oriolestage/core/targets/_crashes.py
@@ -4,7 +4,7 @@
 crashed a number of distinct targets, requests with it are refused for a while.
 """
 
-from oriolestage._quarantine import QuarantineTracker
+from oriolestage._quarantine import QuarantineBounds, QuarantineTracker
 from oriolestage.core._effects import Outbox
 from oriolestage.core._messages import CrashMark
 from oriolestage.core._parameters import Parameters
@@ -14,6 +14,8 @@
 #: Maximum number of remembered fingerprints that a target has answered. They
 #: are cleared of suspicion.
 CLEARED_FINGERPRINTS_KEPT = 20_000
+#: Maximum number of remembered fingerprints that crashed targets.
+CRASHED_FINGERPRINTS_KEPT = 10_000
 
 
 class CrashRegister:
@@ -32,9 +34,13 @@
         self._timers = timers
         self._membership = membership
         self._quarantine = QuarantineTracker(
-            parameters.quarantine_threshold,
-            parameters.quarantine_s,
-            CLEARED_FINGERPRINTS_KEPT,
+            QuarantineBounds(
+                parameters.quarantine_threshold,
+                parameters.quarantine_s,
+                parameters.quarantine_s,
+                CLEARED_FINGERPRINTS_KEPT,
+                CRASHED_FINGERPRINTS_KEPT,
+            ),
         )
 
     def record_answered(self, fingerprint: int) -> None:
--- a/oriolestage/entry/_crash_tracking.py
+++ b/oriolestage/entry/_crash_tracking.py
@@ -1,11 +1,20 @@
 """Reports broken and answered attempts to the crash detector."""
 
 import asyncio
+import itertools
+import random
 import time
+from collections.abc import Sequence
+from http import HTTPStatus
 from typing import Protocol
 
 from oriolestage._logging import log_event
-from oriolestage.entry._ports import Store, StoreError
+from oriolestage.entry._ports import (
+    Lease,
+    LeaseEndedError,
+    Store,
+    StoreError,
+)
 from oriolestage.entry._target_client import TargetCall
 from oriolestage.routing._answers import (
     AttemptAnswered,
@@ -16,13 +25,31 @@
 )
 from oriolestage.routing._crash_detector import (
     QUARANTINE_S,
+    REPORTS_LIMIT,
     CrashDetector,
+    CrashReport,
     fingerprint_of,
 )
 
 #: Interval at which detected crashes are written to the store, in seconds. It
 #: is short against the propagation limit, which is a few seconds.
 REPORT_INTERVAL_S = 0.2
+#: Mean time after which failed reports are repeated, in seconds, and the range
+#: of the random factor on it.
+RETRY_INTERVAL_S = 0.75
+RETRY_JITTER = (0.7, 1.3)
+#: Time for which reports are repeated, in seconds. A request that still comes
+#: is reported again after that.
+REPORT_TIMEOUT_S = 30.0
+#: Reports that may wait for the store.
+WAITING_LIMIT = 300
+#: Time for which reports are written under one lease, in seconds.
+LEASE_USE_S = 10.0
+#: Longest time after which a call without an answer may still be done, in
+#: seconds.
+LATEST_WRITE_S = 8.0
+#: Time to live of these leases, in seconds.
+LEASE_TTL_S = QUARANTINE_S + LEASE_USE_S + LATEST_WRITE_S
 
 
 class AttemptSender(Protocol):
@@ -52,9 +79,11 @@
         outcome = await self._sender.send(call)
         now = time.monotonic()
         match outcome:
-            case AttemptAnswered():
+            case AttemptAnswered(answer=answer):
                 self._responded_at = now
-                self._detector.record_answered(call.fingerprint)
+                # A failing target may answer without having run the request.
+                if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+                    self._detector.record_answered(call.fingerprint)
             case AttemptLost(broken=True):
                 self._detector.record_connection_loss(
                     call.fingerprint, call.target, now
@@ -67,33 +96,79 @@
 
 
 class CrashReporter:
-    """Writes detected crashes to the store, where other hosts read them."""
+    """Writes the reports of the crash detector to the store.
+
+    Other hosts read them there. A call that is not answered may be done
+    seconds later: it is repeated, and under the same lease, so that it does
+    not matter which of them are done. The lease lives so long beyond the
+    quarantine that a late report of another host under an older lease, which
+    takes the key of a newer report, still lasts as long as that.
+    """
 
     def __init__(self, store: Store, detector: CrashDetector) -> None:
         """Create a reporter of the crashes that ``detector`` has found."""
         self._store = store
         self._detector = detector
+        #: Monotonic time since which each report waits.
+        self._waiting: dict[CrashReport, float] = {}
+        self._retry_at = float('-inf')
+        self._lease: Lease | None = None
+        self._lease_opened_at = float('-inf')
 
     async def run(self) -> None:
         """Report crashes until cancelled.
 
-        If the store fails, the reports are logged and dropped.
+        If the store fails, the reports are repeated for `REPORT_TIMEOUT_S`.
         """
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
-            reports = self._detector.take_reports()
-            if not reports:
-                continue
-            try:
-                lease = await self._store.open_lease(QUARANTINE_S)
-                await self._store.report_crashes(reports, lease)
-            except StoreError as error:
-                # Not repeated: other hosts detect the crashes themselves if
-                # the request reaches them.
-                log_event(
-                    'crashes_not_reported',
-                    {'reports': len(reports), 'error': error},
-                )
+            now = time.monotonic()
+            self._detector.log_quiet(now)
+            for report in self._detector.take_reports():
+                self._waiting.setdefault(report, now)
+            self._drop_old(now)
+            if self._waiting and now >= self._retry_at:
+                await self._report(now)
+
+    async def _report(self, now: float) -> None:
+        batch = tuple(itertools.islice(self._waiting, REPORTS_LIMIT))
+        try:
+            lease = await self._usable_lease(now)
+            await self._store.report_crashes(batch, lease)
+        except LeaseEndedError as error:
+            self._lease = None
+            self._delay(batch, error)
+        except StoreError as error:
+            self._delay(batch, error)
+        else:
+            for report in batch:
+                self._waiting.pop(report)
+
+    async def _usable_lease(self, now: float) -> Lease:
+        if self._lease is None or now - self._lease_opened_at > LEASE_USE_S:
+            self._lease = await self._store.open_lease(LEASE_TTL_S)
+            self._lease_opened_at = now
+        return self._lease
+
+    def _delay(self, batch: Sequence[CrashReport], error: StoreError) -> None:
+        self._retry_at = time.monotonic() + (
+            RETRY_INTERVAL_S * random.uniform(*RETRY_JITTER)
+        )
+        log_event(
+            'crash_reports_delayed', {'reports': len(batch), 'error': error}
+        )
+
+    def _drop_old(self, now: float) -> None:
+        """Drop reports that waited for long, and those beyond the limit."""
+        dropped = [
+            report
+            for number, (report, since) in enumerate(self._waiting.items())
+            if now - since > REPORT_TIMEOUT_S or number >= WAITING_LIMIT
+        ]
+        for report in dropped:
+            self._waiting.pop(report)
+        if dropped:
+            log_event('crashes_not_reported', {'reports': len(dropped)})
 
 
 def fingerprint_from_headers(
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -25,7 +25,7 @@
     RequestResult,
 )
 from oriolestage.routing._cluster_state import ClusterState
-from oriolestage.routing._crash_detector import CrashDetector
+from oriolestage.routing._crash_detector import CrashDetector, Fleet
 from oriolestage.routing._delivery_margin import DeliveryMargin
 from oriolestage.routing._even_shares import EvenShare
 from oriolestage.routing._facts import HostRecord
@@ -110,13 +110,14 @@
         rule = table.find(request.host, request.path.partition('?')[0])
         if rule is None:
             return self._refuse(request, GiveUpReason.UNKNOWN_ROUTE, 0)
-        quarantine_left_s = self._crash_detector.quarantine_left_s(
+        refused_for_s = self._crash_detector.refuse_for_s(
             request.fingerprint,
             request.arrived_at,
+            Fleet(self._placement.location.name, self._placement.hosts),
         )
-        if quarantine_left_s > 0:
+        if refused_for_s > 0:
             return self._refuse(
-                request, GiveUpReason.QUARANTINED, quarantine_left_s
+                request, GiveUpReason.QUARANTINED, refused_for_s
             )
         self._in_flight += 1
         try:
--- a/oriolestage/routing/_crash_detector.py
+++ b/oriolestage/routing/_crash_detector.py
@@ -4,23 +4,40 @@
 takes down a target each time. A broken connection alone is no proof, because
 an answer can get lost; it counts as a crash once the target is found down or
 restarted. Hosts report confirmed crashes to one another through the store.
+
+A request that still comes stays refused: each repetition prolongs the
+quarantine, and the host that refuses it tells the others by repeating two of
+the reports, at a bounded rate. After the quiet one host of all, the same for
+everyone, lets it through once. If a target answers, that is reported as well.
 """
 
 import dataclasses
 import math
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 
 import xxhash
 
-from oriolestage._quarantine import QuarantineTracker
+from oriolestage._quarantine import QuarantineBounds, QuarantineTracker
+from oriolestage._rendezvous import rendezvous_position
 from oriolestage.routing._state_changes import StateChange
 
 #: Crashed targets after which a request is refused. An idempotent request can
 #: reach two targets within one attempt of the caller.
 QUARANTINE_THRESHOLD = 2
-#: Time for which a request is refused, in seconds.
+#: Quiet after which a request is let through once, in seconds.
 QUARANTINE_S = 60.0
+#: Time for which crashes are remembered after the last repetition, in seconds:
+#: a caller may repeat a request slowly.
+RETENTION_S = 3600.0
+#: Longest time between two reports of repetitions, in seconds. Hosts wait for
+#: different parts of its second half, so that one of them tells the others.
+REPETITION_REPORT_S = 20.0
+#: Time after which a request that needs no more quiet may be tried at another
+#: host, in seconds.
+OTHER_HOST_AFTER_S = 1.0
+#: Requests with crashes that are remembered.
+CRASHED_LIMIT = 10_000
 #: Time after a broken connection within which the target must be found down
 #: or restarted, in seconds. A registration ends after some 4 s of silence.
 CONFIRMATION_WINDOW_S = 8.0
@@ -31,18 +48,38 @@
 #: Reports to other hosts that may be queued. A power cut at the targets
 #: breaks many connections at once.
 REPORTS_LIMIT = 30
+#: Stands for the target in the report that a target has answered a request.
+ANSWERED = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashReport:
-    """A confirmed crash of a target by a request."""
+    """A confirmed crash of a target by a request.
+
+    A report that is repeated says that the request still comes.
+    """
 
     #: Fingerprint of the request, see `fingerprint_of`.
     fingerprint: int
-    #: Identity of the target.
+    #: Identity of the target; `ANSWERED` if one has answered the request.
     target: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fleet:
+    """The hosts that share the quarantines."""
+
+    #: Name of this host.
+    own: str
+    #: Names of all hosts, in the same order at each.
+    hosts: tuple[str, ...]
+
+    def position(self, fingerprint: int) -> int:
+        """Return the position of this host for a request; 0 for one host."""
+        key = f'{fingerprint:016x}'
+        return rendezvous_position(key, self.own, self.hosts)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ConnectionLoss:
     report: CrashReport
@@ -65,20 +102,37 @@
     def __init__(self, on_change: Callable[[StateChange], None]) -> None:
         """Start without crashes.
 
-        ``on_change`` is called with the log event of each confirmed crash.
+        ``on_change`` is called with the log event of each confirmed crash and
+        of each change of a quarantine.
         """
         self._on_change = on_change
         self._quarantine = QuarantineTracker(
-            QUARANTINE_THRESHOLD,
-            QUARANTINE_S,
-            ANSWERED_LIMIT,
+            QuarantineBounds(
+                QUARANTINE_THRESHOLD,
+                QUARANTINE_S,
+                RETENTION_S,
+                ANSWERED_LIMIT,
+                CRASHED_LIMIT,
+            ),
         )
         self._losses: deque[_ConnectionLoss] = deque(maxlen=LOSSES_LIMIT)
-        self._reports: list[CrashReport] = []
+        #: Reports to send, in order, each once.
+        self._reports: dict[CrashReport, None] = {}
+        #: Time at which a host last told that a refused request still comes.
+        self._told_at: OrderedDict[int, float] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return the number of requests with remembered crashes."""
+        return len(self._quarantine)
 
     def record_answered(self, fingerprint: int) -> None:
-        """Record that a target answered a request."""
-        self._quarantine.record_answered(fingerprint)
+        """Record that a target answered a request.
+
+        If it was quarantined, the other hosts are told that it is no longer.
+        """
+        if self._quarantine.record_answered(fingerprint):
+            self._queue(CrashReport(fingerprint, ANSWERED))
+            self._log_end(fingerprint, 'answered')
 
     def record_connection_loss(
         self, fingerprint: int, target: str, now: float
@@ -109,8 +163,14 @@
                 self._confirm(loss.report, now)
 
     def record_report(self, report: CrashReport, now: float) -> None:
-        """Record a crash that another host, or this one, has confirmed."""
-        self._record_crash(report, now)
+        """Record what another host, or this one, has reported."""
+        if report.target == ANSWERED:
+            if self._quarantine.record_answered(report.fingerprint):
+                self._log_end(report.fingerprint, 'answered_elsewhere')
+            return
+        self._record_told(report.fingerprint, now)
+        if not self._record_crash(report, now):
+            self._quarantine.record_repetition(report.fingerprint, now)
 
     def take_reports(self) -> tuple[CrashReport, ...]:
         """Return the reports to send to the other hosts; clear the queue."""
@@ -119,36 +179,113 @@
         return reports
 
     def quarantine_left_s(self, fingerprint: int, now: float) -> float:
-        """Return how long a request is still refused, in seconds; 0 if not."""
+        """Return the quiet that a request still needs, in seconds."""
         return self._quarantine.quarantine_left_s(fingerprint, now)
 
+    def refuse_for_s(self, fingerprint: int, now: float, fleet: Fleet) -> float:
+        """Return for how long a request that came is refused, in seconds.
+
+        0 if it may run. A refusal prolongs the quarantine: the time is the
+        quiet that is needed from now on. After the quiet only one host of the
+        ``fleet`` lets the request through, once; a refusal by another does
+        not count as a repetition, so that the request can reach that host.
+        """
+        if not self._quarantine.is_quarantined(fingerprint):
+            return 0
+        if self._quarantine.quarantine_left_s(fingerprint, now) > 0:
+            self._quarantine.record_repetition(fingerprint, now)
+            self._tell_repetition(fingerprint, now, fleet)
+            return self._quarantine.quarantine_left_s(fingerprint, now)
+        if fleet.position(fingerprint) > 0:
+            return OTHER_HOST_AFTER_S
+        self._quarantine.start_probe(fingerprint, now)
+        self._log(
+            'quarantine_probed',
+            fingerprint,
+            otherwise_refused_for_s=self.quarantine_left_s(fingerprint, now),
+        )
+        return 0
+
+    def log_quiet(self, now: float) -> None:
+        """Log the quarantines that have become quiet since the last call."""
+        for fingerprint in self._quarantine.take_quiet(now):
+            self._log_end(fingerprint, 'quiet')
+
+    def _tell_repetition(
+        self, fingerprint: int, now: float, fleet: Fleet
+    ) -> None:
+        """Tell the other hosts that a request still comes, if it is time.
+
+        The reports that are repeated are enough to refuse the request at a
+        host that has just started.
+        """
+        waited_s = now - self._told_at.get(fingerprint, float('-inf'))
+        if waited_s < REPETITION_REPORT_S / 2:
+            return
+        turn = fleet.position(fingerprint) / max(1, len(fleet.hosts))
+        if waited_s < REPETITION_REPORT_S * (1 + turn) / 2:
+            return
+        targets = sorted(self._quarantine.crashed_targets(fingerprint))
+        told = targets[:QUARANTINE_THRESHOLD]
+        if len(self._reports) + len(told) > REPORTS_LIMIT:
+            return
+        for target in told:
+            self._queue(CrashReport(fingerprint, target))
+        self._record_told(fingerprint, now)
+        self._log(
+            'quarantine_prolonged',
+            fingerprint,
+            refused_for_s=self.quarantine_left_s(fingerprint, now),
+        )
+
+    def _record_told(self, fingerprint: int, now: float) -> None:
+        self._told_at[fingerprint] = now
+        self._told_at.move_to_end(fingerprint)
+        if len(self._told_at) > CRASHED_LIMIT:
+            self._told_at.popitem(last=False)
+
     def _confirm(self, report: CrashReport, now: float) -> None:
         if self._quarantine.was_answered(report.fingerprint):
             return
-        if (
-            self._record_crash(report, now)
-            and len(self._reports) < REPORTS_LIMIT
-        ):
-            self._reports.append(report)
+        if self._record_crash(report, now):
+            self._queue(report)
 
     def _record_crash(self, report: CrashReport, now: float) -> bool:
         fingerprint = report.fingerprint
+        known = self._quarantine.is_quarantined(fingerprint)
         if not self._quarantine.record_crash(
             fingerprint, report.target, now, now
         ):
             return False
+        targets = self._quarantine.crash_count(fingerprint)
+        left_s = self._quarantine.quarantine_left_s(fingerprint, now)
+        self._log(
+            'request_crashed_target',
+            fingerprint,
+            target=report.target,
+            targets=targets,
+            refused_for_s=left_s,
+        )
+        if left_s > 0 and not known:
+            self._log(
+                'quarantine_started',
+                fingerprint,
+                targets=targets,
+                refused_for_s=left_s,
+            )
+        return True
+
+    def _queue(self, report: CrashReport) -> None:
+        if len(self._reports) < REPORTS_LIMIT:
+            self._reports[report] = None
+
+    def _log_end(self, fingerprint: int, reason: str) -> None:
+        self._log('quarantine_ended', fingerprint, reason=reason)
+
+    def _log(self, event: str, fingerprint: int, **fields: object) -> None:
         self._on_change(
             StateChange(
-                'request_crashed_target',
-                (
-                    ('fingerprint', f'{fingerprint:016x}'),
-                    ('target', report.target),
-                    ('targets', self._quarantine.crash_count(fingerprint)),
-                    (
-                        'refused_for_s',
-                        self._quarantine.quarantine_left_s(fingerprint, now),
-                    ),
-                ),
+                event,
+                (('fingerprint', f'{fingerprint:016x}'), *fields.items()),
             ),
         )
-        return True
