Own interface: a repetition prolongs the quarantine at its host

Callers of the own interface would see the fault that the entry host had: a request that crashes targets is let through 60 s after it was first refused, although it still comes.

A refusal at the host that takes the request, or at the owner of a target, now counts as a repetition and prolongs the quarantine there. Gossip does not carry it: a copy of a crash that is known already cannot be told from one that is still under way, and would prolong the quarantine without an end. So a host to which the request has not come for 60 s still lets it through, and after the quiet each host does; single probes would need a message of their own.

Evidence: test_crashes fails without the change (there was no such method; the quarantine ended after 60 s) and passes; scenarios.tests.test_core_scenarios passes, crash_request included.

--- a/oriolestage/core/_admission.py
+++ b/oriolestage/core/_admission.py
@@ -15,7 +15,7 @@
     A request is refused while its fingerprint is quarantined because several
     targets were lost running it, and while the configuration is not fresh.
     """
-    quarantine_s = parts.crashes.quarantine_left_s(request.fingerprint)
+    quarantine_s = parts.crashes.refuse_for_s(request.fingerprint)
     if quarantine_s > 0:
         return NotRun(
             Reason.QUARANTINED,
--- a/oriolestage/core/targets/_crashes.py
+++ b/oriolestage/core/targets/_crashes.py
@@ -72,6 +72,17 @@
         """Return the seconds until a quarantine ends, 0 if there is none."""
         return self._quarantine.quarantine_left_s(fingerprint, self._timers.now)
 
+    def refuse_for_s(self, fingerprint: int) -> float:
+        """Return for how long a request that came is refused, in seconds.
+
+        0 if it may run. A refusal prolongs the quarantine at this host, so
+        that a request that still comes is not let through.
+        """
+        now = self._timers.now
+        if self._quarantine.quarantine_left_s(fingerprint, now) > 0:
+            self._quarantine.record_repetition(fingerprint, now)
+        return self._quarantine.quarantine_left_s(fingerprint, now)
+
     def _record(self, mark: CrashMark) -> bool:
         """Record a crash and return whether it was new."""
         now = self._timers.now
--- a/oriolestage/core/targets/_target_owner.py
+++ b/oriolestage/core/targets/_target_owner.py
@@ -126,7 +126,7 @@
             return self._replies.build_refusal(
                 task, Reason.NOT_OWNER, OWNER_RETRY_MS
             )
-        quarantine_s = self._crashes.quarantine_left_s(task.batch.fingerprint)
+        quarantine_s = self._crashes.refuse_for_s(task.batch.fingerprint)
         if quarantine_s > 0:
             wait_ms = int(quarantine_s * 1000)
             return self._replies.build_refusal(
