Target answers: the same answer whole or lost in any segmentation

A whole answer that was followed by bytes that are no answer was passed on if those bytes came in a segment of their own, and lost (502 for requests that may run only once) if they came with it; so was each answer to HEAD, and each 204 and 304, with bytes behind it.

Cause: the parser raises for the later bytes and keeps back the message that it had completed in the same call. Lines up to the end of the head are now parsed one by one, so that the body's state is known when the parser raises, and the answer is taken if its body is complete. The connection is closed.

Evidence: test_every_cut ends 17 answers (length, chunks, trailers, no length, interim answers, no reason phrase, HTTP/1.0, 204, 304, HEAD, bytes after the answer) after each of their bytes, with a close and a reset, on uvloop and asyncio; test_other_endings with a half-close and a close after silence; test_byte_by_byte with each byte in a segment of its own.

Ruled out by the same tests, before and after: a head or a body that ends early is never taken for the whole, at any byte, by any of the endings.

--- a/oriolestage/entry/_response_framing.py
+++ b/oriolestage/entry/_response_framing.py
@@ -18,6 +18,10 @@
     """The bytes received are not an HTTP response."""
 
 
+class OversizedResponseError(ValueError):
+    """A response is longer than accepted."""
+
+
 def check_framing(
     message: RawResponseMessage, payload: StreamReader, *, without_body: bool
 ) -> None:
--- a/oriolestage/entry/_socket_peeking.py
+++ b/oriolestage/entry/_socket_peeking.py
@@ -16,8 +16,13 @@
     ERROR = enum.auto()
 
 
-def peek(transport: asyncio.BaseTransport) -> Unread:
-    """Return what the socket of a transport has not given to the loop yet."""
+def peek(transport: asyncio.BaseTransport | None) -> Unread:
+    """Return what the socket of a transport has not given to the loop yet.
+
+    ``transport`` is None after the connection was lost.
+    """
+    if transport is None:
+        return Unread.ERROR
     descriptor = transport.get_extra_info('socket').fileno()
     if descriptor < 0:
         return Unread.ERROR
--- a/oriolestage/entry/_target_connection.py
+++ b/oriolestage/entry/_target_connection.py
@@ -25,6 +25,7 @@
 from oriolestage.entry._held_bytes import HeldBytes
 from oriolestage.entry._response_framing import (
     MalformedResponseError,
+    OversizedResponseError,
     check_framing,
 )
 from oriolestage.entry._socket_peeking import Unread, peek
@@ -45,10 +46,6 @@
 TCP_USER_TIMEOUT_MS = 3000
 
 
-class OversizedResponseError(ValueError):
-    """A response is longer than accepted."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RawResponse:
     """A complete response."""
@@ -163,13 +160,22 @@
         """Do nothing, as reading is never paused."""
 
     def data_received(self, data: bytes) -> None:
-        """Parse bytes of the response; close the connection on any others."""
-        for start in range(0, len(data), PARSED_AT_ONCE_BYTES):
+        """Parse bytes of the response; close the connection on any others.
+
+        Lines of the head are parsed one by one, so that an error in the bytes
+        after a complete response does not hide the response.
+        """
+        start = 0
+        while start < len(data):
             parser = self._parser
             if parser is None:
                 self.abort()
                 return
-            self._parse(parser, data[start : start + PARSED_AT_ONCE_BYTES])
+            end = start + PARSED_AT_ONCE_BYTES
+            if self._message is None:
+                end = data.find(b'\n', start, end) + 1 or end
+            self._parse(parser, data[start:end])
+            start = end
 
     def eof_received(self) -> bool:
         """End a response that has no length, unless a reset cut it off.
@@ -178,7 +184,7 @@
         bytes as an end of the stream, so the socket's state is checked.
         """
         self._reusable = False
-        if self._was_reset():
+        if peek(self.transport) in {Unread.CONTENT, Unread.ERROR}:
             self._fail(aiohttp.ClientPayloadError('reset within a response'))
             return False
         self._end_of_stream()
@@ -198,6 +204,8 @@
         try:
             messages, upgraded, _ = parser.feed_data(data)
         except Exception as error:  # noqa: BLE001 - any error of the parser
+            # The response may be complete, and the error be in what follows.
+            self._read_payload()
             self._fail(MalformedResponseError(repr(error)))
             return
         if upgraded:
@@ -293,8 +301,3 @@
         self._held.release(self._size)
         self._size = 0
         self._received = 0
-
-    def _was_reset(self) -> bool:
-        if self.transport is None:
-            return True
-        return peek(self.transport) in {Unread.CONTENT, Unread.ERROR}
--- a/oriolestage/platform/tests/broken_answers.py
+++ b/oriolestage/platform/tests/broken_answers.py
@@ -51,12 +51,13 @@
     def cuts(self, method: str) -> range:
         """Return the numbers of bytes after which to end the answer.
 
-        Without a valid framing, all ends in the body of a GET.
+        All of them for a GET, and those around the end of the head for
+        others; without a valid framing, all in the body of a GET.
         """
         end = len(self.wire) + 1
-        if self.framing != Framing.INVALID:
-            return range(end)
-        return range(len(self.head), end if method == 'GET' else 0)
+        if self.framing == Framing.INVALID:
+            return range(len(self.head), end if method == 'GET' else 0)
+        return range(0 if method == 'GET' else len(self.head) - 1, end)
 
     def expected(
         self, cut: int, ending: Ending, *, without_body: bool
--- a/oriolestage/platform/tests/cutting_target.py
+++ b/oriolestage/platform/tests/cutting_target.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Coroutine
 from typing import Self
 
 from oriolestage.platform.tests.broken_answers import Ending
@@ -26,25 +25,19 @@
         self._sent = b''
         self._ending = Ending.CLOSED
         self._bytewise = False
-        self._connections: list[socket.socket] = []
-        self._tasks: set[asyncio.Task[None]] = set()
+        #: One for each connection since they were closed last.
+        self._connections: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> Self:
         """Start to accept connections."""
-        self._start(self._accept())
+        self._accepting = asyncio.create_task(self._accept())
         return self
 
     async def __aexit__(self, *error: object) -> None:
         """End all connections."""
-        for task in tuple(self._tasks):
-            task.cancel()
+        self._accepting.cancel()
+        await self.end_connections()
         self._listener.close()
-        self.end_connections()
-
-    @property
-    def connections(self) -> list[socket.socket]:
-        """The target's ends of the open connections."""
-        return self._connections
 
     def cut_off(self, sent: bytes, ending: Ending, *, bytewise: bool) -> None:
         """Set what the next connection gets as the answer to a request."""
@@ -52,34 +45,37 @@
         self._ending = ending
         self._bytewise = bytewise
 
-    def end_connections(self) -> None:
+    async def end_connections(self) -> None:
         """Close all connections."""
-        for connection in self._connections:
-            connection.close()
+        serving = tuple(self._connections)
+        for task in serving:
+            task.cancel()
+        await asyncio.gather(*serving, return_exceptions=True)
         self._connections.clear()
 
-    def _start(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _accept(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             connection, _ = await loop.sock_accept(self._listener)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._connections.append(connection)
-            self._start(self._serve(connection))
+            self._connections.append(
+                asyncio.create_task(self._serve(connection))
+            )
 
     async def _serve(self, connection: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        with contextlib.suppress(OSError):
+        with connection, contextlib.suppress(OSError):
             while await loop.sock_recv(connection, 65536):
                 await self._send(connection)
                 if self._ending == Ending.CLOSED_LATER:
                     await asyncio.sleep(0.001)
-                if self._end(connection):
-                    return
+                if self._ending != Ending.HALF_CLOSED:
+                    break
+                connection.shutdown(socket.SHUT_WR)
+            if self._ending == Ending.RESET:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO
+                )
 
     async def _send(self, connection: socket.socket) -> None:
         if not self._bytewise:
@@ -90,16 +86,3 @@
             # The caller's side reads in the next iteration of the loop.
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-
-    def _end(self, connection: socket.socket) -> bool:
-        """End a connection as set; return whether it is closed."""
-        match self._ending:
-            case Ending.HALF_CLOSED:
-                connection.shutdown(socket.SHUT_WR)
-                return False
-            case Ending.RESET:
-                connection.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO
-                )
-        connection.close()
-        return True
--- a/oriolestage/platform/tests/test_broken_answers.py
+++ b/oriolestage/platform/tests/test_broken_answers.py
@@ -11,6 +11,7 @@
 from oriolestage.platform._wire_protocol import PlatformWireProtocol
 from oriolestage.platform.tests.broken_answers import (
     INVALID_ANSWERS,
+    VALID_ANSWERS,
     Answer,
     Ending,
 )
@@ -27,6 +28,12 @@
     asyncio.run,
 )
 METHODS = ('GET', 'HEAD')
+#: Answers of each kind of framing.
+FRAMINGS = tuple(
+    answer
+    for answer in VALID_ANSWERS
+    if answer.name in {'length first', 'chunks', 'no length'}
+)
 
 
 def _client() -> TargetClient:
@@ -55,7 +62,7 @@
                     make_call(address=target.address, method=method)
                 )
                 client.close()
-                target.end_connections()
+                await target.end_connections()
                 expected = answer.expected(
                     cut, ending, without_body=method == 'HEAD'
                 )
@@ -89,6 +96,24 @@
             differences = run(_differences(answers, endings, bytewise=bytewise))
             self.assertEqual(differences, [], run.__module__)
 
+    def test_every_cut(self) -> None:
+        """Guards against a part of an answer that is taken for the whole.
+
+        It ends at each of its bytes, by a close or a reset.
+        """
+        self._check(VALID_ANSWERS, (Ending.CLOSED, Ending.RESET))
+
+    def test_other_endings(self) -> None:
+        """The same holds for a close after silence and a half-close."""
+        self._check(
+            FRAMINGS,
+            (Ending.CLOSED_LATER, Ending.HALF_CLOSED),
+        )
+
+    def test_byte_by_byte(self) -> None:
+        """The same holds if each byte arrives alone."""
+        self._check(FRAMINGS, (Ending.CLOSED,), bytewise=True)
+
     def test_invalid_framing(self) -> None:
         """Guards against an answer without a known end that is passed on.
 
