Kept connections: nothing that arrived earlier answers the next request

A target's extra answer that had arrived on an idle connection, and that the event loop had not read yet, was passed on as the answer to the next request to that target: a 200 with the body and the signature of another request. Where the answer does not repeat the id of its request (parts of queries over many shards), nothing noticed. Part of an extra answer was completed with the first bytes of the right one. An end of the stream that had arrived made the next request fail as lost, and counted as a sign that it crashes targets.

Cause: a connection counted as idle if the loop had read nothing. A busy loop takes a connection from the pool before it reads. The socket is now looked at (MSG_PEEK) when a connection is kept, taken and swept, and one with unread bytes or an end is closed.

What remains: bytes that arrive after the next request was sent can only be told by the id that they repeat.

Evidence: test_interrupted sends another answer, part of one, an interim answer, a byte or the end on the kept connection right before the second request, on uvloop and asyncio. Now the second request gets its own answer over a new connection; without an interruption the connection is still reused.

--- a/oriolestage/entry/_target_connection.py
+++ b/oriolestage/entry/_target_connection.py
@@ -97,11 +97,15 @@
 
     @property
     def is_reusable(self) -> bool:
-        """Whether the connection is open and can take another request."""
+        """Whether the connection is open and can take another request.
+
+        The loop may not have read yet what arrived since the last response.
+        """
         return (
             self._reusable
             and self.transport is not None
             and not self.transport.is_closing()
+            and peek(self.transport) == Unread.NOTHING
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
