Kept connections: poll the socket instead of reading from it

The look at a kept connection's socket ran twice for each attempt at a target and took 7.0 us of processor time, since it builds a socket object. A poll of the descriptor answers the same question in 1.2 us (100 000 calls each on loopback, on a shared machine). test_kept_connections is unchanged and passes.

--- a/oriolestage/entry/_socket_peeking.py
+++ b/oriolestage/entry/_socket_peeking.py
@@ -2,8 +2,13 @@
 
 import asyncio
 import enum
+import select
 import socket
 
+#: Events of a socket whose next read would return at once. Errors are always
+#: reported.
+READABLE = select.POLLIN | select.POLLRDHUP
+
 
 class Unread(enum.Enum):
     """What a read of a socket would return now."""
@@ -37,3 +42,15 @@
         # The descriptor belongs to the transport and must stay open.
         probe.detach()
     return Unread.CONTENT if content else Unread.END
+
+
+def is_quiet(transport: asyncio.BaseTransport | None) -> bool:
+    """Return whether the socket is open and everything received is read.
+
+    Takes less time than :func:`peek`, as each attempt at a target needs it.
+    """
+    if transport is None or transport.is_closing():
+        return False
+    poll = select.poll()
+    poll.register(transport.get_extra_info('socket').fileno(), READABLE)
+    return not poll.poll(0)
--- a/oriolestage/entry/_target_connection.py
+++ b/oriolestage/entry/_target_connection.py
@@ -28,7 +28,7 @@
     OversizedResponseError,
     check_framing,
 )
-from oriolestage.entry._socket_peeking import Unread, peek
+from oriolestage.entry._socket_peeking import Unread, is_quiet, peek
 
 #: Largest response body accepted from a target, in bytes.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -101,12 +101,7 @@
 
         The loop may not have read yet what arrived since the last response.
         """
-        return (
-            self._reusable
-            and self.transport is not None
-            and not self.transport.is_closing()
-            and peek(self.transport) == Unread.NOTHING
-        )
+        return self._reusable and is_quiet(self.transport)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the time-out for bytes that the target does not acknowledge."""
