Target answers: a success with a content coding is lost

A 2xx with Content-Encoding was passed on as the target's body, and merged as records if it was a part of a query over many shards: callers of such a query got a 200 with records that no target holds.

Such a success now ends the attempt as lost (may have run). Failures are passed on with the header, as a status other than 2xx promises no body, and refusals by a target still count as not run.

Evidence: test_encoded_success got an AttemptAnswered with the coded body before, and AttemptLost now; the 500 with the same header is still answered.

--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -19,6 +19,7 @@
 from oriolestage.entry._ports import WireProtocol
 from oriolestage.entry._target_connection import RawResponse, TargetConnection
 from oriolestage.routing._answers import (
+    AttemptAnswered,
     AttemptLost,
     AttemptNotRun,
     AttemptOutcome,
@@ -148,9 +149,7 @@
         finally:
             if not completed:
                 connection.abort()
-        outcome = self._wire_protocol.outcome(
-            call.request_id, self._build_answer(response)
-        )
+        outcome = self._outcome(call, response)
         self._report_notices(call, response, outcome)
         if isinstance(outcome, AttemptLost) or not call.repeatable:
             # Bytes that follow the answer to another request cannot be
@@ -160,6 +159,23 @@
             self._pool.put(call.address, connection)
         return outcome
 
+    def _outcome(
+        self, call: TargetCall, response: RawResponse
+    ) -> AttemptOutcome:
+        """Return what a response says about the attempt.
+
+        A success with a content coding is lost, as nobody has asked for one:
+        its body is not the content that callers get and that is merged.
+        """
+        outcome = self._wire_protocol.outcome(
+            call.request_id, self._build_answer(response)
+        )
+        if 'Content-Encoding' not in response.headers:
+            return outcome
+        if isinstance(outcome, AttemptAnswered) and outcome.answer.success:
+            return AttemptLost('answer.encoded')
+        return outcome
+
     def _report_notices(
         self,
         call: TargetCall,
--- a/oriolestage/platform/tests/test_target_wire.py
+++ b/oriolestage/platform/tests/test_target_wire.py
@@ -84,6 +84,20 @@
                 outcome = run_calls(RawTarget(answer))[0]
                 self.assertIsInstance(outcome, AttemptLost)
 
+    def test_encoded_success(self) -> None:
+        """Guards against coded bytes that are passed on or merged.
+
+        Callers ask for no coding. A failure is passed on with its header.
+        """
+        encoded = COMPLETE_ANSWER.replace(
+            b'Content-Length', b'Content-Encoding: gzip\r\nContent-Length'
+        )
+        failed = encoded.replace(b'200 OK', b'500 Failed')
+        for answer, kind in ((encoded, AttemptLost), (failed, AttemptAnswered)):
+            with self.subTest(answer=answer[:20]):
+                outcome = run_calls(RawTarget(answer))[0]
+                self.assertIsInstance(outcome, kind)
+
     def test_deadline_after_connecting(self) -> None:
         """Guards against handing on time that has passed.
 
