--- a/oriolestage/entry/tests/test_crash_tracking.py
+++ b/oriolestage/entry/tests/test_crash_tracking.py
@@ -237,5 +237,6 @@
                 '/rota/poison', arrived_at + repetition * QUARANTINE_S / 2
             )
             assert isinstance(result, Refused)
-            self.assertEqual(result.retry_after_s, QUARANTINE_S)
+            # The sum and difference of monotonic times is not exact.
+            self.assertAlmostEqual(result.retry_after_s, QUARANTINE_S)
         self.assertEqual(len(self._targets.crashed), 2)
--- a/oriolestage/platform/_documents.py
+++ b/oriolestage/platform/_documents.py
@@ -13,7 +13,7 @@
 from oriolestage._addresses import parse_remote_address
 from oriolestage.platform import _names
 from oriolestage.platform._configuration import decode_configuration
-from oriolestage.routing._crash_detector import CrashReport
+from oriolestage.routing._crash_detector import ANSWERED, CrashReport
 from oriolestage.routing._facts import (
     ConfigurationStored,
     CrashStored,
@@ -39,6 +39,9 @@
 MAX_WARM_UP_MS = 86_400_000
 #: Latest start of a process, Unix time in milliseconds: the year 9999.
 MAX_STARTED_MS = 253_402_300_799_999
+#: Part of the key of a report that a request was answered. Builds that know no
+#: such reports do not take it for a fingerprint.
+ANSWERED_KEY = 'answered'
 #: Base of the fingerprints in the keys of crash reports, and the most digits
 #: of one: a fingerprint is a 64-bit number.
 FINGERPRINT_BASE = 16
@@ -129,7 +132,10 @@
 
 def crash_key(report: CrashReport) -> str:
     """Return the key under which a crash report is stored."""
-    return f'{_names.CRASH_PREFIX}{report.fingerprint:016x}/{report.target}'
+    fingerprint = f'{report.fingerprint:016x}'
+    if report.target == ANSWERED:
+        return f'{_names.CRASH_PREFIX}{ANSWERED_KEY}/{fingerprint}'
+    return f'{_names.CRASH_PREFIX}{fingerprint}/{report.target}'
 
 
 def _decode_by_key(key: str, content: bytes) -> StoredFact | None:
@@ -145,11 +151,8 @@
         name = _read_identity(key.removeprefix(_names.HOST_PREFIX))
         return HostStored(_decode_host(name, content))
     if key.startswith(_names.CRASH_PREFIX):
-        fingerprint, _, target = key.removeprefix(
-            _names.CRASH_PREFIX,
-        ).partition('/')
         return CrashStored(
-            CrashReport(_read_fingerprint(fingerprint), _read_identity(target)),
+            _read_crash_report(key.removeprefix(_names.CRASH_PREFIX))
         )
     return None
 
@@ -188,6 +191,14 @@
     return text
 
 
+def _read_crash_report(key: str) -> CrashReport:
+    """Return the crash report that a key holds, without its prefix."""
+    first, _, second = key.partition('/')
+    if first == ANSWERED_KEY:
+        return CrashReport(_read_fingerprint(second), ANSWERED)
+    return CrashReport(_read_fingerprint(first), _read_identity(second))
+
+
 def _read_fingerprint(digits: str) -> int:
     """Return the fingerprint of a request.
 
