Planned stop: refuse what can't end before the kill

Callers saw: in a planned stop in calm, requests that came late in the grace were passed on and cut 5.4 s after SIGTERM without an answer, among them bookings that may not be repeated.

Cause: `_drain` left the listener open and passed everything on until no request was in flight at one of its polls, or until the grace less EXIT_MARGIN_S; then the connections got 0.1 s. Under steady traffic there is no idle moment, and while fewer than half of a data centre's hosts are ready the balancer sends callers to stopping hosts too.

Now a stop has phases with times derived from the grace (_stop_plan.py, no I/O, clock passed in): - announcing: not ready, still serving, `Connection: close`. It lasts until the balancer has had time to notice and no new connection comes any more, at the latest until 1 s before all requests end. A host that was never ready skips it. - finishing: connections that wait to be accepted are taken, then none; idle ones are closed unless bytes wait to be read. A new connection gets 0.25 s for its first request. - answering: all requests have ended, the last answers are written.

From the signal on a request is taken if its deadline (the route's timeout or its own Deadline-Ms) lies before the end of all requests. A repeatable one is also taken if twice the longest recent time of its route, requests in flight included, fits. One that may not be repeated is never taken on an expectation. The others get a 503 with Retry-After at once, reason `stopping`, in the log and the metrics like other refusals. Requests that run already keep their time up to that end; then they end with a 502 if they may have run, a 503 otherwise. Attempts get no deadline, retry or hedge beyond it. Bodies that are incomplete by then get a 503. Pipelined requests that have arrived are answered before the connection is closed. The withdrawal from the store no longer holds up the stop. The metrics server closes within 0.05 s (it could wait 60 s for a reader that doesn't read).

Log: `stopping` with the phases' times, `stop_phase`, `request_refused reason=stopping`, `request_cut` for each cut request with its id, age and phase (rate-limited like all events), `stopped cut=N`.

Ruled out: refusing everything after a fixed time (short requests would be refused in vain), and serving requests that may not be repeated on an expectation (a wrong one can't be mended).

Changed tests: test_drain.py drives the new module; its builder moved to stopping_hosts.py, its assertions and bounds are the same, except that the poll interval they allow for is shorter.

--- a/oriolestage/entry/_caller_connection.py
+++ b/oriolestage/entry/_caller_connection.py
@@ -1,6 +1,11 @@
 """A caller's connection with limits on the head of each request."""
 
 import asyncio
+import dataclasses
+import enum
+import fcntl
+import struct
+import termios
 import time
 from http import HTTPStatus
 
@@ -12,6 +17,31 @@
 
 #: Time for which the rest of a rejected body is read, in seconds.
 LINGERING_TIME_S = 1.0
+#: Time that a new connection gets for its first request while the host is
+#: being stopped, in seconds. A caller sends it once it is connected.
+FIRST_REQUEST_S = 0.25
+#: Format of the number of unread bytes that the system returns.
+UNREAD_FORMAT = 'i'
+
+
+class RequestPhase(enum.Enum):
+    """What a connection with an unfinished request waits for."""
+
+    HEAD = 'head'
+    BODY = 'body'
+    TARGETS = 'targets'
+    #: The answer has not been sent in full.
+    ANSWER = 'answer'
+
+
+@dataclasses.dataclass(slots=True)
+class OpenRequest:
+    """A request that a connection has begun to read."""
+
+    request_id: str
+    #: Monotonic time at which its head was read, in seconds.
+    arrived_at: float
+    phase: RequestPhase
 
 
 class CallerConnection(web.RequestHandler):
@@ -38,7 +68,11 @@
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
         )
+        #: The latest request whose head was read.
+        self.latest_request: OpenRequest | None = None
         self._limits = limits
+        #: The transport, also while it writes the rest before it closes.
+        self._writing_transport: asyncio.Transport | None = None
         self._opened_at = time.monotonic()
         self._round_trip_s = DEFAULT_ROUND_TRIP_S
         #: Bytes received of a request head that is not complete yet.
@@ -50,6 +84,21 @@
         """Monotonic time at which the connection was opened, in seconds."""
         return self._opened_at
 
+    @property
+    def has_more_input(self) -> bool:
+        """Whether bytes have arrived after the request in progress."""
+        return bool(self._messages) or self._unread_bytes() > 0
+
+    @property
+    def unfinished_phase(self) -> RequestPhase | None:
+        """What the request in progress waits for; None if there is none."""
+        latest = self.latest_request
+        if latest is not None and not self._is_answered():
+            return latest.phase
+        if self._messages or self._head_bytes or self._unread_bytes():
+            return RequestPhase.HEAD
+        return None
+
     @property
     def network_delay_s(self) -> float:
         """Time that a caller loses to the network for a request, in seconds.
@@ -63,12 +112,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timer for the first request, which is the idle timeout."""
         super().connection_made(transport)
+        self._writing_transport = self.transport
         self._round_trip_s = round_trip_s(transport)
         self._start_head_timer(self._limits.idle_timeout_s, 'no_request')
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer."""
         self._stop_head_timer()
+        self._writing_transport = None
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -91,6 +142,44 @@
                 'head_too_long',
             )
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being read or served.
+
+        A new connection gets a little time for its first request.
+        """
+        if self._waiter is None or self._waiter.done() or self._head_bytes:
+            return
+        age_s = time.monotonic() - self._opened_at
+        expects_first = not self._request_count and age_s < FIRST_REQUEST_S
+        if not expects_first and not self.has_more_input:
+            self.force_close()
+
+    def refuse_head(self) -> None:
+        """Refuse a request of which a part of the head has arrived."""
+        if self._head_bytes:
+            self._reject_head(HTTPStatus.SERVICE_UNAVAILABLE, 'stopping')
+
+    def abort(self) -> None:
+        """Close the connection at once and drop what was not sent yet."""
+        if self._writing_transport is not None:
+            self._writing_transport.abort()
+
+    def _is_answered(self) -> bool:
+        """Return whether the answer to the latest request was sent."""
+        if self._request_in_progress:
+            return False
+        writing = self._writing_transport
+        return writing is None or writing.get_write_buffer_size() == 0
+
+    def _unread_bytes(self) -> int:
+        """Return the number of bytes that wait to be read from the system."""
+        if self.transport is None or self.transport.is_closing():
+            return 0
+        descriptor = self.transport.get_extra_info('socket').fileno()
+        empty = struct.pack(UNREAD_FORMAT, 0)
+        counted = fcntl.ioctl(descriptor, termios.FIONREAD, empty)
+        return int(struct.unpack(UNREAD_FORMAT, counted)[0])
+
     def _is_head_incomplete(self) -> bool:
         """Return whether the latest bytes belong to an incomplete head."""
         if self._messages or self._request_in_progress:
--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -1,20 +1,27 @@
 """HTTP server for callers."""
 
 import asyncio
+import functools
 import socket
 import time
-from collections.abc import Awaitable, Callable
+import typing
+from collections.abc import Callable, Iterator
 from http import HTTPStatus
 
 from aiohttp import web
 from multidict import CIMultiDict
 
 from oriolestage._logging import log_event
-from oriolestage.entry._caller_connection import CallerConnection
+from oriolestage.entry._caller_connection import (
+    CallerConnection,
+    OpenRequest,
+    RequestPhase,
+)
+from oriolestage.entry._caller_connections import CallerConnections
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._ports import RequestMetadata, WireProtocol
 from oriolestage.entry._request_router import RequestRouter
-from oriolestage.entry._round_trips import DEFAULT_ROUND_TRIP_S
+from oriolestage.routing._answers import RequestResult
 from oriolestage.routing._connection_ages import ConnectionAgePolicy
 from oriolestage.routing._crash_detector import fingerprint_of
 from oriolestage.routing._rules import CallerLimits
@@ -27,23 +34,6 @@
     """The body of a request exceeds the configured limit."""
 
 
-class _HttpServer(web.Server):
-    """Creates the handlers of connections with one set of limits."""
-
-    def __init__(
-        self,
-        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-        limits: CallerLimits,
-    ) -> None:
-        """Create a server whose connections apply ``limits``."""
-        super().__init__(handler, handler_cancellation=True)
-        self._limits = limits
-
-    def __call__(self) -> CallerConnection:
-        """Return the handler of a new connection."""
-        return CallerConnection(self, asyncio.get_running_loop(), self._limits)
-
-
 class CallerServer:
     """Reads callers' requests, has the router serve them and responds."""
 
@@ -57,54 +47,89 @@
         self._router = router
         self._wire_protocol = wire_protocol
         self._limits = limits
+        #: Monotonic time at which all requests end; infinite without a stop.
+        self._ends_at = float('inf')
         self._draining = False
+        #: Timeouts of the bodies that are being read.
+        self._body_timeouts: set[asyncio.Timeout] = set()
         self._connection_ages = ConnectionAgePolicy(time.monotonic())
-        self._servers: dict[CallerLimits, _HttpServer] = {}
-        self._listener: asyncio.Server | None = None
+        self._connections = CallerConnections(self._handle, limits)
+        self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        #: Tasks that set up the connections that waited to be accepted.
+        self._accepting: set[asyncio.Task[object]] = set()
+
+    @property
+    def connections(self) -> CallerConnections:
+        """The open connections."""
+        return self._connections
 
     async def start(self, listener: socket.socket) -> None:
         """Accept callers on a listening socket."""
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            lambda: self._current_server()(),
-            sock=listener,
+        self._listener = listener
+        self._server = await loop.create_server(
+            self._connections.accept,
+            sock=listener.dup(),
         )
 
     def start_draining(self) -> None:
         """Close each connection after its next response from now on."""
         self._draining = True
 
-    async def close(self) -> None:
-        """Stop accepting connections and close the open ones."""
-        if self._listener is not None:
-            self._listener.close()
-        for server in self._servers.values():
-            server.pre_shutdown()
-        for server in self._servers.values():
-            await server.shutdown(timeout=0.1)
+    def end_by(self, ends_at: float) -> None:
+        """Refuse requests whose bodies have not arrived by then."""
+        self._ends_at = ends_at
+        loop = asyncio.get_running_loop()
+        loop_ends_at = loop.time() + ends_at - time.monotonic()
+        for timeout in self._body_timeouts:
+            due_at = timeout.when()
+            if due_at is not None and due_at > loop_ends_at:
+                timeout.reschedule(loop_ends_at)
 
-    def _current_server(self) -> _HttpServer:
-        """Return the server for the limits that are configured now.
+    def stop_accepting(self) -> None:
+        """Accept the connections that wait to be accepted, and no others.
 
-        A connection keeps the limits with which it was opened.
+        Their callers may have sent a request.
         """
-        limits = self._limits()
-        server = self._servers.get(limits)
-        if server is None:
-            server = _HttpServer(self._handle, limits)
-            self._servers[limits] = server
-        return server
+        if self._server is None or self._listener is None:
+            return
+        self._server.close()
+        loop = asyncio.get_running_loop()
+        for waiting in _accept_waiting(self._listener):
+            task = asyncio.create_task(
+                loop.connect_accepted_socket(self._connections.accept, waiting)
+            )
+            self._accepting.add(task)
+            task.add_done_callback(self._accepting.discard)
+        self._listener.close()
+        self._listener = None
+
+    async def close(self) -> int:
+        """Stop accepting connections and cut the open ones.
+
+        Return the number of requests that were cut.
+        """
+        self.stop_accepting()
+        cut_count = self._connections.cut()
+        # The transports report their end in the next iteration of the loop.
+        await asyncio.sleep(0)
+        return cut_count
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        arrived_at = time.monotonic()
-        response = await self._respond(request, arrived_at)
-        if self._draining or self._is_expired(request.protocol):
+        connection = typing.cast(CallerConnection, request.protocol)
+        opened = OpenRequest('', time.monotonic(), RequestPhase.BODY)
+        connection.latest_request = opened
+        response = await self._respond(request, connection, opened)
+        opened.phase = RequestPhase.ANSWER
+        # A request that has arrived behind this one is answered too.
+        if self._is_to_close(connection) and not connection.has_more_input:
             response.force_close()
         return response
 
-    def _is_expired(self, connection: web.RequestHandler) -> bool:
-        if not isinstance(connection, CallerConnection):
-            return False
+    def _is_to_close(self, connection: CallerConnection) -> bool:
+        if self._draining:
+            return True
         return self._connection_ages.expired(
             connection.opened_at, time.monotonic()
         )
@@ -112,7 +137,8 @@
     async def _respond(
         self,
         request: web.BaseRequest,
-        arrived_at: float,
+        connection: CallerConnection,
+        opened: OpenRequest,
     ) -> web.StreamResponse:
         path = request.raw_path
         host = request.headers.get('Host', '').partition(':')[0]
@@ -122,30 +148,44 @@
             metadata = self._wire_protocol.request_metadata(request.headers)
         except ValueError as error:
             return _bad_request(request, str(error))
+        opened.request_id = metadata.request_id
+        body_due_at = opened.arrived_at + self._body_timeout_s(metadata)
+        build_request = functools.partial(
+            CallerRequest,
+            metadata=metadata,
+            method=request.method,
+            host=host,
+            path=path,
+            headers=tuple(
+                (str(name), text) for name, text in request.headers.items()
+            ),
+            arrived_at=opened.arrived_at,
+            network_delay_s=connection.network_delay_s,
+        )
         try:
-            async with asyncio.timeout(self._body_timeout_s(metadata)):
-                body = await self._read_body(request)
+            body = await self._read_in_time(request, body_due_at)
         except BodyTooLargeError:
             status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
             return _reject(metadata.request_id, 'body_too_large', status)
         except TimeoutError:
+            if self._ends_at < body_due_at:
+                refused = build_request(body=b'', fingerprint=0)
+                refusal = self._router.refuse_stopping(refused)
+                return self._build_response(refusal, metadata)
             status = HTTPStatus.REQUEST_TIMEOUT
             return _reject(metadata.request_id, 'body_too_slow', status)
+        opened.phase = RequestPhase.TARGETS
         result = await self._router.serve(
-            CallerRequest(
-                metadata=metadata,
-                method=request.method,
-                host=host,
-                path=path,
-                headers=tuple(
-                    (str(name), text) for name, text in request.headers.items()
-                ),
+            build_request(
                 body=body,
-                arrived_at=arrived_at,
-                network_delay_s=_network_delay_s(request.protocol),
                 fingerprint=fingerprint_of(request.method, host, path, body),
             ),
         )
+        return self._build_response(result, metadata)
+
+    def _build_response(
+        self, result: RequestResult, metadata: RequestMetadata
+    ) -> web.Response:
         answer = self._wire_protocol.response(result, metadata.request_id)
         headers = CIMultiDict(answer.headers)
         headers.popall('Content-Length', None)
@@ -162,6 +202,21 @@
             return idle_s
         return min(idle_s, metadata.time_left_s)
 
+    async def _read_in_time(
+        self, request: web.BaseRequest, due_at: float
+    ) -> bytes:
+        """Read a body until a monotonic time or the end of all requests.
+
+        Raises ``TimeoutError`` if it is incomplete then.
+        """
+        left_s = min(due_at, self._ends_at) - time.monotonic()
+        async with asyncio.timeout(left_s) as timeout:
+            self._body_timeouts.add(timeout)
+            try:
+                return await self._read_body(request)
+            finally:
+                self._body_timeouts.discard(timeout)
+
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         if not request.can_read_body:
             return b''
@@ -180,10 +235,18 @@
         return b''.join(chunks)
 
 
-def _network_delay_s(connection: web.RequestHandler) -> float:
-    if isinstance(connection, CallerConnection):
-        return connection.network_delay_s
-    return DEFAULT_ROUND_TRIP_S
+def _accept_waiting(listener: socket.socket) -> Iterator[socket.socket]:
+    """Yield the connections that wait at a non-blocking socket."""
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except BlockingIOError:
+            return
+        except OSError as error:
+            log_event('accept_failed', {'step': 'stop', 'error': error})
+            return
+        connection.setblocking(False)
+        yield connection
 
 
 def _reject(
--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -16,6 +16,7 @@
 from oriolestage.entry._metrics import EntryMetrics
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_server import PeerServer
+from oriolestage.entry._planned_stop import PlannedStop
 from oriolestage.entry._ports import Store, WireProtocol
 from oriolestage.entry._reach_probe import ReachProbe
 from oriolestage.entry._request_log import RequestLog
@@ -30,20 +31,16 @@
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._state_changes import StateChange
+from oriolestage.routing._stop_plan import BALANCER_NOTICE_S, StopTimes
 from oriolestage.routing._targets import TargetDirectory
 
-#: Time within which the balancer stops sending callers to a host that is not
-#: ready, in seconds: two checks a second apart and their responses.
-BALANCER_NOTICE_S = 2.6
-#: Time reserved for closing down before the host is killed, in seconds.
-EXIT_MARGIN_S = 0.8
 #: Timeout for the first read of the store, in seconds. Callers that connect
 #: meanwhile wait in the backlog; a read takes about 20 ms.
 FIRST_READ_TIMEOUT_S = 0.4
 #: Interval of checking the streams to other hosts, in seconds.
 LINK_CHECK_INTERVAL_S = 0.5
-#: Interval of checking for requests in flight while draining, in seconds.
-DRAIN_POLL_INTERVAL_S = 0.05
+#: Name of the background work that registers this host.
+REGISTER = 'register'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,27 +86,52 @@
     background_work = (
         ('follow_store', host.follower.run),
         ('expire', host.follower.expire),
-        ('register', host.registration.run),
+        (REGISTER, host.registration.run),
         ('report_crashes', host.crash_reporter.run),
         ('probe_reach', host.reach_probe.run),
         ('links', lambda: _check_links(host)),
     )
-    tasks = [
-        asyncio.create_task(
+    tasks = {
+        name: asyncio.create_task(
             keep_running(name, work, host.metrics.record_background_failure)
         )
         for name, work in background_work
-    ]
+    }
     await _listen(host, caller_listener)
     await stop.wait()
     unfinished = await _drain(host)
-    for task in tasks:
+    for task in tasks.values():
         task.cancel()
     await _close(host, store)
     log_event('stopped', {'step': 'stop', 'cut': unfinished})
     return 0
 
 
+async def _drain(host: EntryHost) -> int:
+    """Finish what can end before the host is killed.
+
+    Return the number of requests that were cut.
+    """
+    times = StopTimes(
+        started_at=time.monotonic(),
+        grace_s=host.settings.stop_grace_s,
+        notice_s=BALANCER_NOTICE_S if host.control.ready else 0,
+    )
+    host.stopping.set()
+    stop = PlannedStop(
+        times,
+        host.router,
+        host.callers,
+        host.peer_server.requests,
+    )
+    withdrawal = asyncio.create_task(host.registration.withdraw())
+    cut = await stop.run()
+    if not withdrawal.done():
+        withdrawal.cancel()
+        log_event('registration_not_ended', {'error': 'no time left'})
+    return cut
+
+
 async def _close(host: EntryHost, store: Store) -> None:
     host.peer_server.close()
     host.peer_client.close()
@@ -276,35 +298,6 @@
         await asyncio.sleep(LINK_CHECK_INTERVAL_S)
 
 
-async def _drain(host: EntryHost) -> int:
-    """Finish requests in flight and return the number of unfinished ones.
-
-    The host keeps accepting callers until the balancer has had time to stop
-    sending them, and ends shortly before it would be killed.
-    """
-    log_event('stopping', {'step': 'stop', 'in_flight': host.router.in_flight})
-    host.stopping.set()
-    host.callers.start_draining()
-    drain_started_at = time.monotonic()
-    drain_deadline = (
-        drain_started_at + host.settings.stop_grace_s - EXIT_MARGIN_S
-    )
-    await host.registration.withdraw()
-    while time.monotonic() < drain_deadline:
-        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        noticed = time.monotonic() - drain_started_at >= BALANCER_NOTICE_S
-        if noticed and not _in_flight(host):
-            break
-    unfinished = _in_flight(host)
-    await host.callers.close()
-    return unfinished
-
-
-def _in_flight(host: EntryHost) -> int:
-    """Return the requests that a stop would cut off, here or elsewhere."""
-    return host.router.in_flight + host.peer_server.relays_in_flight
-
-
 def _log_change(change: StateChange) -> None:
     log_event(change.event, dict(change.fields))
 
--- a/oriolestage/entry/_control_server.py
+++ b/oriolestage/entry/_control_server.py
@@ -10,6 +10,9 @@
 
 from oriolestage.entry._metrics import EntryMetrics
 
+#: Time that open requests get when the servers are closed, in seconds.
+CLOSE_TIMEOUT_S = 0.05
+
 
 class ControlServer:
     """Serves readiness checks and metrics, each on sockets of its own."""
@@ -25,13 +28,21 @@
         self._registry.register(metrics)
         self._runners: list[web.ServerRunner] = []
 
+    @property
+    def ready(self) -> bool:
+        """Whether checks are answered with success now."""
+        return self._is_ready()
+
     async def start(self, listener: socket.socket, *, ready: bool) -> None:
         """Serve readiness checks on a listening socket if ``ready``.
 
         Otherwise serve metrics on it.
         """
         handler = self._check if ready else self._metrics
-        runner = web.ServerRunner(web.Server(handler, access_log=None))
+        runner = web.ServerRunner(
+            web.Server(handler, access_log=None),
+            shutdown_timeout=CLOSE_TIMEOUT_S,
+        )
         await runner.setup()
         await web.SockSite(runner, listener).start()
         self._runners.append(runner)
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -17,6 +17,7 @@
 from oriolestage.entry._peer_messages import GatherRequest, RelayRequest
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._run_driver import RunDriver
+from oriolestage.entry._runs_in_flight import RunsInFlight
 from oriolestage.entry._target_client import TargetCall
 from oriolestage.routing._answers import (
     AttemptOutcome,
@@ -52,6 +53,9 @@
 
 #: Retry-After for callers while the host has no configuration, in seconds.
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
+#: Retry-After for callers while the host is being stopped, in seconds. A
+#: caller that comes back is sent to another host.
+STOPPING_RETRY_AFTER_S = 0.05
 #: Part of the caller's deadline reserved for sending the answer, in seconds.
 DEADLINE_MARGIN_S = 0.02
 #: Lower bound of the timeout sent with an attempt or a batch, in seconds.
@@ -87,18 +91,32 @@
         self._weighted_services = WeightedRoundRobin()
         self._attempt_numbers = itertools.count(1)
         self._in_flight = 0
+        self._runs = RunsInFlight()
 
     @property
     def in_flight(self) -> int:
         """Number of requests that are running, refused ones not counted."""
         return self._in_flight
 
+    @property
+    def cut_count(self) -> int:
+        """Number of requests that ended because the host was stopped."""
+        return self._runs.cut_count
+
+    def end_by(self, ends_at: float) -> None:
+        """End all requests by a time because the host is being stopped.
+
+        New ones that may need longer are refused from now on.
+        """
+        self._runs.end_by(ends_at)
+
     async def serve(self, request: CallerRequest) -> RequestResult:
         """Run a request and return its result.
 
         The request is refused without an attempt if there is no
-        configuration or no route for it, or while it is quarantined because
-        it crashed targets. Cancelling the call cancels all its attempts.
+        configuration or no route for it, while it is quarantined because it
+        crashed targets, or if it may outlast a stop of the host. Cancelling
+        the call cancels all its attempts.
         """
         table = self._cluster_state.table
         if table is None:
@@ -119,12 +137,20 @@
             return self._refuse(
                 request, GiveUpReason.QUARANTINED, refused_for_s
             )
+        if not self._runs.can_take(rule, request):
+            return self.refuse_stopping(request)
         self._in_flight += 1
         try:
             return await self._run(request, table, rule)
         finally:
             self._in_flight -= 1
 
+    def refuse_stopping(self, request: CallerRequest) -> RequestResult:
+        """Refuse a request because the host is being stopped."""
+        return self._refuse(
+            request, GiveUpReason.STOPPING, STOPPING_RETRY_AFTER_S
+        )
+
     async def _run(
         self,
         request: CallerRequest,
@@ -146,13 +172,15 @@
             lambda action: self._send_batch(request, rule, action),
         )
         try:
-            result = await driver.drive()
+            with self._runs.track(driver, rule.name, request.arrived_at):
+                result = await driver.drive()
         except asyncio.CancelledError:
             run.cancel(time.monotonic())
             self._record_completion(request, rule, table, driver, 'caller_left')
             raise
         finally:
             driver.cancel_all()
+        self._runs.record_result(request, rule.name, result)
         self._record_completion(request, rule, table, driver, result)
         due_at = run.partial_answer_due_at
         if due_at is not None:
@@ -171,7 +199,7 @@
         timeout_s = rule.timeout_s
         if request.metadata.time_left_s is not None:
             timeout_s = min(timeout_s, request.metadata.time_left_s)
-        return RunTimes(
+        times = RunTimes(
             started=request.arrived_at,
             objective=request.arrived_at
             + rule.objective_s
@@ -181,6 +209,7 @@
                 parts, rule.objective_s
             ),
         )
+        return times.ended_by_stop(self._runs.ends_at)
 
     def _build_parts(
         self,
--- a/oriolestage/entry/_run_driver.py
+++ b/oriolestage/entry/_run_driver.py
@@ -119,6 +119,11 @@
             self._record_delay(event, now - happened_at)
             actions = self._decide(event, now)
 
+    def end_by(self, ends_at: float) -> None:
+        """End the request by a time because the host is being stopped."""
+        self.run.end_by(ends_at)
+        self._set_timer()
+
     def cancel_all(self) -> None:
         """Cancel the timer and all unfinished attempts and batches."""
         for handle in (self._timer, self._rearm):
--- a/oriolestage/entry/tests/test_drain.py
+++ b/oriolestage/entry/tests/test_drain.py
@@ -1,53 +1,30 @@
 """Tests of a planned stop of an entry host."""
 
 import asyncio
-import types
-import typing
 import unittest
 
-from oriolestage.entry import _composition
+from oriolestage.entry import _composition, _planned_stop
+from oriolestage.entry.tests.stopping_hosts import GRACE_S, Relays, make_host
 from oriolestage.entry.tests.virtual_time import (
     VirtualTimeLoop,
     run_in_virtual_time,
 )
 
-#: Time until a host is killed, and until the request of another host ends, in
-#: seconds.
-GRACE_S = 6.0
+#: Time until the request of another host ends, in seconds.
 RELAY_S = 4.0
 
 
-async def _nothing() -> None:
-    """Do nothing."""
-
-
-def _make_host() -> types.SimpleNamespace:
-    """Return a host without requests of its own callers."""
-    return types.SimpleNamespace(
-        settings=types.SimpleNamespace(stop_grace_s=GRACE_S),
-        router=types.SimpleNamespace(in_flight=0),
-        callers=types.SimpleNamespace(
-            start_draining=lambda: None, close=_nothing
-        ),
-        registration=types.SimpleNamespace(withdraw=_nothing),
-        peer_server=types.SimpleNamespace(relays_in_flight=1),
-        stopping=asyncio.Event(),
-    )
-
-
 async def _drain_with_relay(ends_after_s: float) -> tuple[float, int]:
     """Drain a host that sends a request for another one.
 
     Return the time that it takes in seconds, and the unfinished requests.
     """
-    host = _make_host()
+    relays = Relays(['relayed'])
+    host = make_host(relays)
     loop = asyncio.get_running_loop()
-    loop.call_later(
-        ends_after_s, setattr, host.peer_server, 'relays_in_flight', 0
-    )
+    loop.call_later(ends_after_s, relays.clear)
     started_at = loop.time()
-    entry_host = typing.cast(_composition.EntryHost, host)
-    unfinished = await _composition._drain(entry_host)
+    unfinished = await _composition._drain(host)
     return loop.time() - started_at, unfinished
 
 
@@ -59,7 +36,7 @@
         took_s, unfinished = run_in_virtual_time(
             VirtualTimeLoop(), _drain_with_relay(RELAY_S)
         )
-        poll_s = _composition.DRAIN_POLL_INTERVAL_S
+        poll_s = _planned_stop.STOP_POLL_INTERVAL_S
         self.assertAlmostEqual(took_s, RELAY_S, delta=2 * poll_s)
         self.assertEqual(unfinished, 0)
 
--- a/oriolestage/routing/_dispatch.py
+++ b/oriolestage/routing/_dispatch.py
@@ -88,6 +88,10 @@
         self._batches: dict[int, Batch] = {}
         self._queued: list[_QueuedAttempt] = []
 
+    def change_times(self, times: RunTimes) -> None:
+        """Send attempts with another deadline from now on."""
+        self._times = times
+
     def pop_part(self, attempt: int) -> Part | None:
         """Return and forget the part of a direct attempt that has ended.
 
--- a/oriolestage/routing/_request_results.py
+++ b/oriolestage/routing/_request_results.py
@@ -35,12 +35,13 @@
     parts: Sequence[Part],
     records: GatheredRecords,
     *,
-    late: bool,
+    late_reason: GiveUpReason | None,
 ) -> RequestResult:
     """Return the result of a request.
 
     ``records`` holds the records that were merged already, which are not in
-    the answers of their parts. ``late`` is True if the deadline has passed.
+    the answers of their parts. ``late_reason`` is the reason for the deadline
+    if it has passed, else None.
     """
     answered = [part for part in parts if part.answer is not None]
     match destination:
@@ -52,7 +53,7 @@
                 answer = part.answer or part.failure
                 if answer is not None:
                     return Delivered(answer)
-    return _without_answer(parts, late=late)
+    return _without_answer(parts, late_reason)
 
 
 def _gathered(
@@ -70,7 +71,9 @@
     )
 
 
-def _without_answer(parts: Sequence[Part], *, late: bool) -> RequestResult:
+def _without_answer(
+    parts: Sequence[Part], late_reason: GiveUpReason | None
+) -> RequestResult:
     may_have_run = any(
         part.may_have_run or part.in_flight or part.answer is not None
         for part in parts
@@ -79,7 +82,7 @@
     # The parts that were given up caused the end; others may only be
     # unfinished.
     causes = [part for part in unanswered if part.given_up] or unanswered
-    reason = GiveUpReason.DEADLINE if late else causes[0].reason
+    reason = late_reason or causes[0].reason
     if may_have_run:
         return Failed(reason)
     return Refused(reason, max(part.retry_after_s for part in unanswered))
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -60,7 +60,6 @@
         ``next_attempt`` returns a new number for each attempt and batch.
         """
         self._rule = rule
-        self._times = times
         self._placement = placement
         self._peers = peers
         tally = PartTally(len(parts))
@@ -127,9 +126,10 @@
     @property
     def end_at(self) -> float:
         """Monotonic time at which the run ends with the answers so far."""
+        deadline = self._progress.times.deadline
         if self._progress.has_enough:
-            return min(self._times.deadline, self._progress.partial_answer_at)
-        return self._times.deadline
+            return min(deadline, self._progress.partial_answer_at)
+        return deadline
 
     @property
     def partial_answer_due_at(self) -> float | None:
@@ -214,6 +214,12 @@
         self._policy.decide_due(now)
         return self._dispatch.flush(now) + self._check_end(now)
 
+    def end_by(self, ends_at: float) -> None:
+        """Bring the deadline forward because the host is being stopped."""
+        times = self._progress.times.ended_by_stop(ends_at)
+        self._progress.times = times
+        self._dispatch.change_times(times)
+
     def cancel(self, now: float) -> None:
         """End the run because the caller disconnected.
 
@@ -340,11 +346,13 @@
             self._partial_answer_due_at = max(
                 self._enough_since, partial_answer_at
             )
+        times = self._progress.times
+        late = now >= times.deadline
         result = build_result(
             self._rule.destination,
             self._parts,
             self._records,
-            late=now >= self._times.deadline,
+            late_reason=times.deadline_reason if late else None,
         )
         self._stragglers.report_observations(
             self._placement, self._rule.name, now
--- a/oriolestage/routing/_run_types.py
+++ b/oriolestage/routing/_run_types.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Mapping
 
-from oriolestage.routing._answers import RequestResult
+from oriolestage.routing._answers import GiveUpReason, RequestResult
 from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._placement_types import TargetRequirements
 from oriolestage.routing._retry_budget import RetryBudget
@@ -25,6 +25,16 @@
     deadline: float
     #: How long before the objective a partial answer is given, in seconds.
     delivery_margin_s: float
+    #: Why a request without an answer ends at its deadline.
+    deadline_reason: GiveUpReason = GiveUpReason.DEADLINE
+
+    def ended_by_stop(self, ends_at: float) -> 'RunTimes':
+        """Return the times at a host that ends all requests by ``ends_at``."""
+        if self.deadline <= ends_at:
+            return self
+        return dataclasses.replace(
+            self, deadline=ends_at, deadline_reason=GiveUpReason.STOPPING
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
