Planned stop: stay withdrawn from the store

A host that is being stopped withdrew its registration, and its background work registered it again at the next renewal, 2 s to 3 s later, under a new lease. Other hosts then asked a stopping host for shards and relayed requests, and after its end listed it until that lease of 8 s ran out.

The work that registers the host is now cancelled before the withdrawal.

Ruled out: withdrawing at the end of the stop, as other hosts would use this one until then.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -99,6 +99,8 @@
     }
     await _listen(host, caller_listener)
     await stop.wait()
+    # It would register this host again during the stop.
+    tasks[REGISTER].cancel()
     unfinished = await _drain(host)
     for task in tasks.values():
         task.cancel()
--- a/oriolestage/platform/tests/stopped_host.py
+++ b/oriolestage/platform/tests/stopped_host.py
@@ -113,6 +113,7 @@
         self.stopped_at = float('inf')
         self.process: asyncio.subprocess.Process | None = None
         self.ip = ''
+        self.name = 'host-1'
         self._repeatable = repeatable
         self._timeout_ms = timeout_ms
         self._numbers = itertools.count(1)
@@ -322,7 +323,7 @@
 
     def _settings(self) -> dict[str, object]:
         return {
-            'nodeName': 'host-1',
+            'nodeName': self.name,
             'ip': self.ip,
             'zone': 'dc-a',
             'region': 'north',
--- a/oriolestage/platform/tests/test_planned_stop.py
+++ b/oriolestage/platform/tests/test_planned_stop.py
@@ -51,6 +51,10 @@
 STATUSES: Mapping[str, int] = types.MappingProxyType(
     {'incomplete body': 503, 'late and long': 503, 'outlasts the host': 502}
 )
+#: Time within which a host that is being stopped is no longer registered, and
+#: interval of looking, in seconds.
+WITHDRAWAL_S = 1.0
+WATCH_INTERVAL_S = 0.05
 BODY = b'{"visit": 1}'
 LONG_TIMEOUT_MS = 30000
 
@@ -140,6 +144,21 @@
     return time.monotonic()
 
 
+async def _watch_registration(host: StoppedHost) -> list[float]:
+    """Return when a host was registered while it was being stopped.
+
+    The times are in seconds since the stop.
+    """
+    assert host.process is not None
+    key = f'{_names.HOST_PREFIX}{host.name}'
+    times: list[float] = []
+    while host.process.returncode is None:
+        if host.store.holds(key):
+            times.append(time.monotonic() - host.stopped_at)
+        await asyncio.sleep(WATCH_INTERVAL_S)
+    return [after_s for after_s in times if after_s > 0]
+
+
 class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
     """A planned stop answers every request that it has taken."""
 
@@ -182,10 +201,13 @@
         """Guards against requests that are half read or queued and lost."""
         host = await self.start_host(LONG_TIMEOUT_MS)
         silent = asyncio.create_task(_send_nothing(host))
+        watching = asyncio.create_task(_watch_registration(host))
         exchanges = await _stop_with_requests_under_way(host)
         code, took_s = await host.wait_end()
         self.assertEqual(code, 0)
         self.assertLess(took_s, GRACE_S)
+        registered = [time for time in await watching if time > WITHDRAWAL_S]
+        self.assertEqual(registered, [], 'registered again')
         self.assertLess(await silent - host.stopped_at, IDLE_STOP_S)
         for name, exchange in exchanges.items():
             with self.subTest(name=name):
