Messages between hosts: headers with any bytes

A request with one header, or an id, that is no UTF-8 was never sent to other hosts: each of its batches and relayed attempts ended with an error of this program. Callers got parts of the local region only, and a 502 for a request that had not run and that the only host with a path could have served. An answer of a target with such a header was lost on its way back from another host (502, may have run), though whole.

Cause: the HTTP parser maps such bytes to surrogates, which MessagePack cannot encode. A message that cannot be encoded is now sent with the id, the texts of headers and the signatures as Latin-1, one character for each byte, and a flag in a new last field; the receiver restores the parser's text. All other messages have the same content as before, and a False at the end, which older builds ignore. An older build reads the bytes as Latin-1 text and serves the request.

Paths and header names cannot have such bytes: the server for callers refuses them with 400.

Evidence: test_peer_messages, 15 errors (UnicodeEncodeError) before, none now; among the texts all bytes from 0x80 to 0xff and mixtures with UTF-8, in both directions, and a decoder of an older build.

--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -1,11 +1,19 @@
 """Messages between entry hosts, encoded as MessagePack arrays.
 
 The position of a field and the tag of a message are part of the protocol; the
-names of fields are not sent.
+names of fields are not sent. Hosts ignore fields after those that they know.
 """
 
+from collections.abc import Callable
+from typing import TypeVar
+
 import msgspec
 
+from oriolestage.entry._header_bytes import (
+    latin1_to_text,
+    map_headers,
+    text_to_latin1,
+)
 from oriolestage.routing._answers import TargetAnswer
 
 
@@ -42,6 +50,9 @@
     work_s: float
     #: Time until the deadline of the attempts, in seconds.
     time_left_s: float
+    #: True if the id and the texts of the headers have one character for each
+    #: byte, since they are no UTF-8.
+    latin1: bool = False
 
 
 class GatherCancel(
@@ -86,6 +97,8 @@
     era: int | None = None
     #: Identities of targets of these shards that say that they leave.
     leaving: tuple[str, ...] = ()
+    #: True if the signatures have one character for each byte.
+    latin1: bool = False
 
 
 class GatherDeclined(
@@ -133,6 +146,8 @@
     repeatable: bool
     #: Time until the deadline of the attempt, in seconds.
     time_left_s: float
+    #: As in :class:`GatherRequest`.
+    latin1: bool = False
 
 
 class RelayAnswered(
@@ -150,6 +165,9 @@
     signature: str
     #: Identity of the target if it says that it leaves, else empty.
     leaving: str = ''
+    #: True if the signature and the texts of the headers have one character
+    #: for each byte.
+    latin1: bool = False
 
     @property
     def answer(self) -> TargetAnswer:
@@ -205,6 +223,8 @@
 ToPeer = GatherRequest | GatherCancel | RelayRequest | Ping
 FromPeer = GatherReply | GatherDeclined | RelayReply | Pong
 
+_Message = TypeVar('_Message', bound=ToPeer | FromPeer)
+
 _encoder = msgspec.msgpack.Encoder()
 _to_peer_decoder: msgspec.msgpack.Decoder[ToPeer] = msgspec.msgpack.Decoder(
     ToPeer,
@@ -215,21 +235,62 @@
 
 
 def encode(message: ToPeer | FromPeer) -> bytes:
-    """Return the MessagePack form of a message."""
-    return _encoder.encode(message)
+    """Return the MessagePack form of a message.
+
+    Raises ``ValueError`` or ``OverflowError`` if it has none.
+    """
+    try:
+        return _encoder.encode(message)
+    except UnicodeEncodeError:
+        return _encoder.encode(_convert(message, text_to_latin1, latin1=True))
 
 
 def decode_to_peer(payload: bytes) -> ToPeer:
     """Return the message that a host received as a server.
 
-    Raises ``msgspec.DecodeError`` for anything else.
+    Raises ``ValueError`` or ``RecursionError`` for anything else.
     """
-    return _to_peer_decoder.decode(payload)
+    message = _to_peer_decoder.decode(payload)
+    if isinstance(message, GatherRequest | RelayRequest) and message.latin1:
+        return _convert(message, latin1_to_text, latin1=False)
+    return message
 
 
 def decode_from_peer(payload: bytes) -> FromPeer:
     """Return the message that a host received as a client.
 
-    Raises ``msgspec.DecodeError`` for anything else.
+    Raises ``ValueError`` or ``RecursionError`` for anything else.
     """
-    return _from_peer_decoder.decode(payload)
+    message = _from_peer_decoder.decode(payload)
+    if isinstance(message, GatherReply | RelayAnswered) and message.latin1:
+        return _convert(message, latin1_to_text, latin1=False)
+    return message
+
+
+def _convert(
+    message: _Message, convert: Callable[[str], str], *, latin1: bool
+) -> _Message:
+    """Return a message with converted texts of HTTP headers."""
+    match message:
+        case GatherRequest() | RelayRequest():
+            return msgspec.structs.replace(
+                message,
+                request_id=convert(message.request_id),
+                headers=map_headers(convert, message.headers),
+                latin1=latin1,
+            )
+        case GatherReply():
+            signatures = message.signatures.items()
+            return msgspec.structs.replace(
+                message,
+                signatures={name: convert(text) for name, text in signatures},
+                latin1=latin1,
+            )
+        case RelayAnswered():
+            return msgspec.structs.replace(
+                message,
+                headers=map_headers(convert, message.headers),
+                signature=convert(message.signature),
+                latin1=latin1,
+            )
+    return message
