Streams between hosts: any error on a message ends the stream, logged

One message with deeply nested arrays, or an error of this program on a reply, ended the task that reads the replies of another host without a word. The stream stayed open: the requests on it, and all later ones to that host, waited for their deadlines (504 for callers, parts missing) until a ping went unanswered for 0.9 s. On the serving side such a message closed the stream without a log line, except that asyncio reported a task's unread exception.

Cause: both readers caught a list of errors. RecursionError, which msgspec raises for nested values in fields that a host does not know, is not on it.

--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -6,8 +6,6 @@
 import time
 from collections.abc import Callable, Iterable, Mapping
 
-import msgspec
-
 from oriolestage._logging import log_event
 from oriolestage.entry._compressed_frames import FrameReader, FrameWriter
 from oriolestage.entry._crash_tracking import (
@@ -135,8 +133,8 @@
             # Event loop shutdown: asyncio would log a cancelled stream
             # handler as an error.
             return
-        except (ValueError, msgspec.DecodeError) as error:
-            log_event('batch_rejected', {'step': 'peer', 'error': error})
+        except Exception as error:
+            log_event('batch_rejected', {'step': 'peer', 'error': repr(error)})
         finally:
             self._end_stream(writer, running)
 
--- a/oriolestage/entry/tests/peer_requests.py
+++ b/oriolestage/entry/tests/peer_requests.py
@@ -3,7 +3,7 @@
 import socket
 
 from oriolestage.entry._crash_tracking import AttemptSender
-from oriolestage.entry._peer_messages import GatherRequest
+from oriolestage.entry._peer_messages import GatherRequest, RelayRequest
 from oriolestage.entry._peer_server import PeerServer
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._peers import PeerDirectory
@@ -37,6 +37,25 @@
     return GatherRequest(**fields)  # type: ignore[arg-type]
 
 
+def make_relay_request(**changes: object) -> RelayRequest:
+    """Return a request to a single service, with changed fields."""
+    fields: dict[str, object] = {
+        'number': 0,
+        'request_id': 'a',
+        'route': 'r',
+        'service': 'shard-0',
+        'method': 'POST',
+        'path': '/x',
+        'headers': (),
+        'body': b'asked',
+        'regions': (),
+        'repeatable': False,
+        'time_left_s': 2.0,
+        **changes,
+    }
+    return RelayRequest(**fields)  # type: ignore[arg-type]
+
+
 async def start_peer_server(
     placement: Placement, sender: AttemptSender
 ) -> tuple[PeerServer, str]:
