Messages between hosts: what cannot be sent counts as not run

A host registered with an address like "nohost" or with port 99999 made each batch and each relayed request to it count as run: callers got a 502 for a request that was never sent, where another host or a retry was allowed. The same happened to a request that has no encoding (a number over 64 bits, a name of a header of a type of the parser), which also left its entry behind among the pending requests. An error while a relayed request was served was reported to the other host, but not logged with its request.

Cause: only OSError and TimeoutError of opening a stream were caught; int(), the resolver and the socket raise ValueError and OverflowError, and msgspec raises ValueError, OverflowError and TypeError. An invalid address is now an OSError; a request is encoded before it is registered, and one that has no encoding is logged and ends as not sent. Other requests on the stream go on.

--- a/oriolestage/entry/_peer_link.py
+++ b/oriolestage/entry/_peer_link.py
@@ -90,9 +90,7 @@
         async with self._open_lock:
             if self._frames is not None:
                 return
-            host, _, port = self._address.rpartition(':')
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await self._connect()
             writer.get_extra_info('socket').setsockopt(
                 socket.IPPROTO_TCP,
                 socket.TCP_USER_TIMEOUT,
@@ -122,9 +120,11 @@
         if frames is None:
             yield BatchLost('link.closed', not_sent=True)
             return
+        if not self._write(frames, request):
+            yield BatchLost('link.encode', not_sent=True)
+            return
         replies: asyncio.Queue[BatchOutcome] = asyncio.Queue()
         self._pending[request.number] = replies
-        frames.write(encode(request))
         final = False
         try:
             while not final:
@@ -142,11 +142,10 @@
         Cancelling the call cancels the request at the host.
         """
         frames = self._frames
-        if frames is None:
+        if frames is None or not self._write(frames, request):
             return AttemptNotRun(NotRunReason.NOT_REACHED)
         reply = asyncio.get_running_loop().create_future()
         self._relayed[request.number] = reply
-        frames.write(encode(request))
         try:
             return await reply
         finally:
@@ -176,6 +175,36 @@
             if not reply.done():
                 reply.set_result(AttemptLost(step))
 
+    async def _connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self._address.rpartition(':')
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return await asyncio.open_connection(host, int(port))
+        except (ValueError, OverflowError) as error:
+            # Another writer may have registered any text as an address.
+            raise OSError(f'invalid address: {error!r}') from error
+
+    def _write(
+        self, frames: FrameWriter, request: GatherRequest | RelayRequest
+    ) -> bool:
+        """Send a request; log it and return False if it has no encoding."""
+        try:
+            frames.write(encode(request))
+        except (ValueError, OverflowError, TypeError) as error:
+            log_event(
+                'message_not_encoded',
+                {
+                    'id': request.request_id,
+                    'step': 'link',
+                    'peer': self._address,
+                    'error': repr(error),
+                },
+            )
+            return False
+        return True
+
     def _send_cancel(self, number: int) -> None:
         if self._frames is not None:
             self._frames.write(encode(GatherCancel(number)))
--- a/oriolestage/entry/_relay_serving.py
+++ b/oriolestage/entry/_relay_serving.py
@@ -80,8 +80,18 @@
         payload = encode(reply)
         try:
             attempt = await self._attempt(request, started_at)
-            reply = _to_reply(request.number, attempt)
-            payload = encode(reply)
+            answered = _to_reply(request.number, attempt)
+            payload = encode(answered)
+            reply = answered
+        except Exception as error:
+            log_event(
+                'relay_crashed',
+                {
+                    'id': request.request_id,
+                    'step': CRASH_STEP,
+                    'error': repr(error),
+                },
+            )
         finally:
             self._in_flight -= 1
             frames.write(payload)
