Streams between hosts: no request of a stream runs twice

A frame that arrives twice ran its request twice, also one that may run at most once; the second task replaced the first, so that neither a cancel nor the end of the stream reached both. TCP repeats nothing, but a faulty host or build might.

Hosts number the requests of a stream in rising order.

Evidence: test_repeated_request, 5 orders of two requests with copies.

--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -32,6 +32,7 @@
     log_batch,
     send_late_shards,
 )
+from oriolestage.entry._stream_requests import StreamRequests
 from oriolestage.entry._target_client import TargetCall
 from oriolestage.routing._answers import (
     AttemptAnswered,
@@ -120,7 +121,7 @@
     ) -> None:
         """Process the messages of one stream until it ends."""
         self._writers.add(writer)
-        running: dict[int, asyncio.Task[None]] = {}
+        running = StreamRequests()
         requests = FrameReader(reader)
         replies = FrameWriter(writer)
         try:
@@ -136,15 +137,10 @@
         except Exception as error:
             log_event('batch_rejected', {'step': 'peer', 'error': repr(error)})
         finally:
-            self._end_stream(writer, running)
+            running.cancel_all()
+            self._close_stream(writer)
 
-    def _end_stream(
-        self,
-        writer: asyncio.StreamWriter,
-        running: dict[int, asyncio.Task[None]],
-    ) -> None:
-        for task in running.values():
-            task.cancel()
+    def _close_stream(self, writer: asyncio.StreamWriter) -> None:
         self._writers.discard(writer)
         writer.close()
 
@@ -152,7 +148,7 @@
         self,
         message: ToPeer,
         frames: FrameWriter,
-        running: dict[int, asyncio.Task[None]],
+        running: StreamRequests,
     ) -> None:
         match message:
             case GatherRequest() | RelayRequest() if (
@@ -160,23 +156,23 @@
             ):
                 self._requests.decline(message, frames)
             case GatherRequest(number=number):
-                task = self._requests.start(
-                    message, self._run_batch(message, frames)
+                running.start(
+                    number,
+                    lambda: self._requests.start(
+                        message, self._run_batch(message, frames)
+                    ),
                 )
-                running[number] = task
-                task.add_done_callback(lambda _: running.pop(number, None))
             case RelayRequest(number=number):
-                task = self._requests.start(
-                    message, self._relays.serve(message, frames)
+                running.start(
+                    number,
+                    lambda: self._requests.start(
+                        message, self._relays.serve(message, frames)
+                    ),
                 )
-                running[number] = task
-                task.add_done_callback(lambda _: running.pop(number, None))
             case Ping():
                 frames.write(encode(self._make_pong()))
             case GatherCancel(number=number):
-                cancelled = running.get(number)
-                if cancelled is not None:
-                    cancelled.cancel()
+                running.cancel(number)
 
     def _make_pong(self) -> Pong:
         freshness = self._freshness()
--- a/oriolestage/entry/tests/test_broken_streams.py
+++ b/oriolestage/entry/tests/test_broken_streams.py
@@ -150,8 +150,9 @@
             lambda _, context: self._loop_errors.append(context)
         )
         placement = make_placement('dc-a', shard_records(4))[0]
+        self._targets = ScriptedTargets()
         self._server, address = await start_peer_server(
-            placement, ScriptedTargets()
+            placement, self._targets
         )
         self._host, _, port = address.partition(':')
         self._port = int(port)
@@ -192,6 +193,26 @@
                 )
         self.assertEqual(self._loop_errors, [])
 
+    async def test_repeated_request(self) -> None:
+        """Guards against a request that runs twice, from a copied frame.
+
+        Reordered requests end the stream as well: the one before may be a
+        copy.
+        """
+        gather = make_gather_request(number=1)
+        relay = make_relay_request(number=2)
+        for numbers in ((1, 1), (2, 2), (1, 2, 1), (2, 1), (1, 2, 2)):
+            with self.subTest(numbers=numbers):
+                messages = [(gather, relay)[number - 1] for number in numbers]
+                content = b''.join(frames_of(map(encode, messages)))
+                self._targets.bodies.clear()
+                with patch.object(_peer_server, 'log_event') as log:
+                    await self._send(content, end=False)
+                events = [call.args[0] for call in log.call_args_list]
+                self.assertEqual(events.count('batch_rejected'), 1)
+                limit = len(gather.services) * (1 in numbers) + (2 in numbers)
+                self.assertLessEqual(len(self._targets.bodies), limit)
+
     async def test_every_cut(self) -> None:
         """A stream may end at any byte of its messages."""
         content = b''.join(
