A host that others may not count yet sends nothing to cold targets

Callers would lose requests after all hosts start at once: each first finds itself alone and sends a cold target as many requests in a second as all may together, until the target crashes. With six hosts the model sends 42, the bound is 11.

Cause: a host divided the bound by the hosts that it knew, whether these knew of it or not. The same held for a host whose first registration fails: the others sent their shares without counting it.

Now a host sends to cold targets from 2 s after it has found its own registration in its copy of the store.

Of retries and rate limits a fleet that has just started may still take too much for the second until its hosts know each other.

Changed builder: make_placement returns the placement of a host that has been registered for long; its tests expect what they did before.

--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -69,10 +69,12 @@
     def replace_hosts(self, regions: Mapping[str, str], now: float) -> None:
         """Replace the hosts that share the targets; this one is added.
 
-        ``regions`` has the region of each host by its name.
+        ``regions`` has the region of each registered host by its name.
         """
         own = self.location
         self._hosts = tuple(sorted({*regions, own.name}))
+        if own.name in regions:
+            self._capacity.record_registered(now)
         self.rates.replace_hosts(
             {**regions, own.name: own.region},
             self._directory.all_targets(),
--- a/oriolestage/routing/_target_capacity.py
+++ b/oriolestage/routing/_target_capacity.py
@@ -17,7 +17,11 @@
 )
 from oriolestage.routing._target_rates import TargetRates
 from oriolestage.routing._targets import KnownTarget
-from oriolestage.routing._warm_up import WarmUpBounds, WarmUpPacer
+from oriolestage.routing._warm_up import (
+    Joining,
+    WarmUpBounds,
+    WarmUpPacer,
+)
 
 #: Attempts that one host may queue at a target beyond its slots.
 QUEUED_LIMIT = 4
@@ -42,6 +46,7 @@
         self._rates = rates
         self._warm_up = warm_up
         self._pacers: dict[str, WarmUpPacer] = {}
+        self._joining = Joining()
 
     def refuse(
         self,
@@ -79,6 +84,10 @@
             return _retry_after(FULL_WAIT_S, ShortageCause.WARM_UP)
         return None
 
+    def record_registered(self, now: float) -> None:
+        """Record that this host is registered, so that others count it."""
+        self._joining.record_registered(now)
+
     def record_sent(self, target: KnownTarget, now: float) -> None:
         """Count an attempt that is sent."""
         self._rates.record_sent(target, now)
@@ -105,6 +114,8 @@
     ) -> bool:
         if not requirements.warm_up_rate or target.cold_until <= now:
             return True
+        if self._joining.is_joining(now):
+            return False
         pacer = self._pacer(target)
         return pacer.allows(requirements.warm_up_rate, hosts, now)
 
--- a/oriolestage/routing/_warm_up.py
+++ b/oriolestage/routing/_warm_up.py
@@ -3,6 +3,11 @@
 A target that has just started can serve few requests at first. Each host
 keeps to a fixed share of the bound, so the sum of all hosts stays within it
 even if the hosts cannot reach one another.
+
+A host that counts too many hosts sends less than its share. One that counts
+too few sends more, which could crash the target. So hosts that are gone still
+count for a while, and a host that the others may not count yet sends nothing
+to cold targets.
 """
 
 import dataclasses
@@ -15,6 +20,9 @@
 #: Fraction of the bound that hosts use. The rest covers network delays, by
 #: which requests of different windows can arrive together.
 BOUND_FRACTION = 0.7
+#: Time after which the other hosts know the registration that a host has found
+#: in the store, in seconds: the longest pause between two watches, and a call.
+JOINING_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +36,26 @@
     slack: float = 5.0
 
 
+class Joining:
+    """Whether the other hosts may not count this one yet.
+
+    They count it once they have read its registration. When all hosts start
+    at once, each first finds itself alone.
+    """
+
+    def __init__(self) -> None:
+        """Start before the registration of this host was found."""
+        self._joined_at = float('inf')
+
+    def record_registered(self, now: float) -> None:
+        """Record that this host is among the registered ones."""
+        self._joined_at = min(self._joined_at, now + JOINING_S)
+
+    def is_joining(self, now: float) -> bool:
+        """Return whether some hosts may not count this one yet."""
+        return now < self._joined_at
+
+
 class WarmUpPacer:
     """Limits the rate of this host's requests to one cold target."""
 
--- a/oriolestage/routing/tests/builders.py
+++ b/oriolestage/routing/tests/builders.py
@@ -97,12 +97,16 @@
     records: tuple[TargetRecord, ...] = (),
     name: str = 'host-1',
 ) -> tuple[Placement, TargetDirectory]:
-    """Return a placement and its directory, which holds ``records``."""
+    """Return a placement and its directory, which holds ``records``.
+
+    Its host has been registered for long.
+    """
     directory = TargetDirectory()
     for record in records:
         directory.register(record, 0)
     location = HostLocation(name, data_centre, REGIONS)
     placement = Placement(location, directory, WarmUpBounds(), lambda _: None)
+    placement.replace_hosts({name: location.region}, float('-inf'))
     return placement, directory
 
 
