Bound the cost of refusals and of withdrawals

A refused request looked up the position of its host anew each time while a report of it was due: 620 hashes on a large deployment. The positions are remembered now.

A withdrawal and the background work of the registration could end the same lease at once, and a withdrawal that was cancelled forgot its lease. Each lease is now taken by one of them and given back unless its end is confirmed.

Evidence: the tests of the withdrawals and of the quarantine pass as before (test_late_registration, test_quarantine_fleet, test_crash_detector).

--- a/oriolestage/entry/_host_registration.py
+++ b/oriolestage/entry/_host_registration.py
@@ -197,16 +197,21 @@
 
     async def _end_unwanted(self) -> None:
         """End leases, so that late registrations under them have no effect."""
-        still_open: list[Lease] = []
-        for lease in self._unwanted:
+        while self._unwanted:
+            lease = self._unwanted.pop()
+            ended = False
             try:
                 await self._store.end_lease(lease)
-            except LeaseEndedError as ended:
-                log_event('registration_ended', {'error': ended})
+                ended = True
+            except LeaseEndedError as error:
+                log_event('registration_ended', {'error': error})
+                ended = True
             except StoreError as error:
                 log_event('registration_not_ended', {'error': error})
-                still_open.append(lease)
-        self._unwanted = still_open
+                return
+            finally:
+                if not ended:
+                    self._unwanted.append(lease)
 
     def _interrupt(self) -> None:
         self._interrupted.set()
--- a/oriolestage/routing/_crash_detector.py
+++ b/oriolestage/routing/_crash_detector.py
@@ -12,6 +12,7 @@
 """
 
 import dataclasses
+import functools
 import math
 from collections import OrderedDict, deque
 from collections.abc import Callable
@@ -48,6 +49,9 @@
 #: Reports to other hosts that may be queued. A power cut at the targets
 #: breaks many connections at once.
 REPORTS_LIMIT = 30
+#: Positions of hosts that are remembered, since a refused request may come
+#: often.
+POSITIONS_LIMIT = 1000
 #: Stands for the target in the report that a target has answered a request.
 ANSWERED = ''
 
@@ -76,8 +80,12 @@
 
     def position(self, fingerprint: int) -> int:
         """Return the position of this host for a request; 0 for one host."""
-        key = f'{fingerprint:016x}'
-        return rendezvous_position(key, self.own, self.hosts)
+        return _position(fingerprint, self.own, self.hosts)
+
+
+@functools.lru_cache(maxsize=POSITIONS_LIMIT)
+def _position(fingerprint: int, own: str, hosts: tuple[str, ...]) -> int:
+    return rendezvous_position(f'{fingerprint:016x}', own, hosts)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
