Refuse idempotency keys that are made in the future

A key with a time in the future was valid until its time plus the retention, but the store drops the segment with its claim 22 minutes after it was sealed. After that and a change of the owner, the key could be granted again and its command run twice. The claim was also stored with the time that the entry host stated, not with that of the key.

Keys further in the future than the allowed difference of clocks (60 s) are refused as KEY_EXPIRED, before anything runs, and the claim has the time that is in the key itself.

--- a/oriolestage/core/keys/_key_owner.py
+++ b/oriolestage/core/keys/_key_owner.py
@@ -112,7 +112,8 @@
         ):
             self._refuse(request, Reason.NOT_OWNER, OWNER_RETRY_MS)
             return
-        if self._is_expired(request):
+        created_ms = key_created_ms(request.key)
+        if created_ms is None or not self._is_remembered(created_ms):
             self._refuse(request, Reason.KEY_EXPIRED, 0)
             return
         run = self._granted_runs.get(request.key)
@@ -129,7 +130,7 @@
             request.key,
             request.fingerprint,
             f'{self._peers.local_name}/{self._incarnation}/{self._claim_count}',
-            request.created_ms,
+            created_ms,
         )
         self._journal(key_slice).claim(
             claim,
@@ -169,12 +170,16 @@
             self._journals[key_slice] = journal
         return journal
 
-    def _is_expired(self, request: ClaimRequest) -> bool:
-        created_ms = key_created_ms(request.key)
-        if created_ms is None:
-            return True
+    def _is_remembered(self, created_ms: int) -> bool:
+        """Return whether the claim of a key outlives the key.
+
+        That of an old key may be forgotten. A key made in the future would be
+        valid for longer than the journal keeps its claim.
+        """
         age_s = (self._wall_ms() - created_ms) / 1000
-        return age_s > self._parameters.key_retention_s
+        if age_s < -self._parameters.clock_skew_s:
+            return False
+        return age_s <= self._parameters.key_retention_s
 
     def _on_claimed(
         self,
--- a/oriolestage/core/queries/_outcomes.py
+++ b/oriolestage/core/queries/_outcomes.py
@@ -45,7 +45,8 @@
     #: The caller disconnected.
     CANCELLED = 'cancelled'
     UNKNOWN_ROUTE = 'unknown_route'
-    #: The idempotency key is older than its retention, or invalid.
+    #: The idempotency key is older than its retention, in the future or
+    #: invalid.
     KEY_EXPIRED = 'key_expired'
     #: The idempotency key was used before for another request.
     KEY_REUSED = 'key_reused'
