Go on with periodic work of the core after an error in one round

An error in one round of some periodic work ended it for good: the watch of the store (when the watch could not be sent, or the readers not be ranked), the contacts with the seeds, and the poll for an operator who waits for a revision. The next timer was set after the step that failed, or by its outcome only. A store that answers a watch at once with the version that is known to be bad was watched again at once.

Ruled out by the same test: probes, ticks, the status pages of leaving targets, reads of the host list, and a revision whose decoding fails; they went on before.

--- a/oriolestage/core/configuration/_configuration_store.py
+++ b/oriolestage/core/configuration/_configuration_store.py
@@ -57,6 +57,7 @@
         self._configuration = configuration
         self._unreadable = store.unreadable
         self._watching = False
+        self._next_watch_at: float = 0
 
     def start(self) -> None:
         """Load the configuration and start to watch for new revisions.
@@ -66,7 +67,7 @@
         """
         self._configuration.on_change(self._clear_passed_revision)
         self._timers.call_after(STORE_READ_DELAY_S, self._load_if_empty)
-        self._timers.call_after(STORE_READ_DELAY_S, self._watch_next_revision)
+        self._timers.call_after(STORE_READ_DELAY_S, self._check_watch)
 
     def write_snapshot_if_due(self) -> None:
         """Write a snapshot to the store every ``snapshot_interval`` revisions.
@@ -101,20 +102,30 @@
         try:
             self._configuration.adopt_document(decode_snapshot(content))
         except (MalformedError, ChangeRefusedError) as error:
-            # The store keeps all revisions, so the history can be replayed.
-            self._unreadable.report(SNAPSHOT_KEY, version, str(error))
-            self._configuration.start_empty()
-            return
-        self._unreadable.clear(SNAPSHOT_KEY)
+            self._skip_snapshot(version, str(error))
+        except Exception as error:
+            self._outbox.log_failure('configuration.snapshot', error)
+            self._skip_snapshot(version, repr(error))
+        else:
+            self._unreadable.clear(SNAPSHOT_KEY)
+
+    def _skip_snapshot(self, version: int, why: str) -> None:
+        """Start from the first revision, since the store keeps all of them."""
+        self._unreadable.report(SNAPSHOT_KEY, version, why)
+        self._configuration.start_empty()
+
+    def _check_watch(self) -> None:
+        """Start a watch if none is in progress or about to start."""
+        self._timers.call_after(STORE_RETRY_S, self._check_watch)
+        if self._timers.now >= self._next_watch_at:
+            self._watch_next_revision()
 
     def _watch_next_revision(self) -> None:
-        if self._watching:
-            return
         configuration = self._configuration
-        if not configuration.loaded or not configuration.is_reader:
-            self._timers.call_after(STORE_RETRY_S, self._watch_next_revision)
+        if self._watching or not configuration.loaded:
+            return
+        if not configuration.is_reader:
             return
-        self._watching = True
         revision = configuration.revision + 1
         key = revision_key(revision)
         self._store.watch(
@@ -122,19 +133,28 @@
             self._unreadable.version(key),
             lambda outcome: self._on_watched(revision, outcome),
         )
+        self._watching = True
 
     def _on_watched(self, revision: int, outcome: StoreOutcome) -> None:
         self._watching = False
         match outcome:
             case StoreFound(content=content, version=version):
+                known_version = self._unreadable.version(revision_key(revision))
+                if version <= known_version:
+                    # The store did not wait for another version.
+                    self._watch_later()
+                    return
                 self._adopt_revision(revision, content, version)
                 self._watch_next_revision()
             case StoreMissing():
                 self._watch_next_revision()
             case _:
-                self._timers.call_after(
-                    self._retry_delay_s(), self._watch_next_revision
-                )
+                self._watch_later()
+
+    def _watch_later(self) -> None:
+        delay_s = self._retry_delay_s()
+        self._next_watch_at = self._timers.now + delay_s
+        self._timers.call_after(delay_s, self._watch_next_revision)
 
     def _adopt_revision(
         self, revision: int, content: bytes, version: int
--- a/oriolestage/core/configuration/_in_force.py
+++ b/oriolestage/core/configuration/_in_force.py
@@ -92,12 +92,12 @@
             poll.callback(report)
             return
         outstanding = {*report.behind, *report.not_heard_from}
+        period_s = POLL_PERIOD_S + POLL_PERIOD_PER_HOST_S * len(outstanding)
+        self._timers.call_after(period_s, lambda: self._query_members(number))
         for member in self._membership.members:
             if member.name in outstanding and member.name != local_name:
                 query = RevisionQuery(local_name, number)
                 self._outbox.add(SendGossip(member.gossip_address, query))
-        period_s = POLL_PERIOD_S + POLL_PERIOD_PER_HOST_S * len(outstanding)
-        self._timers.call_after(period_s, lambda: self._query_members(number))
 
     def _build_report(self, poll: _RevisionPoll) -> InForceReport:
         in_force: list[str] = []
--- a/oriolestage/core/membership/_host_directory.py
+++ b/oriolestage/core/membership/_host_directory.py
@@ -60,10 +60,10 @@
     def _contact_seeds(self) -> None:
         if self._membership.alive_count > 1:
             return
+        self._timers.call_after(SEED_CONTACT_PERIOD_S, self._contact_seeds)
         for address in self._seeds:
             if address != self._membership.identity.gossip_address:
                 self._membership.contact(address)
-        self._timers.call_after(SEED_CONTACT_PERIOD_S, self._contact_seeds)
 
     def _read_periodically(self) -> None:
         self._timers.call_after(
--- a/oriolestage/core/tests/nodes.py
+++ b/oriolestage/core/tests/nodes.py
@@ -1,10 +1,12 @@
 """A decision core with a simulated store and clock, for tests."""
 
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from typing import Self
 
 import msgspec
@@ -30,8 +32,8 @@
 
 #: Wall-clock time at simulated time 0, in milliseconds since the epoch.
 WALL_CLOCK_START_MS = 1_700_000_000_000
-#: Effects that the simulated store executes.
-STORE_CALLS = (StoreRead, StoreWrite, StoreWatch, ReadHostList)
+#: Time that a gossip message needs, in seconds.
+GOSSIP_LATENCY_S = 0.001
 
 
 def document_record(revision: int) -> RevisionRecord:
@@ -66,19 +68,22 @@
         *,
         name: str = 'entry-1',
         parameters: Parameters | None = None,
+        ip: str = '127.0.0.1',
+        seeds: Sequence[str] = (),
     ) -> Self:
         """Build and start a core."""
         core = NodeCore(
             Identity(
                 name=name,
-                gossip_address='127.0.0.1:7003',
-                data_address='127.0.0.1:7004',
+                gossip_address=f'{ip}:7003',
+                data_address=f'{ip}:7004',
                 data_centre='ege-a',
                 incarnation=WALL_CLOCK_START_MS + int(timeline.now * 1000),
             ),
             parameters or Parameters(),
             random.Random(1),
             timeline.now,
+            seeds,
         )
         node = cls(core, store, timeline)
         timeline.nodes.append(node)
@@ -90,8 +95,17 @@
         """Record the effects of the core and call the store."""
         for effect in self.core.take_effects():
             self.effects.append((self.timeline.now, effect))
-            if isinstance(effect, STORE_CALLS):
-                self._call_store(effect)
+            match effect:
+                case SendGossip(address=address, message=message):
+                    self.timeline.send_gossip(address, message)
+                case StoreRead() | StoreWrite() | StoreWatch() | ReadHostList():
+                    self._call_store(effect)
+
+    def receive_gossip(self, message: GossipMessage) -> None:
+        """Pass a gossip message to the core."""
+        with self.timeline.caught_errors():
+            self.core.on_gossip(self.timeline.now, message)
+        self.execute_effects()
 
     def count_calls(self, key: str) -> int:
         """Return how often the core read or watched a key."""
@@ -120,9 +134,10 @@
         self, effect: StoreRead | StoreWrite | StoreWatch | ReadHostList
     ) -> None:
         def reply(outcome: StoreOutcome) -> None:
-            self.core.on_store_outcome(
-                self.timeline.now, effect.operation, outcome
-            )
+            with self.timeline.caught_errors():
+                self.core.on_store_outcome(
+                    self.timeline.now, effect.operation, outcome
+                )
             self.execute_effects()
 
         self.store.call(effect, cut=False, reply=reply)
@@ -135,6 +150,8 @@
         """Start at time 0 without nodes."""
         self.now: float = 0
         self.nodes: list[SimulatedNode] = []
+        #: Errors of cores; None lets the first one end the test.
+        self.errors: list[Exception] | None = None
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
 
@@ -151,10 +168,28 @@
             while self._heap and self._heap[0][0] <= self.now:
                 heapq.heappop(self._heap)[2]()
             for node in self.nodes:
-                node.core.on_time(self.now)
+                with self.caught_errors():
+                    node.core.on_time(self.now)
                 node.execute_effects()
         self.now = end
 
+    def send_gossip(self, address: str, message: GossipMessage) -> None:
+        """Deliver a message to the core with an address, if there is one."""
+        for node in self.nodes:
+            if node.core.membership.identity.gossip_address == address:
+                deliver = functools.partial(node.receive_gossip, message)
+                self.call_later(GOSSIP_LATENCY_S, deliver)
+
+    @contextmanager
+    def caught_errors(self) -> Iterator[None]:
+        """Keep an error of a core, as the daemon does, if a test wants it."""
+        try:
+            yield
+        except Exception as error:
+            if self.errors is None:
+                raise
+            self.errors.append(error)
+
     def _next_time(self) -> float:
         times = [node.core.next_wakeup for node in self.nodes]
         times.extend(entry[0] for entry in self._heap[:1])
--- a/oriolestage/core/tests/test_unreadable_store_values.py
+++ b/oriolestage/core/tests/test_unreadable_store_values.py
@@ -1,6 +1,7 @@
 """Tests of values in the store that cannot be decoded or applied."""
 
-import unittest
+import dataclasses
+from unittest import TestCase, mock
 
 import msgspec
 
@@ -49,7 +50,7 @@
     ]
 
 
-class UnreadableRevisionTest(unittest.TestCase):
+class UnreadableRevisionTest(TestCase):
     """A bad value of a revision key stops nothing but that revision."""
 
     def setUp(self) -> None:
@@ -81,6 +82,22 @@
                 self.assertLessEqual(watches, 12)
                 self.assertGreaterEqual(watches, 8)
 
+    def test_store_that_repeats_the_version(self) -> None:
+        """Guards against endless reads if the store ignores the version."""
+        put_value(self.store, SECOND_KEY, b'{', 0)
+        add_watch = self.store._add_watch
+        with mock.patch.object(
+            self.store,
+            '_add_watch',
+            lambda watch: add_watch(dataclasses.replace(watch, after=0)),
+        ):
+            calls = self.node.count_calls(SECOND_KEY)
+            self.timeline.run_for(10)
+        # The delay before the next watch is 0.5 to 1 s.
+        watches = self.node.count_calls(SECOND_KEY) - calls
+        self.assertLessEqual(watches, 21)
+        self.assertGreaterEqual(watches, 10)
+
     def test_host_list_is_still_read(self) -> None:
         """Other values are read as before."""
         put_value(self.store, SECOND_KEY, DEEP_LISTS, 0)
@@ -130,7 +147,7 @@
         )
 
 
-class UnreadableSnapshotTest(unittest.TestCase):
+class UnreadableSnapshotTest(TestCase):
     """A host starts from the single revisions if the snapshot is bad."""
 
     def test_bad_snapshot(self) -> None:
