Choose a canary that has a target

A query whose request had made a target crash before, and whose first shard had no target, ended at once with the reason `deadline`, although the other shards could have answered: callers lost the partial answer, and were told neither the reason nor when to try again. The canary was always the first shard, and shards that were never sent counted as settled.

The next shard is now sent alone when no target ran the canary, for whatever reason, until one answers or none is left. If a target may have run it, no other one is tried, as before. The dispatcher holds all of the canary's logic.

--- a/oriolestage/core/queries/_query.py
+++ b/oriolestage/core/queries/_query.py
@@ -84,7 +84,8 @@
         self.version = 0
         #: How often the query was sent again to get consistent answers.
         self.restarts = 0
-        #: True while only the canary, the first shard, has been sent.
+        #: True while only the canary, the first shard with a target, has been
+        #: sent.
         self.canary_pending = False
         self.ended = False
         # All shards before this index are settled, so that `settled` does
@@ -110,6 +111,20 @@
         shard.reset_for_retry()
         self._settled_count = 0
 
+    def next_canary(self) -> ShardState | None:
+        """Return the next shard to be sent alone, or None.
+
+        None if no shard is left, or if a target may have run the last one:
+        the request may have crashed it.
+        """
+        self._settled_count = 0
+        for shard in self.shards:
+            if shard.may_have_run:
+                return None
+            if not shard.dispatches and shard.failure is None:
+                return shard
+        return None
+
     def answered_versions(self) -> frozenset[int]:
         """Return the index versions of all answers."""
         return frozenset(
--- a/oriolestage/core/queries/_query_runner.py
+++ b/oriolestage/core/queries/_query_runner.py
@@ -136,7 +136,7 @@
         for _ in query.shards:
             self._needed += 1
             self._budget.record_needed()
-        self._dispatcher.dispatch(query, self._initial_shards(query))
+        self._dispatcher.dispatch_first(query)
         self._finish_if_settled(query)
 
     def cancel(self, request_id: str) -> None:
@@ -147,15 +147,6 @@
         query.ended = True
         self._attempts.cancel(query.attempts_in_flight)
 
-    def _initial_shards(self, query: Query) -> list[ShardState]:
-        # After a target was lost while it ran this request, one shard is sent
-        # first as a canary: if the request makes targets crash, it loses one
-        # target instead of one in each shard.
-        if self._crashes.crash_count(query.fingerprint):
-            query.canary_pending = True
-            return query.shards[:1]
-        return query.shards
-
     def _is_suspect(self, query: Query) -> bool:
         return self._crashes.crash_count(query.fingerprint) > 0
 
@@ -210,19 +201,7 @@
         if shard.dispatches == 1:
             self._dispatcher.record_latency(query.route.group, latency_s)
             self._selector.record_latency(target.name, latency_s)
-        self._dispatch_remaining(query)
-
-    def _dispatch_remaining(self, query: Query) -> None:
-        if not query.canary_pending:
-            return
-        query.canary_pending = False
-        remaining = [
-            shard
-            for shard in query.shards
-            if not shard.dispatches and not shard.waiting
-        ]
-        if remaining:
-            self._dispatcher.dispatch(query, remaining)
+        self._dispatcher.dispatch_after_canary(query)
 
     def _on_not_run(
         self,
@@ -279,6 +258,8 @@
     def _finish_if_settled(self, query: Query) -> None:
         if query.ended or not query.settled:
             return
+        if self._dispatcher.dispatch_next_canary(query):
+            return
         if self._snapshots.reread_mixed(query) and not query.settled:
             return
         self._finish(query)
--- a/oriolestage/core/queries/_shard_dispatcher.py
+++ b/oriolestage/core/queries/_shard_dispatcher.py
@@ -67,6 +67,44 @@
         """Record the latency of a shard that was sent only once."""
         self._hedge_delay_of(group).record_latency(latency_s)
 
+    def dispatch_first(self, query: Query) -> None:
+        """Send all shards of a query, or its canary if it is suspect.
+
+        After a target was lost while it ran this request, one shard is sent
+        first: if the request makes targets crash, it loses one target instead
+        of one in each shard.
+        """
+        if self._crashes.crash_count(query.fingerprint):
+            query.canary_pending = True
+            self.dispatch(query, query.shards[:1])
+            return
+        self.dispatch(query, query.shards)
+
+    def dispatch_next_canary(self, query: Query) -> bool:
+        """Send the next shard alone after a canary that no target ran.
+
+        Return whether the query goes on.
+        """
+        while query.canary_pending and query.settled and not query.ended:
+            shard = query.next_canary()
+            if shard is None:
+                return False
+            self.dispatch(query, [shard])
+        return query.ended or not query.settled
+
+    def dispatch_after_canary(self, query: Query) -> None:
+        """Send the shards that waited for the answer of the canary."""
+        if not query.canary_pending:
+            return
+        query.canary_pending = False
+        remaining = [
+            shard
+            for shard in query.shards
+            if not shard.dispatches and not shard.waiting
+        ]
+        if remaining:
+            self.dispatch(query, remaining)
+
     def dispatch(
         self,
         query: Query,
