Apply a repeated operator command once, also after its record left memory

The operator tool also had no way to send a command again, although it advised that after a lost answer.

Before a change is written, the host now searches the history for its id: in memory, then in the store, back to the time at which the id was made. If the history cannot be read, the operator is told that it is not known whether the command took effect before and that it was not applied again.

--- a/oriolestage/core/__init__.py
+++ b/oriolestage/core/__init__.py
@@ -52,6 +52,14 @@
     StoreUnreachable,
     StoreWritten,
 )
+from oriolestage.core.configuration._change_outcomes import (
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeOutcome,
+    ChangeRefused,
+    ChangeUnknown,
+    OperatorCommand,
+)
 from oriolestage.core.configuration._changes import (
     Change,
     PutRoute,
@@ -80,14 +88,6 @@
     check_document,
 )
 from oriolestage.core.configuration._in_force import InForceReport
-from oriolestage.core.configuration._operator_commands import (
-    ChangeAccepted,
-    ChangeConflict,
-    ChangeOutcome,
-    ChangeRefused,
-    ChangeUnknown,
-    OperatorCommand,
-)
 from oriolestage.core._unreadable_values import UnreadableValue
 from oriolestage.core.keys._idempotency_keys import key_created_ms, make_key
 from oriolestage.core.membership._host_list import HostList, ListedHost
--- a/oriolestage/core/_node.py
+++ b/oriolestage/core/_node.py
@@ -22,7 +22,7 @@
     ConfigurationTracker,
 )
 from oriolestage.core.configuration._in_force import InForceReport
-from oriolestage.core.configuration._operator_commands import (
+from oriolestage.core.configuration._change_outcomes import (
     ChangeOutcome,
     OperatorCommand,
 )
--- a/oriolestage/core/_node_parts.py
+++ b/oriolestage/core/_node_parts.py
@@ -126,7 +126,7 @@
         configuration=configuration,
         configuration_store=configuration_store,
         operator_commands=OperatorCommands(
-            outbox,
+            parameters,
             timers,
             store,
             membership,
--- a/oriolestage/core/configuration/_configuration_tracker.py
+++ b/oriolestage/core/configuration/_configuration_tracker.py
@@ -77,6 +77,10 @@
             self._records[revision] for revision in sorted(self._records)
         )
 
+    def record(self, revision: int) -> RevisionRecord | None:
+        """Return the record of a revision, or None if it is not in memory."""
+        return self._records.get(revision)
+
     @property
     def is_reader(self) -> bool:
         """Whether this host watches the store for its data centre.
--- a/oriolestage/core/configuration/_operator_commands.py
+++ b/oriolestage/core/configuration/_operator_commands.py
@@ -5,14 +5,11 @@
 whether the write took effect.
 """
 
-import dataclasses
 from collections.abc import Callable
 
-import msgspec
-
 from oriolestage.core._charts import StateChart, load_chart
-from oriolestage.core._effects import Outbox
 from oriolestage.core._errors import ChangeRefusedError, MalformedError
+from oriolestage.core._parameters import Parameters
 from oriolestage.core._store_port import (
     StoreFound,
     StoreMismatch,
@@ -23,12 +20,25 @@
     StoreWritten,
 )
 from oriolestage.core._timers import Timers
+from oriolestage.core.configuration._change_outcomes import (
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeOutcome,
+    ChangeRefused,
+    ChangeUnknown,
+    OperatorCommand,
+)
 from oriolestage.core.configuration._changes import (
-    Change,
     RevisionRecord,
     apply_change,
     describe_change,
 )
+from oriolestage.core.configuration._command_history import (
+    CommandHistory,
+    CommandRecorded,
+    HistoryOutcome,
+    HistoryUnknown,
+)
 from oriolestage.core.configuration._configuration_store import (
     ConfigurationStore,
 )
@@ -49,49 +59,6 @@
 OUTCOME_CHECK_PERIOD_S = 0.25
 
 
-class ChangeAccepted(msgspec.Struct, frozen=True, tag='accepted'):
-    """The change is in the history and will reach every host."""
-
-    revision: int
-
-
-class ChangeRefused(msgspec.Struct, frozen=True, tag='refused'):
-    """The change was not made."""
-
-    why: str
-
-
-class ChangeConflict(msgspec.Struct, frozen=True, tag='conflict'):
-    """Another change took the revision first; nothing was changed."""
-
-    revision: int
-    operator: str
-    after: str
-
-
-class ChangeUnknown(msgspec.Struct, frozen=True, tag='unknown'):
-    """The write was sent, and it is unknown whether it took effect."""
-
-    command_id: str
-    why: str
-
-
-ChangeOutcome = ChangeAccepted | ChangeRefused | ChangeConflict | ChangeUnknown
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OperatorCommand:
-    """A change requested by an operator."""
-
-    change: Change
-    operator: str
-    #: Chosen by the tool; a command whose id is among the recent records is
-    #: not applied again.
-    command_id: str
-    #: Wall-clock time in milliseconds since the epoch.
-    at_ms: int
-
-
 class _Submission:
     """A command whose record is being written to the store."""
 
@@ -112,7 +79,7 @@
 
     def __init__(
         self,
-        outbox: Outbox,
+        parameters: Parameters,
         timers: Timers,
         store: StorePort,
         membership: Membership,
@@ -120,12 +87,12 @@
         configuration_store: ConfigurationStore,
     ) -> None:
         """Start without commands in progress."""
-        self._outbox = outbox
         self._timers = timers
         self._store = store
         self._membership = membership
         self._configuration = configuration
         self._configuration_store = configuration_store
+        self._history = CommandHistory(parameters, store, configuration)
         self._unreadable = store.unreadable
 
     def submit(
@@ -137,10 +104,35 @@
 
         A command that is already in the history is accepted at once.
         """
-        known = self._recorded_outcome(command.command_id)
-        if known is not None:
-            callback(known)
-            return
+        self._history.search(
+            command.command_id,
+            command.at_ms,
+            lambda outcome: self._on_history(command, callback, outcome),
+        )
+
+    def _on_history(
+        self,
+        command: OperatorCommand,
+        callback: Callable[[ChangeOutcome], None],
+        outcome: HistoryOutcome,
+    ) -> None:
+        match outcome:
+            case CommandRecorded(revision=revision):
+                callback(ChangeAccepted(revision))
+            case HistoryUnknown(why=why):
+                text = (
+                    'it is not known whether this command took effect '
+                    f'before, and it was not applied again: {why}'
+                )
+                callback(ChangeRefused(text))
+            case _:
+                self._submit_new(command, callback)
+
+    def _submit_new(
+        self,
+        command: OperatorCommand,
+        callback: Callable[[ChangeOutcome], None],
+    ) -> None:
         try:
             record = self._build_record(command)
         except ChangeRefusedError as error:
@@ -149,12 +141,6 @@
         give_up_at = self._timers.now + OUTCOME_CHECK_TIMEOUT_S
         self._write(_Submission(record, callback, give_up_at))
 
-    def _recorded_outcome(self, command_id: str) -> ChangeAccepted | None:
-        for record in self._configuration.records:
-            if record.command_id == command_id:
-                return ChangeAccepted(record.revision)
-        return None
-
     def _build_record(self, command: OperatorCommand) -> RevisionRecord:
         if not self._configuration.loaded:
             raise ChangeRefusedError(
--- a/oriolestage/core/keys/_idempotency_keys.py
+++ b/oriolestage/core/keys/_idempotency_keys.py
@@ -21,11 +21,22 @@
     The time is in milliseconds since the epoch. A key is valid when it is a
     UUID of version 7 in its canonical form with hyphens, in any case.
     """
+    created_ms = uuid_created_ms(key)
+    if created_ms is None or str(uuid.UUID(key)) != key.lower():
+        return None
+    return created_ms
+
+
+def uuid_created_ms(text: str) -> int | None:
+    """Return the creation time of a UUID of version 7 in any form, or None.
+
+    The time is in milliseconds since the epoch.
+    """
     try:
-        parsed = uuid.UUID(key)
+        parsed = uuid.UUID(text)
     except ValueError:
         return None
-    if parsed.version != TIMED_UUID_VERSION or str(parsed) != key.lower():
+    if parsed.version != TIMED_UUID_VERSION:
         return None
     return parsed.int >> BITS_AFTER_TIME
 
--- a/oriolestage/tool/__main__.py
+++ b/oriolestage/tool/__main__.py
@@ -43,6 +43,10 @@
         Path | None,
         cyclopts.Parameter(help='File with commands.'),
     ] = None,
+    command_id: Annotated[
+        str,
+        cyclopts.Parameter(help='Identifier of a change that is sent again.'),
+    ] = '',
     json: Annotated[
         bool,
         cyclopts.Parameter(help='Print JSON.', negative=''),
@@ -59,7 +63,11 @@
         as_json=json,
         write=_write_line,
         write_error=_write_error_line,
+        command_id=command_id,
     )
+    if command_id and not words:
+        _write_error_line('--command-id needs a command')
+        return ExitCode.USAGE
     try:
         lines = _command_lines(words, file)
     except (OSError, UnicodeDecodeError) as error:
--- a/oriolestage/tool/_session.py
+++ b/oriolestage/tool/_session.py
@@ -1,5 +1,7 @@
 """Executes commands of operators and prints their results."""
 
+import random
+import time
 import uuid
 from collections.abc import Callable
 
@@ -13,6 +15,7 @@
     ChangeUnknown,
     InForceReport,
     ReplaceDocument,
+    make_key,
 )
 from oriolestage.tool._client import DaemonClient
 from oriolestage.tool._commands import (
@@ -39,6 +42,9 @@
 #: How long to wait for a change to be in force on all hosts, in
 #: milliseconds.
 IN_FORCE_WAIT_MS = 15_000
+MS_PER_S = 1000
+#: Random bits in a command id.
+KEY_RANDOM_BITS = 74
 
 
 class Session:
@@ -52,17 +58,20 @@
         as_json: bool,
         write: Callable[[str], None],
         write_error: Callable[[str], None],
+        command_id: str = '',
     ) -> None:
         """Create a session.
 
         ``operator`` is recorded with each change; ``write`` and
-        ``write_error`` print a text and a line break.
+        ``write_error`` print a text and a line break. ``command_id`` is that
+        of a change that is sent again; without it, each change gets a new one.
         """
         self._client = client
         self._operator = operator
         self._as_json = as_json
         self._write = write
         self._write_error = write_error
+        self._command_id = command_id
 
     async def run(self, text: str) -> ExitCode:
         """Parse and run one command; return its exit code."""
@@ -104,7 +113,12 @@
         return ExitCode.DONE
 
     def _build_request(self, change) -> ChangeRequest:
-        return ChangeRequest(change, self._operator, uuid.uuid4().hex)
+        if self._command_id:
+            return ChangeRequest(change, self._operator, self._command_id)
+        # The time in the id tells hosts how much history to search for it.
+        now_ms = int(time.time() * MS_PER_S)
+        key = make_key(now_ms, random.getrandbits(KEY_RANDOM_BITS))
+        return ChangeRequest(change, self._operator, uuid.UUID(key).hex)
 
     async def _show(self, show: Show) -> ExitCode:
         view = await self._client.view()
@@ -156,8 +170,8 @@
             outcome = await self._client.change(request)
         except AnswerLostError as error:
             self._write_error(
-                f'unknown: command {request.command_id}: {error}; the history '
-                'shows whether it took effect',
+                f'unknown: command {request.command_id}: {error}; to find out, '
+                f'send it again with --command-id {request.command_id}',
             )
             return ExitCode.UNKNOWN
         if self._as_json:
--- a/oriolestage/tool/tests/daemons.py
+++ b/oriolestage/tool/tests/daemons.py
@@ -10,7 +10,7 @@
 class ToolRun:
     """A session and what it printed."""
 
-    def __init__(self, host: str) -> None:
+    def __init__(self, host: str, command_id: str = '') -> None:
         """Create a session with the daemon at an address."""
         self.output: list[str] = []
         self.errors: list[str] = []
@@ -20,6 +20,7 @@
             as_json=False,
             write=self.output.append,
             write_error=self.errors.append,
+            command_id=command_id,
         )
 
     async def run(self, command: str) -> ExitCode:
--- a/oriolestage/tool/tests/test_bad_input.py
+++ b/oriolestage/tool/tests/test_bad_input.py
@@ -59,7 +59,22 @@
             tool = ToolRun(host)
             code = await tool.run('remove route search')
         self.assertIs(code, ExitCode.UNKNOWN)
-        self.assertRegex(tool.errors[0], 'unknown: command [0-9a-f-]{32,36}:')
+        self.assertRegex(tool.errors[0], 'unknown: command [0-9a-f]{32}:')
+        self.assertRegex(tool.errors[0], '--command-id [0-9a-f]{32}')
+
+    async def test_command_id_of_a_repeated_change(self) -> None:
+        """A change that is sent again has the command id that was given."""
+        async with running_daemon(b'', 0) as host:
+            tool = ToolRun(host, command_id='again')
+            await tool.run('remove route search')
+        self.assertIn('unknown: command again:', tool.errors[0])
+
+    def test_command_id_without_command(self) -> None:
+        """A command id is not used for several commands."""
+        with contextlib.redirect_stderr(io.StringIO()) as errors:
+            code = run(command_id='again')
+        self.assertEqual(code, ExitCode.USAGE)
+        self.assertIn('--command-id', errors.getvalue())
 
     async def test_no_connection(self) -> None:
         """A change that was not sent is reported as such."""
