Write log lines with text that is not UTF-8

A line with a lone surrogate, as in headers that are not UTF-8, could not be encoded: the line was lost, and the logging module wrote a traceback of some 20 lines to standard error, without a limit of its rate. Such characters are now written as escapes.

Before: test_logging ends with UnicodeEncodeError. Now it passes.

--- a/oriolestage/_logging.py
+++ b/oriolestage/_logging.py
@@ -76,7 +76,7 @@
         if self._dropped:
             line = f'event=log_dropped writes={self._dropped}\n{text}'
         try:
-            os.write(self._descriptor, line.encode())
+            os.write(self._descriptor, line.encode(errors='backslashreplace'))
         except OSError:
             # The reader is slow or gone. The next successful write reports the
             # number of dropped ones.
