Refuse an idempotency key that expires while its claim waits

If the process was paused or replies of the store were lost until the key was older than its retention and the difference of clocks, another owner could have forgotten the first claim, and the key was granted again.

The age is now checked again when the batch with the claim is written; the write takes effect only if the head is still the one that was read, so the claims of all keys that are valid then were in it. Such a claim ends as KEY_EXPIRED.

The new test fails before and passes now.

--- a/oriolestage/core/keys/_claims.py
+++ b/oriolestage/core/keys/_claims.py
@@ -50,7 +50,12 @@
     """
 
 
-ClaimOutcome = ClaimGranted | ClaimTaken | ClaimUnconfirmed
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimExpired:
+    """The key expired while its claim waited, so the work must not run."""
+
+
+ClaimOutcome = ClaimGranted | ClaimTaken | ClaimUnconfirmed | ClaimExpired
 ClaimCallback = Callable[[ClaimOutcome], None]
 
 
--- a/oriolestage/core/keys/_key_journal.py
+++ b/oriolestage/core/keys/_key_journal.py
@@ -30,6 +30,7 @@
 from oriolestage.core.keys._claims import (
     Claim,
     ClaimCallback,
+    ClaimExpired,
     ClaimGranted,
     ClaimOutcome,
     ClaimTaken,
@@ -165,7 +166,12 @@
         new_claims: dict[str, Claim] = {}
         selected = self._queued[:BATCH_LIMIT]
         self._queued = self._queued[BATCH_LIMIT:]
+        oldest_valid_ms = self._oldest_valid_ms()
         for pending in selected:
+            if pending.claim.created_ms < oldest_valid_ms:
+                # An earlier claim of the key may be forgotten.
+                self._resolve(pending, ClaimExpired())
+                continue
             key = pending.claim.key
             existing = self._claims.get(key) or new_claims.get(key)
             if existing is not None:
@@ -259,10 +265,19 @@
             return
         self._reread_later()
 
+    def _oldest_valid_ms(self) -> int:
+        """Return the creation time of the oldest key that may be granted.
+
+        It is in milliseconds since the epoch.
+        """
+        retention_ms = int(1000 * self._parameters.key_retention_s)
+        return self._wall_ms() - retention_ms
+
     def _oldest_kept_ms(self) -> int:
-        """Return the creation time of the oldest key that may be used.
+        """Return the creation time of the oldest key whose claim is kept.
 
-        It is in milliseconds since the epoch. Owners refuse older keys.
+        It is in milliseconds since the epoch. The clocks of owners differ, so
+        claims are kept for longer than their keys are valid.
         """
         return self._wall_ms() - int(1000 * self._kept_s)
 
--- a/oriolestage/core/keys/_key_owner.py
+++ b/oriolestage/core/keys/_key_owner.py
@@ -17,6 +17,7 @@
 from oriolestage.core._timers import Timers
 from oriolestage.core.keys._claims import (
     Claim,
+    ClaimExpired,
     ClaimGranted,
     ClaimOutcome,
     ClaimTaken,
@@ -193,6 +194,8 @@
                 self._grant(request, _GrantedRun(request.fingerprint))
             case ClaimTaken(claim=existing):
                 self._on_taken(request, existing)
+            case ClaimExpired():
+                self._refuse(request, Reason.KEY_EXPIRED, 0)
             case ClaimUnconfirmed():
                 self._unconfirmed_holders.add(claim.holder)
                 self._refuse(
--- a/oriolestage/core/tests/test_key_journal.py
+++ b/oriolestage/core/tests/test_key_journal.py
@@ -100,6 +100,24 @@
         self.assertEqual(len(run.grants), 16_000)
         self.assertGreater(run.count_outcomes(ClaimTaken), 1000)
 
+    def test_key_that_expires_while_it_waits(self) -> None:
+        """Guards against a key that is granted after its claim is forgotten.
+
+        The process is paused, or replies of the store are lost, while the
+        claim waits for the journal.
+        """
+        run = JournalRun(Parameters(key_retention_s=10), seed=1)
+        run.claim_new()
+        run.run_for(9.9)
+        run.change_owner()
+        run.claim_again()
+        run.timers.advance(run.timers.now + 100)
+        # Meanwhile another owner has forgotten the claim.
+        run.store.put(HEAD_KEY, msgspec.msgpack.encode([[], []]))
+        run.run_for(1)
+        self.assertEqual(run.granted_twice, [])
+        self.assertEqual(len(run.outcomes), 2)
+
     @settings(
         derandomize=True,
         deadline=None,
