Own interface: only a whole answer of a target is one

Callers got a 200, framed as whole, with part of a target's rows or none, and a document that is no JSON, if a target's answer without a length was reset on its way, at any byte of its body and on both event loops. They got the same for a length of 2^64-1 (an empty body at once), for transfer codings that nobody decodes, for HTTP/0.9 and HTTP/2.0 syntax, and for any body of a target that is no JSON value: it was copied into the caller's document. A version or key range with a sign, an underscore, digits of other scripts or 400 digits was taken as a number.

Cause: aiohttp's client ends a body without a length at a reset as at a close, and nothing checked its framing or content. An answer must now state a length that its body has, or come in chunks; otherwise the call ends as lost (may have run). Rows must be one JSON value in UTF-8, and numbers at most 15 ASCII digits; otherwise the call ends as failed. An answer that only its connection ends is no answer any more, as a reset cannot be told from a close here; the entry host of the users' platform tells them apart.

Evidence: test_broken_answers of the daemon ends each answer of the table that the entry host's tests use at each byte of its body, by a close and a reset, on uvloop and asyncio. Ruled out before and after: answers that end within their head, lengths and chunks that are not reached, malformed lengths.

Open: chunks that are announced between tabs are not decoded, and the library does not say so; a chunk size alone is then taken for a JSON number.

--- a/oriolestage/daemon/_target_client.py
+++ b/oriolestage/daemon/_target_client.py
@@ -21,6 +21,11 @@
 )
 from oriolestage.daemon._bodies import read_body
 from oriolestage.daemon._events import Inbox, TargetCallEnded, TargetProbed
+from oriolestage.daemon._target_answers import (
+    check_rows,
+    is_framed,
+    parse_number,
+)
 
 #: Time after which an idle connection to a target is closed, in seconds.
 IDLE_TIMEOUT_S = 300.0
@@ -189,7 +194,7 @@
     target_status = _parse_status(response)
     refused = headers.get(REFUSED_HEADER, '')
     if refused:
-        retry_after_ms = int(headers.get(RETRY_AFTER_HEADER, '0'))
+        retry_after_ms = parse_number(headers.get(RETRY_AFTER_HEADER, '0'))
         return TargetRefused(target_status, refused, retry_after_ms)
     if response.status == HTTPStatus.GATEWAY_TIMEOUT:
         return TargetTimedOut()
@@ -198,12 +203,15 @@
     missing = [name for name in REQUIRED_HEADERS if name not in headers]
     if missing:
         return TargetFailed(f'no header {missing[0]}')
+    if not is_framed(response, body):
+        return TargetConnectionLost()
+    check_rows(body)
     start, end = headers[KEY_RANGE_HEADER].split('-')
     return TargetAnswered(
         target_status=target_status,
-        version=int(headers[INDEX_VERSION_HEADER]),
-        covered=KeyRange(int(start), int(end)),
-        partition_revision=int(headers[PARTITION_REVISION_HEADER]),
+        version=parse_number(headers[INDEX_VERSION_HEADER]),
+        covered=KeyRange(parse_number(start), parse_number(end)),
+        partition_revision=parse_number(headers[PARTITION_REVISION_HEADER]),
         rows=body,
     )
 
@@ -216,5 +224,7 @@
         process=headers.get(PROCESS_HEADER, ''),
         leaving=state == 'leaving',
         cold=state == 'cold',
-        versions=tuple(int(part) for part in versions.split(',') if part),
+        versions=tuple(
+            parse_number(part) for part in versions.split(',') if part
+        ),
     )
--- a/oriolestage/platform/tests/broken_answers.py
+++ b/oriolestage/platform/tests/broken_answers.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+#: Field that makes an answer one of a target.
+SIGNED = b'Server-Stamp: s\r\n'
 HEAD = b'HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nAttempt-Id: a\r\n'
 CHUNKED_HEAD = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 CHUNKED_BODY = b'2\r\nbo\r\n2;x=y\r\ndy\r\n0\r\n\r\n'
