Own interface: each call to a target ends, and unsent ones as not reached

An error of this program on a response ended the task of the call without a result, so that nothing told the core that the call was over. A target with an invalid address (no port, port 99999) was reported as one whose connection was lost, so that a command that was never sent counted as run (504). Failed probes and cancellations left no trace.

Cause: the client caught a list of errors, and classified an invalid URL like other client errors. All errors now end the call with a result; what is not known is a failure (may have run), and an invalid address is not reached.

--- a/oriolestage/daemon/_target_client.py
+++ b/oriolestage/daemon/_target_client.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from oriolestage._logging import log_event
 from oriolestage.core import (
     CallTarget,
     KeyRange,
@@ -34,6 +35,8 @@
 MAX_SEND_DELAY_S = 0.25
 #: Timeout for probes and cancellations, in seconds.
 PROBE_TIMEOUT_S = 1.0
+#: Longest text of an error in a log line, in characters.
+MAX_ERROR_CHARACTERS = 300
 
 REQUEST_ID_HEADER = 'X-Request-Id'
 TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
@@ -129,7 +132,10 @@
             return TargetNotReached()
         try:
             return await self._send_request(effect)
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except Exception as error:
+            # Also errors of this program: the call has to end, or its slot at
+            # the target would stay in use.
+            _log_failure('target_call_failed', effect.target, error)
             return _classify_error(error)
 
     async def _send_request(self, effect: CallTarget) -> TargetResult:
@@ -156,8 +162,8 @@
                 timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
             ) as response:
                 await read_body(response)
-        except (aiohttp.ClientError, OSError, ValueError):
-            return
+        except Exception as error:
+            _log_failure('target_cancel_failed', effect.target, error)
 
     async def _probe(self, target: Target) -> None:
         try:
@@ -167,14 +173,30 @@
             ) as response:
                 await read_body(response)
                 target_status = _parse_status(response)
-        except (aiohttp.ClientError, OSError, ValueError):
+        except Exception as error:
+            _log_failure('target_probe_failed', target, error)
             return
         self._inbox.put_nowait(TargetProbed(target.name, target_status))
 
 
+def _log_failure(event: str, target: Target, error: Exception) -> None:
+    log_event(
+        event,
+        {
+            'step': 'target',
+            'peer': target.address,
+            'error': repr(error)[:MAX_ERROR_CHARACTERS],
+        },
+    )
+
+
 def _classify_error(error: Exception) -> TargetResult:
     match error:
-        case aiohttp.ClientConnectorError() | aiohttp.ConnectionTimeoutError():
+        case (
+            aiohttp.ClientConnectorError()
+            | aiohttp.ConnectionTimeoutError()
+            | aiohttp.InvalidURL()
+        ):
             return TargetNotReached()
         case TimeoutError():
             return TargetTimedOut()
--- a/oriolestage/daemon/tests/test_broken_answers.py
+++ b/oriolestage/daemon/tests/test_broken_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import Iterable
+from unittest.mock import patch
 
 import uvloop
 
@@ -11,6 +12,7 @@
     Target,
     TargetAnswered,
     TargetFailed,
+    TargetNotReached,
     TargetResult,
 )
 from oriolestage.daemon._events import Event, TargetCallEnded
@@ -65,6 +67,7 @@
         b'X-Refused: shed\r\nX-Retry-After-Ms: ' + b'9' * 400 + b'\r\nX-Index',
     ),
 )
+INVALID_ADDRESSES = ('', 'nohost:x', '127.0.0.1:99999', '127.0.0.1:-1', '[::1')
 
 
 def _to_wire(content: bytes) -> bytes:
@@ -160,3 +163,19 @@
         for field, result in zip(INVALID_FIELDS, results, strict=True):
             with self.subTest(field=field[1][:60]):
                 self.assertIsInstance(result, TargetFailed)
+
+    def test_invalid_address(self) -> None:
+        """Guards against calls that count as run and were never sent."""
+        for address in INVALID_ADDRESSES:
+            with self.subTest(address=address):
+                result = uvloop.run(_call(address))
+                self.assertIsInstance(result, TargetNotReached)
+
+    def test_unexpected_error(self) -> None:
+        """Guards against a call that never ends and keeps its slot."""
+        with patch.object(
+            TargetClient, '_send_request', side_effect=RuntimeError('bug')
+        ):
+            content = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+            results = uvloop.run(_answers_to((content,)))
+        self.assertIsInstance(results[0], TargetFailed)
