Target answers: a head that broke off and the next answer are not one

If a target stopped within a line of a head and another answer followed on the connection, both were read as one answer: the status line of the second one became the end of a reason phrase or of a field. Callers got a 200 or a 204 (with an empty body, framed as whole) with the signature of another request's answer, a 404 with the body of a 200, or the request counted as not run and was sent again though it had run.

Cause: these bytes are a valid head. A reason phrase or a field that ends with a status line now makes the response malformed: the attempt ends as lost (may have run), and the connection is closed.

Evidence: test_every_cut of test_kept_connections cuts five heads (200, 404, a refusal, 204, an interim one) at each byte before a whole answer. Now each ends as lost or as the whole answer.

What remains: a body with a length that breaks off before another answer on the same connection is filled up with that answer's bytes; the length is all that tells its end.

--- a/oriolestage/entry/_response_framing.py
+++ b/oriolestage/entry/_response_framing.py
@@ -4,12 +4,19 @@
 or how it is coded.
 """
 
+import re
+
 import aiohttp
 from aiohttp.http import HttpVersion11, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 #: Major version of HTTP whose messages are framed as here.
 HTTP_MAJOR = 1
+#: Status line at the end of a text. It is that of the next response if a head
+#: breaks off within a line and another one follows.
+STATUS_LINE = re.compile(r'HTTP/\d\.\d \d{3}( [^\r\n]*)?$')
+#: Start of each status line.
+PROTOCOL_NAME = 'HTTP/'
 #: The only transfer coding that is decoded.
 CHUNKED = 'chunked'
 
@@ -32,9 +39,7 @@
     """
     if message.version.major != HTTP_MAJOR:
         raise MalformedResponseError(f'version {message.version}')
-    if any(name[-1:].isspace() for name in message.headers):
-        # A reader that ignores such a field would look for another end.
-        raise MalformedResponseError('space after the name of a field')
+    _check_lines(message)
     if without_body:
         return
     if payload is EMPTY_PAYLOAD:
@@ -45,6 +50,22 @@
         raise MalformedResponseError(f'transfer codings {codings}')
 
 
+def _check_lines(message: RawResponseMessage) -> None:
+    """Raise :class:`MalformedResponseError` for lines of no sound head."""
+    if _holds_status_line(message.reason):
+        raise MalformedResponseError('status line in the reason phrase')
+    for name, text in message.headers.items():
+        if name[-1:].isspace():
+            # A reader that ignores such a field would look for another end.
+            raise MalformedResponseError('space after the name of a field')
+        if _holds_status_line(text):
+            raise MalformedResponseError(f'status line in {name}')
+
+
+def _holds_status_line(text: str) -> bool:
+    return PROTOCOL_NAME in text and STATUS_LINE.search(text) is not None
+
+
 def _is_chunked(message: RawResponseMessage, codings: list[str]) -> bool:
     """Return whether the parser has removed the only coding.
 
--- a/oriolestage/platform/tests/test_kept_connections.py
+++ b/oriolestage/platform/tests/test_kept_connections.py
@@ -10,15 +10,29 @@
 
 from oriolestage.entry._target_client import TargetClient
 from oriolestage.platform._wire_protocol import PlatformWireProtocol
+from oriolestage.platform.tests.broken_answers import Ending
+from oriolestage.platform.tests.cutting_target import CuttingTarget
 from oriolestage.platform.tests.target_calls import (
     RecordingObserver,
     make_call,
 )
-from oriolestage.routing._answers import AttemptAnswered
+from oriolestage.routing._answers import (
+    AttemptAnswered,
+    AttemptLost,
+    AttemptOutcome,
+)
 
 #: An answer that does not repeat the id of its request.
 ANSWER = b'HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\ngood'
 OTHER_ANSWER = ANSWER.replace(b'good', b'evil')
+#: Answers to earlier requests, of which the head may break off.
+EARLIER_ANSWERS = (
+    b'HTTP/1.1 200 OK\r\nServer-Stamp: t\r\nContent-Length: 9\r\nX: y\r\n\r\n',
+    b'HTTP/1.1 404 Not Found\r\nServer-Stamp: t\r\nX: y\r\n\r\n',
+    b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+    b'HTTP/1.1 204 None\r\nServer-Stamp: t\r\n\r\n',
+    b'HTTP/1.1 100 Continue\r\nX: y\r\n\r\n',
+)
 
 
 def _end(connection: socket.socket) -> None:
@@ -94,6 +108,41 @@
     return bodies, len(target.connections)
 
 
+async def _outcomes_after(earlier: bytes) -> list[AttemptOutcome]:
+    """Return the outcomes with each part of a head before an answer."""
+    outcomes: list[AttemptOutcome] = []
+    async with CuttingTarget() as target:
+        for cut, _ in enumerate(earlier):
+            content = earlier[:cut] + ANSWER
+            target.cut_off(content, Ending.CLOSED, bytewise=False)
+            client = TargetClient(PlatformWireProtocol(), RecordingObserver())
+            outcomes.append(
+                await client.send(make_call(address=target.address))
+            )
+            client.close()
+            await target.end_connections()
+    return outcomes
+
+
+class BrokenHeadTest(unittest.TestCase):
+    """Two answers do not make one."""
+
+    def test_every_cut(self) -> None:
+        """Guards against an answer with the status or signature of another.
+
+        A head that breaks off runs into the answer that follows it: the
+        status line of that one becomes part of a field or of the reason.
+        """
+        right = uvloop.run(_outcomes_after(b'x'))[0]
+        self.assertIsInstance(right, AttemptAnswered)
+        for earlier in EARLIER_ANSWERS:
+            outcomes = uvloop.run(_outcomes_after(earlier))
+            for cut, outcome in enumerate(outcomes):
+                with self.subTest(head=earlier[:cut]):
+                    if outcome != right:
+                        self.assertIsInstance(outcome, AttemptLost)
+
+
 class KeptConnectionTest(unittest.TestCase):
     """A connection is used again only if nothing has arrived on it."""
 
