Streams between hosts: log unexpected errors of opening them

The periodic check opens the streams to all hosts and dropped every error. An error of this program looked like a host that is not reached, with no line in the log. Errors other than OSError are now logged with the host's address; a host that is not reached is its state and stays unlogged.

Evidence: test_links, 0 lines before, 1 now, and the other hosts' states.

--- a/oriolestage/entry/_peer_client.py
+++ b/oriolestage/entry/_peer_client.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from oriolestage._logging import log_event
 from oriolestage.entry._peer_link import PeerLink
 from oriolestage.entry._peer_messages import GatherRequest, RelayRequest
 from oriolestage.routing._answers import (
@@ -116,10 +117,17 @@
             )
             for address in addresses
         }
-        await asyncio.gather(
+        results = await asyncio.gather(
             *(link.open() for link in links.values()),
             return_exceptions=True,
         )
+        for address, error in zip(links, results, strict=True):
+            # A host that is not reached has no stream; that is its state.
+            if error is not None and not isinstance(error, OSError):
+                log_event(
+                    'peer_link_failed',
+                    {'step': 'link', 'peer': address, 'error': repr(error)},
+                )
         return {
             address: link.check_liveness() for address, link in links.items()
         }
--- a/oriolestage/entry/tests/test_unsent_messages.py
+++ b/oriolestage/entry/tests/test_unsent_messages.py
@@ -119,6 +119,31 @@
                 outcome = await self._relay(make_relay_request(), address)
                 self.assertEqual(outcome, NOT_REACHED)
 
+    async def test_links(self) -> None:
+        """Guards against an error of this program that nobody sees.
+
+        Hosts that are not reached are not logged at each check.
+        """
+        addresses = {self._address, '127.0.0.1:99999', '127.0.0.1:1'}
+        open_stream = asyncio.open_connection
+
+        async def fail(
+            host: str, port: int
+        ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+            if port == 1:
+                raise RuntimeError('bug')
+            return await open_stream(host, port)
+
+        with (
+            patch('asyncio.open_connection', fail),
+            patch('oriolestage.entry._peer_client.log_event') as log,
+        ):
+            states = await self._client.check_links(addresses)
+        self.assertEqual(states.keys(), addresses)
+        self.assertGreater(states[self._address].heard_at, 0)
+        self.assertEqual(len(log.call_args_list), 1)
+        self.assertIn('bug', str(log.call_args))
+
 
 class InvalidRequestTest(_UnsentTest):
     """A request that cannot be encoded is not sent, and no other suffers."""
