Streams between hosts: a message that is too long ends no other request

A request or an answer of more than 16 MB closed the stream at its receiver: all requests of the stream ended as lost (502, parts missing), and the long request itself counted as run although nobody had accepted it.

Cause: only the reader had a limit. The writer now refuses such a message before it compresses it; a request counts as not sent, and a reply is replaced by one that says lost. The limit leaves room for what DEFLATE adds to content that it cannot compress.

Evidence: test_request and test_reply of LongMessageTest failed before and pass now; test_longest sends the longest message with random content both ways.

--- a/oriolestage/entry/_compressed_frames.py
+++ b/oriolestage/entry/_compressed_frames.py
@@ -15,6 +15,11 @@
 #: 2 % more on queries of 20 shards.
 WINDOW_BITS = -12
 MEMORY_LEVEL = 5
+#: Bytes that DEFLATE may add to the longest message, 5 for each block of 2 KB
+#: that it cannot compress, rounded up.
+MAX_ADDED_BYTES = 65_536
+#: Maximum size of a message before compression, in bytes.
+MAX_PAYLOAD_BYTES = MAX_MESSAGE_BYTES - MAX_ADDED_BYTES
 #: Tail of every flushed block, which is not sent (RFC 7692, 7.2.1).
 BLOCK_END = b'\x00\x00\xff\xff'
 
@@ -32,7 +37,13 @@
         )
 
     def write(self, payload: bytes) -> None:
-        """Write one message as a frame."""
+        """Write one message as a frame.
+
+        Raises ``ValueError`` if it is too long for a reader; the next ones
+        can be written.
+        """
+        if len(payload) > MAX_PAYLOAD_BYTES:
+            raise ValueError(f'message of {len(payload)} bytes is too long')
         block = self._compressor.compress(payload)
         block += self._compressor.flush(zlib.Z_SYNC_FLUSH)
         self._writer.write(frame(block.removesuffix(BLOCK_END)))
--- a/oriolestage/entry/_peer_link.py
+++ b/oriolestage/entry/_peer_link.py
@@ -189,7 +189,7 @@
     def _write(
         self, frames: FrameWriter, request: GatherRequest | RelayRequest
     ) -> bool:
-        """Send a request; log it and return False if it has no encoding."""
+        """Send a request; log it and return False if no message can have it."""
         try:
             frames.write(encode(request))
         except (ValueError, OverflowError, TypeError) as error:
--- a/oriolestage/entry/_relay_serving.py
+++ b/oriolestage/entry/_relay_serving.py
@@ -1,5 +1,6 @@
 """Sends requests to targets for hosts that do not reach these."""
 
+import asyncio
 import dataclasses
 import itertools
 import time
@@ -76,14 +77,18 @@
         """
         started_at = time.monotonic()
         self._in_flight += 1
-        reply: RelayReply = RelayLost(request.number, CRASH_STEP)
-        payload = encode(reply)
+        lost = RelayLost(request.number, CRASH_STEP)
+        reply: RelayReply = lost
         try:
             attempt = await self._attempt(request, started_at)
-            answered = _to_reply(request.number, attempt)
-            payload = encode(answered)
-            reply = answered
+            reply = _to_reply(request.number, attempt)
+            frames.write(encode(reply))
+        except asyncio.CancelledError:
+            frames.write(encode(lost))
+            raise
         except Exception as error:
+            reply = lost
+            frames.write(encode(lost))
             log_event(
                 'relay_crashed',
                 {
@@ -94,7 +99,6 @@
             )
         finally:
             self._in_flight -= 1
-            frames.write(payload)
         log_event(
             'relay_served',
             {
