--- /dev/null
+++ b/platform_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of entry hosts as real processes, with stand-ins."""
--- a/review/tests/balancer.py
+++ b/platform_soak/balancer.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import random
+from http import HTTPStatus
 
-from hosts import EntryHost
-from messages import encode, read_message
+from platform_soak.hosts import EntryHost
+from platform_soak.messages import encode, read_message
 
 #: Interval of the readiness checks, in seconds.
 CHECK_INTERVAL_S = 1.0
@@ -83,4 +84,4 @@
     finally:
         if writer is not None:
             writer.close()
-    return response.status == 200
+    return response.status == HTTPStatus.OK
--- /dev/null
+++ b/platform_soak/faults.py
@@ -0,0 +1,218 @@
+"""Carries out the faults of a plan."""
+
+import asyncio
+import json
+import signal
+from collections.abc import Sequence
+
+from platform_soak import plan
+from platform_soak.configurations import Configurations
+from platform_soak.deployment import Deployment
+from platform_soak.disruptions import STORE, Disruptions
+from platform_soak.hosts import EntryHost
+from platform_soak.servers import Server
+
+#: Time from SIGTERM to SIGKILL (``graceS``), in seconds.
+GRACE_S = 6.0
+#: Time that a process needs to serve after its start, in seconds.
+START_S = 1.5
+#: Time after its return within which the store is disturbed still, in seconds.
+STORE_SETTLE_S = 0.1
+NESTING_LEVELS = 1500
+LONG_NUMBER_DIGITS = 400
+ODD_KEY = 'servers/i-other-writer'
+
+
+class FaultInjector:
+    """Injects faults into a deployment and records what they disturb."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        configurations: Configurations,
+        disruptions: Disruptions,
+    ) -> None:
+        """Create an injector for a running deployment."""
+        self._deployment = deployment
+        self._configurations = configurations
+        self._disruptions = disruptions
+        self._record = deployment.record
+        self._tasks: set[asyncio.Task[None]] = set()
+        #: Hosts that are being stopped or restarted.
+        self._restarting: set[str] = set()
+
+    async def play(self, faults: Sequence[plan.Fault], start_at: float) -> None:
+        """Inject each fault at its time after ``start_at`` of the record.
+
+        Returns once the last one is over.
+        """
+        for fault in faults:
+            await asyncio.sleep(start_at + fault.at_s - self._record.now)
+            self._record.add('fault', fault=repr(fault))
+            task = asyncio.create_task(self._inject(fault))
+            self._tasks.add(task)
+        await asyncio.gather(*self._tasks)
+
+    def cancel(self) -> None:
+        """Stop injecting."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _inject(self, fault: plan.Fault) -> None:
+        deployment = self._deployment
+        match fault:
+            case plan.StopHost(host=number):
+                await self._stop(deployment.hosts[number])
+            case plan.KillHost(host=number, down_s=down_s):
+                await self._kill(deployment.hosts[number], down_s)
+            case plan.PauseHost(host=number, for_s=for_s):
+                await self._pause(deployment.hosts[number], for_s)
+            case plan.ReloadHost(host=number):
+                deployment.hosts[number].send(signal.SIGHUP)
+            case plan.CrashTarget(target=number, down_s=down_s):
+                await self._crash(deployment.servers[number], down_s)
+            case plan.LeaveTarget(target=number, announced=announced):
+                await self._leave(
+                    deployment.servers[number], announced=announced
+                )
+            case plan.BreakAnswers(target=number, way=way, for_s=for_s):
+                await self._break(deployment.servers[number], way, for_s)
+            case plan.ChangeConfiguration():
+                await self._configurations.change()
+            case plan.CloseDataCentre(zone=zone, for_s=for_s):
+                await self._configurations.close_zone(zone, for_s)
+            case _:
+                await self._inject_store_fault(fault)
+
+    async def _inject_store_fault(self, fault: plan.Fault) -> None:
+        store = self._deployment.store
+        match fault:
+            case plan.DisturbStore(hosts=numbers, way=way, for_s=for_s):
+                names = [
+                    self._deployment.hosts[number].name for number in numbers
+                ]
+                await self._disturb_store(names, way, for_s)
+            case plan.LoseWrites(for_s=for_s, delay_s=delay_s):
+                start = self._record.now
+                store.late_writes_s = delay_s
+                await asyncio.sleep(for_s)
+                store.late_writes_s = None
+                self._disruptions.add(STORE, start, self._record.now + delay_s)
+            case plan.DiscardHistory():
+                store.discard_history()
+            case plan.OddEntry(entry=entry, for_s=for_s):
+                await store.put_bytes(ODD_KEY, odd_entry(entry))
+                await asyncio.sleep(for_s)
+                await store.remove(ODD_KEY)
+
+    async def _stop(self, host: EntryHost) -> None:
+        if host.name in self._restarting:
+            return
+        self._restarting.add(host.name)
+        start = self._record.now
+        host.stopped_at = start
+        host.stops.append(start)
+        host.send(signal.SIGTERM)
+        ended = await host.wait_ended(GRACE_S)
+        self._record.add('stopped', host=host.name, in_time=ended)
+        if not ended:
+            host.send(signal.SIGKILL)
+        await self._start_again(host, start)
+
+    async def _kill(self, host: EntryHost, down_s: float) -> None:
+        if host.name in self._restarting:
+            return
+        self._restarting.add(host.name)
+        start = self._record.now
+        host.send(signal.SIGKILL)
+        await asyncio.sleep(down_s)
+        await self._start_again(host, start)
+
+    async def _start_again(self, host: EntryHost, since: float) -> None:
+        await host.end()
+        await host.start()
+        self._disruptions.add(host.name, since, self._record.now + START_S)
+        self._restarting.discard(host.name)
+
+    async def _pause(self, host: EntryHost, for_s: float) -> None:
+        start = self._record.now
+        host.send(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        host.send(signal.SIGCONT)
+        self._disruptions.add(host.name, start, self._record.now)
+        host.pauses.append((start, self._record.now))
+
+    async def _disturb_store(
+        self, names: Sequence[str], way: str, for_s: float
+    ) -> None:
+        store = self._deployment.store
+        disturbed = {
+            'busy': store.refused,
+            'silent': store.silent,
+            'reset': store.reset,
+        }[way]
+        start = self._record.now
+        disturbed.update(names)
+        await asyncio.sleep(for_s)
+        disturbed.difference_update(names)
+        end = self._record.now + STORE_SETTLE_S
+        if len(names) == len(self._deployment.hosts):
+            self._disruptions.add(STORE, start, end)
+        for name in names:
+            self._disruptions.add(name, start, end)
+
+    async def _crash(self, server: Server, down_s: float) -> None:
+        if server.is_down:
+            return
+        start = self._record.now
+        identity = server.identity
+        await server.crash()
+        await asyncio.sleep(down_s)
+        await server.start()
+        self._disruptions.add(identity, start, self._record.now)
+
+    async def _leave(self, server: Server, *, announced: bool) -> None:
+        if server.is_down or server.is_leaving:
+            return
+        start = self._record.now
+        identity = server.identity
+        await server.leave(announced=announced)
+        self._disruptions.add(identity, start, self._record.now)
+        if server.is_down:
+            await server.start()
+
+    async def _break(self, server: Server, way: str, for_s: float) -> None:
+        start = self._record.now
+        server.broken_way = way
+        await asyncio.sleep(for_s)
+        server.broken_way = ''
+        self._disruptions.add(server.identity, start, self._record.now)
+
+
+def odd_entry(entry: str) -> bytes:
+    """Return the registration that another writer leaves."""
+    fields: dict[str, object] = {
+        'service': 'visit-log',
+        'address': '127.0.0.1:9',
+        'zone': plan.ZONES[0],
+        'version': '',
+        'concurrencyLimit': 1,
+        'state': 'ready',
+        'warmupLeftMs': 0,
+        'sequence': 1,
+    }
+    match entry:
+        case 'nested':
+            fields['service'] = 'of-another-team'
+            lists = '[' * NESTING_LEVELS + ']' * NESTING_LEVELS
+            text = json.dumps(fields)
+            return text.replace('"version": ""', f'"version": {lists}').encode()
+        case 'number':
+            fields['concurrencyLimit'] = 10**LONG_NUMBER_DIGITS
+        case 'port':
+            fields['address'] = '127.0.0.1:99999'
+        case 'types':
+            fields.update(service=7, address=None, zone=[], state={})
+        case 'bytes':
+            return b'\xff\x00 no text'
+    return json.dumps(fields).encode()
--- a/review/tests/record.py
+++ b/platform_soak/record.py
@@ -28,5 +28,5 @@
 
     def write(self, path: Path) -> None:
         """Write one line of JSON for each event."""
-        lines = [json.dumps(event) for event in self.events]
-        path.write_text('\n'.join(lines) + '\n', 'utf-8')
+        lines = [f'{json.dumps(event)}\n' for event in self.events]
+        path.write_text(''.join(lines), 'utf-8')
--- /dev/null
+++ b/platform_soak/runner.py
@@ -0,0 +1,210 @@
+"""Plays a plan and checks what it has left."""
+
+import asyncio
+import dataclasses
+import random
+from pathlib import Path
+
+from platform_soak.callers import KeepingCaller
+from platform_soak.checks import Breach, check_all
+from platform_soak.clients import Shape
+from platform_soak.configurations import (
+    BOOKING_SERVICE,
+    LOOKUP_SERVICE,
+    MOVED_PREFIX,
+    SHARDS,
+    Configurations,
+)
+from platform_soak.deployment import Deployment
+from platform_soak.disruptions import CONTACT_S, Disruptions
+from platform_soak.faults import FaultInjector
+from platform_soak.history import History, HostStops
+from platform_soak.hosts import EntryHost
+from platform_soak.plan import ZONES, Plan
+
+HOST_NAME = 'bakici.example'
+#: Deadlines of requests to one service and over all shards, in milliseconds.
+DEADLINE_MS = 3000
+SEARCH_DEADLINE_MS = 1500
+#: Callers of each data centre.
+CALLERS_PER_ZONE = 4
+#: Time for which targets work on a request, in seconds.
+WORK_S = 0.08
+SHARD_WORK_S = 0.02
+#: Interval of looking for processes that have ended, in seconds.
+WATCH_INTERVAL_S = 0.1
+KB_PER_MB = 1024
+#: Zones of the targets of a service: two in each, so that one may be lost.
+SERVICE_ZONES = (*ZONES, *ZONES)
+SHARD_ZONES = ZONES[:2]
+SHAPES = (
+    Shape('GET', HOST_NAME, '/lookup/1', DEADLINE_MS, repeatable=True),
+    Shape('POST', HOST_NAME, '/book/1', DEADLINE_MS, b'{"visit": 1}'),
+    Shape('GET', HOST_NAME, f'{MOVED_PREFIX}1', DEADLINE_MS, repeatable=True),
+    Shape('GET', HOST_NAME, '/search/1', SEARCH_DEADLINE_MS, repeatable=True),
+)
+#: Versions whose added routes are probed.
+PROBED_VERSIONS = 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """How a run ended."""
+
+    plan: Plan
+    breaches: list[Breach]
+    calls: int
+    answered: int
+    refused: int
+    folder: Path
+
+
+def target_zones() -> dict[str, list[str]]:
+    """Return the data centres of the targets of each service."""
+    zones: dict[str, list[str]] = {
+        LOOKUP_SERVICE: list(SERVICE_ZONES),
+        BOOKING_SERVICE: list(SERVICE_ZONES),
+    }
+    for shard in SHARDS:
+        zones[shard] = list(SHARD_ZONES)
+    return zones
+
+
+def target_count() -> int:
+    """Return the number of targets of a run."""
+    return sum(len(zones) for zones in target_zones().values())
+
+
+async def play(plan: Plan, folder: Path) -> Outcome:
+    """Play a plan; leave the record and the logs of all hosts in ``folder``.
+
+    Raises ``NotStartedError`` if the hosts do not become ready.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    deployment = Deployment(plan.seed, folder)
+    configurations = Configurations(deployment.store, deployment.record)
+    disruptions = Disruptions()
+    ends: dict[str, list[float]] = {}
+    watcher = asyncio.create_task(_watch_processes(deployment, ends))
+    try:
+        await deployment.start(configurations.first(), target_zones())
+        history = await _play_traffic(
+            plan, deployment, configurations, disruptions, ends
+        )
+    finally:
+        watcher.cancel()
+        await _close(deployment, folder)
+    statuses = [
+        0 if call.answer is None else call.answer.status
+        for call in history.calls
+    ]
+    return Outcome(
+        plan,
+        check_all(history),
+        calls=len(statuses),
+        answered=statuses.count(200),
+        refused=statuses.count(503),
+        folder=folder,
+    )
+
+
+async def _close(deployment: Deployment, folder: Path) -> None:
+    await deployment.close()
+    deployment.record.write(folder / 'record.jsonl')
+
+
+async def _play_traffic(
+    plan: Plan,
+    deployment: Deployment,
+    configurations: Configurations,
+    disruptions: Disruptions,
+    ends: dict[str, list[float]],
+) -> History:
+    record = deployment.record
+    start_at = record.now
+    for host in deployment.hosts:
+        disruptions.add(host.name, 0, start_at)
+    for server in deployment.servers:
+        server.work_s = SHARD_WORK_S if server.service in SHARDS else WORK_S
+    injector = FaultInjector(deployment, configurations, disruptions)
+    faults = asyncio.create_task(injector.play(plan.faults, start_at))
+    until = start_at + plan.length_s
+    callers = [
+        KeepingCaller(
+            deployment.balancer,
+            record,
+            deployment.clients.calls,
+            zone,
+            random.Random(f'{plan.seed}/{zone}/{number}'),
+        ).run((*SHAPES, *_probes()), until)
+        for zone in ZONES
+        for number in range(CALLERS_PER_ZONE)
+    ]
+    try:
+        await asyncio.gather(*callers)
+        calm_from = _calm_from(plan, start_at)
+        await faults
+    finally:
+        injector.cancel()
+        faults.cancel()
+    return History(
+        calls=deployment.clients.calls,
+        events=record.events,
+        versions=configurations.versions,
+        evacuations=configurations.evacuations,
+        disruptions=disruptions,
+        hosts={
+            host.name: _describe(host, ends.get(host.name, []))
+            for host in deployment.hosts
+        },
+        zones={
+            event['server']: event['zone'] for event in record.of('server_up')
+        },
+        calm_from=calm_from,
+        length_s=plan.length_s,
+    )
+
+
+def _calm_from(plan: Plan, start_at: float) -> float:
+    """Return the time from which callers have to be served as usual."""
+    last_s = max((fault.at_s for fault in plan.faults), default=0)
+    longest_s = max(
+        (getattr(fault, 'for_s', 0) for fault in plan.faults), default=0
+    )
+    return start_at + min(
+        plan.length_s - 1, max(last_s + longest_s + CONTACT_S, 0)
+    )
+
+
+def _probes() -> tuple[Shape, ...]:
+    """Return requests of routes that versions add and remove."""
+    return tuple(
+        Shape(
+            'GET', HOST_NAME, f'/added-{number}/1', DEADLINE_MS, repeatable=True
+        )
+        for number in range(2, PROBED_VERSIONS, 2)
+    )
+
+
+def _describe(host: EntryHost, ended_at: list[float]) -> HostStops:
+    return HostStops(
+        stopped_at=tuple(host.stops),
+        ended_at=tuple(ended_at),
+        log_bytes=host.log_bytes,
+        memory_mb=host.peak_memory_kb() / KB_PER_MB,
+    )
+
+
+async def _watch_processes(
+    deployment: Deployment, ends: dict[str, list[float]]
+) -> None:
+    """Record processes that end although nobody asked for it."""
+    seen: set[int] = set()
+    while True:
+        await asyncio.sleep(WATCH_INTERVAL_S)
+        for host in deployment.hosts:
+            pid = host.unasked_end()
+            if pid is None or pid in seen:
+                continue
+            seen.add(pid)
+            ends.setdefault(host.name, []).append(deployment.record.now)
