Count a client that closes early as no internal error

Such a request, and one whose body is malformed, ends with status 400.

Before: test_client_that_closes_early counts an error. Now it counts none.

--- a/oriolestage/daemon/_http.py
+++ b/oriolestage/daemon/_http.py
@@ -39,6 +39,9 @@
             return await handler(request)
         except web.HTTPException:
             raise
+        except (ConnectionError, web.RequestPayloadError):
+            # The client closed its connection or sent a malformed body.
+            return web.Response(status=HTTPStatus.BAD_REQUEST)
         except Exception as error:
             failures.record_unexpected(step, error)
             return json_response(
--- a/oriolestage/daemon/tests/test_http_servers.py
+++ b/oriolestage/daemon/tests/test_http_servers.py
@@ -1,5 +1,6 @@
 """Tests of invalid requests to the HTTP servers of the daemon."""
 
+import asyncio
 import json
 from unittest import IsolatedAsyncioTestCase, mock
 
@@ -11,6 +12,8 @@
 
 #: Lists nested deeper than any recursion limit of a decoder.
 DEEP_LISTS = b'[' * 100_000 + b']' * 100_000
+#: Time in which a server reads what was sent, in seconds.
+READ_PAUSE_S = 0.1
 SEARCH = b'POST /v1/requests/search'
 CHANGE = b'POST /v1/changes'
 
@@ -117,6 +120,23 @@
             status, _ = await servers.request('operators', b'GET /v1/view')
             self.assertEqual(status, 200)
 
+    async def test_client_that_closes_early(self) -> None:
+        """A connection that ends within a body is no internal error."""
+        head = b'%s HTTP/1.1\r\nHost: x\r\nContent-Length: 90\r\n\r\n{'
+        async with running_servers() as servers:
+            for server, line in (('operators', CHANGE), ('callers', SEARCH)):
+                with self.subTest(server):
+                    _, writer = await asyncio.open_connection(
+                        '127.0.0.1', servers.ports[server]
+                    )
+                    writer.write(head % line)
+                    await writer.drain()
+                    await asyncio.sleep(READ_PAUSE_S)
+                    writer.close()
+                    await asyncio.sleep(READ_PAUSE_S)
+                    counts = servers.core.failures.counts
+                    self.assertEqual(counts.total(), 0)
+
     async def test_caller_server(self) -> None:
         """The caller learns that the request may have run."""
         async with running_servers() as servers:
