Limit the log lines of libraries like those of events

The HTTP server of aiohttp logs each request that it cannot parse by itself, past the rate limit of log_event: 2000 such requests in an instant wrote 2000 lines.

--- a/oriolestage/_logging.py
+++ b/oriolestage/_logging.py
@@ -24,6 +24,8 @@
 EVENT_BURST = 300
 #: Lines of one event per second, on average.
 EVENT_RATE_PER_S = 60.0
+#: Event of the lines of libraries.
+LIBRARY_EVENT = 'library_log'
 
 
 class EventLimiter:
@@ -95,7 +97,24 @@
 _limiter = EventLimiter(time.monotonic)
 
 
-class _LineFormatter(python_logging.Formatter):
+class LibraryLineLimiter(python_logging.Filter):
+    """Limits the lines of libraries, which do not use :func:`log_event`."""
+
+    def __init__(self, limiter: EventLimiter) -> None:
+        """Count all of them as one event of ``limiter``."""
+        super().__init__()
+        self._limiter = limiter
+
+    def filter(self, record: python_logging.LogRecord) -> bool:
+        """Return whether to write a record, and note suppressed ones in it."""
+        if record.getMessage().startswith('event='):
+            return True
+        suppressed = self._limiter.admit(LIBRARY_EVENT)
+        record.suppressed = suppressed
+        return suppressed is not None
+
+
+class LineFormatter(python_logging.Formatter):
     """Formats a record as one line, also records of libraries.
 
     Of a traceback, the error and the innermost location are kept.
@@ -113,7 +132,10 @@
             if record.exc_info:
                 fields['error'] = repr(record.exc_info[1])
                 fields['at'] = _innermost_location(record.exc_info[2])
-            message = _format_line('library_log', fields)
+            suppressed = getattr(record, 'suppressed', 0)
+            if suppressed:
+                fields['suppressed'] = suppressed
+            message = _format_line(LIBRARY_EVENT, fields)
         return f'time={record.created:.6f} {message}'
 
 
@@ -125,7 +147,8 @@
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.python_handler.stream = NonBlockingStream(sys.stdout.fileno())
-    handler.python_handler.setFormatter(_LineFormatter())
+    handler.python_handler.setFormatter(LineFormatter())
+    handler.python_handler.addFilter(LibraryLineLimiter(_limiter))
     logging.set_verbosity(logging.INFO)
 
 
