Handle the other items when one of many raises an error

One error while an item was handled kept the rest of its kind from being handled: a reply of a message, an attempt at a lost peer, a shard request of a batch (none was answered), a target to acquire or release after a change of the membership (the others stayed without an owner until the next change), and the parts that are told of a new revision.

Each such item is now handled by itself; an error is logged with its step and counted.

--- a/oriolestage/core/_effects.py
+++ b/oriolestage/core/_effects.py
@@ -6,7 +6,8 @@
 
 import dataclasses
 import traceback
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from typing import ParamSpec
 
 from oriolestage.core._decoding import MAX_ERROR_CHARACTERS
 from oriolestage.core._messages import DataMessage, GossipMessage
@@ -14,6 +15,8 @@
 from oriolestage.core.configuration._configuration import Target
 from oriolestage.core.queries._outcomes import CallerOutcome
 
+_Arguments = ParamSpec('_Arguments')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendGossip:
@@ -179,6 +182,25 @@
             at=_innermost_location(error),
         )
 
+    def run_safely(
+        self,
+        step: str,
+        function: Callable[_Arguments, None],
+        *arguments: _Arguments.args,
+        **options: _Arguments.kwargs,
+    ) -> bool:
+        """Call a function for one of many items; return whether it succeeded.
+
+        An unexpected error is logged and counted, so that it does not keep
+        the other items from being handled.
+        """
+        try:
+            function(*arguments, **options)
+        except Exception as error:
+            self.log_failure(step, error)
+            return False
+        return True
+
     def take(self) -> list[Effect]:
         """Return all queued effects, oldest first, and empty the queue."""
         effects = self._effects
--- a/oriolestage/core/_node_parts.py
+++ b/oriolestage/core/_node_parts.py
@@ -106,7 +106,7 @@
     peers = PeerMessenger(membership, outbox)
     crashes = CrashRegister(parameters, outbox, timers, membership)
     selector = TargetSelector(randomness)
-    attempts = AttemptTable(parameters, timers, peers, selector)
+    attempts = AttemptTable(parameters, outbox, timers, peers, selector)
     sender = ShardSender(
         timers,
         configuration,
--- a/oriolestage/core/configuration/_configuration_tracker.py
+++ b/oriolestage/core/configuration/_configuration_tracker.py
@@ -229,4 +229,4 @@
         if record is not None:
             self._membership.announce(self._parameters.announce_fanout)
         for callback in self._on_change:
-            callback()
+            self._outbox.run_safely('configuration.change', callback)
--- a/oriolestage/core/keys/_key_journal.py
+++ b/oriolestage/core/keys/_key_journal.py
@@ -293,7 +293,4 @@
 
     def _resolve(self, pending: _PendingClaim, outcome: ClaimOutcome) -> None:
         """Report the outcome of a claim; an error affects only this claim."""
-        try:
-            pending.callback(outcome)
-        except Exception as error:
-            self._outbox.log_failure('keys.claim', error)
+        self._outbox.run_safely('keys.claim', pending.callback, outcome)
--- a/oriolestage/core/queries/_attempts.py
+++ b/oriolestage/core/queries/_attempts.py
@@ -7,6 +7,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
+from oriolestage.core._effects import Outbox
 from oriolestage.core._messages import CancelAttempts, ShardReplies, ShardReply
 from oriolestage.core._parameters import Parameters
 from oriolestage.core._timers import Timers
@@ -31,11 +32,13 @@
     def __init__(
         self,
         parameters: Parameters,
+        outbox: Outbox,
         timers: Timers,
         peers: PeerMessenger,
         selector: TargetSelector,
     ) -> None:
         """Start without attempts in flight."""
+        self._outbox = outbox
         self._timers = timers
         self._peers = peers
         self._selector = selector
@@ -78,7 +81,7 @@
             reply.versions,
             self._timers.now,
         )
-        attempt.callback(reply)
+        self._outbox.run_safely('entry.reply', attempt.callback, reply)
 
     def on_replies(self, message: ShardReplies) -> None:
         """Handle a message of replies from an owner."""
--- a/oriolestage/core/targets/_owned_targets.py
+++ b/oriolestage/core/targets/_owned_targets.py
@@ -116,11 +116,16 @@
             self._last_owners[target.name] = owner
             if may_own and owner == self._peers.local_name:
                 owned.add(target.name)
-                self._acquire(target, owners_before.get(target.name, ''))
+                before = owners_before.get(target.name, '')
+                self._outbox.run_safely(
+                    'owner.acquire', self._acquire, target, before
+                )
         for name in tuple(self._limiters):
             if name not in owned:
-                self._release(name)
-        self._apply_accepting_changes()
+                self._outbox.run_safely('owner.release', self._release, name)
+        self._outbox.run_safely(
+            'owner.accepting', self._apply_accepting_changes
+        )
 
     def release_all(self, reason: str) -> None:
         """Release all targets; the next refresh acquires them as cold.
@@ -129,7 +134,7 @@
         """
         self._outbox.log('ownership_dropped', step='owner', reason=reason)
         for name in tuple(self._limiters):
-            self._release(name)
+            self._outbox.run_safely('owner.release', self._release, name)
 
     def _acquire(self, target: Target, owner_before: str) -> None:
         limiter = self._limiters.get(target.name)
--- a/oriolestage/core/targets/_target_owner.py
+++ b/oriolestage/core/targets/_target_owner.py
@@ -14,7 +14,12 @@
     ConfigurationTracker,
 )
 from oriolestage.core.membership._membership import Membership
-from oriolestage.core.queries._outcomes import NotRun, Reason
+from oriolestage.core.queries._outcomes import (
+    MayHaveRun,
+    NotRun,
+    Reason,
+    ShardOutcome,
+)
 from oriolestage.core.targets._crashes import CrashRegister
 from oriolestage.core.targets._fair_queue import ShardTask
 from oriolestage.core.targets._owned_targets import (
@@ -54,6 +59,7 @@
         self._configuration = configuration
         self._crashes = crashes
         self._may_start = may_start
+        self._outbox = outbox
         self._owned = OwnedTargets(
             parameters,
             outbox,
@@ -85,10 +91,13 @@
         replies: list[ShardReply] = []
         for entry in batch.entries:
             task = ShardTask(batch.sender, entry, batch, deadline)
-            refusal = self._refusal_for(task)
-            limiter = self._owned.find(entry.target)
-            if refusal is None and limiter is not None:
-                refusal = self._admit(task, limiter)
+            try:
+                refusal = self._start_or_refuse(task)
+            except Exception as error:
+                self._outbox.log_failure('owner.admission', error)
+                refusal = MayHaveRun(
+                    Reason.TARGET_ERROR, 'owner.admission', entry.target
+                )
             if refusal is not None:
                 replies.append(self._replies.build_reply(task, refusal))
         self._replies.send(batch.sender, replies)
@@ -113,6 +122,14 @@
         elif not limiter.in_flight:
             self._owned.on_target_idle(name)
 
+    def _start_or_refuse(self, task: ShardTask) -> ShardOutcome | None:
+        """Send or queue a shard request, or return why it is refused."""
+        refusal = self._refusal_for(task)
+        limiter = self._owned.find(task.entry.target)
+        if refusal is None and limiter is not None:
+            return self._admit(task, limiter)
+        return refusal
+
     def _refusal_for(self, task: ShardTask) -> NotRun | None:
         name = task.entry.target
         limiter = self._owned.find(name)
