--- a/oriolestage/entry/tests/peer_requests.py
+++ b/oriolestage/entry/tests/peer_requests.py
@@ -1,7 +1,10 @@
 """Builders of messages between hosts and of the server that gets them."""
 
+import contextlib
 import socket
+from unittest.mock import patch
 
+from oriolestage.entry import _peer_link
 from oriolestage.entry._crash_tracking import AttemptSender
 from oriolestage.entry._peer_messages import GatherRequest, RelayRequest
 from oriolestage.entry._peer_server import PeerServer
@@ -11,6 +14,9 @@
 from oriolestage.routing._state_changes import Freshness
 from oriolestage.routing.tests.builders import make_crash_detector
 
+#: Time for opening a stream, in seconds. A host that a paused machine does not
+#: reach would give another outcome than its reply.
+CONNECT_TIMEOUT_S = 10.0
 SERVICES = tuple(f'shard-{number}' for number in range(4))
 
 
@@ -56,6 +62,11 @@
     return RelayRequest(**fields)  # type: ignore[arg-type]
 
 
+def link_patiently() -> contextlib.AbstractContextManager[object]:
+    """Give hosts time to open streams, even on a busy machine."""
+    return patch.object(_peer_link, 'CONNECT_TIMEOUT_S', CONNECT_TIMEOUT_S)
+
+
 async def start_peer_server(
     placement: Placement, sender: AttemptSender
 ) -> tuple[PeerServer, str]:
--- a/oriolestage/platform/tests/cutting_target.py
+++ b/oriolestage/platform/tests/cutting_target.py
@@ -2,12 +2,29 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 from typing import Self
+from unittest.mock import patch
 
+from oriolestage.entry import _target_client
+from oriolestage.entry._connection_pool import connect
 from oriolestage.platform.tests.broken_answers import Ending
 from oriolestage.platform.tests.target_calls import LINGER_ZERO
 
+#: Time for connecting to a target, in seconds. A target that a paused machine
+#: does not reach would give another outcome than the answer.
+CONNECT_TIMEOUT_S = 10.0
+
+
+def connect_patiently() -> contextlib.AbstractContextManager[object]:
+    """Give target clients time to connect, even on a busy machine."""
+    return patch.object(
+        _target_client,
+        'connect',
+        functools.partial(connect, timeout_s=CONNECT_TIMEOUT_S),
+    )
+
 
 class CuttingTarget:
     """Sends a prefix of an answer and ends the connection.
@@ -27,14 +44,17 @@
         self._bytewise = False
         #: One for each connection since they were closed last.
         self._connections: list[asyncio.Task[None]] = []
+        self._patience = contextlib.ExitStack()
 
     async def __aenter__(self) -> Self:
         """Start to accept connections."""
         self._accepting = asyncio.create_task(self._accept())
+        self._patience.enter_context(connect_patiently())
         return self
 
     async def __aexit__(self, *error: object) -> None:
         """End all connections."""
+        self._patience.close()
         self._accepting.cancel()
         await self.end_connections()
         self._listener.close()
--- a/oriolestage/platform/tests/test_kept_connections.py
+++ b/oriolestage/platform/tests/test_kept_connections.py
@@ -11,7 +11,10 @@
 from oriolestage.entry._target_client import TargetClient
 from oriolestage.platform._wire_protocol import PlatformWireProtocol
 from oriolestage.platform.tests.broken_answers import Ending
-from oriolestage.platform.tests.cutting_target import CuttingTarget
+from oriolestage.platform.tests.cutting_target import (
+    CuttingTarget,
+    connect_patiently,
+)
 from oriolestage.platform.tests.target_calls import (
     RecordingObserver,
     make_call,
@@ -146,6 +149,10 @@
 class KeptConnectionTest(unittest.TestCase):
     """A connection is used again only if nothing has arrived on it."""
 
+    def setUp(self) -> None:
+        """Let the client connect on a busy machine."""
+        self.enterContext(connect_patiently())
+
     def test_interrupted(self) -> None:
         """Guards against an answer to the request before that is passed on.
 
