Tests: a client may close a stream before the scripted host reads it

A run by hand (, on a busy machine) failed in the test's own host, which read from a stream that the client had given up opening. The checks of the test are unchanged.

--- a/oriolestage/entry/tests/test_mutated_streams.py
+++ b/oriolestage/entry/tests/test_mutated_streams.py
@@ -20,6 +20,7 @@
     RelayAnswered,
     RelayLost,
     RelayNotRun,
+    ToPeer,
     decode_to_peer,
     encode,
 )
@@ -209,10 +210,12 @@
         assert task is not None
         serving.append(task)
         requests = FrameReader(reader)
-        request = decode_to_peer(await requests.read())
-        while isinstance(request, Ping):
-            request = decode_to_peer(await requests.read())
-        writer.write(content)
+        request: ToPeer = Ping()
+        # The client may close a stream that took too long to open.
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while isinstance(request, Ping):
+                request = decode_to_peer(await requests.read())
+            writer.write(content)
         writer.close()
 
     server, address = await start_host(serve)
