Tests: requests whose stream breaks have deadlines beyond the tests' limits

Requests of these tests now have 60 s. The limits bound a wait that is endless without the fix, and none is a stated target.

--- a/oriolestage/entry/tests/peer_requests.py
+++ b/oriolestage/entry/tests/peer_requests.py
@@ -17,6 +17,9 @@
 #: Time for opening a stream, in seconds. A host that a paused machine does not
 #: reach would give another outcome than its reply.
 CONNECT_TIMEOUT_S = 10.0
+#: Time that a request has, in seconds. It lies beyond the limits of the tests,
+#: so that a request that only its deadline ends fails them.
+TIME_LEFT_S = 60.0
 SERVICES = tuple(f'shard-{number}' for number in range(4))
 
 
@@ -37,7 +40,7 @@
         'floor': b'',
         'late_s': 0.2,
         'work_s': 0.01,
-        'time_left_s': 2.0,
+        'time_left_s': TIME_LEFT_S,
         **changes,
     }
     return GatherRequest(**fields)  # type: ignore[arg-type]
@@ -56,7 +59,7 @@
         'body': b'asked',
         'regions': (),
         'repeatable': False,
-        'time_left_s': 2.0,
+        'time_left_s': TIME_LEFT_S,
         **changes,
     }
     return RelayRequest(**fields)  # type: ignore[arg-type]
--- a/oriolestage/entry/tests/test_broken_streams.py
+++ b/oriolestage/entry/tests/test_broken_streams.py
@@ -38,7 +38,7 @@
 )
 from oriolestage.routing.tests.builders import make_placement, shard_records
 
-#: Time within which a request has to end, in seconds.
+#: Time within which a request has to end, in seconds; its deadline is later.
 END_TIMEOUT_S = 10.0
 
 
--- a/oriolestage/platform/tests/test_broken_parts.py
+++ b/oriolestage/platform/tests/test_broken_parts.py
@@ -25,7 +25,7 @@
 from oriolestage.routing._run_types import BatchAnswered
 from oriolestage.routing.tests.builders import make_placement, make_record
 
-#: Time within which a request has to end, in seconds.
+#: Time within which a request has to end, in seconds; its deadline is later.
 END_TIMEOUT_S = 10.0
 SERVICES = ('shard-0', 'shard-1')
 SMALL_RECORD = b'a' * 16
@@ -70,7 +70,6 @@
         make_gather_request(
             services=SERVICES,
             late_s=END_TIMEOUT_S,
-            time_left_s=END_TIMEOUT_S,
         ),
     )
     async with contextlib.aclosing(gathering) as replies:
@@ -87,7 +86,7 @@
     async with asyncio.timeout(END_TIMEOUT_S):
         outcome = await client.relay(
             address,
-            make_relay_request(service=SERVICES[1], time_left_s=END_TIMEOUT_S),
+            make_relay_request(service=SERVICES[1]),
         )
     client.close()
     return outcome
