An era of the store with thousands of digits is an invalid answer

Conversion of more than 4,300 digits raises ValueError, which passed through the store client as no failed call. test_invalid_eras failed with it before.

--- a/oriolestage/platform/_store_calls.py
+++ b/oriolestage/platform/_store_calls.py
@@ -72,6 +72,8 @@
 PASSING_STATUSES = frozenset(
     (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_MANY_REQUESTS)
 )
+#: Most digits of an era.
+MAX_ERA_DIGITS = 18
 #: Errors of an answer that would be the same again.
 UNUSABLE_ANSWER_ERRORS = (MalformedResponseError, OversizedResponseError)
 #: Errors with which a call fails: the store is not reached, breaks the
@@ -184,7 +186,9 @@
         """
         if stated is None:
             return self.eras.record_unstated()
-        if not (stated.isascii() and stated.isdigit()):
+        if len(stated) > MAX_ERA_DIGITS or not (
+            stated.isascii() and stated.isdigit()
+        ):
             return False
         return self.eras.record(int(stated), step, self.address)
 
--- a/oriolestage/platform/tests/test_store.py
+++ b/oriolestage/platform/tests/test_store.py
@@ -169,7 +169,7 @@
         The era of the answers before stays the latest one.
         """
         listed = {'items': [], 'hasMore': False, 'storeRevision': 5}
-        for era in (None, '', '-1', '2.5', '\u0663', '2'):
+        for era in (None, '', '-1', '2.5', '\u0663', '9' * 5000, '2'):
             self._eras = ['3', era]
             self._answers = [(200, listed), (200, listed)]
             with self.subTest(era=era):
