Own interface: a planned stop of a daemon ends, and cuts nothing

Callers of a daemon that keep connections and send the next command as soon as one is answered saw it go on serving until `stop.notice` plus `stop.deadline` had passed; then what was in flight got no answer, and the process did not end: the core had ended, and the HTTP server gave open requests aiohttp's 60 s. The operators' server did the same for those who wait for a revision.

Cause: nothing told callers to leave, requests were taken whatever their timeout, and the drain ended only at a moment without requests.

Now, from the signal on, each response closes its connection, and a request whose timeout lies beyond the end of the stop gets a 503, `not_run`, reason `stopping` (new in the list of external names). After the notice the daemon takes the connections that wait to be accepted and no others, closes idle ones (a new one gets 0.25 s for its first request), and ends as soon as the last connection has. Open requests get 0.1 s when the servers close; they had the time of the stop before. The log has `stopping` with the times.

Not done here: a request whose head has arrived in part when idle connections are closed is not answered; it is not run either.

--- a/oriolestage/core/queries/_outcomes.py
+++ b/oriolestage/core/queries/_outcomes.py
@@ -52,6 +52,8 @@
     KEY_REUSED = 'key_reused'
     #: An unexpected error ended the processing of the request.
     INTERNAL_ERROR = 'internal_error'
+    #: The host that was asked is being stopped.
+    STOPPING = 'stopping'
 
 
 class KeyRange(msgspec.Struct, frozen=True, array_like=True, order=True):
--- a/oriolestage/daemon/_caller_server.py
+++ b/oriolestage/daemon/_caller_server.py
@@ -24,7 +24,9 @@
     key_created_ms,
     parse_count,
 )
+from oriolestage.daemon._caller_drain import CallerDrain
 from oriolestage.daemon._caller_metrics import CallerMetrics
+from oriolestage.daemon._caller_site import CallerSite
 from oriolestage.daemon._events import (
     CallerDisconnected,
     CallerRequestArrived,
@@ -44,6 +46,9 @@
 CALLER_HEADER = 'X-Caller'
 #: Timeout of requests without a timeout header, in milliseconds.
 DEFAULT_TIMEOUT_MS = 1000
+#: Retry delay suggested while this host is being stopped, in milliseconds. A
+#: caller that comes back is sent to another host.
+STOPPING_RETRY_MS = 50
 
 _IDENTIFIER = re.compile(r'^[A-Za-z0-9._:-]{1,128}$')
 #: Answer to a request whose handler failed.
@@ -80,35 +85,41 @@
         ``listener`` is bound and listening.
         """
         super().__init__()
-        self._listener = listener
         self._core = core
         self._inbox = inbox
         self._metrics = metrics
-        self._app = web.Application(
+        self._drain = CallerDrain()
+        app = web.Application(
             client_max_size=body_limit,
             middlewares=(
+                self._drain.track,
                 failure_middleware('caller.http', failures, FAILED_REQUEST),
             ),
         )
-        self._app.router.add_post('/v1/requests/{route}', self._on_request)
-        self._app.router.add_get('/health/live', self._on_live)
-        self._app.router.add_get('/health/ready', self._on_ready)
-        self._runner: web.AppRunner | None = None
+        app.router.add_post('/v1/requests/{route}', self._on_request)
+        app.router.add_get('/health/live', self._on_live)
+        app.router.add_get('/health/ready', self._on_ready)
+        self._site = CallerSite(app, listener, self._drain)
+
+    @property
+    def site(self) -> CallerSite:
+        """The connections of callers."""
+        return self._site
 
     async def start(self) -> None:
         """Accept connections."""
-        self._runner = web.AppRunner(
-            self._app,
-            access_log=None,
-            handler_cancellation=True,
-        )
-        await self._runner.setup()
-        await web.SockSite(self._runner, self._listener).start()
+        await self._site.start()
+
+    def start_draining(self, ends_at: float) -> None:
+        """Refuse requests that may last longer than this event-loop time.
+
+        Close each connection after its next response.
+        """
+        self._drain.end_by(ends_at)
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Finish open requests and close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        """Close all connections."""
+        await self._site.close()
 
     async def _on_live(self, request: web.Request) -> web.Response:
         return web.Response(text='alive\n')
@@ -132,8 +143,22 @@
             return json_response(
                 answer, status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE
             )
+        now = asyncio.get_running_loop().time()
+        if not self._drain.can_end_in_time(caller_request.timeout_ms, now):
+            return self._refuse_stopping(caller_request)
         return await self._submit(caller_request)
 
+    def _refuse_stopping(self, caller_request: CallerRequest) -> web.Response:
+        refusal = NotRun(
+            Reason.STOPPING,
+            'entry.stop',
+            '',
+            retry_after_ms=STOPPING_RETRY_MS,
+        )
+        self._metrics.record(caller_request.route, refusal, 0)
+        _log_refusal(caller_request, refusal)
+        return _build_response(caller_request, refusal)
+
     async def _submit(self, caller_request: CallerRequest) -> web.Response:
         loop = asyncio.get_running_loop()
         answer: asyncio.Future[CallerOutcome] = loop.create_future()
--- a/oriolestage/daemon/_composition.py
+++ b/oriolestage/daemon/_composition.py
@@ -47,6 +47,7 @@
     core: NodeCore
     inbox: Inbox
     core_service: CoreService
+    callers: CallerServer
     services: tuple[aiomisc.Service, ...]
     #: How long the load balancer is given to notice that this host is not
     #: ready.
@@ -102,11 +103,25 @@
     daemon.inbox.put_nowait(StopRequested())
     notice_until = loop.time() + daemon.stop_notice_s
     deadline = notice_until + daemon.stop_deadline_s
+    log_event(
+        'stopping',
+        {
+            'step': 'stop',
+            'in_flight': daemon.core.requests_in_flight,
+            'notice_s': daemon.stop_notice_s,
+            'deadline_s': daemon.stop_deadline_s,
+        },
+    )
+    daemon.callers.start_draining(deadline)
+    site = daemon.callers.site
     while loop.time() < deadline and not stop_requested.is_set():
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        if loop.time() >= notice_until and daemon.core.drained:
+        if loop.time() < notice_until:
+            continue
+        await site.close_idle()
+        if daemon.core.drained and not site.connection_count:
             break
-    unfinished = daemon.core.requests_in_flight
+    unfinished = max(daemon.core.requests_in_flight, site.open_requests)
     await asyncio.sleep(REPLY_FLUSH_TIME_S)
     return unfinished
 
@@ -158,34 +173,37 @@
         ),
         failures=failures,
     )
-    services = (
-        core_service,
-        gossip_listener,
-        DataListener(
-            _open_listener(settings.listen.data, 'listen.data'),
-            inbox,
-            failures,
-        ),
-        OperatorServer(
-            _open_listener(settings.listen.operators, 'listen.operators'),
-            inbox,
-            metrics,
-            failures,
-        ),
-        CallerServer(
-            _open_listener(settings.listen.callers, 'listen.callers'),
-            settings.body_limit,
-            core,
-            inbox,
-            metrics,
-            failures,
-        ),
+    data_listener = DataListener(
+        _open_listener(settings.listen.data, 'listen.data'),
+        inbox,
+        failures,
+    )
+    operators = OperatorServer(
+        _open_listener(settings.listen.operators, 'listen.operators'),
+        inbox,
+        metrics,
+        failures,
+    )
+    callers = CallerServer(
+        _open_listener(settings.listen.callers, 'listen.callers'),
+        settings.body_limit,
+        core,
+        inbox,
+        metrics,
+        failures,
     )
     return Daemon(
         core=core,
         inbox=inbox,
         core_service=core_service,
-        services=services,
+        callers=callers,
+        services=(
+            core_service,
+            gossip_listener,
+            data_listener,
+            operators,
+            callers,
+        ),
         stop_notice_s=parse_duration(settings.stop.notice, 'stop.notice'),
         stop_deadline_s=parse_duration(
             settings.stop.deadline,
--- a/oriolestage/daemon/_operator_server.py
+++ b/oriolestage/daemon/_operator_server.py
@@ -37,6 +37,9 @@
 MAX_IN_FORCE_WAIT_MS = 60_000
 #: Largest request body; a configuration document may have a megabyte.
 MAX_BODY_BYTES = 4 * 1024 * 1024
+#: Time that open requests get when the server is closed, in seconds. Some wait
+#: for a revision for a minute.
+CLOSE_TIMEOUT_S = 0.1
 
 
 class OperatorServer(Service):
@@ -71,12 +74,14 @@
 
     async def start(self) -> None:
         """Accept connections."""
-        self._runner = web.AppRunner(self._app, access_log=None)
+        self._runner = web.AppRunner(
+            self._app, access_log=None, shutdown_timeout=CLOSE_TIMEOUT_S
+        )
         await self._runner.setup()
         await web.SockSite(self._runner, self._listener).start()
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Finish open requests and close all connections."""
+        """Close all connections."""
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -5,12 +5,13 @@
 import socket
 import time
 import typing
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from http import HTTPStatus
 
 from aiohttp import web
 from multidict import CIMultiDict
 
+from oriolestage._listeners import accept_waiting
 from oriolestage._logging import log_event
 from oriolestage.entry._caller_connection import (
     CallerConnection,
@@ -96,7 +97,7 @@
             return
         self._server.close()
         loop = asyncio.get_running_loop()
-        for waiting in _accept_waiting(self._listener):
+        for waiting in accept_waiting(self._listener):
             task = asyncio.create_task(
                 loop.connect_accepted_socket(self._connections.accept, waiting)
             )
@@ -235,20 +236,6 @@
         return b''.join(chunks)
 
 
-def _accept_waiting(listener: socket.socket) -> Iterator[socket.socket]:
-    """Yield the connections that wait at a non-blocking socket."""
-    while True:
-        try:
-            connection, _ = listener.accept()
-        except BlockingIOError:
-            return
-        except OSError as error:
-            log_event('accept_failed', {'step': 'stop', 'error': error})
-            return
-        connection.setblocking(False)
-        yield connection
-
-
 def _reject(
     request_id: str,
     reason: str,
