Target answers: bytes that are no answer are no sign of a crash

An attempt whose target sent a malformed answer counted as one whose connection broke. If the target went down in the next 8 s for another reason, the request counted as one that crashed it; after two of them, the request was refused for all its callers. A status below 100 was taken for an interim one.

Cause: the error for malformed answers is one of the HTTP client's, and all of these counted as broken connections. A target that sends what is no answer is alive; only a connection that ends or is reset, also within an answer, counts now.

--- a/oriolestage/entry/_response_framing.py
+++ b/oriolestage/entry/_response_framing.py
@@ -10,6 +10,9 @@
 from aiohttp.http import HttpVersion11, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
+#: Statuses of interim responses, which precede a final one.
+FIRST_INTERIM_STATUS = 100
+FIRST_FINAL_STATUS = 200
 #: Major version of HTTP whose messages are framed as here.
 HTTP_MAJOR = 1
 #: Status line at the end of a text. It is that of the next response if a head
@@ -25,10 +28,19 @@
     """The bytes received are not an HTTP response."""
 
 
+class CutOffResponseError(MalformedResponseError):
+    """The connection has ended within a response."""
+
+
 class OversizedResponseError(ValueError):
     """A response is longer than accepted."""
 
 
+def is_interim(message: RawResponseMessage) -> bool:
+    """Return whether another response follows for the same request."""
+    return FIRST_INTERIM_STATUS <= message.code < FIRST_FINAL_STATUS
+
+
 def check_framing(
     message: RawResponseMessage, payload: StreamReader, *, without_body: bool
 ) -> None:
@@ -39,6 +51,8 @@
     """
     if message.version.major != HTTP_MAJOR:
         raise MalformedResponseError(f'version {message.version}')
+    if message.code < FIRST_INTERIM_STATUS:
+        raise MalformedResponseError(f'status {message.code}')
     _check_lines(message)
     if without_body:
         return
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -17,6 +17,10 @@
 )
 from oriolestage.entry._held_bytes import HeldBytes
 from oriolestage.entry._ports import WireProtocol
+from oriolestage.entry._response_framing import (
+    CutOffResponseError,
+    MalformedResponseError,
+)
 from oriolestage.entry._target_connection import RawResponse, TargetConnection
 from oriolestage.routing._answers import (
     AttemptAnswered,
@@ -128,8 +132,9 @@
         except TimeoutError:
             return AttemptLost('target.deadline')
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            broken = isinstance(error, aiohttp.ClientError | OSError)
-            return AttemptLost(f'target.{type(error).__name__}', broken)
+            return AttemptLost(
+                f'target.{type(error).__name__}', _is_broken(error)
+            )
 
     async def _send_request(self, call: TargetCall) -> AttemptOutcome:
         deadline = time.monotonic() + call.time_left_s
@@ -239,6 +244,19 @@
         return b''.join((head, b'\r\n\r\n', call.body))
 
 
+def _is_broken(error: Exception) -> bool:
+    """Return whether the connection broke, as when a target crashes.
+
+    A target that sends what is no answer is alive.
+    """
+    match error:
+        case CutOffResponseError():
+            return True
+        case MalformedResponseError():
+            return False
+    return isinstance(error, aiohttp.ClientError | OSError)
+
+
 def _read(
     read: Callable[[Mapping[str, str]], _Notice],
     call: TargetCall,
--- a/oriolestage/entry/_target_connection.py
+++ b/oriolestage/entry/_target_connection.py
@@ -24,9 +24,11 @@
 
 from oriolestage.entry._held_bytes import HeldBytes
 from oriolestage.entry._response_framing import (
+    CutOffResponseError,
     MalformedResponseError,
     OversizedResponseError,
     check_framing,
+    is_interim,
 )
 from oriolestage.entry._socket_peeking import Unread, is_quiet, peek
 
@@ -38,8 +40,6 @@
 MAX_OVERHEAD_BYTES = 65_536
 #: Bytes that are parsed before these limits are checked again.
 PARSED_AT_ONCE_BYTES = 16_384
-#: Lowest status of a final response; interim responses precede it.
-FIRST_FINAL_STATUS = 200
 #: Statuses of responses without a body (RFC 9110, 6.4.1).
 EMPTY_STATUSES = frozenset((204, 304))
 #: Time after which a connection with unacknowledged bytes fails, in ms.
@@ -223,7 +223,7 @@
         self, message: RawResponseMessage, payload: StreamReader
     ) -> None:
         """Take the head of a response; interim ones are skipped."""
-        if message.code < FIRST_FINAL_STATUS:
+        if is_interim(message):
             return
         if self._message is not None:
             # Bytes of another response follow the first one.
@@ -269,7 +269,7 @@
         try:
             self._parser.feed_eof()
         except Exception as error:  # noqa: BLE001 - any error of the parser
-            self._fail(MalformedResponseError(repr(error)))
+            self._fail(CutOffResponseError(repr(error)))
             return
         self._read_payload()
         self._fail(aiohttp.ClientPayloadError('end within a response'))
--- a/oriolestage/platform/tests/test_broken_answers.py
+++ b/oriolestage/platform/tests/test_broken_answers.py
@@ -14,13 +14,18 @@
     VALID_ANSWERS,
     Answer,
     Ending,
+    Framing,
 )
 from oriolestage.platform.tests.cutting_target import CuttingTarget
 from oriolestage.platform.tests.target_calls import (
     RecordingObserver,
     make_call,
 )
-from oriolestage.routing._answers import AttemptAnswered, AttemptOutcome
+from oriolestage.routing._answers import (
+    AttemptAnswered,
+    AttemptLost,
+    AttemptOutcome,
+)
 
 #: Production runs on uvloop; benches may run on asyncio's own loop.
 LOOPS: tuple[Callable[[Coroutine[None, None, list[str]]], list[str]], ...] = (
@@ -38,6 +43,18 @@
 )
 
 
+async def _outcome(content: bytes) -> AttemptOutcome:
+    """Return the outcome of an attempt whose target sends this and closes."""
+    async with CuttingTarget() as target:
+        target.cut_off(content, Ending.CLOSED, bytewise=False)
+        client = _client()
+        outcome = await client.send(
+            make_call(address=target.address, time_left_s=TIME_LEFT_S)
+        )
+        client.close()
+        return outcome
+
+
 def _client() -> TargetClient:
     return TargetClient(PlatformWireProtocol(), RecordingObserver())
 
@@ -127,3 +144,17 @@
         unknown transfer coding for the content.
         """
         self._check(INVALID_ANSWERS, (Ending.CLOSED,))
+
+    def test_crash_signs(self) -> None:
+        """Guards against requests that are refused for faulty targets.
+
+        Only a connection that breaks is a sign that a request crashed its
+        target; a target that sends what is no answer is alive.
+        """
+        for answer in VALID_ANSWERS + INVALID_ANSWERS:
+            malformed = answer.framing == Framing.INVALID
+            cut = len(answer.wire) if malformed else len(answer.head) - 1
+            with self.subTest(answer.name):
+                outcome = uvloop.run(_outcome(answer.wire[:cut]))
+                assert isinstance(outcome, AttemptLost)
+                self.assertEqual(outcome.broken, not malformed, outcome)
