Refuse changes with bad addresses of targets

The address of a target in a document was not checked. A call to an address that is no valid URL (a port above 65535, an octet above 255, an empty text) ends as TargetConnectionLost, which counts as a crash of the target by that request: two such targets would quarantine each request that both get.

An operator's change and a file are refused if a target that they add or move has no address as ip:port, with the name of the target. Records in the store are applied as before, and other changes of a document that already has such an address are accepted.

That calls end as TargetConnectionLost was seen in a scratch run of TargetClient; the client itself is unchanged.

--- a/oriolestage/core/__init__.py
+++ b/oriolestage/core/__init__.py
@@ -86,6 +86,7 @@
 from oriolestage.core.configuration._document_checks import (
     MAXIMUM_TIMEOUT_MS,
     check_document,
+    check_new_addresses,
 )
 from oriolestage.core.configuration._in_force import InForceReport
 from oriolestage.core._unreadable_values import UnreadableValue
@@ -203,6 +204,7 @@
     'UnreadableValue',
     'apply_change',
     'check_document',
+    'check_new_addresses',
     'coverage_of',
     'covered_keys',
     'decode_data',
--- a/oriolestage/core/configuration/_document_checks.py
+++ b/oriolestage/core/configuration/_document_checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from oriolestage.core._errors import ChangeRefusedError
+from oriolestage.core._field_types import is_address
 from oriolestage.core.configuration._configuration import (
     Configuration,
     Route,
@@ -72,6 +73,23 @@
         )
 
 
+def check_new_addresses(before: Configuration, after: Configuration) -> None:
+    """Raise :class:`ChangeRefusedError` for a bad address of a new target.
+
+    Targets that ``before`` holds unchanged are not checked, so that documents
+    of earlier versions, which had no such check, can be changed.
+    """
+    known = {target.name: target.address for target in before.targets}
+    for target in after.targets:
+        if known.get(target.name) == target.address:
+            continue
+        if not is_address(target.address):
+            raise ChangeRefusedError(
+                f'target {target.name!r}: {target.address!r} is not an '
+                'address such as 10.0.0.1:8080',
+            )
+
+
 def check_document(document: Configuration) -> None:
     """Raise :class:`ChangeRefusedError` unless the document is consistent.
 
--- a/oriolestage/core/configuration/_operator_commands.py
+++ b/oriolestage/core/configuration/_operator_commands.py
@@ -45,6 +45,9 @@
 from oriolestage.core.configuration._configuration_tracker import (
     ConfigurationTracker,
 )
+from oriolestage.core.configuration._document_checks import (
+    check_new_addresses,
+)
 from oriolestage.core.configuration._freshness import has_majority
 from oriolestage.core.configuration._stored_revisions import (
     decode_record,
@@ -155,6 +158,7 @@
             )
         document = self._configuration.index.document
         changed = apply_change(document, command.change)
+        check_new_addresses(document, changed)
         before, after = describe_change(document, changed, command.change)
         return RevisionRecord(
             revision=changed.revision,
--- a/oriolestage/tool/_documents.py
+++ b/oriolestage/tool/_documents.py
@@ -10,6 +10,7 @@
     ChangeRefusedError,
     Configuration,
     check_document,
+    check_new_addresses,
 )
 
 
@@ -24,6 +25,7 @@
         raise ChangeRefusedError(f'{path}: {error}') from error
     try:
         check_document(document)
+        check_new_addresses(Configuration(), document)
     except ChangeRefusedError as error:
         raise ChangeRefusedError(f'{path}: {error}') from error
     return document
