Test a bad value of the store on a running daemon

The test of invalid input to a running system also writes a revision that no host can decode. The change meanwhile must be refused with the key, the tool must warn of it, and a good value must come into force once it replaces the bad one. The other steps of the test are unchanged.

--- a/oriolestage/daemon/tests/test_programs.py
+++ b/oriolestage/daemon/tests/test_programs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import subprocess
 import sys
@@ -10,8 +11,10 @@
 from pathlib import Path
 
 import aiohttp
+import msgspec
 import yaml
 
+from oriolestage.core import RevisionRecord, SetTargetLimits
 from oriolestage.daemon.tests.processes import (
     Trial,
     exchange_raw,
@@ -86,6 +89,7 @@
             await self._bad_requests(trial)
             await self._bad_bytes(trial)
             await self._bad_commands(trial)
+            await self._bad_store_value(trial)
             await self._no_io_uring(trial)
             status, body = await self._send_request(trial, b'{"query": 1}', {})
             self.assertEqual(status, 200)
@@ -164,6 +168,48 @@
         code, _ = await trial.operate('show', 'hosts', hosts='127.0.0.1:1')
         self.assertEqual(code, 7)
 
+    async def _bad_store_value(self, trial: Trial) -> None:
+        """A value that no host can decode is named, and skipped if replaced.
+
+        The next change is refused meanwhile, and made after the key is gone.
+        """
+        code, output = await trial.operate('show', 'history', '--json')
+        self.assertEqual(code, 0, output)
+        revision = max(int(row['revision']) for row in json.loads(output))
+        key = f'config/revision/{revision + 1:010d}'
+        deep_lists = b'{"revision":%s}' % (b'[' * 2000 + b']' * 2000)
+        await self._write_value(trial, key, deep_lists, expected=0)
+        change = 'set limit sitter-app-1-1 slots 8 connections 25'
+        code, output = await trial.operate(*change.split())
+        self.assertEqual(code, 3, output)
+        self.assertIn(key, output)
+        code, output = await trial.operate('show', 'configuration')
+        self.assertEqual(code, 0)
+        self.assertIn(f'cannot use the value of the store key {key}', output)
+        record = RevisionRecord(
+            revision=revision + 1,
+            change=SetTargetLimits('sitter-app-1-1', 8, 25),
+            operator='tests',
+            command_id='repaired',
+            at_ms=1,
+            before='',
+            after='',
+        )
+        repaired = msgspec.json.encode(record)
+        await self._write_value(trial, key, repaired, expected=1)
+        command = f'watch revision {revision + 1} for 5s'
+        code, output = await trial.operate(*command.split())
+        self.assertEqual(code, 0, output)
+
+    async def _write_value(
+        self, trial: Trial, key: str, content: bytes, expected: int
+    ) -> None:
+        """Write a key of the store as another writer."""
+        url = f'{trial.platform_url}/v1/kv/{key}?expected={expected}&ttl_s=0'
+        async with aiohttp.ClientSession() as session:
+            async with session.put(url, data=content) as response:
+                self.assertEqual(response.status, 200)
+
     async def _no_io_uring(self, trial: Trial) -> None:
         daemon = trial.process('entry-1').pid
         self.assertFalse(_uses_io_uring(daemon))
