--- a/oriolestage/platform/tests/test_late_registration.py
+++ b/oriolestage/platform/tests/test_late_registration.py
@@ -42,6 +42,8 @@
 #: Calls in a minute without disturbance, each renewal one, and the calls of a
 #: registration.
 QUIET_CALLS = 30
+#: More calls than a host makes in a minute.
+REFUSALS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -155,6 +157,21 @@
         self.assertLessEqual(counts[RENEW], QUIET_CALLS)
         self.assertLessEqual(counts[READ], QUIET_CALLS)
 
+    def test_refused_calls(self) -> None:
+        """While the store turns the host away, it makes a bounded number."""
+
+        async def play() -> Process:
+            process = Process()
+            refusals = itertools.repeat(Refused(), REFUSALS)
+            process.calls.faults[OPEN] = list(refusals)
+            await asyncio.sleep(60)
+            process.stop()
+            return process
+
+        counts = run_in_virtual_time(VirtualTimeLoop(), play()).calls.counts
+        shortest_s = RETRY_INTERVAL_S * min(RETRY_JITTER)
+        self.assertLessEqual(counts[OPEN], 60 / shortest_s + 1)
+
 
 async def _play_withdrawal(case: LostCall, after_s: float) -> list[float]:
     process = Process()
