Soak: callers with habits, and steady bookings on new connections

On the first plans broke nothing: each run had an outage of the store that excused the rest, and hosts that were stopped found an idle moment. Runs now leave out many kinds of faults, bookings take up to 2.2 s, and some callers send on connections that were idle for seconds.

--- a/platform_soak/callers.py
+++ b/platform_soak/callers.py
@@ -4,7 +4,6 @@
 import dataclasses
 import random
 import uuid
-from collections.abc import Sequence
 
 from platform_soak.balancer import Balancer
 from platform_soak.clients import ATTEMPT_DIGITS, CONNECT_S, Call, Shape
@@ -12,8 +11,6 @@
 from platform_soak.messages import encode, read_message
 from platform_soak.record import Record
 
-#: Longest pause between two requests of a caller, in seconds.
-MAX_PAUSE_S = 0.25
 #: Longest time that a caller waits for Retry-After, in seconds.
 MAX_RETRY_AFTER_S = 1.0
 #: Answers that promise that a request has not run and never will.
@@ -21,6 +18,16 @@
 MS_PER_S = 1000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Habit:
+    """What a caller sends."""
+
+    #: Requests that it draws from.
+    shapes: tuple[Shape, ...]
+    #: Longest pause between two of them, in seconds.
+    pause_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Connection:
     host: EntryHost
@@ -47,11 +54,11 @@
         self._draw = draw
         self._connection: _Connection | None = None
 
-    async def run(self, shapes: Sequence[Shape], until: float) -> None:
-        """Send requests of drawn shapes until a time of the record."""
+    async def run(self, habit: Habit, until: float) -> None:
+        """Send requests until a time of the record."""
         while self._record.now < until:
-            await self._request(self._draw.choice(shapes))
-            await asyncio.sleep(self._draw.uniform(0, MAX_PAUSE_S))
+            await self._request(self._draw.choice(habit.shapes))
+            await asyncio.sleep(self._draw.uniform(0, habit.pause_s))
         self._close()
 
     async def _request(self, shape: Shape) -> None:
--- a/platform_soak/clients.py
+++ b/platform_soak/clients.py
@@ -65,7 +65,13 @@
     ) -> Call:
         """Send a request from a zone and return how it ended."""
         chosen = host or self._balancer.choose(zone)
-        call = Call(uuid.uuid4().hex[:ATTEMPT_DIGITS], chosen, shape.path)
+        call = Call(
+            uuid.uuid4().hex[:ATTEMPT_DIGITS],
+            chosen,
+            shape.path,
+            repeatable=shape.repeatable,
+            started_at=self._record.now,
+        )
         self.calls.append(call)
         try:
             async with asyncio.timeout(shape.deadline_ms / 1000):
--- a/platform_soak/deployment.py
+++ b/platform_soak/deployment.py
@@ -3,8 +3,9 @@
 import asyncio
 import random
 import tempfile
+import types
+from collections.abc import Mapping
 from pathlib import Path
-from types import MappingProxyType
 
 from platform_soak.balancer import Balancer
 from platform_soak.clients import Clients
@@ -14,9 +15,12 @@
 from platform_soak.store import Store
 
 #: Hosts of the small site in each zone.
-HOSTS = MappingProxyType({'marmara-a': 2, 'ege-a': 3, 'ic-anadolu-a': 1})
+HOSTS = types.MappingProxyType({'marmara-a': 2, 'ege-a': 3, 'ic-anadolu-a': 1})
 #: Longest time until all hosts are ready, in seconds.
 START_S = 12.0
+#: Requests that a server runs at a time.
+SLOTS = 4
+USUAL_SLOTS: Mapping[str, int] = types.MappingProxyType({})
 #: Ranges of the second and third byte of the loopback addresses of a run.
 SECOND_BYTES = (16, 250)
 THIRD_BYTES = (1, 250)
@@ -30,12 +34,19 @@
 class Deployment:
     """The processes and stand-ins of one case."""
 
-    def __init__(self, seed: int, logs: Path | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        logs: Path | None = None,
+        slots: Mapping[str, int] = USUAL_SLOTS,
+    ) -> None:
         """Create a deployment that does not run yet.
 
         Settings and logs of the hosts go to the folder ``logs``, or to one
-        that is removed at the end.
+        that is removed at the end. ``slots`` has the number of requests that
+        a server runs at a time, by service, where it is not `SLOTS`.
         """
+        self._slots = slots
         self.record = Record()
         self.store = Store(self.record)
         self.servers: list[Server] = []
@@ -73,7 +84,8 @@
         await self.store.put('op/config', config)
         for service, zones in servers.items():
             for zone in zones:
-                await self.build_server(service, zone).start()
+                slots = self._slots.get(service, SLOTS)
+                await self.build_server(service, zone, slots).start()
         for number, (name, zone) in enumerate(names, 10):
             host = EntryHost(
                 name, zone, f'{self._net}.{number}', stores[name], self._logs
@@ -83,10 +95,17 @@
         self.balancer.start()
         await self._wait_ready()
 
-    def build_server(self, service: str, zone: str) -> Server:
+    def build_server(
+        self, service: str, zone: str, slots: int = SLOTS
+    ) -> Server:
         """Return a new server that does not run yet."""
         server = Server(
-            self.record, self.store, service, zone, f'{self._net}.2'
+            self.record,
+            self.store,
+            service,
+            zone,
+            f'{self._net}.2',
+            slots,
         )
         self.servers.append(server)
         return server
--- a/platform_soak/plan.py
+++ b/platform_soak/plan.py
@@ -3,6 +3,7 @@
 A plan is written as JSON, which can be edited and played again.
 """
 
+import itertools
 import random
 import types
 from collections.abc import Callable, Mapping
@@ -134,6 +135,9 @@
 )
 
 
+_Maker = Callable[[random.Random, float, int], Fault]
+
+
 class Plan(msgspec.Struct, frozen=True):
     """What happens in one run."""
 
@@ -146,18 +150,30 @@
 def make_plan(seed: int, length_s: float, target_count: int) -> Plan:
     """Return the plan of a seed."""
     draw = random.Random(seed)
+    makers = _draw_kinds(draw)
     faults: list[Fault] = []
     at_s = CALM_START_S
     while True:
         at_s += draw.expovariate(1 / FAULT_INTERVAL_S)
         if at_s > length_s - CALM_END_S:
             return Plan(seed, length_s, tuple(faults))
-        make = draw.choices(
-            tuple(_MAKERS), weights=tuple(_MAKERS.values()), k=1
-        )[0]
+        make = draw.choice(makers)
         faults.append(make(draw, round(at_s, 2), target_count))
 
 
+def _draw_kinds(draw: random.Random) -> list[_Maker]:
+    """Return the kinds of faults of a run, those drawn most often repeated.
+
+    Each run leaves out many kinds: a fault that excuses what another one
+    breaks, such as an outage of the store, would hide it in every run.
+    """
+    makers: list[_Maker] = []
+    for make, weight in _MAKERS.items():
+        if make in _IN_EACH_RUN or draw.randrange(3) == 0:
+            makers.extend(itertools.repeat(make, weight))
+    return makers
+
+
 def write_plan(plan: Plan, path: Path) -> None:
     """Write a plan as JSON."""
     path.write_bytes(msgspec.json.format(msgspec.json.encode(plan)))
@@ -263,7 +279,6 @@
     )
 
 
-_Maker = Callable[[random.Random, float, int], Fault]
 #: How often each kind of fault is drawn.
 _MAKERS: Mapping[_Maker, int] = types.MappingProxyType(
     {
@@ -282,3 +297,5 @@
         _close_data_centre: 1,
     }
 )
+#: Kinds that each run has: without them there is nothing to miss.
+_IN_EACH_RUN = frozenset((_change_configuration, _leave_target))
--- a/platform_soak/runner.py
+++ b/platform_soak/runner.py
@@ -3,9 +3,10 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Iterator
 from pathlib import Path
 
-from platform_soak.callers import KeepingCaller
+from platform_soak.callers import Habit, KeepingCaller
 from platform_soak.checks import Breach, check_all
 from platform_soak.clients import Shape
 from platform_soak.configurations import (
@@ -28,18 +29,33 @@
 SEARCH_DEADLINE_MS = 1500
 #: Callers of each data centre.
 CALLERS_PER_ZONE = 4
+#: Longest pause between two requests of these, in seconds.
+MIXED_PAUSE_S = 0.25
 #: Time for which targets work on a request, in seconds.
 WORK_S = 0.08
 SHARD_WORK_S = 0.02
+#: Longest time for which they work on a booking, in seconds.
+BOOKING_WORK_S = 2.2
+#: Bookings that a target runs at a time.
+BOOKING_SLOTS = 30
+#: Callers of each data centre that send one booking after the other.
+BOOKERS_PER_ZONE = 2
+#: Bookings a second in each data centre, each on a new connection.
+BOOKINGS_PER_S = 20
+#: Callers of each data centre that send bookings on connections that were idle
+#: for a while, and the longest such time, in seconds.
+IDLE_BOOKERS_PER_ZONE = 8
+IDLE_S = 5.0
 #: Interval of looking for processes that have ended, in seconds.
 WATCH_INTERVAL_S = 0.1
 KB_PER_MB = 1024
 #: Zones of the targets of a service: two in each, so that one may be lost.
 SERVICE_ZONES = (*ZONES, *ZONES)
 SHARD_ZONES = ZONES[:2]
+BOOKING = Shape('POST', HOST_NAME, '/book/1', DEADLINE_MS, b'{"visit": 1}')
 SHAPES = (
     Shape('GET', HOST_NAME, '/lookup/1', DEADLINE_MS, repeatable=True),
-    Shape('POST', HOST_NAME, '/book/1', DEADLINE_MS, b'{"visit": 1}'),
+    BOOKING,
     Shape('GET', HOST_NAME, f'{MOVED_PREFIX}1', DEADLINE_MS, repeatable=True),
     Shape('GET', HOST_NAME, '/search/1', SEARCH_DEADLINE_MS, repeatable=True),
 )
@@ -81,7 +97,7 @@
     Raises ``NotStartedError`` if the hosts do not become ready.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    deployment = Deployment(plan.seed, folder)
+    deployment = Deployment(plan.seed, folder, {BOOKING_SERVICE: BOOKING_SLOTS})
     configurations = Configurations(deployment.store, deployment.record)
     disruptions = Disruptions()
     ends: dict[str, list[float]] = {}
@@ -126,29 +142,37 @@
         disruptions.add(host.name, 0, start_at)
     for server in deployment.servers:
         server.work_s = SHARD_WORK_S if server.service in SHARDS else WORK_S
+        if server.service == BOOKING_SERVICE:
+            server.longest_work_s = BOOKING_WORK_S
     injector = FaultInjector(deployment, configurations, disruptions)
     faults = asyncio.create_task(injector.play(plan.faults, start_at))
     until = start_at + plan.length_s
+    clients = deployment.clients
+    steady = [
+        clients.send_steadily(BOOKING, zone, BOOKINGS_PER_S, plan.length_s)
+        for zone in ZONES
+    ]
     callers = [
         KeepingCaller(
             deployment.balancer,
             record,
-            deployment.clients.calls,
+            clients.calls,
             zone,
             random.Random(f'{plan.seed}/{zone}/{number}'),
-        ).run((*SHAPES, *_probes()), until)
+        ).run(habit, until)
         for zone in ZONES
-        for number in range(CALLERS_PER_ZONE)
+        for number, habit in enumerate(_habits())
     ]
     try:
-        await asyncio.gather(*callers)
+        await asyncio.gather(*callers, *steady)
+        await clients.finish()
         calm_from = _calm_from(plan, start_at)
         await faults
     finally:
         injector.cancel()
         faults.cancel()
     return History(
-        calls=deployment.clients.calls,
+        calls=clients.calls,
         events=record.events,
         versions=configurations.versions,
         evacuations=configurations.evacuations,
@@ -176,6 +200,16 @@
     )
 
 
+def _habits() -> Iterator[Habit]:
+    """Yield what each caller of a data centre does."""
+    for _ in range(CALLERS_PER_ZONE):
+        yield Habit((*SHAPES, *_probes()), MIXED_PAUSE_S)
+    for _ in range(BOOKERS_PER_ZONE):
+        yield Habit((BOOKING,), 0)
+    for _ in range(IDLE_BOOKERS_PER_ZONE):
+        yield Habit((BOOKING,), IDLE_S)
+
+
 def _probes() -> tuple[Shape, ...]:
     """Return requests of routes that versions add and remove."""
     return tuple(
--- a/platform_soak/servers.py
+++ b/platform_soak/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 import uuid
 from collections import deque
@@ -50,6 +51,9 @@
         self.address = ''
         #: Time for which it works on a request, in seconds.
         self.work_s = 0.06
+        #: Longest time for which it works, drawn for each request; 0 if all
+        #: take ``work_s``.
+        self.longest_work_s: float = 0
         #: Time for which it is cold after a start during traffic, in seconds.
         self.cold_s: float = 0
         #: Requests in one second beyond which it crashes while it is cold.
@@ -100,9 +104,7 @@
         self._sequence = 0
         self._running = 0
         self._waiting = 0
-        self._listener = await asyncio.start_server(
-            self._serve, self._ip, self._port
-        )
+        self._listener = await self._listen()
         self._port = self._listener.sockets[0].getsockname()[1]
         self.address = f'{self._ip}:{self._port}'
         self._down = False
@@ -116,6 +118,13 @@
         )
         self._beats = asyncio.create_task(self._beat(self.identity))
 
+    async def _listen(self) -> asyncio.Server:
+        """Listen on the port of before, or on another one if it is taken."""
+        try:
+            return await asyncio.start_server(self._serve, self._ip, self._port)
+        except OSError:
+            return await asyncio.start_server(self._serve, self._ip, 0)
+
     async def crash(self) -> None:
         """End without a word: connections are reset, the entry lapses."""
         self._down = True
@@ -292,6 +301,11 @@
             self._waiting -= 1
         return True
 
+    def _draw_work_s(self) -> float:
+        if not self.longest_work_s:
+            return self.work_s
+        return random.uniform(self.work_s, self.longest_work_s)
+
     async def _work(
         self,
         request: Message,
@@ -305,7 +319,7 @@
             raise CrashError
         closed = asyncio.create_task(_wait_closed(reader))
         try:
-            async with asyncio.timeout(self.work_s):
+            async with asyncio.timeout(self._draw_work_s()):
                 await closed
         except TimeoutError:
             return
