Streams between hosts: a withdrawn host finishes what it has

A host that is being stopped withdraws its registration at once. The other hosts then closed their streams to it with the next check, within 0.5 s, and counted their requests there as lost, though the stopping host was finishing them; it cancelled them at the targets when the stream ended. A relayed request that may not be repeated failed.

The stream to a host that is no longer registered now stays until no request waits for a reply. It is pinged meanwhile, so a dead host is still noticed. New requests don't go there, as the host is not listed.

--- a/oriolestage/entry/_peer_client.py
+++ b/oriolestage/entry/_peer_client.py
@@ -107,9 +107,14 @@
     async def check_links(self, addresses: set[str]) -> dict[str, LinkState]:
         """Open, ping and close streams; return their states by address.
 
-        Streams to hosts that are not in ``addresses`` are closed.
+        Streams to hosts that are not in ``addresses`` are closed once no
+        request waits for a reply: a host that is being stopped finishes those
+        that it has.
         """
         for address in self._links.keys() - addresses:
+            if self._links[address].waiting_count:
+                self._links[address].check_liveness()
+                continue
             self._links.pop(address).close('link.unregistered')
         links = {
             address: self._links.setdefault(
--- a/oriolestage/entry/_peer_link.py
+++ b/oriolestage/entry/_peer_link.py
@@ -69,6 +69,11 @@
         #: Whether the host reaches no target, by its last pong.
         self._cut_off: bool | None = None
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests that wait for a reply."""
+        return len(self._pending) + len(self._relayed)
+
     def check_liveness(self) -> LinkState:
         """Ping an idle stream, close an unresponsive one, return its state."""
         now = time.monotonic()
@@ -166,7 +171,7 @@
             {
                 'step': step,
                 'peer': self._address,
-                'waiting': len(self._pending) + len(self._relayed),
+                'waiting': self.waiting_count,
             },
         )
         for replies in self._pending.values():
--- a/oriolestage/entry/tests/test_stopped_peer.py
+++ b/oriolestage/entry/tests/test_stopped_peer.py
@@ -117,6 +117,25 @@
         assert isinstance(answered, BatchAnswered)
         self.assertEqual(set(answered.signatures), set(SERVICES))
 
+    async def test_withdrawn_host(self) -> None:
+        """Guards against a stream that is closed before its replies came.
+
+        A host that is being stopped is no longer registered, but finishes
+        the requests that it has.
+        """
+        for ask in (self._relay, self._gather):
+            self._targets.started.clear()
+            self._targets.go_on.clear()
+            asking = asyncio.create_task(ask(LEFT_S))
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                await self._targets.started.wait()
+            await self._client.check_links(set())
+            self._targets.go_on.set()
+            outcome = await asking
+            last = outcome[-1] if isinstance(outcome, list) else outcome
+            with self.subTest(ask=ask.__name__):
+                self.assertIsInstance(last, AttemptAnswered | BatchAnswered)
+
     async def test_requests_in_flight(self) -> None:
         """Guards against a stop that does not wait for batches."""
         for ask in (self._relay, self._gather):
