Entry host: the checks of streams get a module of their own

The code is moved unchanged, except that it gets the three components that it uses instead of the whole host.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -12,6 +12,7 @@
 from oriolestage.entry._control_server import ControlServer
 from oriolestage.entry._crash_tracking import CrashReporter, CrashTrackingSender
 from oriolestage.entry._host_registration import HostRegistration
+from oriolestage.entry._link_checks import check_links
 from oriolestage.entry._listening import listen_on
 from oriolestage.entry._metrics import EntryMetrics
 from oriolestage.entry._peer_client import PeerClient
@@ -37,8 +38,6 @@
 #: Timeout for the first read of the store, in seconds. Callers that connect
 #: meanwhile wait in the backlog; a read takes about 20 ms.
 FIRST_READ_TIMEOUT_S = 0.4
-#: Interval of checking the streams to other hosts, in seconds.
-LINK_CHECK_INTERVAL_S = 0.5
 #: Name of the background work that registers this host.
 REGISTER = 'register'
 
@@ -89,7 +88,10 @@
         (REGISTER, host.registration.run),
         ('report_crashes', host.crash_reporter.run),
         ('probe_reach', host.reach_probe.run),
-        ('links', lambda: _check_links(host)),
+        (
+            'links',
+            lambda: check_links(host.peers, host.peer_client, host.follower),
+        ),
     )
     tasks = {
         name: asyncio.create_task(
@@ -267,39 +269,6 @@
     )
 
 
-async def _check_links(host: EntryHost) -> None:
-    """Keep streams to other hosts open and track their state.
-
-    Runs until cancelled and logs each change of state.
-    """
-    while True:
-        addresses = (
-            host.peers.remote_addresses() | host.peers.own_region_addresses()
-        )
-        links = await host.peer_client.check_links(addresses)
-        now = time.monotonic()
-        own = host.follower.freshness
-        for address, link in links.items():
-            state = host.peers.record_link_state(address, link, own, now)
-            if state is None:
-                continue
-            known = link.freshness
-            log_event(
-                f'peer_{state.value}',
-                {
-                    'step': 'link',
-                    'peer': address,
-                    'heard_ago_s': now - link.heard_at,
-                    'revision': 'unknown' if known is None else known.revision,
-                    'own_revision': own.revision,
-                    'era': 'none' if known is None else known.era,
-                    'own_era': own.era,
-                    'store_age_s': 'unknown' if known is None else known.age_s,
-                },
-            )
-        await asyncio.sleep(LINK_CHECK_INTERVAL_S)
-
-
 def _log_change(change: StateChange) -> None:
     log_event(change.event, dict(change.fields))
 
