--- a/platform_soak/faults.py
+++ b/platform_soak/faults.py
@@ -61,8 +61,8 @@
     async def _inject(self, fault: plan.Fault) -> None:
         deployment = self._deployment
         match fault:
-            case plan.StopHost(host=number):
-                await self._stop(deployment.hosts[number])
+            case plan.StopHost(host=number, down_s=down_s):
+                await self._stop(deployment.hosts[number], down_s)
             case plan.KillHost(host=number, down_s=down_s):
                 await self._kill(deployment.hosts[number], down_s)
             case plan.PauseHost(host=number, for_s=for_s):
@@ -105,7 +105,7 @@
                 await asyncio.sleep(for_s)
                 await store.remove(ODD_KEY)
 
-    async def _stop(self, host: EntryHost) -> None:
+    async def _stop(self, host: EntryHost, down_s: float) -> None:
         if host.name in self._restarting:
             return
         self._restarting.add(host.name)
@@ -117,6 +117,7 @@
         self._record.add('stopped', host=host.name, in_time=ended)
         if not ended:
             host.send(signal.SIGKILL)
+        await asyncio.sleep(down_s)
         await self._start_again(host, start)
 
     async def _kill(self, host: EntryHost, down_s: float) -> None:
--- a/platform_soak/plan.py
+++ b/platform_soak/plan.py
@@ -22,6 +22,8 @@
 #: Longest times for which a host is paused and the store is away, in seconds.
 MAX_PAUSE_S = 4.0
 MAX_STORE_S = 6.0
+#: Time until a host that was stopped is replaced, in seconds.
+MAX_DOWN_S = 4.0
 STORE_WAYS = ('busy', 'silent', 'reset')
 ODD_ENTRIES = ('nested', 'number', 'port', 'bytes', 'types')
 BROKEN_ANSWERS = ('head', 'body', 'reset', 'extra', 'garbage', 'status_500')
@@ -37,6 +39,8 @@
     """SIGTERM, SIGKILL at the end of the grace, and a start after that."""
 
     host: int
+    #: Time between the end and the start, in seconds.
+    down_s: float = 0
 
 
 class KillHost(_Fault, frozen=True, tag=True):
@@ -145,6 +149,8 @@
     #: Length of the traffic, in seconds.
     length_s: float
     faults: tuple[Fault, ...]
+    #: Bookings a second in each data centre, each on a new connection.
+    bookings_per_s: float = 15
 
 
 def make_plan(seed: int, length_s: float, target_count: int) -> Plan:
@@ -196,7 +202,8 @@
 
 
 def _stop_host(draw: random.Random, at_s: float, _: int) -> Fault:
-    return StopHost(at_s=at_s, host=_host(draw))
+    down_s = draw.choice((0, 0, MAX_DOWN_S))
+    return StopHost(at_s=at_s, host=_host(draw), down_s=down_s)
 
 
 def _kill_host(draw: random.Random, at_s: float, _: int) -> Fault:
--- a/platform_soak/runner.py
+++ b/platform_soak/runner.py
@@ -40,8 +40,6 @@
 BOOKING_SLOTS = 30
 #: Callers of each data centre that send one booking after the other.
 BOOKERS_PER_ZONE = 2
-#: Bookings a second in each data centre, each on a new connection.
-BOOKINGS_PER_S = 20
 #: Callers of each data centre that send bookings on connections that were idle
 #: for a while, and the longest such time, in seconds.
 IDLE_BOOKERS_PER_ZONE = 8
@@ -140,39 +138,18 @@
     start_at = record.now
     for host in deployment.hosts:
         disruptions.add(host.name, 0, start_at)
-    for server in deployment.servers:
-        server.work_s = SHARD_WORK_S if server.service in SHARDS else WORK_S
-        if server.service == BOOKING_SERVICE:
-            server.longest_work_s = BOOKING_WORK_S
+    _set_work(deployment)
     injector = FaultInjector(deployment, configurations, disruptions)
     faults = asyncio.create_task(injector.play(plan.faults, start_at))
-    until = start_at + plan.length_s
-    clients = deployment.clients
-    steady = [
-        clients.send_steadily(BOOKING, zone, BOOKINGS_PER_S, plan.length_s)
-        for zone in ZONES
-    ]
-    callers = [
-        KeepingCaller(
-            deployment.balancer,
-            record,
-            clients.calls,
-            zone,
-            random.Random(f'{plan.seed}/{zone}/{number}'),
-        ).run(habit, until)
-        for zone in ZONES
-        for number, habit in enumerate(_habits())
-    ]
     try:
-        await asyncio.gather(*callers, *steady)
-        await clients.finish()
+        await _send_requests(plan, deployment, start_at + plan.length_s)
         calm_from = _calm_from(plan, start_at)
         await faults
     finally:
         injector.cancel()
         faults.cancel()
     return History(
-        calls=clients.calls,
+        calls=deployment.clients.calls,
         events=record.events,
         versions=configurations.versions,
         evacuations=configurations.evacuations,
@@ -189,6 +166,37 @@
     )
 
 
+def _set_work(deployment: Deployment) -> None:
+    """Set how long targets work on a request."""
+    for server in deployment.servers:
+        server.work_s = SHARD_WORK_S if server.service in SHARDS else WORK_S
+        if server.service == BOOKING_SERVICE:
+            server.longest_work_s = BOOKING_WORK_S
+
+
+async def _send_requests(
+    plan: Plan, deployment: Deployment, until: float
+) -> None:
+    """Let all callers send their requests until a time of the record."""
+    clients = deployment.clients
+    work = [
+        clients.send_steadily(BOOKING, zone, plan.bookings_per_s, plan.length_s)
+        for zone in ZONES
+    ]
+    for zone in ZONES:
+        for number, habit in enumerate(_habits()):
+            caller = KeepingCaller(
+                deployment.balancer,
+                deployment.record,
+                clients.calls,
+                zone,
+                random.Random(f'{plan.seed}/{zone}/{number}'),
+            )
+            work.append(caller.run(habit, until))
+    await asyncio.gather(*work)
+    await clients.finish()
+
+
 def _calm_from(plan: Plan, start_at: float) -> float:
     """Return the time from which callers have to be served as usual."""
     last_s = max((fault.at_s for fault in plan.faults), default=0)
