An entry that lacks fields of a registration names no target

The entry of another writer was used if the fields that a host needs were there. All fields that the platform's entries have are required now, with their types; born stays optional, as the platform's example does not have it.

Evidence: five cases of test_incomplete failed before. The entries of two tests gained the fields; the nested lists of test_stalled_follower stand in a field that no host knows, so that they still reach the depth of the decoder.

--- a/oriolestage/platform/_documents.py
+++ b/oriolestage/platform/_documents.py
@@ -58,7 +58,10 @@
     zone: str
     concurrency_limit: Annotated[int, msgspec.Meta(ge=1, le=MAX_CONCURRENCY)]
     state: str
-    warmup_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARM_UP_MS)] = 0
+    warmup_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARM_UP_MS)]
+    # The next two are not used; an entry without them is of another writer.
+    version: str
+    sequence: int
     # Start of the process, Unix time in milliseconds.
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_STARTED_MS)] = 0
 
--- a/oriolestage/platform/tests/test_documents.py
+++ b/oriolestage/platform/tests/test_documents.py
@@ -141,6 +141,21 @@
                 if isinstance(decoded, UnreadableItem):
                     self.assertEqual(decoded.target, 'i-1')
 
+    def test_incomplete(self) -> None:
+        """Guards against using the entry of another writer.
+
+        The platform's entries have all of these fields, with these types.
+        """
+        for field in REGISTRATION.keys() - {'born'}:
+            document = {**REGISTRATION}
+            document.pop(field)
+            for changed in (document, {**document, field: []}):
+                with self.subTest(field=field, value=changed.get(field)):
+                    decoded = decode_item(
+                        'servers/i-1', json.dumps(changed).encode()
+                    )
+                    self.assertIsInstance(decoded, UnreadableItem)
+
     def test_keys(self) -> None:
         """The prefix of a key selects what an item or its removal means."""
         self.assertEqual(
--- a/oriolestage/platform/tests/test_stalled_follower.py
+++ b/oriolestage/platform/tests/test_stalled_follower.py
@@ -34,10 +34,13 @@
             'zone': 'dc-a',
             'concurrencyLimit': 2,
             'state': 'ready',
+            'warmupLeftMs': 0,
+            'version': 'v1',
+            'sequence': 1,
         },
     )
     lists = b'[' * NESTING_LEVELS + b']' * NESTING_LEVELS
-    return entry.removesuffix(b'}') + b',"version":' + lists + b'}'
+    return entry.removesuffix(b'}') + b',"note":' + lists + b'}'
 
 
 def long_configuration(version: int) -> dict[str, object]:
--- a/oriolestage/platform/tests/test_store_restored.py
+++ b/oriolestage/platform/tests/test_store_restored.py
@@ -34,6 +34,9 @@
     'zone': 'dc-a',
     'concurrencyLimit': 2,
     'state': 'ready',
+    'version': 'v1',
+    'sequence': 1,
+    'warmupLeftMs': 0,
     'born': 77,
 }
 HOST = HostRecord('host-1', 'dc-a', '127.0.0.1:9')
