--- a/oriolestage/entry/tests/test_repeated_replies.py
+++ b/oriolestage/entry/tests/test_repeated_replies.py
@@ -7,14 +7,11 @@
 from oriolestage.entry._compressed_frames import FrameReader, FrameWriter
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_messages import (
-    GatherReply,
-    GatherRequest,
-    RelayAnswered,
     RelayRequest,
-    ToPeer,
     decode_to_peer,
     encode,
 )
+from oriolestage.entry.tests.broken_streams import reply_to
 from oriolestage.entry.tests.peer_requests import make_gather_request
 from oriolestage.routing._answers import AttemptAnswered
 from oriolestage.routing._run_types import BatchAnswered
@@ -26,28 +23,6 @@
 COPY_DELAY_S = 0.01
 
 
-def _reply(message: ToPeer) -> bytes:
-    """Return a reply that names the request."""
-    match message:
-        case GatherRequest(number=number, request_id=name):
-            return encode(
-                GatherReply(
-                    number=number,
-                    signatures={'shard-0': name},
-                    body=b'',
-                    bodies={},
-                    failed=(),
-                    final=True,
-                    work_s=0.01,
-                    revision=1,
-                    age_ms=0,
-                )
-            )
-        case RelayRequest(number=number, request_id=name):
-            return encode(RelayAnswered(number, 200, (), name.encode(), 's'))
-    return b''
-
-
 async def _serve_twice(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
@@ -57,7 +32,7 @@
     earlier = b''
     with contextlib.suppress(asyncio.IncompleteReadError, OSError):
         while True:
-            reply = _reply(decode_to_peer(await requests.read()))
+            reply = reply_to(decode_to_peer(await requests.read()))
             if not reply:
                 continue
             if earlier:
--- a/oriolestage/platform/tests/test_documents.py
+++ b/oriolestage/platform/tests/test_documents.py
@@ -4,6 +4,7 @@
 import unittest
 
 from oriolestage.platform._documents import decode_item, decode_removal
+from oriolestage.platform.tests.stored_items import REGISTRATION
 from oriolestage.routing._facts import (
     ConfigurationStored,
     DataCentreClosed,
@@ -31,17 +32,6 @@
     'maxAttempts': 2,
     'allowedRegions': ['north'],
 }
-REGISTRATION = {  # noqa: WPS407
-    'service': 's-1',
-    'address': '10.0.0.1:80',
-    'zone': 'dc-a',
-    'version': 'v1',
-    'concurrencyLimit': 2,
-    'state': 'ready',
-    'warmupLeftMs': 1500,
-    'sequence': 4,
-    'born': 77,
-}
 
 
 def _configuration(**route: object) -> bytes:
