--- a/oriolestage/entry/tests/test_repeated_replies.py
+++ b/oriolestage/entry/tests/test_repeated_replies.py
@@ -9,7 +9,6 @@
 from oriolestage.entry._peer_messages import (
     RelayRequest,
     decode_to_peer,
-    encode,
 )
 from oriolestage.entry.tests.broken_streams import reply_to
 from oriolestage.entry.tests.peer_requests import make_gather_request
