A nested answer to the registration is a failed call

RecursionError passed through the calls with leases and ended the task of the registration, which starts again and reads the same item. The new test ended with it before.

--- a/oriolestage/platform/_leased_items.py
+++ b/oriolestage/platform/_leased_items.py
@@ -179,13 +179,14 @@
     def _decode(self, body: bytes, kind: type[_Shape]) -> _Shape:
         """Decode a body.
 
-        Raises :class:`StoreError` if it does not match ``kind``.
+        Raises :class:`StoreError` if that fails, whatever the error is: deep
+        nesting is none of the decoder's own errors.
         """
         try:
             return msgspec.json.decode(body, type=kind)
-        except msgspec.DecodeError as error:
+        except Exception as error:
             raise StoreError(
-                'store.decode', self._calls.address, str(error)
+                'store.decode', self._calls.address, repr(error)
             ) from error
 
 
--- a/oriolestage/platform/tests/test_store.py
+++ b/oriolestage/platform/tests/test_store.py
@@ -137,6 +137,15 @@
                 with self.assertRaises(AnswerRejectedError):
                     await self._client.read_all()
 
+    async def test_nested_answer_to_registration(self) -> None:
+        """Guards against an error that ends the task of the registration."""
+        lists = b'[' * NESTING_LEVELS + b']' * NESTING_LEVELS
+        nested = b'{"items":[{"key":"hosts/h","value":%b}]}' % lists
+        record = HostRecord('h', 'dc-a', '10.0.0.1:80')
+        self._answers = [(200, nested)]
+        with self.assertRaises(StoreError):
+            await self._client.register_host(record, Lease(None, 7))
+
     async def test_answers_that_may_change(self) -> None:
         """A store that is busy or down is called again."""
         for status in (408, 429, 500, 502, 503):
