Two checks that could pass without asserting assert what they name

test_merged_shard_is_not_merged_again had no result to check: its run had not ended. test_no_automatic_retry looked at the first outcome only, and its target never broke the connection. The new ones demand the whole result, and two requests on the wire with the second one lost.

--- a/oriolestage/platform/tests/target_calls.py
+++ b/oriolestage/platform/tests/target_calls.py
@@ -103,7 +103,10 @@
                     return
                 self.received += request
                 time.sleep(self._delay_s)
-                connection.sendall(self._answers.pop(0))
+                answer = self._answers.pop(0)
+                if not answer and not self._reset:
+                    return
+                connection.sendall(answer)
                 if self._reset:
                     connection.setsockopt(
                         socket.SOL_SOCKET,
--- a/oriolestage/platform/tests/test_target_wire.py
+++ b/oriolestage/platform/tests/test_target_wire.py
@@ -146,9 +146,11 @@
 
     def test_no_automatic_retry(self) -> None:
         """The HTTP library does not repeat a request by itself."""
-        target = RawTarget(COMPLETE_ANSWER, b'', COMPLETE_ANSWER, reset=False)
+        target = RawTarget(COMPLETE_ANSWER, b'', COMPLETE_ANSWER)
         outcomes = run_calls(target, 2)
         self.assertIsInstance(outcomes[0], AttemptAnswered)
+        self.assertIsInstance(outcomes[1], AttemptLost)
+        self.assertEqual(target.received.count(b' HTTP/1.1'), 2)
 
     def test_non_idempotent_uses_new_connections(self) -> None:
         """A non-idempotent request never reuses a connection.
--- a/oriolestage/routing/tests/test_gather_run.py
+++ b/oriolestage/routing/tests/test_gather_run.py
@@ -1,5 +1,6 @@
 """Tests of queries over the shards of a group."""
 
+import dataclasses
 import unittest
 
 from oriolestage.routing._answers import (
@@ -107,17 +108,26 @@
         hedges = self._run.on_timer(self._run.wake_at)
         second = batches_in(hedges)[0]
         self.assertFalse(second.merged)
-        self._run.on_batch_outcome(second.batch, self._batch_reply(second), 0.1)
-        ended = self._run.on_batch_outcome(
-            batch.batch,
-            self._batch_reply(batch),
-            0.11,
+        late = frozenset(part.service for part in second.parts[1:])
+        first_reply = self._batch_reply(second, late)
+        hedged = dict.fromkeys(first_reply.bodies, b'y' * 16)
+        self.assertEqual(len(hedged), 1)
+        unfinished = self._run.on_batch_outcome(
+            second.batch,
+            dataclasses.replace(first_reply, body=b'', bodies=hedged),
+            0.1,
         )
-        result = result_in(ended) or result_in(
-            self._run.on_timer(self._rule.objective_s),
+        self.assertIsNone(result_in(unfinished))
+        merged = dataclasses.replace(self._batch_reply(batch), body=b'z' * 16)
+        result = result_in(
+            self._run.on_batch_outcome(batch.batch, merged, 0.11)
         )
-        if isinstance(result, Gathered):
-            self.assertEqual(len(set(result.signatures)), 20)
+        assert isinstance(result, Gathered)
+        self.assertEqual(result.missing, 0)
+        self.assertEqual(len(result.signatures), 20)
+        self.assertEqual(len(set(result.signatures)), 20)
+        self.assertEqual(result.body.count(b'z' * 16), 1)
+        self.assertNotIn(b'y', result.body)
 
     def test_hedge_does_not_raise_floor(self) -> None:
         """Records that may still be replaced do not raise the floor.
