Quote log values with control characters

An engineer on call who reads the log in a terminal saw lines that were hidden or cut: a key, route or header from outside with an escape sequence was written as it came, and readers that take a form feed, a next-line character or a line separator for the end of a line found half an event.

Only spaces, quotes, equals signs, tabs and line ends led to a quoted value. Now every value with a character that cannot be printed is quoted, with the characters escaped; other text, also beyond ASCII, is written as before.

Before: test_logging.ValueTest fails for the seven values with such characters other than the tab. Now it passes.

--- a/oriolestage/_logging.py
+++ b/oriolestage/_logging.py
@@ -15,8 +15,12 @@
 
 from absl import flags, logging
 
-#: A value that contains one of these characters is quoted.
-QUOTED_CHARACTERS = frozenset(' ="\n\r\t')
+#: A value that contains one of these characters is quoted, and so is one with
+#: characters that cannot be printed.
+QUOTED_CHARACTERS = frozenset(' ="')
+#: The only control character that JSON does not escape.
+DELETE = '\x7f'
+ESCAPED_DELETE = r'\u007f'
 #: Longer lines are cut to this length. A pipe takes a line of this size in
 #: one piece.
 MAX_LINE_CHARACTERS = 2000
@@ -185,6 +189,7 @@
     if isinstance(content, float):
         return f'{content:.4g}'
     text = str(content)
-    if not text or QUOTED_CHARACTERS.intersection(text):
-        return json.dumps(text)
+    plain = text.isprintable() and QUOTED_CHARACTERS.isdisjoint(text)
+    if not text or not plain:
+        return json.dumps(text).replace(DELETE, ESCAPED_DELETE)
     return text
--- a/oriolestage/daemon/tests/test_logging.py
+++ b/oriolestage/daemon/tests/test_logging.py
@@ -10,6 +10,24 @@
     LibraryLineLimiter,
     LineFormatter,
     NonBlockingStream,
+    log_event,
+)
+
+#: Values from outside, and how they are written.
+WRITTEN_VALUES = (
+    ('plain', 'plain'),
+    ('', '""'),
+    ('two words', '"two words"'),
+    ('a=b', '"a=b"'),
+    ('/caf\u00e9', '/caf\u00e9'),
+    ('tab\t', r'"tab\t"'),
+    ('cut\x1b[2K', r'"cut\u001b[2K"'),
+    ('nul\x00', r'"nul\u0000"'),
+    ('rub\x7fout', r'"rub\u007fout"'),
+    ('page\x0cline\x0b', r'"page\fline\u000b"'),
+    ('next\x85line', r'"next\u0085line"'),
+    ('line\u2028separator', r'"line\u2028separator"'),
+    ('\udcff', r'"\udcff"'),
 )
 
 
@@ -35,6 +53,26 @@
         )
 
 
+class ValueTest(TestCase):
+    """Values from outside stay within their pair of an event."""
+
+    def test_characters(self) -> None:
+        """Guards against control characters that hide or split a line.
+
+        A terminal acts on them, and readers of the log take some for the end
+        of the line.
+        """
+        for text, written in WRITTEN_VALUES:
+            with (
+                self.subTest(text=text),
+                mock.patch('oriolestage._logging.logging.info') as info,
+            ):
+                log_event('read', {'key': text, 'step': 'store'})
+                line = info.call_args.args[1]
+                self.assertEqual(line, f'event=read key={written} step=store')
+                self.assertEqual(len(line.splitlines()), 1)
+
+
 class LibraryLogTest(TestCase):
     """Lines of libraries are limited like those of events."""
 
