An error in a log line of a library does not reach its caller

The limit on the lines of libraries formats each line in a filter. Handlers catch the errors of formatting a line, but not those of filters: a library line whose arguments do not match its text, or whose argument cannot be printed, ended the work that logged it, such as a connection of a caller.

Before: test_message_without_its_arguments raises TypeError out of the filter. Now the line is limited as one of a library, and the handler reports the error as it did before the limit.

--- a/oriolestage/_logging.py
+++ b/oriolestage/_logging.py
@@ -111,7 +111,7 @@
 
     def filter(self, record: python_logging.LogRecord) -> bool:
         """Return whether to write a record, and note suppressed ones in it."""
-        if record.getMessage().startswith('event='):
+        if _is_own(record):
             return True
         suppressed = self._limiter.admit(LIBRARY_EVENT)
         record.suppressed = suppressed
@@ -177,6 +177,14 @@
     return ' '.join(pairs)[:MAX_LINE_CHARACTERS]
 
 
+def _is_own(record: python_logging.LogRecord) -> bool:
+    """Return whether a record was written by :func:`log_event`."""
+    try:
+        return record.getMessage().startswith('event=')
+    except Exception:  # noqa: BLE001 - the handler reports it when it formats
+        return False
+
+
 def _innermost_location(trace: types.TracebackType | None) -> str:
     """Return the file and line at which an error was raised."""
     frames = traceback.extract_tb(trace)
--- a/oriolestage/daemon/tests/test_logging.py
+++ b/oriolestage/daemon/tests/test_logging.py
@@ -98,3 +98,12 @@
         record = logging.makeLogRecord({'msg': 'event=started step=start'})
         admitted = [library.filter(record) for _ in range(2 * EVENT_BURST)]
         self.assertTrue(all(admitted))
+
+    def test_message_without_its_arguments(self) -> None:
+        """Guards against an error of a log line that ends its caller's work.
+
+        Handlers catch the errors of formatting, but not those of filters.
+        """
+        library = LibraryLineLimiter(EventLimiter(mock.Mock(return_value=0)))
+        record = logging.makeLogRecord({'msg': '%s: %s', 'args': ('one',)})
+        self.assertTrue(library.filter(record))
