Decode each item of a page of the store by itself

One item of a page that is no object or has no text as its key, and a change whose removed or revision field has another type, made the whole answer unusable. The host gave up its position and read everything again; while the item was on a page, each full read failed as well, and the host followed no change at all: old routes and targets that leave stayed in use.

The values of items were decoded one by one, but the items around them with their page. Now a page is decoded into the bytes of its items, and each of these by itself; an odd one is reported as item_unreadable. The next page begins after the last key that can be read; a page without one that is not the last is refused, since the targets beyond it would count as gone. The revision of an item is not used and no longer checked, and a removal is one whatever true value states it.

--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -1,6 +1,6 @@
 """Client of the platform's store, over HTTP and JSON."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import TypeVar
 
 import msgspec
@@ -16,12 +16,7 @@
 )
 from oriolestage.entry._store_eras import StoreEras
 from oriolestage.platform import _names
-from oriolestage.platform._documents import (
-    crash_key,
-    decode_removal,
-    decode_value,
-    encode_host,
-)
+from oriolestage.platform._documents import crash_key, encode_host
 from oriolestage.platform._leased_items import LeasedItems
 from oriolestage.platform._store_calls import (
     MS_PER_S,
@@ -29,39 +24,28 @@
     StoreAnswer,
     StoreCalls,
 )
+from oriolestage.platform._store_items import (
+    decode_items,
+    readable_keys,
+    read_facts,
+)
 from oriolestage.routing._crash_detector import CrashReport
 from oriolestage.routing._facts import HostRecord, StoredFact
 
-#: Prefixes of the keys that concern an entry host.
-RELEVANT_PREFIXES = (
-    _names.CONFIGURATION_KEY,
-    _names.CLOSED_DATA_CENTRE_PREFIX,
-    _names.TARGET_PREFIX,
-    _names.HOST_PREFIX,
-    _names.CRASH_PREFIX,
-)
 #: Prefix of all keys, so that one watch reports every change.
 ALL_KEYS = ''
 
 
-class _Item(msgspec.Struct, frozen=True):
-    key: str
-    # Base64 text. Any JSON is accepted, so that one bad item does not make
-    # the others unreadable.
-    value: object = ''
-    revision: int = 0
-    removed: bool = False
-
-
 class _Range(msgspec.Struct, frozen=True, rename='camel'):
-    listed: tuple[_Item, ...] = msgspec.field(name='items')
+    # Decoded one by one, so that an odd one does not cost the others.
+    listed: tuple[msgspec.Raw, ...] = msgspec.field(name='items')
     # Revision of the whole store, not of an item.
     store_revision: int
     has_more: bool = False
 
 
 class _Events(msgspec.Struct, frozen=True, rename='camel'):
-    events: tuple[_Item, ...]
+    events: tuple[msgspec.Raw, ...]
     store_revision: int
 
 
@@ -112,12 +96,14 @@
             if position is None:
                 position = StorePosition(answer.era, page.store_revision)
             self._check_same_era(position, answer)
-            if after and page.listed and page.listed[0].key <= after:
+            listed = decode_items(page.listed)
+            keys = readable_keys(listed)
+            if after and keys and keys[0] <= after:
                 raise self._foreign_answer('store.kv-range')
-            facts.extend(_items_to_facts(page.listed))
-            if not page.has_more or not page.listed:
+            facts.extend(read_facts(listed))
+            if not page.has_more or not listed:
                 return StoreContents(tuple(facts), position)
-            after = page.listed[-1].key
+            after = self._last_key(keys)
 
     async def changes_after(
         self, position: StorePosition, wait_s: float
@@ -144,7 +130,7 @@
         if outdated and listed.events:
             raise self._foreign_answer('store.kv-watch')
         return StoreChanges(
-            tuple(_items_to_facts(listed.events)),
+            tuple(read_facts(decode_items(listed.events))),
             StorePosition(
                 answer.era, max(position.revision, listed.store_revision)
             ),
@@ -204,6 +190,17 @@
             {crash_key(report): b'' for report in reports}, lease
         )
 
+    def _last_key(self, keys: Sequence[str]) -> str:
+        """Return the key after which the next page begins.
+
+        Raises :class:`AnswerRejectedError` if no key of the page is readable.
+        """
+        if not keys:
+            raise AnswerRejectedError(
+                'store.kv-range', self._calls.address, 'page without keys'
+            )
+        return keys[-1]
+
     def _foreign_answer(self, step: str) -> StoreError:
         """Return the error of an answer that belongs to an earlier call.
 
@@ -237,20 +234,3 @@
                 self._calls.address,
                 repr(error),
             ) from error
-
-
-def _items_to_facts(stored: Iterable[_Item]) -> list[StoredFact]:
-    facts: list[StoredFact] = []
-    for item in stored:
-        fact = _item_to_fact(item)
-        if fact is not None:
-            facts.append(fact)
-    return facts
-
-
-def _item_to_fact(item: _Item) -> StoredFact | None:
-    if not item.key.startswith(RELEVANT_PREFIXES):
-        return None
-    if item.removed:
-        return decode_removal(item.key)
-    return decode_value(item.key, item.value)
--- /dev/null
+++ b/oriolestage/platform/tests/test_odd_pages.py
@@ -0,0 +1,106 @@
+"""Tests of pages and changes of the store with items of an odd form."""
+
+import base64
+import json
+from unittest import IsolatedAsyncioTestCase, mock
+
+from oriolestage.entry._ports import AnswerRejectedError, StorePosition
+from oriolestage.platform._store import StoreClient
+from oriolestage.platform._store_calls import StoreAnswer, StoreCalls
+from oriolestage.routing._facts import (
+    DataCentreClosed,
+    StoredFact,
+    TargetRemoved,
+    UnreadableItem,
+)
+
+#: Items that do not have the form of one: no object, or no text as the key.
+ODD_ITEMS: tuple[object, ...] = (
+    7,
+    None,
+    'op/evacuate/dc-c',
+    [],
+    {},
+    {'key': 7, 'value': '', 'revision': 3},
+    {'key': None, 'revision': 3, 'removed': True},
+)
+POSITION = StorePosition(None, 5)
+WAIT_S = 0.1
+
+
+def _item(key: str) -> dict[str, object]:
+    value = base64.b64encode(b'{}').decode()
+    return {'key': key, 'value': value, 'revision': 3}
+
+
+class OddPageTest(IsolatedAsyncioTestCase):
+    """Guards against one odd item that ends the reading of all others."""
+
+    async def asyncSetUp(self) -> None:
+        """Create a client of a store that gives prepared answers."""
+        self._client = StoreClient('127.0.0.1:1')
+        self._answers: list[StoreAnswer] = []
+        self._call = mock.AsyncMock(side_effect=self._take_answer)
+        patch = mock.patch.object(StoreCalls, 'call', self._call)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def test_pages(self) -> None:
+        """A page is read without its odd item, which is reported."""
+        for odd in ODD_ITEMS:
+            with self.subTest(odd=odd):
+                self._prepare({'items': self._around(odd)})
+                self._check((await self._client.read_all()).facts)
+
+    async def test_changes(self) -> None:
+        """Changes are read without an odd one, which is reported."""
+        for odd in ODD_ITEMS:
+            with self.subTest(odd=odd):
+                self._prepare({'events': self._around(odd)})
+                changes = await self._client.changes_after(POSITION, WAIT_S)
+                self._check(changes.facts)
+
+    async def test_removals(self) -> None:
+        """A removal is one in whatever words the store says so."""
+        for said in (True, 1, 57, 'yes'):
+            removed = {'key': 'servers/i-1', 'revision': 'x', 'removed': said}
+            with self.subTest(said=said):
+                self._prepare({'events': [removed]})
+                changes = await self._client.changes_after(POSITION, WAIT_S)
+                self.assertEqual(changes.facts, (TargetRemoved('i-1'),))
+
+    async def test_odd_item_at_end_of_page(self) -> None:
+        """The next page begins after the last key that can be read."""
+        self._prepare(
+            {'items': [_item('op/evacuate/dc-a'), 7], 'hasMore': True}
+        )
+        self._prepare({'items': [7, _item('op/evacuate/dc-b')]})
+        stored = await self._client.read_all()
+        query = self._call.call_args.args[2]
+        self.assertEqual(query['after'], 'op/evacuate/dc-a')
+        self.assertIn(DataCentreClosed('dc-b'), stored.facts)
+
+    async def test_page_without_keys(self) -> None:
+        """A listing does not end at a page after which none can be read.
+
+        The targets beyond it would count as gone.
+        """
+        self._prepare({'items': [7], 'hasMore': True})
+        with self.assertRaises(AnswerRejectedError):
+            await self._client.read_all()
+
+    def _prepare(self, body: dict[str, object]) -> None:
+        encoded = json.dumps({'storeRevision': 6, **body}).encode()
+        self._answers.append(StoreAnswer(encoded, None))
+
+    async def _take_answer(self, *_: object, **_kw: object) -> StoreAnswer:
+        return self._answers.pop(0)
+
+    def _around(self, odd: object) -> list[object]:
+        return [_item('op/evacuate/dc-a'), odd, _item('op/evacuate/dc-b')]
+
+    def _check(self, facts: tuple[StoredFact, ...]) -> None:
+        self.assertEqual(len(facts), 3)
+        self.assertEqual(facts[0], DataCentreClosed('dc-a'))
+        self.assertIsInstance(facts[1], UnreadableItem)
+        self.assertEqual(facts[2], DataCentreClosed('dc-b'))
