Register a host beside an odd item of the store

A host reads the items under its own key before it registers. One item of another writer there that is no object, or whose revision is no number, made that answer unusable for as long as it stayed; an answer nested too deep raised an error that is none of a call, which ended the background work that registers the host. The host was then missing for the others, and its lease was not renewed meanwhile.

Each item is now decoded by itself, as for the followers of the store, and an answer that cannot be decoded is an error of the store whatever the cause.

--- a/oriolestage/platform/_leased_items.py
+++ b/oriolestage/platform/_leased_items.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from oriolestage._logging import log_event
 from oriolestage.entry._ports import Lease, LeaseEndedError, StoreError
 from oriolestage.entry._store_eras import StoreEras
 from oriolestage.platform import _names
@@ -50,14 +51,14 @@
 
 class _OwnItem(msgspec.Struct, frozen=True):
     key: str
-    # Items of other writers may be among those of one prefix.
     value: object = ''
     revision: int = NO_REVISION
     lease: object = 0
 
 
 class _OwnRange(msgspec.Struct, frozen=True):
-    listed: tuple[_OwnItem, ...] = msgspec.field(name='items')
+    # Decoded one by one: items of other writers may be among them.
+    listed: tuple[msgspec.Raw, ...] = msgspec.field(name='items')
 
 
 _Shape = TypeVar('_Shape', bound=msgspec.Struct)
@@ -129,7 +130,10 @@
             'GET', _names.STORE_RANGE_PATH, {'pathPrefix': key}
         )
         self._check_lease(lease, answer.era)
-        for item in self._decode(answer.body, _OwnRange).listed:
+        for encoded in self._decode(answer.body, _OwnRange).listed:
+            item = _decode_item(encoded)
+            if item is None:
+                continue
             if item.key == key:
                 return item
             if not item.key.startswith(key):
@@ -190,5 +194,16 @@
             ) from error
 
 
+def _decode_item(encoded: bytes) -> _OwnItem | None:
+    """Return an item; None if it does not have the form of one."""
+    try:
+        return msgspec.json.decode(encoded, type=_OwnItem)
+    except Exception as error:  # noqa: BLE001 - such as a nesting too deep
+        log_event(
+            'item_unreadable', {'step': 'store.kv-range', 'error': repr(error)}
+        )
+        return None
+
+
 def _encode(content: bytes) -> str:
     return base64.b64encode(content).decode()
--- a/oriolestage/platform/tests/test_odd_pages.py
+++ b/oriolestage/platform/tests/test_odd_pages.py
@@ -4,11 +4,18 @@
 import json
 from unittest import IsolatedAsyncioTestCase, mock
 
-from oriolestage.entry._ports import AnswerRejectedError, StorePosition
+from oriolestage.entry._ports import (
+    AnswerRejectedError,
+    Lease,
+    StoreError,
+    StorePosition,
+)
 from oriolestage.platform._store import StoreClient
 from oriolestage.platform._store_calls import StoreAnswer, StoreCalls
+from oriolestage.platform.tests.stored_items import DEEP_NESTING
 from oriolestage.routing._facts import (
     DataCentreClosed,
+    HostRecord,
     StoredFact,
     TargetRemoved,
     UnreadableItem,
@@ -24,6 +31,8 @@
     {'key': 7, 'value': '', 'revision': 3},
     {'key': None, 'revision': 3, 'removed': True},
 )
+RECORD = HostRecord('h', 'dc-a', '127.0.0.2:1')
+LEASE = Lease(None, 7)
 POSITION = StorePosition(None, 5)
 WAIT_S = 0.1
 
@@ -89,6 +98,33 @@
         with self.assertRaises(AnswerRejectedError):
             await self._client.read_all()
 
+    async def test_registration(self) -> None:
+        """A host registers beside an odd item of another writer.
+
+        Hosts that find no registration use neither the host nor its share of
+        the limits.
+        """
+        for odd in (*ODD_ITEMS, {'key': 'hosts/h-2', 'revision': 'x'}):
+            with self.subTest(odd=odd):
+                self._answers.clear()
+                self._prepare(
+                    {'items': [odd, {**_item('hosts/h'), 'lease': 6}]}
+                )
+                self._prepare({'revision': 7})
+                written = await self._client.register_host(RECORD, LEASE)
+                self.assertTrue(written)
+                content = self._call.call_args.kwargs['content']
+                known = [{'key': 'hosts/h', 'revision': 3}]
+                self.assertEqual(content['expectedRev'], known)
+
+    async def test_registration_too_deep(self) -> None:
+        """Any answer that cannot be decoded is an error of the store."""
+        deep = b'[' * DEEP_NESTING + b']' * DEEP_NESTING
+        body = b'{"items":[],"other":%b}' % deep
+        self._answers.append(StoreAnswer(body, None))
+        with self.assertRaises(StoreError):
+            await self._client.register_host(RECORD, LEASE)
+
     def _prepare(self, body: dict[str, object]) -> None:
         encoded = json.dumps({'storeRevision': 6, **body}).encode()
         self._answers.append(StoreAnswer(encoded, None))
