Back off when the store has to be read again and again

A host that cannot use an answer about changes reads the whole store and goes on from there. If the next answer cannot be used either, it did the same at once: with calls of 5 ms, 100 full reads a second for as long as that lasted, and 200 if an error of the host followed each read. The calls of all hosts draw on one limit of the store, so that other hosts and their leases would be refused theirs. Causes: a store that refuses the watch as such (a waiting time beyond its maximum, for example), one that has discarded its history at each watch, and any error while a full read is applied.

The back-off was reset by each call that succeeded, also by the full read between two failures, and neither of the two pauses before a full read used it. It is now reset when changes have been applied; the first full read after that comes as early as before, the next ones with back-off. At its longest, 0.8 s, the host still follows the store by reading it, well within the propagation limit.

Before: test_repeated_rejections fails, with 6000 full reads in 60 s after refused watches and after lost history, and 12000 after errors of the host; its bound is 158. Now it passes, as do the tests of the follower, the fleet, the model and the restored store.

--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -153,6 +153,7 @@
         now = time.monotonic()
         for fact in changes.facts:
             self._log(self._cluster_state.apply(fact, now))
+        self._pacing.reset_backoff()
         if changes.facts:
             grace_left_s = self._directory.grace_left_s(now)
             pause_s = self._pacing.pause_after_changes_s(grace_left_s)
@@ -202,7 +203,6 @@
 
     def _record_success(self) -> None:
         now = time.monotonic()
-        self._pacing.reset_backoff()
         if self._outage_since is not None:
             # It may have been away since its last answer: a lost watch fails
             # only after its waiting time and its time-out.
@@ -226,6 +226,9 @@
             case HistoryLostError():
                 log_event('store_history_lost', {'error': error})
                 self._position = None
+                await asyncio.sleep(
+                    self._pacing.pause_before_reading_again_s(spread=False)
+                )
             case AnswerRejectedError(step=step, cause=cause):
                 await self._read_again(step, cause)
             case StoreError(step=step):
@@ -263,7 +266,9 @@
             await asyncio.sleep(self._pacing.next_backoff_s())
             return
         self._position = None
-        await asyncio.sleep(self._pacing.pause_before_reading_again_s())
+        await asyncio.sleep(
+            self._pacing.pause_before_reading_again_s(spread=True)
+        )
 
     def _log(self, changes: Iterable[StateChange]) -> None:
         for change in changes:
--- a/oriolestage/entry/_store_pacing.py
+++ b/oriolestage/entry/_store_pacing.py
@@ -45,6 +45,8 @@
         self._longest_pause_s = propagation_limit_s * COALESCING_SHARE
         self._host_count = host_count
         self._backoff_s = INITIAL_BACKOFF_S
+        #: Whether no changes were applied since the store was read again.
+        self._reading_again = False
 
     @property
     def watch_wait_s(self) -> float:
@@ -63,9 +65,18 @@
             delay_s = min(delay_s, grace_left_s - COALESCING_DELAY_S)
         return max(COALESCING_DELAY_S, delay_s)
 
-    def pause_before_reading_again_s(self) -> float:
-        """Return the pause before a read that all hosts may have to make."""
-        return random.uniform(0, self._fleet_pause_s())
+    def pause_before_reading_again_s(self, *, spread: bool) -> float:
+        """Return the pause before the store is read again, in seconds.
+
+        ``spread`` is True if all hosts may have to read it. The pause backs
+        off until changes are applied: an answer about changes that cannot be
+        used may be followed by another one.
+        """
+        pause_s = random.uniform(0, self._fleet_pause_s()) if spread else 0
+        if self._reading_again:
+            pause_s = max(pause_s, self.next_backoff_s())
+        self._reading_again = True
+        return pause_s
 
     def next_backoff_s(self) -> float:
         """Return the pause after a failed call; it grows with each call."""
@@ -74,8 +85,9 @@
         return backoff_s
 
     def reset_backoff(self) -> None:
-        """Start with the shortest back-off again, after a successful call."""
+        """Start with the shortest back-off again, after applied changes."""
         self._backoff_s = INITIAL_BACKOFF_S
+        self._reading_again = False
 
     def _fleet_pause_s(self) -> float:
         pause_s = self._host_count() / FLEET_CALLS_PER_S
