The age of the copy of the store counts from applied answers

A host whose full reads arrive but raise an error while they are applied went on with old routes and targets, and looked current: store_age_s was below 1 s, no store_stalled was logged, and other hosts, which skip hosts with an old copy, sent it their batches.

The age was the time since the last answer. It is now the time since an answer was last applied; the time of the last answer still tells how long the store was away.

Before: test_repeated_rejections.test_age fails with an age of 0.19 s after 60 s of such reads. Now it passes.

--- a/oriolestage/entry/_request_log.py
+++ b/oriolestage/entry/_request_log.py
@@ -37,7 +37,7 @@
     ) -> None:
         """Create a log.
 
-        ``store_age_s`` returns the time since the store last answered, which
+        ``store_age_s`` returns the age of the copy of the store, which
         is logged with each request.
         """
         self._metrics = metrics
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -54,6 +54,8 @@
         self._position: StorePosition | None = None
         self._known = StorePosition(None, 0)
         self._answered_at = time.monotonic()
+        #: Monotonic time at which an answer was last applied.
+        self._applied_at = self._answered_at
         self._outage_since: float | None = None
         self._failures: Counter[str] = Counter()
         self._stalls = StallDetector(propagation_limit_s)
@@ -64,11 +66,11 @@
 
     @property
     def age_s(self) -> float:
-        """Time since the store last answered, in seconds.
+        """Time since an answer of the store was last applied, in seconds.
 
         Counts from the creation of the follower before the first answer.
         """
-        return time.monotonic() - self._answered_at
+        return time.monotonic() - self._applied_at
 
     @property
     def freshness(self) -> Freshness:
@@ -142,6 +144,7 @@
             self._log(
                 self._cluster_state.replace_all(stored.facts, time.monotonic())
             )
+            self._applied_at = time.monotonic()
             self._first_read.set()
             return
         # A call that is lost in an outage takes until its timeout, which
@@ -153,6 +156,7 @@
         now = time.monotonic()
         for fact in changes.facts:
             self._log(self._cluster_state.apply(fact, now))
+        self._applied_at = now
         self._pacing.reset_backoff()
         if changes.facts:
             grace_left_s = self._directory.grace_left_s(now)
--- a/oriolestage/entry/tests/test_repeated_rejections.py
+++ b/oriolestage/entry/tests/test_repeated_rejections.py
@@ -82,6 +82,16 @@
         with mock.patch.object(ClusterState, 'replace_all', _fail):
             self._check(_read_times(REJECTED))
 
+    def test_age(self) -> None:
+        """Guards against a copy that counts as recent but is never applied.
+
+        Other hosts would prefer this one, and no stall would be reported.
+        """
+        store = RefusingStore(REJECTED)
+        with mock.patch.object(ClusterState, 'replace_all', _fail):
+            age_s = run_in_virtual_time(VirtualTimeLoop(), _follow(store))
+        self.assertGreaterEqual(age_s, DURATION_S)
+
     def _check(self, read_at: list[float]) -> None:
         self.assertLessEqual(len(read_at), MOST_READS)
         pauses = [
@@ -98,7 +108,8 @@
     return store.read_at
 
 
-async def _follow(store: RefusingStore) -> None:
+async def _follow(store: RefusingStore) -> float:
+    """Follow a store; return the age of the copy in the end, in seconds."""
     placement, directory = make_placement()
     state = ClusterState(
         directory,
@@ -115,6 +126,7 @@
     task = asyncio.create_task(follower.run())
     await asyncio.sleep(DURATION_S)
     task.cancel()
+    return follower.age_s
 
 
 def _fail(
