A crash report that the store cannot hold keeps no others from it

A target may be registered under a key of 200 bytes, the most that the store accepts. The same reports were repeated for 30 s, in which requests that crash targets were not refused at the other hosts.

A report with too long a key is now logged as crashes_not_reportable and left out. This host still counts the crash.

Before: test_odd_pages.test_reports_of_long_identities fails, as the report is written. Now it passes.

--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from oriolestage._logging import log_event
 from oriolestage.entry._ports import (
     AnswerRejectedError,
     HistoryReplacedError,
@@ -32,6 +33,8 @@
 from oriolestage.routing._crash_detector import CrashReport
 from oriolestage.routing._facts import HostRecord, StoredFact
 
+#: Longest key of an item that the store accepts, in bytes.
+MAX_KEY_BYTES = 200
 #: Prefix of all keys, so that one watch reports every change.
 ALL_KEYS = ''
 
@@ -185,10 +188,18 @@
         reports: Sequence[CrashReport],
         lease: Lease,
     ) -> None:
-        """Store at most 32 crash reports, which the other hosts read."""
-        await self._leased.write(
-            {crash_key(report): b'' for report in reports}, lease
-        )
+        """Store at most 32 crash reports, which the other hosts read.
+
+        A report whose key the store would refuse is logged and left out: it
+        would keep the others from being stored.
+        """
+        keys = [crash_key(report) for report in reports]
+        storable = [key for key in keys if len(key.encode()) <= MAX_KEY_BYTES]
+        if len(storable) < len(keys):
+            left_out = len(keys) - len(storable)
+            log_event('crashes_not_reportable', {'reports': left_out})
+        if storable:
+            await self._leased.write(dict.fromkeys(storable, b''), lease)
 
     def _last_key(self, keys: Sequence[str]) -> str:
         """Return the key after which the next page begins.
--- a/oriolestage/platform/tests/test_odd_pages.py
+++ b/oriolestage/platform/tests/test_odd_pages.py
@@ -10,9 +10,11 @@
     StoreError,
     StorePosition,
 )
+from oriolestage.platform._documents import crash_key
 from oriolestage.platform._store import StoreClient
 from oriolestage.platform._store_calls import StoreAnswer, StoreCalls
 from oriolestage.platform.tests.stored_items import DEEP_NESTING
+from oriolestage.routing._crash_detector import CrashReport
 from oriolestage.routing._facts import (
     DataCentreClosed,
     HostRecord,
@@ -33,6 +35,9 @@
 )
 RECORD = HostRecord('h', 'dc-a', '127.0.0.2:1')
 LEASE = Lease(None, 7)
+#: Most characters of the identity of a target that is registered, whose key
+#: has at most 200 bytes.
+LONGEST_IDENTITY = 200 - len('servers/')
 POSITION = StorePosition(None, 5)
 WAIT_S = 0.1
 
@@ -125,6 +130,22 @@
         with self.assertRaises(StoreError):
             await self._client.register_host(RECORD, LEASE)
 
+    async def test_reports_of_long_identities(self) -> None:
+        """Guards against one report that keeps others from being stored.
+
+        The store refuses a key that is too long, and with it the whole call.
+        """
+        long = CrashReport(1, 'i' * LONGEST_IDENTITY)
+        short = CrashReport(2, 'i-1')
+        self._prepare({'revision': 7})
+        await self._client.report_crashes((long, short), LEASE)
+        content = self._call.call_args.kwargs['content']
+        keys = [written['key'] for written in content['writes']]
+        self.assertEqual(keys, [crash_key(short)])
+        self._call.reset_mock()
+        await self._client.report_crashes((long,), LEASE)
+        self._call.assert_not_called()
+
     def _prepare(self, body: dict[str, object]) -> None:
         encoded = json.dumps({'storeRevision': 6, **body}).encode()
         self._answers.append(StoreAnswer(encoded, None))
