Answer requests whose host name is not UTF-8

A request whose Host header has bytes that are not UTF-8 was answered with 500, and its traceback logged, instead of with 404 or what its route says. Such bytes are read as lone surrogates, which the fingerprint of a request could not encode; the same error would end a batch or a relayed request at another host. Only host names were affected: other headers are no part of the fingerprint, and a path with such bytes is refused with 400.

The fingerprint now takes the bytes as they came; it stays the same for all other requests, as hosts of different builds exchange it.

Before: test_caller_wire.test_host_that_is_not_utf8 fails with a 500. Now it passes.

--- a/oriolestage/platform/tests/test_caller_wire.py
+++ b/oriolestage/platform/tests/test_caller_wire.py
@@ -81,7 +81,7 @@
         If the server closes the connection first, return what it sent.
         """
         reader, writer = await asyncio.open_connection('127.0.0.1', self._port)
-        writer.write(text.encode())
+        writer.write(text.encode('utf-8', 'surrogateescape'))
         try:
             async with asyncio.timeout(5):
                 answer = await reader.readuntil(b'\r\n\r\n')
@@ -175,6 +175,18 @@
         metadata = self._router.requests[0].metadata
         self.assertEqual(metadata, RequestMetadata('a', 0.8))
 
+    async def test_host_that_is_not_utf8(self) -> None:
+        """Guards against a 500 for a host name that no route has."""
+        host = 'h\udcff.example'
+        for path in ('/a/', '/b/'):
+            answer = await self._send(
+                f'GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n'
+            )
+            self.assertIn(b' 200 ', answer.partition(b'\r\n')[0])
+        first, second = self._router.requests
+        self.assertEqual(first.host, host)
+        self.assertNotEqual(first.fingerprint, second.fingerprint)
+
     async def test_odd_answer(self) -> None:
         """Guards against an answer that is lost because of one odd header.
 
--- a/oriolestage/routing/_crash_detector.py
+++ b/oriolestage/routing/_crash_detector.py
@@ -96,7 +96,8 @@
 
 def fingerprint_of(method: str, host: str, path: str, body: bytes) -> int:
     """Return a 64-bit hash that identifies repetitions of a request."""
-    digest = xxhash.xxh3_64(f'{method} {host.lower()}{path}\n'.encode())
+    line = f'{method} {host.lower()}{path}\n'
+    digest = xxhash.xxh3_64(line.encode('utf-8', 'surrogateescape'))
     digest.update(body)
     return digest.intdigest()
 
