Publish the known hosts again after an error

An error while the hosts were passed on to the parts that divide limits and choose hosts was met once and kept: the host counted as known, so that neither the next change nor a full read published it, and this host divided the limits of targets by another number than the others did. In a full read the error kept the targets and the configuration behind it from being read at all, again and again; in the expiry of hosts it ended that work.

No item of the store is known that leads to it: this guards against errors of the program.

--- a/oriolestage/routing/_known_hosts.py
+++ b/oriolestage/routing/_known_hosts.py
@@ -26,6 +26,8 @@
         self._hosts: dict[str, HostRecord] = {}
         #: Monotonic time at which the registration of a host was removed.
         self._unregistered_at: dict[str, float] = {}
+        #: Whether ``placement`` and ``peers`` know the present hosts.
+        self._published = True
 
     def __len__(self) -> int:
         """Return the number of hosts that share the limits."""
@@ -69,7 +71,7 @@
     def expire(self, now: float) -> list[StateChange]:
         """Drop hosts `HOST_RETENTION_S` after their registration was removed.
 
-        Return the changes to log.
+        Also repeat a publication that failed. Return the changes to log.
         """
         expired = [
             name
@@ -79,7 +81,9 @@
         for name in expired:
             self._unregistered_at.pop(name)
             self._hosts.pop(name, None)
-        return [self._publish(now)] if expired else []
+        if expired or not self._published:
+            return [self._publish(now)]
+        return []
 
     def _add(self, record: HostRecord) -> bool:
         """Add a host or replace its record; return whether that is new."""
@@ -90,11 +94,21 @@
         return True
 
     def _publish(self, now: float) -> StateChange:
+        """Tell the other parts of the hosts; return the change to log.
+
+        An error keeps neither the changes after this one from being applied
+        nor the hosts from being published later.
+        """
+        self._published = False
         location = self._placement.location
         regions = {
             name: location.region_of(record.data_centre)
             for name, record in self._hosts.items()
         }
-        self._placement.replace_hosts(regions, now)
-        self._peers.replace_hosts(self._hosts.values())
+        try:
+            self._placement.replace_hosts(regions, now)
+            self._peers.replace_hosts(self._hosts.values())
+        except Exception as error:  # noqa: BLE001 - repeated by `expire`
+            return StateChange('hosts_not_published', (('error', repr(error)),))
+        self._published = True
         return StateChange('hosts_known', (('hosts', len(self._hosts)),))
