Tests: a body that begins in a stop is not awaited beyond its end

No test failed with this bound taken out of the reading of bodies: the stop ends the bodies that are being read, but of those that begin later only the bound says so. Without it, the new test fails after 5 s of waiting; the request then holds its connection until the host is killed. The limits of that test's server are its own; the other tests have the same as before.

--- a/oriolestage/platform/tests/test_caller_stop.py
+++ b/oriolestage/platform/tests/test_caller_stop.py
@@ -1,7 +1,9 @@
 """Tests of callers' connections while a host is being stopped."""
 
 import asyncio
+import dataclasses
 import socket
+import time
 from unittest import IsolatedAsyncioTestCase, mock
 
 from oriolestage.entry import _caller_connection
@@ -12,9 +14,18 @@
     LIMITS,
     RecordingRouter,
 )
-from oriolestage.routing._answers import Delivered, TargetAnswer
+from oriolestage.routing._answers import (
+    Delivered,
+    GiveUpReason,
+    Refused,
+    TargetAnswer,
+)
 
 REQUEST = f'GET /a/ HTTP/1.1\r\n{HEAD}\r\n'.encode()
+#: Head of a request without a deadline, whose body does not follow.
+HEAD_OF_BODY = b'POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n'
+#: A time that no test takes, in seconds.
+NEVER_S = 3600.0
 #: Size of an answer that is larger than all buffers on the way, in bytes.
 LARGE_ANSWER_BYTES = 32_000_000
 #: Time within which a connection must make progress, in seconds.
@@ -26,11 +37,12 @@
 
     async def asyncSetUp(self) -> None:
         """Start a server."""
+        self._limits = LIMITS
         self._router = RecordingRouter()
         self._server = CallerServer(
             self._router,  # type: ignore[arg-type]
             PlatformWireProtocol(),
-            lambda: LIMITS,
+            lambda: self._limits,
         )
         listener = socket.create_server(('127.0.0.1', 0))
         listener.setblocking(False)
@@ -76,6 +88,24 @@
             self.assertEqual(caller.recv(1), b'')
         self.assertEqual(await self._server.close(), 0)
 
+    async def test_body_that_begins_in_the_stop(self) -> None:
+        """Guards against waiting for a body until the host is killed.
+
+        The request has not run; its caller may send it to another host.
+        """
+        refused = Refused(GiveUpReason.STOPPING, 0.05)
+        patch = mock.patch.object(
+            self._router, 'refuse_stopping', return_value=refused, create=True
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        self._limits = dataclasses.replace(LIMITS, idle_timeout_s=NEVER_S)
+        self._server.end_by(time.monotonic() + 0.1)
+        caller = self._connect()
+        caller.sendall(HEAD_OF_BODY)
+        self.assertIn(b'HTTP/1.1 503 ', await self._read_head(caller))
+        self.assertEqual(self._router.requests, [])
+
     async def test_answer_that_is_not_read(self) -> None:
         """An answer that its caller does not read is reported as cut."""
         body = bytes(LARGE_ANSWER_BYTES)
