Collect the other metrics when one of them cannot be read

The page of metrics was an error as a whole, with status 500, when the part behind one gauge or counter raised an error: the on-call engineer had none of the others, store_stalled and the failures among them. Each is now read by itself, and an error is logged as metric_not_read.

No gauge is known to raise an error now. Before: test_metrics fails with ValueError out of the collection. Now it passes, with the metrics before and after the failing ones.

--- a/oriolestage/entry/_metrics.py
+++ b/oriolestage/entry/_metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics of one entry host."""
 
 import dataclasses
+import functools
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
@@ -11,6 +12,7 @@
 )
 
 from oriolestage._latencies import RouteLatencies
+from oriolestage._logging import log_event
 from oriolestage.entry._run_driver import RunTimings
 from oriolestage.routing._answers import (
     AttemptAnswered,
@@ -149,9 +151,26 @@
         )
         self._event_delay_s = 0
         for counts in self._counts:
-            yield counts.collect()
+            yield from _collect(counts.name, counts.collect)
         for name, read in self._gauges.items():
-            yield GaugeMetricFamily(f'oriolestage_{name}', name, value=read())
+            yield from _collect(name, functools.partial(_gauge, name, read))
+
+
+def _gauge(name: str, read: Callable[[], float]) -> GaugeMetricFamily:
+    return GaugeMetricFamily(f'oriolestage_{name}', name, value=read())
+
+
+def _collect(name: str, build: Callable[[], Metric]) -> Iterable[Metric]:
+    """Return a metric; log an error, which must not cost the other metrics."""
+    try:
+        metric = build()
+    except Exception as error:  # noqa: BLE001 - whatever part it reads
+        log_event(
+            'metric_not_read',
+            {'step': 'metrics', 'metric': name, 'error': repr(error)},
+        )
+        return ()
+    return (metric,)
 
 
 def _result_label(result: RequestResult | str) -> str:
