Ask the store to wait no longer than it accepts

A watch waits for three fifths of the propagation limit. With a limit above 50 s, which the settings allow, that is more than the 30 s that the store accepts: it refuses every watch, and the host only follows it by reading all of it again and again.

Before: test_watch_waits fails, as 36 s are asked for. Now it passes.

--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -35,6 +35,8 @@
 
 #: Longest key of an item that the store accepts, in bytes.
 MAX_KEY_BYTES = 200
+#: Longest wait of a watch that the store accepts, in seconds.
+MAX_WATCH_WAIT_S = 30.0
 #: Prefix of all keys, so that one watch reports every change.
 ALL_KEYS = ''
 
@@ -113,14 +115,16 @@
     ) -> StoreChanges:
         """Return the changes after a point in the history.
 
-        If there are none yet, wait for them up to ``wait_s`` seconds. Raises
-        :class:`HistoryLostError` if the store has dropped some of them, and
-        :class:`HistoryReplacedError` if the answer is of another era.
+        If there are none yet, wait for them up to ``wait_s`` seconds, but no
+        longer than the store accepts. Raises :class:`HistoryLostError` if the
+        store has dropped some of them, and :class:`HistoryReplacedError` if
+        the answer is of another era.
 
         The call does not wait if it needs a new connection: the store may
         have been restored since the last answer, and only the next answer
         states its era.
         """
+        wait_s = min(wait_s, MAX_WATCH_WAIT_S)
         try:
             answer = await self._watch(position, wait_s)
         except NoOpenConnectionError:
