Read the store again after a change that could not be applied

A change that raised an error while it was applied was logged and dropped for good: the store reports each change once. A host that dropped a version went on with the one before until the next version, and one that dropped the removal of a target went on sending to it, while its copy counted as current.

The host now applies the other changes and then reads the whole store, with the back-off of such reads. If the same item fails there too, the host goes on with the others, as before, without another read.

Before: test_change_that_is_not_applied fails, with version 4 in force instead of 8. Now it passes, as do the other tests of the follower and of the model.

--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -154,8 +154,13 @@
         self._record_success()
         self._set_position(changes.position)
         now = time.monotonic()
+        unapplied = self._cluster_state.unapplied_count
         for fact in changes.facts:
             self._log(self._cluster_state.apply(fact, now))
+        if self._cluster_state.unapplied_count > unapplied:
+            # The store reports a change once; a full read has its outcome.
+            await self._read_again(FOLLOW_STEP, 'a change was not applied')
+            return
         self._applied_at = now
         self._pacing.reset_backoff()
         if changes.facts:
--- a/oriolestage/entry/tests/test_store_follower.py
+++ b/oriolestage/entry/tests/test_store_follower.py
@@ -25,7 +25,7 @@
     TargetStored,
 )
 from oriolestage.routing._peers import PeerDirectory
-from oriolestage.routing._rules import CallerLimits, build_table
+from oriolestage.routing._rules import CallerLimits, RoutingTable, build_table
 from oriolestage.routing._state_changes import StateChange
 from oriolestage.routing.tests.builders import (
     make_crash_detector,
@@ -61,6 +61,20 @@
     return failing
 
 
+def _fail_second(error: Exception) -> Callable[..., list[StateChange]]:
+    """Return ``ClusterState._apply_table`` with an error in its second call."""
+    apply_table = ClusterState._apply_table
+    errors: list[Exception | None] = [error, None]
+
+    def failing(state: ClusterState, table: RoutingTable) -> list[StateChange]:
+        due = errors.pop() if errors else None
+        if due is not None:
+            raise due
+        return apply_table(state, table)
+
+    return failing
+
+
 class ScriptedStore:
     """A store that returns scripted answers, then blocks."""
 
@@ -191,6 +205,25 @@
         self.assertEqual(cluster_state.table.version, 8)
         self.assertIsNone(self._directory.find('t-2'))
 
+    async def test_change_that_is_not_applied(self) -> None:
+        """Guards against a change that is dropped for good after an error.
+
+        The store reports each change once.
+        """
+        store = ScriptedStore(
+            StoreContents((_table(4),), _at(1)),
+            StoreChanges((_table(8),), _at(2)),
+            StoreContents((_table(8),), _at(2)),
+        )
+        error = ValueError('unforeseen')
+        with mock.patch.object(
+            ClusterState, '_apply_table', _fail_second(error)
+        ):
+            cluster_state = await self._follow(store)
+        assert cluster_state.table is not None
+        self.assertEqual(cluster_state.table.version, 8)
+        self.assertEqual(store.reads, 2)
+
     async def test_error_in_first_read(self) -> None:
         """The store is read again after an error on a read as a whole."""
         store = ScriptedStore(
