Count lost history among the failures to follow the store

A store that has discarded its history at each watch makes a host read everything again and again. The log had store_history_lost, but no counter rose, so that no alert could tell this from ordinary reads. It is now counted in store_follow_failures with the step of its call.

Before: test_repeated_rejections.test_counts fails for lost history, with 0 failures after 97 of them. Now it passes.

--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -232,7 +232,8 @@
     async def _recover(self, error: Exception) -> None:
         """Prepare the next attempt after an error."""
         match error:
-            case HistoryLostError():
+            case HistoryLostError(step=step):
+                self._record_failure(step, str(error))
                 log_event('store_history_lost', {'error': error})
                 self._position = None
                 await asyncio.sleep(
--- a/oriolestage/entry/tests/test_repeated_rejections.py
+++ b/oriolestage/entry/tests/test_repeated_rejections.py
@@ -1,7 +1,7 @@
 """Tests of a host that can use no answer about changes, again and again."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from unittest import TestCase, mock
 
 from oriolestage.entry._ports import (
@@ -49,6 +49,8 @@
         """Create a store whose watches raise ``error``."""
         self.eras = StoreEras()
         self.read_at: list[float] = []
+        #: Failures that the host has counted in the end, by step.
+        self.failures: Mapping[str, int] = {}
         self._error = error
 
     async def read_all(self) -> StoreContents:
@@ -92,6 +94,15 @@
             age_s = run_in_virtual_time(VirtualTimeLoop(), _follow(store))
         self.assertGreaterEqual(age_s, DURATION_S)
 
+    def test_counts(self) -> None:
+        """Guards against lost history that no counter shows."""
+        for error in (REJECTED, LOST):
+            with self.subTest(error=error):
+                store = RefusingStore(error)
+                run_in_virtual_time(VirtualTimeLoop(), _follow(store))
+                counted = store.failures.get(error.step, 0)
+                self.assertGreaterEqual(counted, len(store.read_at) - 1)
+
     def _check(self, read_at: list[float]) -> None:
         self.assertLessEqual(len(read_at), MOST_READS)
         pauses = [
@@ -126,6 +137,7 @@
     task = asyncio.create_task(follower.run())
     await asyncio.sleep(DURATION_S)
     task.cancel()
+    store.failures = follower.failures
     return follower.age_s
 
 
