Divide rate limits of any size

A stated limit whose requests in a window are no finite number raised OverflowError where it was divided (share_of, with 1e308). The wire protocol refuses larger numbers than MAX_RATE_LIMIT, so no caller saw it; the function takes every finite number now. test_largest_limit failed with the error.

--- a/oriolestage/routing/_rate_shares.py
+++ b/oriolestage/routing/_rate_shares.py
@@ -31,6 +31,8 @@
 TURN_S = 2.0
 #: Longest time between the requests of the only host with a share, in seconds.
 MAX_INTERVAL_S = 60.0
+#: Limit that no host reaches, in requests per second.
+LARGEST_LIMIT = 1e9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,6 +150,7 @@
     The bucket is such that the host's requests in a window do not exceed its
     number, however they are distributed in time.
     """
+    limit = min(limit, LARGEST_LIMIT)
     total = max(1, int(limit * WINDOW_S))
     if host.rank is None:
         without = host.hosts - min(host.sharing, total)
--- a/oriolestage/routing/tests/test_rate_fleet.py
+++ b/oriolestage/routing/tests/test_rate_fleet.py
@@ -3,8 +3,10 @@
 import itertools
 import unittest
 
+from oriolestage.routing._rate_shares import rank_host, share_of
 from oriolestage.routing.tests.rate_fleet import (
     CONTACT_S,
+    REGION,
     RateFleet,
     Stated,
 )
@@ -104,6 +106,12 @@
                     ]
                     self.assertAlmostEqual(max(waits), 0, places=6)
 
+    def test_largest_limit(self) -> None:
+        """Guards against a limit whose share is no finite number."""
+        regions = dict.fromkeys(('host-1', 'host-2'), REGION)
+        rank = rank_host('t-1', 'host-1', regions, REGION)
+        self.assertGreater(share_of(1e308, rank).interval_s, 0)
+
     def _check(
         self, fleet: RateFleet, hosts: int, limit: float, factor: float = 1
     ) -> None:
