Keep the lower limit for a window after a target raises it

Callers of a target that states a rate limit would see it overloaded after it raises the limit: hosts sent by the higher one with the first response that stated it. Windows of 4 s that had begun under the lower limit got more than that tolerates. When the limit ended, the whole load came back within such a window.

Now each limit that a target has stated holds for 4 s after this host has heard of a higher one or of the end; a lower one holds at once. No host hears of a change before the target made it, so a window that the lower limit was stated in ends before any host uses the higher one.

After a fall the requests of hosts that have not heard of it cannot be held back. They count once a host had a response with the lower limit for half a second, and from then on it keeps that limit.

target_rate_limited logs the limit that is kept. The rank of a host is computed once for all changes of a limit.

--- a/oriolestage/routing/_target_rates.py
+++ b/oriolestage/routing/_target_rates.py
@@ -12,12 +12,13 @@
 from oriolestage.routing._placement_types import HostLocation
 from oriolestage.routing._rate_shares import (
     WINDOW_S,
+    HostRank,
     RateLimiter,
-    RateShare,
     rank_host,
     share_of,
 )
 from oriolestage.routing._state_changes import StateChange
+from oriolestage.routing._stated_limits import UNLIMITED, StatedLimits
 from oriolestage.routing._targets import KnownTarget
 
 
@@ -35,11 +36,18 @@
     """What is known of the rate of requests to one target process."""
 
     sent: _RequestCount
-    #: Requests per second that it takes from all hosts; None for no limit.
+    #: Requests per second that it takes from all hosts by its latest
+    #: response; None for no limit.
     limit: float | None = None
+    #: The limits that may hold now; None if it has stated none of late.
+    stated: StatedLimits | None = None
+    #: Limit that the limiter keeps; `UNLIMITED` without one.
+    kept: float = UNLIMITED
+    #: This host's rank among the hosts that share it; None if not known.
+    rank: HostRank | None = None
     #: Monotonic time of the latest response that states the limit.
     stated_at: float = 0
-    #: This host's part of the limit; None without a limit.
+    #: This host's part of the limit that it keeps; None without one.
     limiter: RateLimiter | None = None
 
 
@@ -73,9 +81,10 @@
     def wait_s(self, target: KnownTarget, now: float) -> float:
         """Return the time until a target may get a request of this host."""
         rate = self._rates.get(target.process)
-        if rate is None or rate.limiter is None:
+        if rate is None:
             return 0
-        return rate.limiter.wait_s(now)
+        limiter = self._limiter(target, rate, now)
+        return 0 if limiter is None else limiter.wait_s(now)
 
     def limit_age_s(self, target: KnownTarget, now: float) -> float:
         """Return the time since a target stated its limit last, in seconds.
@@ -98,8 +107,11 @@
         self._host_regions = regions
         for target in targets:
             rate = self._rates.get(target.process)
-            if rate is not None and rate.limit is not None:
-                self._divide(target, rate, rate.limit, now)
+            if rate is None:
+                continue
+            rate.rank = None
+            if rate.limiter is not None:
+                self._divide(target, rate, rate.limiter, now)
 
     def record_limit(
         self,
@@ -117,16 +129,22 @@
         rate = self._rate(target, now)
         rate.stated_at = now
         rate.limit = limit
+        kept = UNLIMITED if limit is None else limit
+        if rate.stated is None:
+            rate.stated = StatedLimits(kept)
+        else:
+            rate.stated.record(kept, now)
+        self._limiter(target, rate, now)
         if limit is None:
-            rate.limiter = None
             self._report('target_rate_limit_ended', target, rate)
             return
-        share = self._divide(target, rate, limit, now)
+        share = share_of(rate.kept, self._rank(target, rate))
         self._report(
             'target_rate_limited',
             target,
             rate,
             previous='none' if previous is None else previous,
+            kept=rate.kept,
             hosts=len(self._host_regions),
             burst=share.burst,
             interval_s=share.interval_s,
@@ -140,8 +158,9 @@
             if rate.limit is not None:
                 self._report('target_rate_use', target, rate)
         rate.sent.requests += 1
-        if rate.limiter is not None:
-            rate.limiter.take(now)
+        limiter = self._limiter(target, rate, now)
+        if limiter is not None:
+            limiter.take(now)
 
     def record_withdrawn(self, target: KnownTarget, now: float) -> None:
         """Give back the token of a request that was not sent after all."""
@@ -158,27 +177,48 @@
             if name not in processes:
                 self._rates.pop(name)
 
+    def _limiter(
+        self, target: KnownTarget, rate: _TargetRate, now: float
+    ) -> RateLimiter | None:
+        """Return the limiter of a target by the limit that holds now."""
+        if rate.stated is None:
+            return None
+        kept = rate.stated.lowest(now)
+        if kept == rate.kept:
+            return rate.limiter
+        rate.kept = kept
+        if kept == UNLIMITED:
+            rate.stated = None
+            rate.limiter = None
+            return None
+        if rate.limiter is None:
+            share = share_of(kept, self._rank(target, rate))
+            rate.limiter = RateLimiter(share, now)
+        else:
+            self._divide(target, rate, rate.limiter, now)
+        return rate.limiter
+
     def _divide(
         self,
         target: KnownTarget,
         rate: _TargetRate,
-        limit: float,
+        limiter: RateLimiter,
         now: float,
-    ) -> RateShare:
-        """Set this host's part of the limit of a target and return it."""
-        record = target.record
-        rank = rank_host(
-            record.identity,
-            self._location.name,
-            self._host_regions,
-            self._location.region_of(record.data_centre),
-        )
-        share = share_of(limit, rank)
-        if rate.limiter is None:
-            rate.limiter = RateLimiter(share, now)
-        else:
-            rate.limiter.replace_share(share, now)
-        return share
+    ) -> None:
+        """Change this host's part of the limit of a target."""
+        share = share_of(rate.kept, self._rank(target, rate))
+        limiter.replace_share(share, now)
+
+    def _rank(self, target: KnownTarget, rate: _TargetRate) -> HostRank:
+        if rate.rank is None:
+            record = target.record
+            rate.rank = rank_host(
+                record.identity,
+                self._location.name,
+                self._host_regions,
+                self._location.region_of(record.data_centre),
+            )
+        return rate.rank
 
     def _rate(self, target: KnownTarget, now: float) -> _TargetRate:
         rate = self._rates.get(target.process)
--- a/oriolestage/routing/tests/rate_fleet.py
+++ b/oriolestage/routing/tests/rate_fleet.py
@@ -86,9 +86,18 @@
     """Hosts that each send a target what they may."""
 
     def __init__(
-        self, hosts: int, stated: tuple[Stated, ...], seed: int
+        self,
+        hosts: int,
+        stated: tuple[Stated, ...],
+        seed: int,
+        *,
+        regions: int = 1,
     ) -> None:
-        """Create hosts that know one another and not yet the limit."""
+        """Create hosts that know one another and not yet the limit.
+
+        They are in ``regions`` regions, one of which is the target's.
+        """
+        self._region_count = regions
         self.hosts = [RateHost(f'host-{number:03d}') for number in range(hosts)]
         #: Processes that have ended; their requests count.
         self.ended: list[RateHost] = []
@@ -219,7 +228,14 @@
             host.rates.record_limit(self.target, limit, at)
 
     def _regions(self) -> Mapping[str, str]:
-        return {host.name: REGION for host in self.hosts}
+        names = tuple(REGIONS.values())[: self._region_count]
+        return dict(
+            zip(
+                (host.name for host in self.hosts),
+                itertools.cycle(names),
+                strict=False,
+            )
+        )
 
     def _count(
         self, host: RateHost, regions: Mapping[str, str], now: float
--- a/oriolestage/routing/tests/test_rate_fleet.py
+++ b/oriolestage/routing/tests/test_rate_fleet.py
@@ -4,9 +4,11 @@
 import unittest
 
 from oriolestage.routing._rate_shares import rank_host, share_of
+from oriolestage.routing.tests.builders import REGIONS
 from oriolestage.routing.tests.rate_fleet import (
     CONTACT_S,
     REGION,
+    WINDOW_S,
     RateFleet,
     Stated,
 )
@@ -20,6 +22,8 @@
 IDLE_UNTIL_S = 70.0
 BUSY_S = 24.0
 CHANGE_AT_S = 12.0
+#: Seeds of the times of answers.
+SEEDS = range(60)
 #: Interval at which hosts restart, in seconds.
 CHURN_S = 1.0
 #: Time from the start of a host until the others count it, in seconds.
@@ -35,7 +39,7 @@
             fleet = _fleet(hosts, limit)
             fleet.learn(CONTACT_S)
             fleet.run(IDLE_UNTIL_S, IDLE_UNTIL_S + BUSY_S)
-            self._check(fleet, hosts, limit)
+            self._check(fleet, hosts=hosts, limit=limit)
 
     def test_steady(self) -> None:
         """Busy hosts use the limit and stay within it."""
@@ -43,7 +47,7 @@
             fleet = _fleet(hosts, limit)
             fleet.learn(2)
             fleet.run(2, 2 + 2 * BUSY_S)
-            self._check(fleet, hosts, limit)
+            self._check(fleet, hosts=hosts, limit=limit)
             sent = sum(
                 1
                 for host in fleet.hosts
@@ -59,7 +63,55 @@
             fleet = _fleet(hosts, limit)
             fleet.learn(8)
             fleet.run(8, 300)
-            self._check(fleet, hosts, limit)
+            self._check(fleet, hosts=hosts, limit=limit)
+
+    def test_changes(self) -> None:
+        """Guards against a rise that counts for requests of the same window.
+
+        Hosts sent by the higher limit at once.
+        """
+        for hosts, limit, factor in itertools.product(
+            FLEETS, (0.5, 1.6, 14.2, 50), (0.1, 2, 10)
+        ):
+            fleet = _fleet(
+                hosts,
+                limit,
+                Stated(CHANGE_AT_S, limit * factor),
+                Stated(2 * CHANGE_AT_S, limit),
+            )
+            fleet.learn(2)
+            fleet.run(2, 3 * CHANGE_AT_S)
+            self._check(fleet, hosts=hosts, limit=limit, factor=factor)
+
+    def test_rise_in_regions(self) -> None:
+        """Guards against a rise when only a few hosts are near the target."""
+        stated = (
+            Stated(0, 1.6),
+            Stated(CHANGE_AT_S, 3.3),
+            Stated(CHANGE_AT_S + WINDOW_S, 1.9),
+        )
+        for hosts, seed in itertools.product((3, 6, 9), SEEDS):
+            fleet = RateFleet(hosts, stated, seed, regions=len(REGIONS))
+            fleet.learn(2)
+            fleet.run(2, 2 * CHANGE_AT_S)
+            self._check(fleet, hosts=hosts, seed=seed)
+
+    def test_end(self) -> None:
+        """A limit that ends holds until the end of a window and no longer."""
+        for hosts, limit in itertools.product(FLEETS, LIMITS):
+            fleet = _fleet(hosts, limit, Stated(CHANGE_AT_S, None))
+            fleet.learn(2)
+            fleet.run(2, 2 * CHANGE_AT_S)
+            self._check(fleet, hosts=hosts, limit=limit)
+            told = [host for host in fleet.hosts if host.limits[-1:] == [None]]
+            with self.subTest(hosts=hosts, limit=limit, told=len(told)):
+                self.assertTrue(told)
+                end_at = 2 * CHANGE_AT_S + WINDOW_S
+                self.assertFalse(
+                    any(
+                        host.rates.wait_s(fleet.target, end_at) for host in told
+                    )
+                )
 
     def test_restarts(self) -> None:
         """Hosts that restart one after the other stay within the limit."""
@@ -67,7 +119,7 @@
             fleet = _fleet(hosts, limit)
             fleet.learn(2)
             fleet.run(2, 2 + BUSY_S, _Restarts(fleet))
-            self._check(fleet, hosts, limit)
+            self._check(fleet, hosts=hosts, limit=limit)
 
     def test_joins(self) -> None:
         """Hosts that join, and are counted later, stay within the limit."""
@@ -75,7 +127,7 @@
             fleet = _fleet(hosts, limit)
             fleet.learn(2)
             fleet.run(2, 2 * BUSY_S, _Joins(fleet))
-            self._check(fleet, hosts, limit)
+            self._check(fleet, hosts=hosts, limit=limit)
 
     def test_leaves(self) -> None:
         """Hosts that leave all at once leave their shares to the others."""
@@ -85,7 +137,7 @@
             fleet.run(2, CHANGE_AT_S)
             fleet.remove(hosts // 2, CHANGE_AT_S)
             fleet.run(CHANGE_AT_S, 2 * CHANGE_AT_S)
-            self._check(fleet, hosts, limit)
+            self._check(fleet, hosts=hosts, limit=limit)
 
     def test_stated_wait(self) -> None:
         """A host may send after the wait that it gives its callers.
@@ -112,11 +164,9 @@
         rank = rank_host('t-1', 'host-1', regions, REGION)
         self.assertGreater(share_of(1e308, rank).interval_s, 0)
 
-    def _check(
-        self, fleet: RateFleet, hosts: int, limit: float, factor: float = 1
-    ) -> None:
+    def _check(self, fleet: RateFleet, **case: float) -> None:
         worst = fleet.worst_window()
-        with self.subTest(hosts=hosts, limit=limit, factor=factor):
+        with self.subTest(**case):
             self.assertTrue(worst.within, worst)
 
 
