Keep the rate limit of a target that registers again

A target in need that loses its lease and registers again would get requests beyond the rate that it states: each host dropped the limit with the registration, and sent without one until the next response stated it.

The limit of a process is now kept for 60 s after it was stated last. A new process of the target starts without one.

--- a/oriolestage/routing/_target_rates.py
+++ b/oriolestage/routing/_target_rates.py
@@ -21,6 +21,10 @@
 from oriolestage.routing._stated_limits import UNLIMITED, StatedLimits
 from oriolestage.routing._targets import KnownTarget
 
+#: Time for which the limit of a process that is no longer registered is kept,
+#: in seconds. It may have lost its lease and register again.
+LIMIT_RETENTION_S = 60.0
+
 
 @dataclasses.dataclass(slots=True)
 class _RequestCount:
@@ -66,11 +70,13 @@
         self._location = location
         self._on_change = on_change
         self._rates: dict[str, _TargetRate] = {}
+        #: Monotonic time of the latest request or change of a limit.
+        self._latest_at: float = 0
         self._host_regions: Mapping[str, str] = {location.name: location.region}
 
     @property
     def limited_count(self) -> int:
-        """Number of target processes that state a rate limit."""
+        """Number of target processes that stated a rate limit last."""
         return sum(1 for rate in self._rates.values() if rate.limit is not None)
 
     def limit_of(self, target: KnownTarget) -> float | None:
@@ -126,6 +132,7 @@
             rate.stated_at = now
         if limit == previous:
             return
+        self._latest_at = now
         rate = self._rate(target, now)
         rate.stated_at = now
         rate.limit = limit
@@ -152,6 +159,7 @@
 
     def record_sent(self, target: KnownTarget, now: float) -> None:
         """Record a request to a target; log its use once in each window."""
+        self._latest_at = now
         rate = self._rate(target, now)
         if now - rate.sent.window_started_at >= WINDOW_S:
             self._start_window(rate, now)
@@ -172,9 +180,14 @@
             rate.limiter.put_back(now)
 
     def prune(self, processes: Collection[str]) -> None:
-        """Drop target processes that are not in ``processes``."""
-        for name in tuple(self._rates):
-            if name not in processes:
+        """Drop target processes that are not in ``processes``.
+
+        Those that stated a limit within `LIMIT_RETENTION_S` are kept.
+        """
+        for name, rate in tuple(self._rates.items()):
+            age_s = self._latest_at - rate.stated_at
+            kept = rate.stated is not None and age_s < LIMIT_RETENTION_S
+            if name not in processes and not kept:
                 self._rates.pop(name)
 
     def _limiter(
