--- a/oriolestage/routing/tests/test_limits.py
+++ b/oriolestage/routing/tests/test_limits.py
@@ -1,5 +1,7 @@
 """Tests of the limits that hosts share without coordination."""
 
+import itertools
+import math
 import random
 import unittest
 
@@ -15,6 +17,8 @@
 ALLOWANCE = 430
 #: Extra attempts that a host tries to take at one moment.
 MAX_TRIES = 1000
+#: Requests of one host in a window, for each of which its share is compared.
+MOST_REQUESTS = 12
 
 
 def _make_hosts(count: int) -> tuple[str, ...]:
@@ -44,6 +48,19 @@
     return _spend_all(started, 21, hosts), _spend_all(running, 21, hosts)
 
 
+def _most_beyond_ratio(
+    bounds: BudgetBounds, host: str, hosts: tuple[str, ...], started_at: float
+) -> float:
+    """Return the most attempts of a host beyond the ratio of its requests."""
+    budget = make_budget(bounds, started_at, host=host)
+    most: float = 0
+    for requests in range(MOST_REQUESTS):
+        attempts = math.floor(budget.remaining(hosts, 20))
+        most = max(most, attempts - bounds.ratio * requests)
+        budget.record_request(20)
+    return most
+
+
 class RetryBudgetTest(unittest.TestCase):
     """The extra attempts of all hosts keep within the shared budget.
 
@@ -111,6 +128,23 @@
         with self.subTest(hosts=195):
             self.assertGreaterEqual(usual, 0.5 * ALLOWANCE)
 
+    def test_worst_requests(self) -> None:
+        """Guards against shares whose fractions add up beyond the budget.
+
+        Each host has the number of requests with which it may spend most
+        beyond the ratio of them, before and after a restart of all hosts.
+        """
+        for count, allowance in itertools.product(FLEET_SIZES, (52, ALLOWANCE)):
+            bounds = BudgetBounds(allowance=allowance)
+            hosts = _make_hosts(count)
+            excess = sum(
+                _most_beyond_ratio(bounds, host, hosts, started_at)
+                for host in hosts
+                for started_at in (0, 20)
+            )
+            with self.subTest(hosts=count, allowance=allowance):
+                self.assertLessEqual(excess, allowance)
+
     def test_few_hosts_get_all_requests(self) -> None:
         """Lost attempts are retried while the fleet's budget has room.
 
