Callers: refuse requests whose body is not the one that was sent

Three requests reached a target with another body than the caller had sent, which rule UNASKED forbids:

- with `Transfer-Encoding: gzip, chunked` (or any coding before chunked), the target got the coded bytes, without the field that says so;
- with `CONNECT /a/`, it got an empty body, and what followed was taken for a tunnel.

They get a 400 now, and the connection is closed, because it is unknown where such a request ends. The first is refused rather than passed on because the transfer coding concerns one connection only, and the host does not decode it.

Ruled out by the same test, as the parser refuses them with a 400: a length beside chunks in either order, two lengths, a space before the colon, a folded line, a bare line feed, CONNECT with an authority.

--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -19,6 +19,7 @@
     RequestPhase,
 )
 from oriolestage.entry._caller_connections import CallerConnections
+from oriolestage.entry._caller_framing import UnknownBodyError, check_framing
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._ports import RequestMetadata, WireProtocol
 from oriolestage.entry._request_router import RequestRouter
@@ -144,11 +145,12 @@
         path = request.raw_path
         host = request.headers.get('Host', '').partition(':')[0]
         if not host or not path.startswith('/') or '#' in path:
-            return _bad_request(request, 'needs a host and a path')
+            return _bad_request(request, ValueError('needs a host and a path'))
         try:
+            check_framing(request)
             metadata = self._wire_protocol.request_metadata(request.headers)
         except ValueError as error:
-            return _bad_request(request, str(error))
+            return _bad_request(request, error)
         opened.request_id = metadata.request_id
         body_due_at = opened.arrived_at + self._body_timeout_s(metadata)
         build_request = functools.partial(
@@ -248,9 +250,16 @@
     return response
 
 
-def _bad_request(request: web.BaseRequest, problem: str) -> web.Response:
+def _bad_request(request: web.BaseRequest, problem: ValueError) -> web.Response:
+    """Log and build the response to what is no valid request.
+
+    The connection is closed if it is unknown where the request ends.
+    """
     log_event(
         'request_rejected',
         {'path': request.raw_path, 'reason': problem},
     )
-    return web.Response(status=HTTPStatus.BAD_REQUEST, text=problem)
+    response = web.Response(status=HTTPStatus.BAD_REQUEST, text=str(problem))
+    if isinstance(problem, UnknownBodyError):
+        response.force_close()
+    return response
--- a/oriolestage/platform/tests/served_callers.py
+++ b/oriolestage/platform/tests/served_callers.py
@@ -142,12 +142,13 @@
     Raises ``TimeoutError`` if it does not end.
     """
     reader, writer = await asyncio.open_connection(*address)
-    with contextlib.closing(writer), contextlib.suppress(ConnectionError):
+    with contextlib.closing(writer):
+        # An answer may come, and the connection be closed, in between.
+        answers = asyncio.create_task(_read_all(reader))
         for part in parts:
             writer.write(part)
             await asyncio.sleep(PART_PAUSE_S if len(parts) > 1 else 0)
-        return await _read_all(reader)
-    return b''
+        return await answers
 
 
 async def _read_all(reader: asyncio.StreamReader) -> bytes:
--- a/oriolestage/platform/tests/test_odd_requests.py
+++ b/oriolestage/platform/tests/test_odd_requests.py
@@ -6,12 +6,15 @@
 import uvloop
 
 from oriolestage.platform.tests.served_callers import (
+    BODY,
     FIELDS,
     forward,
     status_of,
 )
 from oriolestage.routing._crash_detector import fingerprint_of
 
+SOUND = b'GET /a/ HTTP/1.1\r\n' + FIELDS + b'\r\n'
+
 
 class OddRequestTest(unittest.TestCase):
     """Odd requests get a true status, and targets only sound requests."""
@@ -36,6 +39,39 @@
                 self.assertEqual(status_of(received), status)
                 self.assertEqual(forwarded, [])
 
+    def test_unknown_bodies(self) -> None:
+        """Guards against a target that gets another body than was sent.
+
+        Nor does it get what follows, which may be a part of that body.
+        """
+        chunks = b'4\r\nbody\r\n0\r\n\r\n'
+        for fields, body in (
+            (b'Transfer-Encoding: gzip, chunked', chunks),
+            (b'Transfer-Encoding: identity, chunked', chunks),
+            (b'Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked', chunks),
+            (b'Content-Length: %d' % ((1 << 64) - 1), BODY),
+            (b'Content-Length: 4\r\nTransfer-Encoding: chunked', chunks),
+            (b'Transfer-Encoding: chunked\r\nContent-Length: 4', chunks),
+            (b'Content-Length : 4', BODY),
+            (b'Content-Length: 4\r\nContent-Length: 4', BODY),
+            (b'X-Fold: 1\r\n Content-Length: 4', BODY),
+            (b'X-Line: 1\nContent-Length: 4', BODY),
+        ):
+            head = b'POST /a/ HTTP/1.1\r\n' + FIELDS + fields + b'\r\n\r\n'
+            for parts in ((head + body + SOUND,), (head, body + SOUND)):
+                with self.subTest(fields=fields, parts=len(parts)):
+                    self._check_refused(parts)
+        for method in (b'CONNECT /a/', b'CONNECT h.example:80'):
+            head = method + b' HTTP/1.1\r\n' + FIELDS + b'\r\n'
+            with self.subTest(method=method):
+                self._check_refused((head + SOUND,))
+
+    def _check_refused(self, parts: tuple[bytes, ...]) -> None:
+        received, forwarded = uvloop.run(forward(*parts))
+        self.assertEqual(status_of(received), 400)
+        self.assertEqual(received.count(b'HTTP/1.'), 1)
+        self.assertEqual(forwarded, [])
+
     def test_fingerprints(self) -> None:
         """Texts of different bytes have different fingerprints."""
         texts = (b'caf\xe9', b'caf\xff', b'caf', 'caf\u00e9'.encode())
