Callers: an error of the program ends one request with a 502

An error while a request was handled gave the caller a 500 (504 for a TimeoutError) and closed its connection. Where the error was in writing the response, or a CancelledError that nobody had asked for, the connection ended without any answer. The log had a library's line without the request's id.

The request may have run by then, so the caller gets a complete 502, which promises nothing, and the connection goes on. One line `request_error` names the request, what it waited for, the error and its place. The response is prepared within the same guard, so that one that cannot be written is an error like the others. A cancellation is passed on only if this task is to end, as when the caller leaves.

The responses that the host itself builds move to a module of their own.

Evidence: `python -m unittest oriolestage.platform.tests.test_caller_errors` injects errors into the router, the wire protocol and the response.

--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -12,14 +12,18 @@
 from multidict import CIMultiDict
 
 from oriolestage._listeners import accept_waiting
-from oriolestage._logging import log_event
 from oriolestage.entry._caller_connection import (
     CallerConnection,
     OpenRequest,
     RequestPhase,
 )
 from oriolestage.entry._caller_connections import CallerConnections
-from oriolestage.entry._caller_framing import UnknownBodyError, check_framing
+from oriolestage.entry._caller_failures import (
+    build_bad_request,
+    build_error_response,
+    build_rejection,
+)
+from oriolestage.entry._caller_framing import check_framing
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._ports import RequestMetadata, WireProtocol
 from oriolestage.entry._request_router import RequestRouter
@@ -30,6 +34,7 @@
 
 #: Interim response to a request with ``Expect: 100-continue``.
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+NO_DESTINATION = ValueError('needs a host and a path')
 
 
 class BodyTooLargeError(Exception):
@@ -122,12 +127,28 @@
         connection = typing.cast(CallerConnection, request.protocol)
         opened = OpenRequest('', time.monotonic(), RequestPhase.BODY)
         connection.latest_request = opened
-        response = await self._respond(request, connection, opened)
+        try:
+            response = await self._respond(request, connection, opened)
+            self._close_after(response, connection)
+            # Fails here if the response cannot be written.
+            await response.prepare(request)
+        except (Exception, asyncio.CancelledError) as error:
+            if _is_cancelled():
+                raise
+            response = build_error_response(request, opened, error)
+            self._close_after(response, connection)
         opened.phase = RequestPhase.ANSWER
-        # A request that has arrived behind this one is answered too.
+        return response
+
+    def _close_after(
+        self, response: web.StreamResponse, connection: CallerConnection
+    ) -> None:
+        """Close the connection after a response if it is time for that.
+
+        A request that has arrived behind this one is answered too.
+        """
         if self._is_to_close(connection) and not connection.has_more_input:
             response.force_close()
-        return response
 
     def _is_to_close(self, connection: CallerConnection) -> bool:
         if self._draining:
@@ -145,12 +166,12 @@
         path = request.raw_path
         host = request.headers.get('Host', '').partition(':')[0]
         if not host or not path.startswith('/') or '#' in path:
-            return _bad_request(request, ValueError('needs a host and a path'))
+            return build_bad_request(request, NO_DESTINATION)
         try:
             check_framing(request)
             metadata = self._wire_protocol.request_metadata(request.headers)
         except ValueError as error:
-            return _bad_request(request, error)
+            return build_bad_request(request, error)
         opened.request_id = metadata.request_id
         body_due_at = opened.arrived_at + self._body_timeout_s(metadata)
         build_request = functools.partial(
@@ -169,14 +190,16 @@
             body = await self._read_in_time(request, body_due_at)
         except BodyTooLargeError:
             status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-            return _reject(metadata.request_id, 'body_too_large', status)
+            return build_rejection(
+                metadata.request_id, 'body_too_large', status
+            )
         except TimeoutError:
             if self._ends_at < body_due_at:
                 refused = build_request(body=b'', fingerprint=0)
                 refusal = self._router.refuse_stopping(refused)
                 return self._build_response(refusal, metadata)
             status = HTTPStatus.REQUEST_TIMEOUT
-            return _reject(metadata.request_id, 'body_too_slow', status)
+            return build_rejection(metadata.request_id, 'body_too_slow', status)
         opened.phase = RequestPhase.TARGETS
         result = await self._router.serve(
             build_request(
@@ -238,28 +261,7 @@
         return b''.join(chunks)
 
 
-def _reject(
-    request_id: str,
-    reason: str,
-    status: HTTPStatus,
-) -> web.Response:
-    """Log and build the response to a body that is too large or too slow."""
-    log_event('request_rejected', {'id': request_id, 'reason': reason})
-    response = web.Response(status=status)
-    response.force_close()
-    return response
-
-
-def _bad_request(request: web.BaseRequest, problem: ValueError) -> web.Response:
-    """Log and build the response to what is no valid request.
-
-    The connection is closed if it is unknown where the request ends.
-    """
-    log_event(
-        'request_rejected',
-        {'path': request.raw_path, 'reason': problem},
-    )
-    response = web.Response(status=HTTPStatus.BAD_REQUEST, text=str(problem))
-    if isinstance(problem, UnknownBodyError):
-        response.force_close()
-    return response
+def _is_cancelled() -> bool:
+    """Return whether the task that asks is to end."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- a/oriolestage/platform/tests/served_callers.py
+++ b/oriolestage/platform/tests/served_callers.py
@@ -21,6 +21,7 @@
 from oriolestage.routing._crash_detector import fingerprint_of
 from oriolestage.routing._rules import CallerLimits
 
+WIRE_PROTOCOL = PlatformWireProtocol()
 LIMITS = CallerLimits(header_timeout_s=0.2, idle_timeout_s=0.4)
 #: Time after which a caller gives up, in seconds.
 CALLER_TIMEOUT_S = 10.0
@@ -119,12 +120,14 @@
 
 @contextlib.asynccontextmanager
 async def serving(
-    router: object, limits: CallerLimits = LIMITS
+    router: object,
+    limits: CallerLimits = LIMITS,
+    wire_protocol: PlatformWireProtocol = WIRE_PROTOCOL,
 ) -> AsyncIterator[tuple[str, int]]:
     """Run a server with a router; its address is the value."""
     server = CallerServer(
         router,  # type: ignore[arg-type]
-        PlatformWireProtocol(),
+        wire_protocol,
         lambda: limits,
     )
     listener = socket.create_server(('127.0.0.1', 0))
