Callers: pass on the length that a target states for HEAD

The answer to HEAD came without the Content-Length of the target's answer, so a caller could not learn the size that it had asked for.

The length that a target states is taken out of each answer, since the host counts the body that it sends itself; for HEAD there is no body to count. For HEAD the target's length is now passed on, unless the target states several different ones or no number.

Evidence: `python -m unittest oriolestage.platform.tests.test_answers_to_callers` failed in four cases, one of them with a target end to end (no length in place of the target's), and passes.

--- a/oriolestage/entry/_caller_framing.py
+++ b/oriolestage/entry/_caller_framing.py
@@ -1,9 +1,11 @@
-"""Tells whether the body of a caller's request is known.
+"""Tells whether the length of a caller's request, or an answer, is known.
 
 The parser accepts some heads whose body it takes for another one than the
 caller sent.
 """
 
+from collections.abc import Sequence
+
 from aiohttp import web
 
 #: The only transfer coding that is decoded.
@@ -28,3 +30,10 @@
         raise UnknownBodyError('only the transfer coding chunked is supported')
     if request.content_length == UNKNOWN_LENGTH:
         raise UnknownBodyError('length out of range')
+
+
+def is_length(stated: Sequence[str]) -> bool:
+    """Return whether the values of ``Content-Length`` are one and the same."""
+    if len(set(stated)) != 1:
+        return False
+    return stated[0].isascii() and stated[0].isdigit()
--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -23,7 +23,7 @@
     build_error_response,
     build_rejection,
 )
-from oriolestage.entry._caller_framing import check_framing
+from oriolestage.entry._caller_framing import check_framing, is_length
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._ports import RequestMetadata, WireProtocol
 from oriolestage.entry._request_router import RequestRouter
@@ -197,7 +197,7 @@
             if self._ends_at < body_due_at:
                 refused = build_request(body=b'', fingerprint=0)
                 refusal = self._router.refuse_stopping(refused)
-                return self._build_response(refusal, metadata)
+                return self._build_response(refusal, metadata, request)
             status = HTTPStatus.REQUEST_TIMEOUT
             return build_rejection(metadata.request_id, 'body_too_slow', status)
         opened.phase = RequestPhase.TARGETS
@@ -207,14 +207,19 @@
                 fingerprint=fingerprint_of(request.method, host, path, body),
             ),
         )
-        return self._build_response(result, metadata)
+        return self._build_response(result, metadata, request)
 
     def _build_response(
-        self, result: RequestResult, metadata: RequestMetadata
+        self,
+        result: RequestResult,
+        metadata: RequestMetadata,
+        request: web.BaseRequest,
     ) -> web.Response:
         answer = self._wire_protocol.response(result, metadata.request_id)
         headers = CIMultiDict(answer.headers)
-        headers.popall('Content-Length', None)
+        lengths = headers.popall('Content-Length', [])
+        if request.method == 'HEAD' and is_length(lengths):
+            headers['Content-Length'] = lengths[0]
         return web.Response(
             status=answer.status,
             headers=headers,
--- a/oriolestage/platform/tests/served_callers.py
+++ b/oriolestage/platform/tests/served_callers.py
@@ -68,11 +68,12 @@
                 body = await reader.readexactly(size)
                 self.received.append((head, body))
                 identity = fields.get(b'attempt-id', b'')
-                writer.write(
-                    b'HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n'
-                    b'Attempt-Id: %s\r\nContent-Length: 4\r\n\r\n%s'
-                    % (identity, BODY)
-                )
+                answer = b'HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n'
+                answer += b'Attempt-Id: %s\r\n' % identity
+                answer += b'Content-Length: %d\r\n\r\n' % len(BODY)
+                if not head.startswith(b'HEAD '):
+                    answer += BODY
+                writer.write(answer)
         writer.close()
 
 
--- a/oriolestage/platform/tests/test_answers_to_callers.py
+++ b/oriolestage/platform/tests/test_answers_to_callers.py
@@ -10,6 +10,7 @@
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.platform._wire_protocol import PlatformWireProtocol
+from oriolestage.platform.tests.served_callers import BODY, FIELDS, forward
 from oriolestage.routing._answers import (
     Delivered,
     Failed,
@@ -41,6 +42,7 @@
 HOP_HEADERS = frozenset(
     ('transfer-encoding', 'keep-alive', 'trailer', 'upgrade', 'x-hop')
 )
+LENGTHS = frozenset(('content-length',))
 
 
 def _delivered(status: int, body: bytes = b'body') -> RequestResult:
@@ -129,6 +131,42 @@
                 with self.subTest(result=repr(result)[:60], method=method):
                     self._check(method, uvloop.run(_ask(result, request)))
 
+    def test_length_for_head(self) -> None:
+        """Guards against a length other than the target's for HEAD.
+
+        A target that contradicts itself states none.
+        """
+        stamp = ('Server-Stamp', 's')
+        for lengths, expected in (
+            (('1234',), ['1234']),
+            (('0',), ['0']),
+            (('1234', '1234'), ['1234']),
+            (('99', '3'), []),
+            (('+4',), []),
+            (('\u0663',), []),
+            ((), []),
+        ):
+            fields = [('Content-Length', text) for text in lengths]
+            result = Delivered(TargetAnswer(200, (stamp, *fields), b'', 's'))
+            with self.subTest(lengths=lengths):
+                request = b'HEAD / HTTP/1.1\r\nHost: h\r\n\r\n'
+                received = uvloop.run(_ask(result, request))
+                status, found, body = _parse(received)
+                self.assertEqual((status, body), (200, b''))
+                self.assertIn(('server-stamp', 's'), found)
+                stated = [text for name, text in found if name in LENGTHS]
+                self.assertEqual(stated, expected)
+
+    def test_forwarded_head(self) -> None:
+        """HEAD gets the target's length from end to end."""
+        request = b'HEAD /a/ HTTP/1.1\r\n' + FIELDS
+        received, _ = uvloop.run(
+            forward(request + b'Connection: close\r\n\r\n')
+        )
+        status, found, body = _parse(received)
+        self.assertEqual((status, body), (200, b''))
+        self.assertIn(('content-length', str(len(BODY))), found)
+
     def _check(self, method: str, received: bytes) -> None:
         status, fields, body = _parse(received)
         names = [name for name, _ in fields]
