Callers: leave out a target's header that cannot be written as it is

A header of a target's answer with bytes that are no UTF-8 reached the caller shortened: `X-Odd: caf\xe9` became `X-Odd: caf`. The parser maps such bytes to surrogates, which aiohttp leaves out when it writes a response.

Such a header is now left out with a line `header_dropped`, like one with control characters. Passing the bytes on was ruled out, as aiohttp writes UTF-8 only.

Evidence: `python -m unittest oriolestage.platform.tests.test_odd_headers` failed for two values and one name, and passes.

--- a/oriolestage/platform/_header_values.py
+++ b/oriolestage/platform/_header_values.py
@@ -49,7 +49,14 @@
 
 
 def can_be_sent(text: str) -> bool:
-    """Return whether a header may have this value, by its characters."""
+    """Return whether a header may have this value, by its characters.
+
+    Bytes that are no UTF-8 are surrogates here, which would be left out.
+    """
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
     return CONTROL_CHARACTERS.isdisjoint(text.replace(TAB, ''))
 
 
--- a/oriolestage/platform/tests/test_odd_headers.py
+++ b/oriolestage/platform/tests/test_odd_headers.py
@@ -1,6 +1,6 @@
 """Tests of malformed header values of callers and targets."""
 
-import unittest
+from unittest import TestCase, mock
 
 from oriolestage.platform._wire_protocol import PlatformWireProtocol
 from oriolestage.platform.tests.target_calls import (
@@ -42,9 +42,12 @@
     'nan',
     'soon',
 )
+LOG_EVENT = f'{PlatformWireProtocol.__module__}.log_event'
+#: A field whose name is no UTF-8.
+ODD_NAME = ('X-\udce9', '1')
 
 
-class OddHeaderTest(unittest.TestCase):
+class OddHeaderTest(TestCase):
     """Guards against a header whose error is not the one that is expected."""
 
     def setUp(self) -> None:
@@ -109,8 +112,23 @@
                 response = self._protocol.response(Delivered(answer), 'a')
                 self.assertEqual(response.headers, kept)
 
+    def test_bytes_that_are_no_utf8(self) -> None:
+        """Guards against a header that a caller gets shortened.
 
-class OddTargetTest(unittest.TestCase):
+        Bytes that are no UTF-8 cannot be written to the caller.
+        """
+        stamp = ('Server-Stamp', 's')
+        for field in (('X-Odd', 'caf\udce9'), ('X-Odd', '\udcff'), ODD_NAME):
+            with self.subTest(field=field):
+                answer = TargetAnswer(200, (field, stamp), b'body', 's')
+                with mock.patch(LOG_EVENT) as log:
+                    response = self._protocol.response(Delivered(answer), 'a')
+                self.assertEqual(response.headers, (stamp,))
+                log.assert_called_once()
+                self.assertEqual(log.call_args.args[0], 'header_dropped')
+
+
+class OddTargetTest(TestCase):
     """Odd headers of a target harm neither its answer nor this host."""
 
     def test_notices(self) -> None:
