Wire protocol: keep headers that tell which request or answer it is

A header that `Connection` lists concerns one connection only and is not forwarded.

RFC 9110 (7.6.1) allows no connection option for a header that is meant for all recipients. The host, the length, the content coding, the identity and the signature are now forwarded whatever `Connection` lists; others as before.

Evidence: test_connection_options in `python -m unittest oriolestage.platform.tests.test_odd_headers` failed (no header was left of the two) and passes.

--- a/oriolestage/platform/_wire_protocol.py
+++ b/oriolestage/platform/_wire_protocol.py
@@ -54,6 +54,17 @@
         _names.TARGET_HEADER.lower(),
     ),
 )
+#: Headers that are forwarded even if ``Connection`` lists them: without them,
+#: nobody can tell which request or answer it is (RFC 9110, section 7.6.1).
+END_TO_END_HEADERS = frozenset(
+    (
+        'host',
+        'content-length',
+        'content-encoding',
+        _names.REQUEST_ID_HEADER.lower(),
+        _names.SIGNATURE_HEADER.lower(),
+    ),
+)
 #: Values of the header that says whether a target leaves.
 LEAVING = '1'
 NOT_LEAVING = '0'
@@ -182,8 +193,9 @@
 ) -> list[tuple[str, str]]:
     """Return the headers to forward, in order.
 
-    Leaves out hop-by-hop headers, headers that ``Connection`` lists, and those
-    whose lower-case names are in ``excluded``.
+    Leaves out hop-by-hop headers, headers that ``Connection`` lists except
+    for `END_TO_END_HEADERS`, and those whose lower-case names are in
+    ``excluded``.
     """
     listed = {
         token.strip().lower()
@@ -191,7 +203,7 @@
         if name.lower() == 'connection'
         for token in text.split(',')
     }
-    dropped = HOP_BY_HOP_HEADERS | listed | excluded
+    dropped = HOP_BY_HOP_HEADERS | (listed - END_TO_END_HEADERS) | excluded
     return [
         (name, text) for name, text in headers if name.lower() not in dropped
     ]
--- a/oriolestage/platform/tests/test_odd_headers.py
+++ b/oriolestage/platform/tests/test_odd_headers.py
@@ -127,6 +127,21 @@
                 log.assert_called_once()
                 self.assertEqual(log.call_args.args[0], 'header_dropped')
 
+    def test_connection_options(self) -> None:
+        """Guards against losing a header that a faulty peer calls hop-by-hop.
+
+        An answer without its signature is none, nor is a request without its
+        identity.
+        """
+        listed = ('Connection', 'close, Server-Stamp, attempt-id, host, X-Hop')
+        kept = (('Server-Stamp', 's'), ('Attempt-Id', 'a'))
+        answer = TargetAnswer(200, (listed, *kept, ('X-Hop', '1')), b'', 's')
+        response = self._protocol.response(Delivered(answer), 'a')
+        self.assertEqual(response.headers, kept)
+        sent = (('Host', 'h'), ('Attempt-Id', 'a'))
+        headers = self._protocol.target_headers((listed, *sent), 'i-1', 1)
+        self.assertEqual(tuple(headers[:2]), sent)
+
 
 class OddTargetTest(TestCase):
     """Odd headers of a target harm neither its answer nor this host."""
