Wire protocol: an answer with two identities or signatures is none

With two `Attempt-Id` in one answer of a target, the last one counted, so that an answer to another request was taken if the right identity followed, also a 421 or `Not-Executed`, which promise that the request has not run. With two `Server-Stamp`, the first one counted and the caller got both.

Each identity that an answer echoes must now be that of the request. Different signatures are no signature, and a failure with them is lost as well. The same value twice is accepted, as it leaves nothing to guess. A caller's request with two identities or deadlines gets a 400: a target may take the other one.

Evidence: test_several_values in `python -m unittest oriolestage.platform.tests.test_odd_headers` failed in seven cases and passes.

--- a/oriolestage/platform/_wire_protocol.py
+++ b/oriolestage/platform/_wire_protocol.py
@@ -1,6 +1,6 @@
 """HTTP headers and statuses of the exchange with callers and targets."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from http import HTTPStatus
 
 from oriolestage._logging import log_event
@@ -82,8 +82,11 @@
     def request_metadata(self, headers: Mapping[str, str]) -> RequestMetadata:
         """Return the identity and deadline of a request from its headers.
 
-        Raises ``ValueError`` if one of them is malformed.
+        Raises ``ValueError`` if one of them is malformed or comes twice.
         """
+        for name in (_names.DEADLINE_HEADER, _names.REQUEST_ID_HEADER):
+            if len(_texts_of(headers.items(), name)) > 1:
+                raise ValueError(f'{name} comes twice')
         text = headers.get(_names.DEADLINE_HEADER)
         time_left_s: float | None = None
         if text is not None:
@@ -112,19 +115,20 @@
         """Return the outcome of an attempt from the response of the target.
 
         An attempt counts as not run only if the target says so. It is lost if
-        the response belongs to another request or is a success without a
-        signature.
+        the response may belong to another request, has different signatures
+        or is a success without one.
         """
-        text_by_name = {name.lower(): text for name, text in answer.headers}
-        echoed_id = text_by_name.get(_names.REQUEST_ID_HEADER.lower())
-        if echoed_id is not None and echoed_id != request_id:
+        echoed_ids = _texts_of(answer.headers, _names.REQUEST_ID_HEADER)
+        if any(echoed_id != request_id for echoed_id in echoed_ids):
             return AttemptLost(step='answer.other_request')
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             return AttemptNotRun(NotRunReason.OTHER_TARGET)
-        if _names.NOT_RUN_HEADER.lower() in text_by_name:
+        if _texts_of(answer.headers, _names.NOT_RUN_HEADER):
             return AttemptNotRun(NotRunReason.SHED)
         if answer.success and not answer.signature:
             return AttemptLost(step='answer.unsigned')
+        if len(set(_texts_of(answer.headers, _names.SIGNATURE_HEADER))) > 1:
+            return AttemptLost(step='answer.signatures')
         return AttemptAnswered(answer)
 
     def rate_limit(self, headers: Mapping[str, str]) -> float | None:
@@ -162,9 +166,13 @@
     def signature(self, headers: Mapping[str, str]) -> str:
         """Return the signature of a target's response, empty if it has none.
 
-        A text that cannot stand in a list of signatures is none.
+        A text that cannot stand in a list of signatures is none, nor are
+        several different ones.
         """
-        text = headers.get(_names.SIGNATURE_HEADER, '')
+        signatures = set(_texts_of(headers.items(), _names.SIGNATURE_HEADER))
+        if len(signatures) != 1:
+            return ''
+        text = signatures.pop()
         return text if is_list_element(text) else ''
 
     def response(self, result: RequestResult, request_id: str) -> Response:
@@ -187,6 +195,12 @@
                 return Response(status, (), reason.value.encode())
 
 
+def _texts_of(headers: Iterable[tuple[str, str]], name: str) -> list[str]:
+    """Return the values of a header, one for each line with its name."""
+    lower_name = name.lower()
+    return [text for other, text in headers if other.lower() == lower_name]
+
+
 def end_to_end_headers(
     headers: tuple[tuple[str, str], ...],
     excluded: frozenset[str],
--- a/oriolestage/platform/tests/test_odd_headers.py
+++ b/oriolestage/platform/tests/test_odd_headers.py
@@ -2,6 +2,13 @@
 
 from unittest import TestCase, mock
 
+from multidict import (
+    CIMultiDict,
+    CIMultiDictProxy,
+    MultiDict,
+    MultiDictProxy,
+)
+
 from oriolestage.platform._wire_protocol import PlatformWireProtocol
 from oriolestage.platform.tests.target_calls import (
     COMPLETE_ANSWER,
@@ -142,6 +149,41 @@
         headers = self._protocol.target_headers((listed, *sent), 'i-1', 1)
         self.assertEqual(tuple(headers[:2]), sent)
 
+    def test_several_values(self) -> None:
+        """Guards against an answer or a request that may be another one.
+
+        Which of two identities or signatures counts is for a reader to guess.
+        """
+        for name in ('Attempt-Id', 'Deadline-Ms'):
+            fields = MultiDict(((name, '1'), (name.lower(), '2')))
+            with self.subTest(name=name), self.assertRaises(ValueError):
+                self._protocol.request_metadata(MultiDictProxy(fields))
+        stamp = ('Server-Stamp', 's')
+        other_stamp = ('server-stamp', 't')
+        own, other = ('Attempt-Id', 'a'), ('attempt-id', 'b')
+        for fields_of_target, status, expected in (
+            ((own, other, stamp), 200, 'answer.other_request'),
+            ((other, own, stamp), 200, 'answer.other_request'),
+            ((other, own), 421, 'answer.other_request'),
+            ((other, own, ('Not-Executed', '1')), 503, 'answer.other_request'),
+            ((own, stamp, other_stamp), 200, 'answer.unsigned'),
+            ((own, stamp, other_stamp), 500, 'answer.signatures'),
+            ((own, own, stamp), 200, ''),
+            ((own, stamp, stamp), 200, ''),
+            ((own, stamp, stamp), 500, ''),
+        ):
+            with self.subTest(fields=fields_of_target, status=status):
+                headers = CIMultiDictProxy(CIMultiDict(fields_of_target))
+                answer = TargetAnswer(
+                    status,
+                    tuple(headers.items()),
+                    b'',
+                    self._protocol.signature(headers),
+                )
+                outcome = self._protocol.outcome('a', answer)
+                step = getattr(outcome, 'step', '')
+                self.assertEqual(step, expected)
+
 
 class OddTargetTest(TestCase):
     """Odd headers of a target harm neither its answer nor this host."""
