Callers: refuse requests of other versions than HTTP/1.0 and HTTP/1.1

A request of HTTP/2.0 or HTTP/0.9 was served, and its answer began with `HTTP/2.0 200` or `HTTP/0.9 200`, which is no answer in HTTP/1. The parser takes a request line without a version for HTTP/0.9, so that `GET /aHTTP/1.1` reached a target with the path `/aHTTP/1.1`.

Such requests get a 400 in HTTP/1.0, after which the connection is closed.

--- a/oriolestage/entry/_caller_connections.py
+++ b/oriolestage/entry/_caller_connections.py
@@ -13,6 +13,7 @@
     OpenRequest,
     RequestPhase,
 )
+from oriolestage.entry._caller_framing import build_request
 from oriolestage.routing._rules import CallerLimits
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -23,7 +24,11 @@
 
     def __init__(self, handler: Handler, limits: CallerLimits) -> None:
         """Create a server whose connections apply ``limits``."""
-        super().__init__(handler, handler_cancellation=True)
+        super().__init__(
+            handler,
+            request_factory=build_request,
+            handler_cancellation=True,
+        )
         self._limits = limits
 
     def __call__(self) -> CallerConnection:
--- a/oriolestage/entry/_caller_framing.py
+++ b/oriolestage/entry/_caller_framing.py
@@ -4,9 +4,13 @@
 caller sent.
 """
 
+import asyncio
 from collections.abc import Sequence
 
 from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import HttpVersion10, HttpVersion11, RawRequestMessage
+from aiohttp.streams import StreamReader
 
 #: The only transfer coding that is decoded.
 CHUNKED = 'chunked'
@@ -14,14 +18,41 @@
 CONNECT = 'CONNECT'
 #: Length that the parser takes for none, in bytes.
 UNKNOWN_LENGTH = 0xFFFFFFFFFFFFFFFF
+#: Versions that are answered in kind; others are answered in the first one.
+VERSIONS = (HttpVersion10, HttpVersion11)
+#: Key in a request of the version that the caller stated.
+STATED_VERSION = 'stated_version'
 
 
 class UnknownBodyError(ValueError):
     """The body of a request cannot be told from what follows it."""
 
 
+def build_request(
+    message: RawRequestMessage,
+    payload: StreamReader,
+    protocol: web.RequestHandler,
+    writer: AbstractStreamWriter,
+    task: asyncio.Task[None],
+) -> web.BaseRequest:
+    """Build a request whose answer has a version of HTTP/1."""
+    known = message.version in VERSIONS
+    request = web.BaseRequest(
+        message if known else message._replace(version=VERSIONS[0]),
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+    )
+    request[STATED_VERSION] = message.version
+    return request
+
+
 def check_framing(request: web.BaseRequest) -> None:
     """Raise :class:`UnknownBodyError` if a request's body is not known."""
+    if request[STATED_VERSION] not in VERSIONS:
+        raise UnknownBodyError('only HTTP/1.0 and HTTP/1.1 are supported')
     if request.method == CONNECT:
         # The parser takes everything that follows for a tunnel.
         raise UnknownBodyError('CONNECT is not supported')
--- a/oriolestage/platform/tests/test_odd_requests.py
+++ b/oriolestage/platform/tests/test_odd_requests.py
@@ -66,6 +66,25 @@
             with self.subTest(method=method):
                 self._check_refused((head + SOUND,))
 
+    def test_versions(self) -> None:
+        """Guards against an answer in a version that is none of HTTP/1.
+
+        The parser takes a line without a version for HTTP/0.9.
+        """
+        for line, status in (
+            (b'GET /a/', 400),
+            (b'GET /a/HTTP/1.1', 400),
+            (b'GET /a/ HTTP/0.9', 400),
+            (b'GET /a/ HTTP/1.2', 400),
+            (b'GET /a/ HTTP/2.0', 400),
+            (b'GET /a/ HTTP/1.0', 200),
+        ):
+            with self.subTest(line=line):
+                head = line + b'\r\n' + FIELDS + b'\r\n'
+                received, forwarded = uvloop.run(forward(head))
+                self.assertRegex(received, rb'^HTTP/1[.][01] %d ' % status)
+                self.assertEqual(len(forwarded), int(status == 200))
+
     def _check_refused(self, parts: tuple[bytes, ...]) -> None:
         received, forwarded = uvloop.run(forward(*parts))
         self.assertEqual(status_of(received), 400)
