--- a/oriolestage/entry/_caller_framing.py
+++ b/oriolestage/entry/_caller_framing.py
@@ -9,7 +9,12 @@
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import HttpVersion10, HttpVersion11, RawRequestMessage
+from aiohttp.http import (
+    HttpVersion,
+    HttpVersion10,
+    HttpVersion11,
+    RawRequestMessage,
+)
 from aiohttp.streams import StreamReader
 
 #: The only transfer coding that is decoded.
@@ -21,7 +26,7 @@
 #: Versions that are answered in kind; others are answered in the first one.
 VERSIONS = (HttpVersion10, HttpVersion11)
 #: Key in a request of the version that the caller stated.
-STATED_VERSION = 'stated_version'
+STATED_VERSION = web.RequestKey('stated_version', HttpVersion)
 
 
 class UnknownBodyError(ValueError):
--- a/oriolestage/platform/tests/served_callers.py
+++ b/oriolestage/platform/tests/served_callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._caller_server import CallerServer
@@ -122,14 +122,17 @@
 @contextlib.asynccontextmanager
 async def serving(
     router: object,
-    limits: CallerLimits = LIMITS,
+    limits: Callable[[], CallerLimits] = CallerLimits,
     wire_protocol: PlatformWireProtocol = WIRE_PROTOCOL,
 ) -> AsyncIterator[tuple[str, int]]:
-    """Run a server with a router; its address is the value."""
+    """Run a server with a router; its address is the value.
+
+    ``limits`` returns those of the next connection.
+    """
     server = CallerServer(
         router,  # type: ignore[arg-type]
         wire_protocol,
-        lambda: limits,
+        limits,
     )
     listener = socket.create_server(('127.0.0.1', 0))
     listener.setblocking(False)
@@ -172,7 +175,7 @@
     await target.start()
     router = ForwardingRouter(target.address)
     try:
-        async with serving(router) as address:
+        async with serving(router, lambda: LIMITS) as address:
             received = await ask(address, parts)
     finally:
         router.close()
--- a/oriolestage/platform/tests/test_caller_errors.py
+++ b/oriolestage/platform/tests/test_caller_errors.py
@@ -13,7 +13,6 @@
 from oriolestage.platform._wire_protocol import PlatformWireProtocol
 from oriolestage.platform.tests.served_callers import (
     BODY,
-    LIMITS,
     serving,
     status_of,
 )
@@ -96,7 +95,8 @@
     The second one is on the same connection and the third one on another, on
     which it was under way meanwhile.
     """
-    async with serving(router, LIMITS, FaultyProtocol(step)) as address:
+    protocol = FaultyProtocol(step)
+    async with serving(router, wire_protocol=protocol) as address:
         other_reader, other_writer = await asyncio.open_connection(*address)
         other_writer.write(_encode('/other/', 'o-1'))
         reader, writer = await asyncio.open_connection(*address)
