Soak: start in a clean clone, beside other runs

Where python3 of the search path is another version, or target/deps is not built, hosts did not start: the command's interpreter is now the one that runs the soak, and the packages are its own.

Two runs could draw the same loopback addresses: a run now claims its net with a bound socket and draws again if another run has it.

The end of a run stops all of its processes although one of them fails to end, and a process that is reaped while its memory is read no longer fails a run.

--- a/platform_soak/deployment.py
+++ b/platform_soak/deployment.py
@@ -1,7 +1,9 @@
 """A small deployment: store, entry hosts, servers, balancer and clients."""
 
 import asyncio
+import errno
 import random
+import socket
 import tempfile
 import types
 from collections.abc import Mapping
@@ -25,6 +27,8 @@
 SECOND_BYTES = (16, 250)
 THIRD_BYTES = (1, 250)
 READY_CHECK_S = 0.1
+#: Port whose listener on the first address of a run keeps others from it.
+CLAIM_PORT = 8099
 
 
 class NotStartedError(Exception):
@@ -53,11 +57,9 @@
         self.hosts: list[EntryHost] = []
         self._folder = tempfile.TemporaryDirectory()
         self._logs = logs or Path(self._folder.name)
-        draw = random.Random()
         #: Hosts have addresses of their own, since their ports are the same.
-        self._net = (
-            f'127.{draw.randint(*SECOND_BYTES)}.{draw.randint(*THIRD_BYTES)}'
-        )
+        self._claim = claim_net(random.Random())
+        self._net = net_of(self._claim)
         self.balancer = Balancer(self.hosts, seed)
         self.clients = Clients(self.balancer, self.record)
 
@@ -112,13 +114,17 @@
 
     async def close(self) -> None:
         """End all processes and stand-ins."""
-        for host in self.hosts:
-            await host.end()
+        ends = [host.end() for host in self.hosts]
+        problems = await asyncio.gather(*ends, return_exceptions=True)
         self.balancer.close()
         for server in self.servers:
             server.close()
         self.store.close()
         self._folder.cleanup()
+        self._claim.close()
+        for problem in problems:
+            if problem is not None:
+                raise problem
 
     async def _wait_ready(self) -> None:
         try:
@@ -127,3 +133,24 @@
                     await asyncio.sleep(READY_CHECK_S)
         except TimeoutError as error:
             raise NotStartedError('hosts are not ready') from error
+
+
+def claim_net(draw: random.Random) -> socket.socket:
+    """Return a socket on a net that no other run has until it is closed."""
+    while True:
+        net = f'127.{draw.randint(*SECOND_BYTES)}.{draw.randint(*THIRD_BYTES)}'
+        claim = socket.socket()
+        try:
+            claim.bind((f'{net}.1', CLAIM_PORT))
+        except OSError as error:
+            claim.close()
+            if error.errno != errno.EADDRINUSE:
+                raise
+            continue
+        return claim
+
+
+def net_of(claim: socket.socket) -> str:
+    """Return the first three bytes of the addresses of a net."""
+    ip: str = claim.getsockname()[0]
+    return ip.rpartition('.')[0]
--- a/platform_soak/hosts.py
+++ b/platform_soak/hosts.py
@@ -4,6 +4,8 @@
 import json
 import os
 import signal
+import sys
+import sysconfig
 import tomllib
 from pathlib import Path
 from types import MappingProxyType
@@ -12,8 +14,10 @@
 #: Folders in which the locked packages may be, by preference.
 PACKAGES = (
     ROOT / 'target' / 'deps',
-    ROOT / '.venv' / 'lib' / 'python3.11' / 'site-packages',
+    Path(sysconfig.get_path('purelib')),
 )
+#: Name of the interpreter in the command of the deploy file.
+INTERPRETER = 'python3'
 #: Bounds of the small sites.
 BOUNDS = MappingProxyType(
     {
@@ -60,9 +64,10 @@
         self.ready = f'{ip}:8108'
         #: Time of the SIGTERM in the record; None before it.
         self.stopped_at: float | None = None
-        #: Times of all stop signals, and of all pauses, in the record.
+        #: Times of all stop signals, pauses and reloads, in the record.
         self.stops: list[float] = []
         self.pauses: list[tuple[float, float]] = []
+        self.reloads: list[float] = []
         #: Whether its process was sent a signal that ends it.
         self.ending = False
         self._peak_kb = 0
@@ -77,7 +82,7 @@
         deploy = tomllib.loads(
             (ROOT / 'deploy' / 'system.toml').read_text('utf-8')
         )
-        command = deploy['roles']['entry']['run'].split()
+        command = host_command(deploy['roles']['entry']['run'])
         packages = next(folder for folder in PACKAGES if folder.is_dir())
         with self._log.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -103,6 +108,11 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    def reload(self, now: float) -> None:
+        """Send SIGHUP at a time of the record."""
+        self.reloads.append(now)
+        self.send(signal.SIGHUP)
+
     async def wait_ended(self, timeout_s: float) -> bool:
         """Wait for the end of the process; return whether it came in time."""
         if self.process is None:
@@ -117,10 +127,7 @@
     def peak_memory_kb(self) -> int:
         """Return the greatest memory of all its processes so far, in KB."""
         if self.process is not None and self.process.returncode is None:
-            status = Path(f'/proc/{self.process.pid}/status')
-            for line in status.read_text('utf-8').splitlines():
-                if line.startswith('VmHWM:'):
-                    self._peak_kb = max(self._peak_kb, int(line.split()[1]))
+            self._peak_kb = max(self._peak_kb, _memory_kb(self.process.pid))
         return self._peak_kb
 
     def unasked_end(self) -> int | None:
@@ -179,3 +186,24 @@
                 'ttlMinMs': 1000,
             },
         }
+
+
+def host_command(run: str) -> list[str]:
+    """Return the words of a command, with this interpreter for ``python3``.
+
+    The one on the search path may be another version, without the packages.
+    """
+    first, *others = run.split()
+    return [sys.executable if first == INTERPRETER else first, *others]
+
+
+def _memory_kb(pid: int) -> int:
+    """Return the greatest memory of a process, in KB; 0 if it has ended."""
+    try:
+        text = Path(f'/proc/{pid}/status').read_text('utf-8')
+    except (FileNotFoundError, ProcessLookupError):
+        return 0
+    for line in text.splitlines():
+        if line.startswith('VmHWM:'):
+            return int(line.split()[1])
+    return 0
