--- a/platform_soak/callers.py
+++ b/platform_soak/callers.py
@@ -6,9 +6,16 @@
 import uuid
 
 from platform_soak.balancer import Balancer
-from platform_soak.clients import ATTEMPT_DIGITS, CONNECT_S, Call, Shape
+from platform_soak.clients import (
+    ATTEMPT_DIGITS,
+    CONNECT_S,
+    DEADLINE,
+    MALFORMED,
+    Call,
+    Shape,
+)
 from platform_soak.hosts import EntryHost
-from platform_soak.messages import encode, read_message
+from platform_soak.messages import MalformedError, encode, read_answer
 from platform_soak.record import Record
 
 #: Longest time that a caller waits for Retry-After, in seconds.
@@ -93,8 +100,10 @@
             async with asyncio.timeout(shape.deadline_ms / MS_PER_S):
                 await self._exchange(call, shape)
         except TimeoutError:
-            call.problem = 'deadline'
-        except (OSError, asyncio.IncompleteReadError, ValueError) as error:
+            call.problem = DEADLINE
+        except MalformedError:
+            call.problem = MALFORMED
+        except (OSError, asyncio.IncompleteReadError) as error:
             call.problem = type(error).__name__
         call.ended_at = self._record.now
         if call.answer is None:
@@ -117,7 +126,7 @@
         connection.writer.write(encode(start, headers, shape.body))
         await connection.writer.drain()
         call.sent_at = self._record.now
-        call.answer = await read_message(connection.reader)
+        call.answer = await read_answer(connection.reader)
 
     def _close(self) -> None:
         if self._connection is not None:
--- a/platform_soak/clients.py
+++ b/platform_soak/clients.py
@@ -6,13 +6,22 @@
 
 from platform_soak.balancer import Balancer
 from platform_soak.hosts import EntryHost
-from platform_soak.messages import Message, encode, read_message
+from platform_soak.messages import (
+    MalformedError,
+    Message,
+    encode,
+    read_answer,
+)
 from platform_soak.record import Record
 
 #: Time that clients allow for a new connection, in seconds.
 CONNECT_S = 1.0
 #: Digits of the id of an attempt.
 ATTEMPT_DIGITS = 16
+#: Problems of calls without an answer: its deadline passed, and the bytes that
+#: came are no answer.
+DEADLINE = 'deadline'
+MALFORMED = 'malformed'
 
 
 @dataclasses.dataclass
@@ -36,6 +45,11 @@
     #: Time at which the caller began, before it connected.
     started_at: float = 0
 
+    @property
+    def last_sent_at(self) -> float:
+        """Time of its last byte, or of its start if that was not sent."""
+        return self.started_at if self.sent_at is None else self.sent_at
+
 
 @dataclasses.dataclass(frozen=True)
 class Shape:
@@ -77,7 +91,9 @@
             async with asyncio.timeout(shape.deadline_ms / 1000):
                 await self._exchange(call, shape)
         except TimeoutError:
-            call.problem = call.problem or 'deadline'
+            call.problem = call.problem or DEADLINE
+        except MalformedError:
+            call.problem = MALFORMED
         except (OSError, asyncio.IncompleteReadError) as error:
             call.problem = type(error).__name__
         call.ended_at = self._record.now
@@ -130,6 +146,6 @@
                 host=call.host.name,
                 path=shape.path,
             )
-            call.answer = await read_message(reader)
+            call.answer = await read_answer(reader)
         finally:
             writer.close()
--- a/platform_soak/configurations.py
+++ b/platform_soak/configurations.py
@@ -40,6 +40,14 @@
     end: float
 
 
+def service_of(version: Version, path: str) -> str:
+    """Return the service of a path, empty if there is no route."""
+    for prefix, service in version.services.items():
+        if path.startswith(prefix):
+            return service
+    return ''
+
+
 class Configurations:
     """Writes configurations and evacuations, and remembers when."""
 
--- a/platform_soak/disruptions.py
+++ b/platform_soak/disruptions.py
@@ -14,6 +14,8 @@
 
     start: float
     end: float
+    #: Whether it is the work of an operator, such as a stop.
+    planned: bool = False
 
 
 class Disruptions:
@@ -23,15 +25,23 @@
         """Start without any."""
         self._spans: defaultdict[str, list[Span]] = defaultdict(list)
 
-    def add(self, name: str, start: float, end: float) -> None:
+    def add(
+        self, name: str, start: float, end: float, *, planned: bool = False
+    ) -> None:
         """Add a span of a host or a target, by name, or of the store."""
-        self._spans[name].append(Span(start, end))
+        self._spans[name].append(Span(start, end, planned))
 
-    def touches(self, name: str, start: float, end: float) -> bool:
-        """Return whether ``name`` was disturbed in a span."""
+    def touches(
+        self, name: str, start: float, end: float, *, unplanned: bool = False
+    ) -> bool:
+        """Return whether ``name`` was disturbed in a span.
+
+        Planned work is left out if ``unplanned`` is set.
+        """
         return any(
             span.start <= end and span.end >= start
             for span in self._spans[name]
+            if not (unplanned and span.planned)
         )
 
     def in_touch(self, host: str, since: float, until: float) -> bool:
--- a/platform_soak/faults.py
+++ b/platform_soak/faults.py
@@ -68,7 +68,7 @@
             case plan.PauseHost(host=number, for_s=for_s):
                 await self._pause(deployment.hosts[number], for_s)
             case plan.ReloadHost(host=number):
-                deployment.hosts[number].send(signal.SIGHUP)
+                deployment.hosts[number].reload(self._record.now)
             case plan.CrashTarget(target=number, down_s=down_s):
                 await self._crash(deployment.servers[number], down_s)
             case plan.LeaveTarget(target=number, announced=announced):
@@ -118,7 +118,7 @@
         if not ended:
             host.send(signal.SIGKILL)
         await asyncio.sleep(down_s)
-        await self._start_again(host, start)
+        await self._start_again(host, start, planned=True)
 
     async def _kill(self, host: EntryHost, down_s: float) -> None:
         if host.name in self._restarting:
@@ -129,10 +129,13 @@
         await asyncio.sleep(down_s)
         await self._start_again(host, start)
 
-    async def _start_again(self, host: EntryHost, since: float) -> None:
+    async def _start_again(
+        self, host: EntryHost, since: float, *, planned: bool = False
+    ) -> None:
         await host.end()
         await host.start()
-        self._disruptions.add(host.name, since, self._record.now + START_S)
+        until = self._record.now + START_S
+        self._disruptions.add(host.name, since, until, planned=planned)
         self._restarting.discard(host.name)
 
     async def _pause(self, host: EntryHost, for_s: float) -> None:
--- a/platform_soak/messages.py
+++ b/platform_soak/messages.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import dataclasses
+from http import HTTPStatus
+
+#: First word of an answer.
+VERSION = 'HTTP/1.1'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -20,6 +24,26 @@
         return int(self.start[1])
 
 
+class MalformedError(Exception):
+    """Bytes that are no answer."""
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Message:
+    """Read an answer whose body has a length or none.
+
+    Raises ``MalformedError`` for other bytes, and
+    ``asyncio.IncompleteReadError`` if the stream ends before.
+    """
+    try:
+        answer = await read_message(reader)
+        HTTPStatus(answer.status)
+    except (ValueError, IndexError, asyncio.LimitOverrunError) as error:
+        raise MalformedError from error
+    if answer.start[0] != VERSION:
+        raise MalformedError
+    return answer
+
+
 async def read_message(reader: asyncio.StreamReader) -> Message:
     """Read a message whose body has a length or none.
 
--- a/platform_soak/runner.py
+++ b/platform_soak/runner.py
@@ -6,8 +6,9 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from platform_soak.breaches import Breach
 from platform_soak.callers import Habit, KeepingCaller
-from platform_soak.checks import Breach, check_all
+from platform_soak.checks import check_all
 from platform_soak.clients import Shape
 from platform_soak.configurations import (
     BOOKING_SERVICE,
@@ -18,10 +19,10 @@
 )
 from platform_soak.deployment import Deployment
 from platform_soak.disruptions import CONTACT_S, Disruptions
-from platform_soak.faults import FaultInjector
+from platform_soak.faults import GRACE_S, START_S, FaultInjector
 from platform_soak.history import History, HostStops
 from platform_soak.hosts import EntryHost
-from platform_soak.plan import ZONES, Plan
+from platform_soak.plan import ZONES, Fault, KillHost, Plan, StopHost
 
 HOST_NAME = 'bakici.example'
 #: Deadlines of requests to one service and over all shards, in milliseconds.
@@ -199,13 +200,18 @@
 
 def _calm_from(plan: Plan, start_at: float) -> float:
     """Return the time from which callers have to be served as usual."""
-    last_s = max((fault.at_s for fault in plan.faults), default=0)
-    longest_s = max(
-        (getattr(fault, 'for_s', 0) for fault in plan.faults), default=0
-    )
-    return start_at + min(
-        plan.length_s - 1, max(last_s + longest_s + CONTACT_S, 0)
-    )
+    over_s = max((_over_s(fault) for fault in plan.faults), default=0)
+    return start_at + min(plan.length_s - 1, over_s + CONTACT_S)
+
+
+def _over_s(fault: Fault) -> float:
+    """Return the time at which a fault is over, in seconds."""
+    over_s = fault.at_s + getattr(fault, 'for_s', 0)
+    if isinstance(fault, (StopHost, KillHost)):
+        over_s += fault.down_s + START_S
+    if isinstance(fault, StopHost):
+        over_s += GRACE_S
+    return over_s
 
 
 def _habits() -> Iterator[Habit]:
@@ -232,6 +238,7 @@
     return HostStops(
         stopped_at=tuple(host.stops),
         ended_at=tuple(ended_at),
+        reloaded_at=tuple(host.reloads),
         log_bytes=host.log_bytes,
         memory_mb=host.peak_memory_kb() / KB_PER_MB,
     )
