--- a/platform_soak/__main__.py
+++ b/platform_soak/__main__.py
@@ -6,8 +6,9 @@
 
 from cyclopts import App
 
-from platform_soak.plan import Plan, make_plan, read_plan, write_plan
-from platform_soak.runner import Outcome, play, target_count
+from platform_soak.drawing import make_plan
+from platform_soak.plan import Plan, PlanError, read_plan, write_plan
+from platform_soak.runner import Outcome, check_targets, play, target_count
 from platform_soak.shrinking import shrink
 
 #: Length of a run, in seconds.
@@ -40,7 +41,8 @@
 @app.command
 def replay(path: Path, folder: Path = REPLAY_FOLDER) -> int:
     """Play the plan in a file, which may have been edited."""
-    return 0 if _play(read_plan(path), folder) else 1
+    plan = _read(path)
+    return 0 if _play(plan, folder) else 1
 
 
 @app.command
@@ -52,7 +54,7 @@
         outcome = asyncio.run(play(candidate, folder / 'candidate'))
         return {breach.rule for breach in outcome.breaches}
 
-    reduced = shrink(read_plan(path), breaks, runs)
+    reduced = shrink(_read(path), breaks, runs)
     write_plan(reduced, folder / 'plan.json')
     sys.stdout.write(
         f'{len(reduced.faults)} faults left in {folder}/plan.json\n'
@@ -60,6 +62,16 @@
     return 0
 
 
+def _read(path: Path) -> Plan:
+    """Return the plan in a file; leave the program if there is none."""
+    try:
+        plan = read_plan(path)
+        check_targets(plan)
+    except (PlanError, OSError) as error:
+        sys.exit(f'no plan: {error}')
+    return plan
+
+
 def _play(plan: Plan, folder: Path) -> bool:
     """Play a plan, print its outcome and return whether the rules held."""
     folder.mkdir(parents=True, exist_ok=True)
--- /dev/null
+++ b/platform_soak/drawing.py
@@ -0,0 +1,185 @@
+"""Draws the plan of a run: a pure function of its seed."""
+
+import itertools
+import random
+import types
+from collections.abc import Callable, Mapping
+
+from platform_soak.plan import (
+    BROKEN_ANSWERS,
+    HOST_COUNT,
+    ODD_ENTRIES,
+    STORE_WAYS,
+    ZONES,
+    BreakAnswers,
+    ChangeConfiguration,
+    CloseDataCentre,
+    CrashTarget,
+    DiscardHistory,
+    DisturbStore,
+    Fault,
+    KillHost,
+    LeaveTarget,
+    LoseWrites,
+    OddEntry,
+    PauseHost,
+    Plan,
+    ReloadHost,
+    StopHost,
+)
+
+#: Time before the first and after the last fault, in seconds. The hosts have
+#: to serve callers as usual at the end.
+CALM_START_S = 3.0
+CALM_END_S = 14.0
+#: Mean time between two faults, in seconds.
+FAULT_INTERVAL_S = 1.6
+#: Longest times for which a host is paused and the store is away, in seconds.
+MAX_PAUSE_S = 4.0
+MAX_STORE_S = 6.0
+#: Time until a host that was stopped is replaced, in seconds.
+MAX_DOWN_S = 4.0
+
+_Maker = Callable[[random.Random, float, int], Fault]
+
+
+def make_plan(seed: int, length_s: float, target_count: int) -> Plan:
+    """Return the plan of a seed."""
+    draw = random.Random(seed)
+    makers = _draw_kinds(draw)
+    faults: list[Fault] = []
+    at_s = CALM_START_S
+    while True:
+        at_s += draw.expovariate(1 / FAULT_INTERVAL_S)
+        if at_s > length_s - CALM_END_S:
+            return Plan(seed, length_s, tuple(faults))
+        make = draw.choice(makers)
+        faults.append(make(draw, round(at_s, 2), target_count))
+
+
+def _draw_kinds(draw: random.Random) -> list[_Maker]:
+    """Return the kinds of faults of a run, those drawn most often repeated.
+
+    Each run leaves out many kinds: a fault that excuses what another one
+    breaks, such as an outage of the store, would hide it in every run.
+    """
+    makers: list[_Maker] = []
+    for make, weight in _MAKERS.items():
+        if make in _IN_EACH_RUN or draw.randrange(3) == 0:
+            makers.extend(itertools.repeat(make, weight))
+    return makers
+
+
+def _seconds(draw: random.Random, least_s: float, most_s: float) -> float:
+    return round(draw.uniform(least_s, most_s), 2)
+
+
+def _host(draw: random.Random) -> int:
+    return draw.randrange(HOST_COUNT)
+
+
+def _stop_host(draw: random.Random, at_s: float, _: int) -> Fault:
+    down_s = draw.choice((0, 0, MAX_DOWN_S))
+    return StopHost(at_s=at_s, host=_host(draw), down_s=down_s)
+
+
+def _kill_host(draw: random.Random, at_s: float, _: int) -> Fault:
+    return KillHost(at_s=at_s, host=_host(draw), down_s=_seconds(draw, 0.1, 3))
+
+
+def _pause_host(draw: random.Random, at_s: float, _: int) -> Fault:
+    for_s = _seconds(draw, 0.2, MAX_PAUSE_S)
+    return PauseHost(at_s=at_s, host=_host(draw), for_s=for_s)
+
+
+def _reload_host(draw: random.Random, at_s: float, _: int) -> Fault:
+    return ReloadHost(at_s=at_s, host=_host(draw))
+
+
+def _disturb_store(draw: random.Random, at_s: float, _: int) -> Fault:
+    count = draw.choice((1, 2, HOST_COUNT))
+    return DisturbStore(
+        at_s=at_s,
+        hosts=tuple(sorted(draw.sample(range(HOST_COUNT), count))),
+        way=draw.choice(STORE_WAYS),
+        for_s=_seconds(draw, 0.5, MAX_STORE_S),
+    )
+
+
+def _lose_writes(draw: random.Random, at_s: float, _: int) -> Fault:
+    return LoseWrites(
+        at_s=at_s,
+        for_s=_seconds(draw, 0.5, 4),
+        delay_s=_seconds(draw, 0.5, 6),
+    )
+
+
+def _discard_history(draw: random.Random, at_s: float, targets: int) -> Fault:
+    return DiscardHistory(at_s=at_s)
+
+
+def _odd_entry(draw: random.Random, at_s: float, _: int) -> Fault:
+    return OddEntry(
+        at_s=at_s,
+        entry=draw.choice(ODD_ENTRIES),
+        for_s=_seconds(draw, 0.5, 8),
+    )
+
+
+def _crash_target(draw: random.Random, at_s: float, targets: int) -> Fault:
+    return CrashTarget(
+        at_s=at_s,
+        target=draw.randrange(targets),
+        down_s=_seconds(draw, 0.5, 4),
+    )
+
+
+def _leave_target(draw: random.Random, at_s: float, targets: int) -> Fault:
+    return LeaveTarget(
+        at_s=at_s,
+        target=draw.randrange(targets),
+        announced=draw.choice((True, True, False)),
+    )
+
+
+def _break_answers(draw: random.Random, at_s: float, targets: int) -> Fault:
+    return BreakAnswers(
+        at_s=at_s,
+        target=draw.randrange(targets),
+        way=draw.choice(BROKEN_ANSWERS),
+        for_s=_seconds(draw, 0.5, 4),
+    )
+
+
+def _change_configuration(
+    draw: random.Random, at_s: float, targets: int
+) -> Fault:
+    return ChangeConfiguration(at_s=at_s)
+
+
+def _close_data_centre(draw: random.Random, at_s: float, _: int) -> Fault:
+    return CloseDataCentre(
+        at_s=at_s, zone=draw.choice(ZONES), for_s=_seconds(draw, 4, 10)
+    )
+
+
+#: How often each kind of fault is drawn.
+_MAKERS: Mapping[_Maker, int] = types.MappingProxyType(
+    {
+        _stop_host: 3,
+        _kill_host: 1,
+        _pause_host: 1,
+        _reload_host: 1,
+        _disturb_store: 2,
+        _lose_writes: 1,
+        _discard_history: 1,
+        _odd_entry: 2,
+        _crash_target: 2,
+        _leave_target: 3,
+        _break_answers: 3,
+        _change_configuration: 4,
+        _close_data_centre: 1,
+    }
+)
+#: Kinds that each run has: without them there is nothing to miss.
+_IN_EACH_RUN = frozenset((_change_configuration, _leave_target))
--- a/platform_soak/runner.py
+++ b/platform_soak/runner.py
@@ -22,7 +22,7 @@
 from platform_soak.faults import GRACE_S, START_S, FaultInjector
 from platform_soak.history import History, HostStops
 from platform_soak.hosts import EntryHost
-from platform_soak.plan import ZONES, Fault, KillHost, Plan, StopHost
+from platform_soak.plan import ZONES, Fault, KillHost, Plan, PlanError, StopHost
 
 HOST_NAME = 'bakici.example'
 #: Deadlines of requests to one service and over all shards, in milliseconds.
@@ -90,6 +90,13 @@
     return sum(len(zones) for zones in target_zones().values())
 
 
+def check_targets(plan: Plan) -> None:
+    """Raise ``PlanError`` if a plan names a target that no run has."""
+    for fault in plan.faults:
+        if getattr(fault, 'target', 0) >= target_count():
+            raise PlanError(f'{fault} beyond {target_count()} targets')
+
+
 async def play(plan: Plan, folder: Path) -> Outcome:
     """Play a plan; leave the record and the logs of all hosts in ``folder``.
 
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -12,7 +12,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 #: Folders with tests.
-FOLDERS = ('oriolestage', 'scenarios', 'stand_ins')
+FOLDERS = ('oriolestage', 'platform_soak', 'scenarios', 'stand_ins')
 
 
 def main() -> int:
