Soak: what targets say of themselves, and callers that leave

For them targets name Server-Limit, turn requests away with Retry-After, pause for 200 ms each 4.5 s, and say Server-Leaving when they leave; a caller of each data centre leaves before its long request is done.

The checks of such a run took over half a minute at first; events are found by kind and attempt now.

The record holds the ends of all requests, the versions, the evacuations and the breaches. What crashed or warmed targets in earlier cases was not used any more and is gone; entries in the store have a module of their own.

--- a/platform_soak/callers.py
+++ b/platform_soak/callers.py
@@ -10,9 +10,11 @@
     ATTEMPT_DIGITS,
     CONNECT_S,
     DEADLINE,
+    LEFT,
     MALFORMED,
     Call,
     Shape,
+    record_end,
 )
 from platform_soak.hosts import EntryHost
 from platform_soak.messages import MalformedError, encode, read_answer
@@ -33,6 +35,8 @@
     shapes: tuple[Shape, ...]
     #: Longest pause between two of them, in seconds.
     pause_s: float
+    #: Longest time after which it leaves, in seconds; 0 if it does not.
+    patience_s: float = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,13 +68,18 @@
     async def run(self, habit: Habit, until: float) -> None:
         """Send requests until a time of the record."""
         while self._record.now < until:
-            await self._request(self._draw.choice(habit.shapes))
+            shape = self._draw.choice(habit.shapes)
+            if habit.patience_s:
+                await self._leave_early(shape, habit.patience_s)
+            else:
+                await self._request(shape)
             await asyncio.sleep(self._draw.uniform(0, habit.pause_s))
         self._close()
 
     async def _request(self, shape: Shape) -> None:
         """Send a request; repeat it once if its first attempt allows that."""
         call = await self._attempt(shape)
+        record_end(self._record, call)
         answer = call.answer
         if answer is not None and answer.status not in PROMISES:
             return
@@ -80,9 +89,17 @@
             wait_s = float(answer.headers.get('retry-after', '0'))
             await asyncio.sleep(min(wait_s, MAX_RETRY_AFTER_S))
         self._close()
-        await self._attempt(shape)
+        record_end(self._record, await self._attempt(shape))
 
-    async def _attempt(self, shape: Shape) -> Call:
+    async def _leave_early(self, shape: Shape, patience_s: float) -> None:
+        """Send a request and close the connection before its deadline."""
+        patience_s = self._draw.uniform(0, patience_s)
+        call = await self._attempt(shape, patience_s)
+        if call.problem == DEADLINE:
+            call.problem = LEFT
+        record_end(self._record, call)
+
+    async def _attempt(self, shape: Shape, patience_s: float = 0) -> Call:
         connection = self._connection
         host = connection.host if connection else None
         chosen = host or self._balancer.choose(self._zone)
@@ -97,7 +114,9 @@
         )
         self._calls.append(call)
         try:
-            async with asyncio.timeout(shape.deadline_ms / MS_PER_S):
+            async with asyncio.timeout(
+                patience_s or shape.deadline_ms / MS_PER_S
+            ):
                 await self._exchange(call, shape)
         except TimeoutError:
             call.problem = DEADLINE
--- a/platform_soak/checks.py
+++ b/platform_soak/checks.py
@@ -8,8 +8,10 @@
     answer_checks,
     cut_checks,
     host_checks,
+    load_checks,
     placement_checks,
     run_checks,
+    version_checks,
 )
 from platform_soak.breaches import Breach, Check
 from platform_soak.history import History
@@ -21,6 +23,13 @@
     placement_checks.check_configuration,
     placement_checks.check_leaving,
     placement_checks.check_evacuations,
+    load_checks.check_said_leaving,
+    load_checks.check_limits,
+    load_checks.check_rests,
+    load_checks.check_attempts,
+    load_checks.check_left_callers,
+    version_checks.check_downgrades,
+    version_checks.check_denied,
     cut_checks.check_planned_work,
     cut_checks.check_reconfigurations,
     cut_checks.check_kept_connections,
--- a/platform_soak/clients.py
+++ b/platform_soak/clients.py
@@ -18,9 +18,10 @@
 CONNECT_S = 1.0
 #: Digits of the id of an attempt.
 ATTEMPT_DIGITS = 16
-#: Problems of calls without an answer: its deadline passed, and the bytes that
-#: came are no answer.
+#: Problems of calls without an answer: its deadline passed, its caller left
+#: before, and the bytes that came are no answer.
 DEADLINE = 'deadline'
+LEFT = 'left'
 MALFORMED = 'malformed'
 
 
@@ -45,6 +46,17 @@
     #: Time at which the caller began, before it connected.
     started_at: float = 0
 
+    def names(self, server: str) -> bool:
+        """Return whether its answer has the signature of a target."""
+        if self.answer is None:
+            return False
+        headers = self.answer.headers
+        listed = headers.get('part-stamps', headers.get('server-stamp', ''))
+        return any(
+            stamp.strip().startswith(f'{server}.')
+            for stamp in listed.split(',')
+        )
+
     @property
     def last_sent_at(self) -> float:
         """Time of its last byte, or of its start if that was not sent."""
@@ -64,6 +76,19 @@
     repeatable: bool = False
 
 
+def record_end(record: Record, call: Call) -> None:
+    """Record how a call ended."""
+    record.add(
+        'answered' if call.answer else 'unanswered',
+        attempt=call.attempt,
+        host=call.host.name,
+        path=call.path,
+        sent_at=call.sent_at,
+        status=call.answer.status if call.answer else 0,
+        problem=call.problem,
+    )
+
+
 class Clients:
     """Sends requests on new connections and records what comes back."""
 
@@ -97,14 +122,7 @@
         except (OSError, asyncio.IncompleteReadError) as error:
             call.problem = type(error).__name__
         call.ended_at = self._record.now
-        self._record.add(
-            'answered' if call.answer else 'unanswered',
-            attempt=call.attempt,
-            host=chosen.name,
-            sent_at=call.sent_at,
-            status=call.answer.status if call.answer else 0,
-            problem=call.problem,
-        )
+        record_end(self._record, call)
         return call
 
     async def send_steadily(
--- a/platform_soak/configs.py
+++ b/platform_soak/configs.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Iterable
 
+#: Targets of a service on which an attempt of a caller may run.
+MAX_ATTEMPTS = 2
+
 
 def build_route(
     name: str,
@@ -9,7 +12,7 @@
     *,
     idempotent: bool,
     timeout_ms: int = 3000,
-    max_attempts: int = 2,
+    max_attempts: int = MAX_ATTEMPTS,
 ) -> dict:
     """Return a route to one service, with its name as path prefix."""
     return {
--- a/platform_soak/configurations.py
+++ b/platform_soak/configurations.py
@@ -67,6 +67,7 @@
         number = self.versions[-1].number + 1
         document = self._build(number)
         await self._store.put('op/config', document)
+        self._record.add('version', number=number)
 
     async def close_zone(self, zone: str, for_s: float) -> None:
         """Evacuate a data centre, unless another one is evacuated."""
@@ -75,6 +76,7 @@
         await self._store.put(f'op/evacuate/{zone}', {})
         start = self._record.now
         self.evacuations.append(Evacuation(zone, start, start + for_s))
+        self._record.add('evacuated', zone=zone, for_s=for_s)
         await asyncio.sleep(for_s)
         await self._store.remove(f'op/evacuate/{zone}')
 
--- a/platform_soak/cut_checks.py
+++ b/platform_soak/cut_checks.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterator
 
 from platform_soak.breaches import Breach, breach_of
-from platform_soak.clients import DEADLINE, Call
+from platform_soak.clients import DEADLINE, LEFT, Call
 from platform_soak.configurations import TIMEOUT_MS
-from platform_soak.disruptions import CONTACT_S, STORE
+from platform_soak.disruptions import CONTACT_S, STORE, UNPLANNED
 from platform_soak.faults import GRACE_S
 from platform_soak.history import History
 from platform_soak.placement_checks import APPLY_S
@@ -28,7 +28,7 @@
 MOST_USED = 0.7
 MS_PER_S = 1000
 #: Problems of calls that no host has caused.
-EXCUSES = frozenset((DEADLINE,))
+EXCUSES = frozenset((DEADLINE, LEFT))
 
 
 def check_planned_work(history: History) -> Iterator[Breach]:
@@ -91,9 +91,7 @@
     for call in _cut(history):
         since = call.last_sent_at - CONTACT_S
         disturbed = any(
-            history.disruptions.touches(
-                name, since, call.ended_at, unplanned=True
-            )
+            history.disruptions.touches(name, since, call.ended_at, UNPLANNED)
             for name in (call.host.name, STORE)
         )
         if not disturbed:
--- a/platform_soak/disruptions.py
+++ b/platform_soak/disruptions.py
@@ -1,21 +1,40 @@
 """When hosts and the store were disturbed, as the platform's rules count it."""
 
 import dataclasses
+import enum
 from collections import defaultdict
+from collections.abc import Set
 
 #: Time without a disturbance after which a host counts as in touch, and the
 #: store as stable (``contactMs``), in seconds.
 CONTACT_S = 5.0
 
 
+class Cause(enum.Enum):
+    """What disturbed something."""
+
+    STOP = enum.auto()
+    KILL = enum.auto()
+    FREEZE = enum.auto()
+    OTHER = enum.auto()
+
+
+ALL_CAUSES = frozenset(Cause)
+#: Causes that are not the planned work of an operator.
+UNPLANNED = ALL_CAUSES - {Cause.STOP}
+#: Causes after which a process knows nothing of before.
+RESTARTS = frozenset((Cause.STOP, Cause.KILL))
+#: Causes after which a host is not blamed for what targets told it before.
+INTERRUPTIONS = RESTARTS | {Cause.FREEZE}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Span:
     """A time in seconds since the start of the record."""
 
     start: float
     end: float
-    #: Whether it is the work of an operator, such as a stop.
-    planned: bool = False
+    cause: Cause
 
 
 class Disruptions:
@@ -26,22 +45,26 @@
         self._spans: defaultdict[str, list[Span]] = defaultdict(list)
 
     def add(
-        self, name: str, start: float, end: float, *, planned: bool = False
+        self,
+        name: str,
+        start: float,
+        end: float,
+        cause: Cause = Cause.OTHER,
     ) -> None:
         """Add a span of a host or a target, by name, or of the store."""
-        self._spans[name].append(Span(start, end, planned))
+        self._spans[name].append(Span(start, end, cause))
 
     def touches(
-        self, name: str, start: float, end: float, *, unplanned: bool = False
+        self,
+        name: str,
+        start: float,
+        end: float,
+        causes: Set[Cause] = ALL_CAUSES,
     ) -> bool:
-        """Return whether ``name`` was disturbed in a span.
-
-        Planned work is left out if ``unplanned`` is set.
-        """
+        """Return whether ``name`` was disturbed in a span, by some causes."""
         return any(
-            span.start <= end and span.end >= start
+            span.start <= end and span.end >= start and span.cause in causes
             for span in self._spans[name]
-            if not (unplanned and span.planned)
         )
 
     def in_touch(self, host: str, since: float, until: float) -> bool:
--- a/platform_soak/drawing.py
+++ b/platform_soak/drawing.py
@@ -20,12 +20,15 @@
     Fault,
     KillHost,
     LeaveTarget,
+    LimitTarget,
     LoseWrites,
     OddEntry,
     PauseHost,
     Plan,
     ReloadHost,
+    SlowTarget,
     StopHost,
+    TurnAway,
 )
 
 #: Time before the first and after the last fault, in seconds. The hosts have
@@ -151,6 +154,32 @@
     )
 
 
+def _limit_target(draw: random.Random, at_s: float, targets: int) -> Fault:
+    return LimitTarget(
+        at_s=at_s,
+        target=draw.randrange(targets),
+        per_s=_seconds(draw, 1, 4),
+        for_s=_seconds(draw, 8, 12),
+    )
+
+
+def _turn_away(draw: random.Random, at_s: float, targets: int) -> Fault:
+    return TurnAway(
+        at_s=at_s,
+        target=draw.randrange(targets),
+        retry_after_s=draw.randint(2, 4),
+        for_s=_seconds(draw, 2, 8),
+    )
+
+
+def _slow_target(draw: random.Random, at_s: float, targets: int) -> Fault:
+    return SlowTarget(
+        at_s=at_s,
+        target=draw.randrange(targets),
+        for_s=_seconds(draw, 4, 12),
+    )
+
+
 def _change_configuration(
     draw: random.Random, at_s: float, targets: int
 ) -> Fault:
@@ -177,6 +206,9 @@
         _crash_target: 2,
         _leave_target: 3,
         _break_answers: 3,
+        _limit_target: 1,
+        _turn_away: 2,
+        _slow_target: 1,
         _change_configuration: 4,
         _close_data_centre: 1,
     }
--- a/platform_soak/faults.py
+++ b/platform_soak/faults.py
@@ -8,7 +8,7 @@
 from platform_soak import plan
 from platform_soak.configurations import Configurations
 from platform_soak.deployment import Deployment
-from platform_soak.disruptions import STORE, Disruptions
+from platform_soak.disruptions import STORE, Cause, Disruptions
 from platform_soak.hosts import EntryHost
 from platform_soak.servers import Server
 
@@ -77,6 +77,14 @@
                 )
             case plan.BreakAnswers(target=number, way=way, for_s=for_s):
                 await self._break(deployment.servers[number], way, for_s)
+            case plan.LimitTarget(target=number, per_s=per_s, for_s=for_s):
+                await self._limit(deployment.servers[number], per_s, for_s)
+            case plan.TurnAway(
+                target=number, retry_after_s=rest_s, for_s=for_s
+            ):
+                await self._turn_away(deployment.servers[number], rest_s, for_s)
+            case plan.SlowTarget(target=number, for_s=for_s):
+                await self._slow(deployment.servers[number], for_s)
             case plan.ChangeConfiguration():
                 await self._configurations.change()
             case plan.CloseDataCentre(zone=zone, for_s=for_s):
@@ -118,7 +126,7 @@
         if not ended:
             host.send(signal.SIGKILL)
         await asyncio.sleep(down_s)
-        await self._start_again(host, start, planned=True)
+        await self._start_again(host, start, Cause.STOP)
 
     async def _kill(self, host: EntryHost, down_s: float) -> None:
         if host.name in self._restarting:
@@ -127,15 +135,15 @@
         start = self._record.now
         host.send(signal.SIGKILL)
         await asyncio.sleep(down_s)
-        await self._start_again(host, start)
+        await self._start_again(host, start, Cause.KILL)
 
     async def _start_again(
-        self, host: EntryHost, since: float, *, planned: bool = False
+        self, host: EntryHost, since: float, cause: Cause
     ) -> None:
         await host.end()
         await host.start()
         until = self._record.now + START_S
-        self._disruptions.add(host.name, since, until, planned=planned)
+        self._disruptions.add(host.name, since, until, cause)
         self._restarting.discard(host.name)
 
     async def _pause(self, host: EntryHost, for_s: float) -> None:
@@ -143,7 +151,8 @@
         host.send(signal.SIGSTOP)
         await asyncio.sleep(for_s)
         host.send(signal.SIGCONT)
-        self._disruptions.add(host.name, start, self._record.now)
+        end = self._record.now
+        self._disruptions.add(host.name, start, end, Cause.FREEZE)
         host.pauses.append((start, self._record.now))
 
     async def _disturb_store(
@@ -187,11 +196,28 @@
 
     async def _break(self, server: Server, way: str, for_s: float) -> None:
         start = self._record.now
-        server.broken_way = way
+        server.troubles.broken_way = way
         await asyncio.sleep(for_s)
-        server.broken_way = ''
+        server.troubles.broken_way = ''
         self._disruptions.add(server.identity, start, self._record.now)
 
+    async def _limit(self, server: Server, per_s: float, for_s: float) -> None:
+        server.troubles.limit_per_s = per_s
+        await asyncio.sleep(for_s)
+        server.troubles.limit_per_s = None
+
+    async def _turn_away(
+        self, server: Server, rest_s: int, for_s: float
+    ) -> None:
+        server.troubles.retry_after_s = rest_s
+        await asyncio.sleep(for_s)
+        server.troubles.retry_after_s = 0
+
+    async def _slow(self, server: Server, for_s: float) -> None:
+        server.troubles.is_pausing = True
+        await asyncio.sleep(for_s)
+        server.troubles.is_pausing = False
+
 
 def odd_entry(entry: str) -> bytes:
     """Return the registration that another writer leaves."""
--- a/platform_soak/host_checks.py
+++ b/platform_soak/host_checks.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from platform_soak.breaches import Breach
+from platform_soak.clients import LEFT
 from platform_soak.history import History
 
 #: Share of the requests in the calm at the end that have to be answered.
@@ -33,6 +34,7 @@
         for call in history.calls
         if call.started_at >= history.calm_from
         and not call.path.startswith('/added-')
+        and call.problem != LEFT
     ]
     served = sum(
         1
--- a/platform_soak/messages.py
+++ b/platform_soak/messages.py
@@ -1,11 +1,14 @@
 """Reads and writes HTTP/1.1 messages on streams."""
 
 import asyncio
+import contextlib
 import dataclasses
 from http import HTTPStatus
 
 #: First word of an answer.
 VERSION = 'HTTP/1.1'
+#: Interval of checking whether a caller has closed its connection.
+CLOSE_CHECK_S = 0.005
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,3 +70,10 @@
         lines.append(f'{name}: {text}')
     lines.append(f'Content-Length: {len(body)}')
     return '\r\n'.join((*lines, '', '')).encode('latin-1') + body
+
+
+async def wait_closed(reader: asyncio.StreamReader) -> None:
+    """Return once the caller has closed its side."""
+    with contextlib.suppress(OSError):
+        while not reader.at_eof() and reader.exception() is None:
+            await asyncio.sleep(CLOSE_CHECK_S)
--- a/platform_soak/placement_checks.py
+++ b/platform_soak/placement_checks.py
@@ -29,7 +29,7 @@
         due = _due_versions(history, call)
         if not due or call.path.startswith(SEARCH_PREFIX):
             continue
-        problem = _handling_problem(call, runs.get(call.attempt, ()), due)
+        problem = handling_problem(call, runs.get(call.attempt, ()), due)
         if problem:
             yield breach_of('CONFIG', call, problem)
 
@@ -41,36 +41,38 @@
         for event in history.events
         if event['kind'] == 'leaving'
     }
-    for call, server, reached_at in history.arrivals():
+    for arrival in history.arrivals():
+        call, server, reached_at = arrival.call, arrival.server, arrival.at
         since = left_at.get(server, reached_at)
         late_s = reached_at - since
         if late_s <= DRAIN_S:
             continue
         if history.disruptions.touches(STORE, since - CONTACT_S, since):
             continue
-        if _in_touch(history, call, reached_at, DRAIN_S):
+        if is_in_touch(history, call, reached_at, DRAIN_S):
             text = f'reached {server} after {late_s:.2f} s'
             yield breach_of('DRAIN', call, text)
 
 
 def check_evacuations(history: History) -> Iterator[Breach]:
     """EVAC: nothing new reaches an evacuated data centre."""
-    for call, server, reached_at in history.arrivals():
+    for arrival in history.arrivals():
+        call, server, reached_at = arrival.call, arrival.server, arrival.at
         closed = any(
             evacuation.zone == history.zones.get(server)
             and evacuation.start + EVACUATE_S < reached_at < evacuation.end
             for evacuation in history.evacuations
         )
-        if closed and _in_touch(history, call, reached_at, EVACUATE_S):
+        if closed and is_in_touch(history, call, reached_at, EVACUATE_S):
             yield breach_of('EVAC', call, f'reached {server}')
 
 
-def _in_touch(history: History, call: Call, at: float, for_s: float) -> bool:
+def is_in_touch(history: History, call: Call, at: float, for_s: float) -> bool:
     """Return whether the host of a call has been in touch for a time."""
     return history.disruptions.in_touch(call.host.name, at - for_s, at)
 
 
-def _handling_problem(
+def handling_problem(
     call: Call, runs: Sequence[Run], versions: Sequence[Version]
 ) -> str:
     """Return what no version allows of how a call was handled, or nothing."""
@@ -92,7 +94,7 @@
     There is none for hosts that are not in touch.
     """
     sent_at = call.sent_at
-    if sent_at is None or not _in_touch(history, call, sent_at, APPLY_S):
+    if sent_at is None or not is_in_touch(history, call, sent_at, APPLY_S):
         return []
     due = [
         version.number
--- a/platform_soak/plan.py
+++ b/platform_soak/plan.py
@@ -110,6 +110,29 @@
     for_s: Seconds
 
 
+class LimitTarget(_Fault, frozen=True, tag=True):
+    """A target names how many requests a second it takes, for a time."""
+
+    target: TargetNumber
+    per_s: Annotated[float, msgspec.Meta(gt=0)]
+    for_s: Seconds
+
+
+class TurnAway(_Fault, frozen=True, tag=True):
+    """A target turns all requests away for a time, with Retry-After."""
+
+    target: TargetNumber
+    retry_after_s: Annotated[int, msgspec.Meta(gt=0)]
+    for_s: Seconds
+
+
+class SlowTarget(_Fault, frozen=True, tag=True):
+    """A target pauses again and again for a time."""
+
+    target: TargetNumber
+    for_s: Seconds
+
+
 class ChangeConfiguration(_Fault, frozen=True, tag=True):
     """A version moves a route and adds another one."""
 
@@ -133,6 +156,9 @@
     | CrashTarget
     | LeaveTarget
     | BreakAnswers
+    | LimitTarget
+    | TurnAway
+    | SlowTarget
     | ChangeConfiguration
     | CloseDataCentre
 )
--- a/platform_soak/record.py
+++ b/platform_soak/record.py
@@ -5,6 +5,10 @@
 from pathlib import Path
 
 
+#: Name of the record in the folder of a run.
+RECORD_NAME = 'record.jsonl'
+
+
 class Record:
     """Events with their times in seconds since the start, one a line."""
 
--- a/platform_soak/run_checks.py
+++ b/platform_soak/run_checks.py
@@ -24,7 +24,7 @@
 
 def check_unasked(history: History) -> Iterator[Breach]:
     """UNASKED and ROUTE: targets run what callers sent, where it may run."""
-    calls = {call.attempt: call for call in history.calls}
+    calls = history.calls_by_attempt()
     for runs in history.runs_by_attempt().values():
         for run in runs:
             call = calls.get(run.attempt)
--- a/platform_soak/runner.py
+++ b/platform_soak/runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -23,6 +24,7 @@
 from platform_soak.history import History, HostStops
 from platform_soak.hosts import EntryHost
 from platform_soak.plan import ZONES, Fault, KillHost, Plan, PlanError, StopHost
+from platform_soak.record import RECORD_NAME
 
 HOST_NAME = 'bakici.example'
 #: Deadlines of requests to one service and over all shards, in milliseconds.
@@ -45,6 +47,10 @@
 #: for a while, and the longest such time, in seconds.
 IDLE_BOOKERS_PER_ZONE = 8
 IDLE_S = 5.0
+#: Callers of each data centre that leave before they have an answer, and the
+#: longest time for which they wait, in seconds.
+LEAVERS_PER_ZONE = 1
+PATIENCE_S = 0.8
 #: Interval of looking for processes that have ended, in seconds.
 WATCH_INTERVAL_S = 0.1
 KB_PER_MB = 1024
@@ -52,6 +58,7 @@
 SERVICE_ZONES = (*ZONES, *ZONES)
 SHARD_ZONES = ZONES[:2]
 BOOKING = Shape('POST', HOST_NAME, '/book/1', DEADLINE_MS, b'{"visit": 1}')
+LONG = Shape('GET', HOST_NAME, '/lookup/1/long', DEADLINE_MS, repeatable=True)
 SHAPES = (
     Shape('GET', HOST_NAME, '/lookup/1', DEADLINE_MS, repeatable=True),
     BOOKING,
@@ -120,9 +127,15 @@
         0 if call.answer is None else call.answer.status
         for call in history.calls
     ]
+    breaches = check_all(history)
+    for breach in breaches:
+        deployment.record.add(
+            'breach', rule=breach.rule, breached_at=breach.at, text=breach.text
+        )
+    deployment.record.write(folder / RECORD_NAME)
     return Outcome(
         plan,
-        check_all(history),
+        breaches,
         calls=len(statuses),
         answered=statuses.count(200),
         refused=statuses.count(503),
@@ -132,7 +145,7 @@
 
 async def _close(deployment: Deployment, folder: Path) -> None:
     await deployment.close()
-    deployment.record.write(folder / 'record.jsonl')
+    deployment.record.write(folder / RECORD_NAME)
 
 
 async def _play_traffic(
@@ -144,6 +157,7 @@
 ) -> History:
     record = deployment.record
     start_at = record.now
+    record.add('traffic', unix_s=time.time())
     for host in deployment.hosts:
         disruptions.add(host.name, 0, start_at)
     _set_work(deployment)
@@ -207,11 +221,11 @@
 
 def _calm_from(plan: Plan, start_at: float) -> float:
     """Return the time from which callers have to be served as usual."""
-    over_s = max((_over_s(fault) for fault in plan.faults), default=0)
-    return start_at + min(plan.length_s - 1, over_s + CONTACT_S)
+    last_s = max((over_s(fault) for fault in plan.faults), default=0)
+    return start_at + min(plan.length_s - 1, last_s + CONTACT_S)
 
 
-def _over_s(fault: Fault) -> float:
+def over_s(fault: Fault) -> float:
     """Return the time at which a fault is over, in seconds."""
     over_s = fault.at_s + getattr(fault, 'for_s', 0)
     if isinstance(fault, (StopHost, KillHost)):
@@ -227,6 +241,8 @@
         yield Habit((*SHAPES, *_probes()), MIXED_PAUSE_S)
     for _ in range(BOOKERS_PER_ZONE):
         yield Habit((BOOKING,), 0)
+    for _ in range(LEAVERS_PER_ZONE):
+        yield Habit((LONG,), MIXED_PAUSE_S, PATIENCE_S)
     for _ in range(IDLE_BOOKERS_PER_ZONE):
         yield Habit((BOOKING,), IDLE_S)
 
--- a/platform_soak/servers.py
+++ b/platform_soak/servers.py
@@ -1,21 +1,19 @@
 """Stand-in for a replica (server) of a service."""
 
 import asyncio
-import contextlib
 import random
 import time
+import types
 import uuid
-from collections import deque
+from collections.abc import Mapping
 
 from platform_soak.answers import answer_body, break_answer, stamp_of
-from platform_soak.messages import Message, encode, read_message
+from platform_soak.messages import Message, encode, read_message, wait_closed
 from platform_soak.record import Record
+from platform_soak.registration import Registration
 from platform_soak.store import Store
+from platform_soak.troubles import Troubles
 
-#: Interval of a server's writes to the store, in seconds (``heartbeatMs``).
-BEAT_S = 1.2
-#: Intervals of silence after which its entry is removed.
-BEATS_TO_REMOVAL = 3
 #: Requests that wait for a slot at a server before it sheds.
 QUEUE = 12
 #: Time for which a server serves on after it has left (``drainMs``), and a
@@ -24,12 +22,10 @@
 DRAIN_EXTRA_S = 1.5
 #: Ways of breaking an answer after which a server closes the connection.
 CLOSING_WAYS = frozenset(('head', 'body', 'garbage'))
-#: Interval of checking whether a caller has closed its connection.
-CLOSE_CHECK_S = 0.005
-
-
-class CrashError(Exception):
-    """A request crashes the server that runs it."""
+#: Ending of the paths of requests that take long, and how long, in seconds.
+LONG_SUFFIX = '/long'
+LONG_WORK_S = 1.5
+NO_HEADERS: Mapping[str, str] = types.MappingProxyType({})
 
 
 class Server:
@@ -54,34 +50,19 @@
         #: Longest time for which it works, drawn for each request; 0 if all
         #: take ``work_s``.
         self.longest_work_s: float = 0
-        #: Time for which it is cold after a start during traffic, in seconds.
-        self.cold_s: float = 0
-        #: Requests in one second beyond which it crashes while it is cold.
-        self.cold_limit: float = float('inf')
-        #: Paths of requests that crash it.
-        self.crashing: set[str] = set()
-        #: How its answers are broken; empty if they are not.
-        self.broken_way = ''
-        #: Called after a crash with this server.
-        self.on_crash = None
+        self.troubles = Troubles()
         self._record = record
         self._store = store
         self._ip = ip
         self._slots = slots
         self._port = 0
-        self._born = 0
-        self._cold_until: float = 0
-        #: Times of the arrivals in the last second while it was cold.
-        self._arrivals: deque[float] = deque()
-        self._sequence = 0
-        self._state = 'ready'
+        self._registration = self._register()
         self._leaving = False
         self._down = True
         self._running = 0
         self._free = asyncio.Condition()
         self._waiting = 0
         self._listener: asyncio.Server | None = None
-        self._beats: asyncio.Task | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._served = 0
 
@@ -98,17 +79,12 @@
     async def start(self) -> None:
         """Listen and register as a new incarnation with a new id."""
         self.identity = f'i-{uuid.uuid4().hex[:8]}'
-        self._born = int(time.time() * 1000)
-        self._cold_until = time.monotonic() + self.cold_s
-        self._arrivals.clear()
-        self._sequence = 0
         self._running = 0
         self._waiting = 0
         self._listener = await self._listen()
         self._port = self._listener.sockets[0].getsockname()[1]
         self.address = f'{self._ip}:{self._port}'
         self._down = False
-        self._state = 'ready'
         self._leaving = False
         self._record.add(
             'server_up',
@@ -116,7 +92,8 @@
             service=self.service,
             zone=self.zone,
         )
-        self._beats = asyncio.create_task(self._beat(self.identity))
+        self._registration = self._register()
+        self._registration.start()
 
     async def _listen(self) -> asyncio.Server:
         """Listen on the port of before, or on another one if it is taken."""
@@ -130,7 +107,7 @@
         self._down = True
         self._record.add('server_down', server=self.identity)
         self._stop_listening()
-        asyncio.create_task(self._lapse(self.identity))
+        self._registration.lapse()
 
     async def leave(self, *, announced: bool) -> None:
         """Leave: the entry says so or is removed, the process serves on.
@@ -140,11 +117,9 @@
         identity = self.identity
         self._leaving = True
         if announced:
-            self._state = 'draining'
-            await self._put_entry(identity)
+            await self._registration.announce_leaving()
         else:
-            self._stop_beats()
-            await self._store.remove(f'servers/{identity}')
+            await self._registration.remove()
         self._record.add('leaving', server=identity, service=self.service)
         await asyncio.sleep(DRAIN_S + DRAIN_EXTRA_S)
         if self._down or identity != self.identity:
@@ -152,48 +127,33 @@
         self._down = True
         self._record.add('server_down', server=identity)
         self._stop_listening()
-        await self._store.remove(f'servers/{identity}')
+        await self._registration.remove()
 
     def close(self) -> None:
         """End at the end of the case."""
         self._stop_listening()
 
-    def _stop_beats(self) -> None:
-        if self._beats is not None:
-            self._beats.cancel()
-
     def _stop_listening(self) -> None:
-        self._stop_beats()
+        self._registration.stop()
         if self._listener is not None:
             self._listener.close()
         for writer in tuple(self._writers):
             writer.transport.abort()
         self._writers.clear()
 
-    async def _lapse(self, identity: str) -> None:
-        await asyncio.sleep(BEAT_S * BEATS_TO_REMOVAL)
-        await self._store.remove(f'servers/{identity}')
-
-    async def _beat(self, identity: str) -> None:
-        while True:
-            await self._put_entry(identity)
-            await asyncio.sleep(BEAT_S)
-
-    async def _put_entry(self, identity: str) -> None:
-        self._sequence += 1
-        cold_left_s = max(0, self._cold_until - time.monotonic())
-        await self._store.put(
-            f'servers/{identity}',
+    def _register(self) -> Registration:
+        return Registration(
+            self._store,
+            self.identity,
             {
                 'service': self.service,
                 'address': self.address,
                 'zone': self.zone,
                 'version': 'v1',
                 'concurrencyLimit': self._slots,
-                'state': self._state,
-                'warmupLeftMs': int(cold_left_s * 1000),
-                'sequence': self._sequence,
-                'born': self._born,
+                'state': 'ready',
+                'warmupLeftMs': 0,
+                'born': int(time.time() * 1000),
             },
         )
 
@@ -207,23 +167,14 @@
                 request = await read_message(reader)
                 writer.write(await self._handle(identity, request, reader))
                 await writer.drain()
-                if self.broken_way in CLOSING_WAYS:
+                if self.troubles.broken_way in CLOSING_WAYS:
                     return
         except (asyncio.IncompleteReadError, OSError):
             return
-        except CrashError:
-            await self._crash_now(identity)
         finally:
             self._writers.discard(writer)
             writer.close()
 
-    async def _crash_now(self, identity: str) -> None:
-        if self._down or identity != self.identity:
-            return
-        await self.crash()
-        if self.on_crash is not None:
-            asyncio.create_task(self.on_crash(self))
-
     async def _handle(
         self, identity: str, request: Message, reader: asyncio.StreamReader
     ) -> bytes:
@@ -234,24 +185,32 @@
                 'HTTP/1.1 421 Misdirected Request', {'Instance-Id': identity}
             )
         self._record.add('reached', attempt=attempt, server=identity)
-        self._count_cold(attempt, identity)
+        rest_s = self.troubles.retry_after_s
+        if rest_s:
+            self._record.add(
+                'turned_away', attempt=attempt, server=identity, rest_s=rest_s
+            )
+            return self._reject(attempt, identity, {'Retry-After': str(rest_s)})
         if self._waiting >= QUEUE:
-            return _not_executed(attempt)
+            return self._reject(attempt, identity)
         if not await self._wait_for_slot(request):
-            return _not_executed(attempt)
+            return self._reject(attempt, identity)
+        work_s = self._draw_work_s(request.start[1])
         self._record.add(
             'run',
             attempt=attempt,
             server=identity,
             service=self.service,
             path=request.start[1],
+            work_s=work_s,
         )
         try:
-            await self._work(request, reader, attempt, identity)
+            await self._work(request, reader, attempt, identity, work_s)
         finally:
             self._running -= 1
             async with self._free:
                 self._free.notify()
+        await self.troubles.wait_out_pause()
         self._served += 1
         stamp = stamp_of(attempt, self.service, identity, self._served)
         self._record.add('ran', attempt=attempt, server=identity, stamp=stamp)
@@ -261,10 +220,11 @@
                 'Attempt-Id': attempt,
                 'Server-Stamp': stamp,
                 'Keep-Alive': 'timeout=10',
+                **self._say_troubles(attempt, identity),
             },
             answer_body(request.start[1], attempt, self.service),
         )
-        way = self.broken_way
+        way = self.troubles.broken_way
         if not way:
             return answer
         self._record.add('broken', attempt=attempt, server=identity, way=way)
@@ -272,22 +232,6 @@
             raise ConnectionResetError
         return break_answer(answer, way, attempt)
 
-    def _count_cold(self, attempt: str, identity: str) -> None:
-        """Count an arrival while the server is cold; crash beyond the limit.
-
-        Raises ``CrashError`` then.
-        """
-        now = time.monotonic()
-        if now >= self._cold_until:
-            return
-        self._record.add('cold', attempt=attempt, server=identity)
-        self._arrivals.append(now)
-        while now - self._arrivals[0] >= 1:
-            self._arrivals.popleft()
-        if len(self._arrivals) > self.cold_limit:
-            self._record.add('overloaded', server=identity)
-            raise CrashError
-
     async def _wait_for_slot(self, request: Message) -> bool:
         deadline_s = int(request.headers.get('deadline-ms', '5000')) / 1000
         self._waiting += 1
@@ -301,7 +245,33 @@
             self._waiting -= 1
         return True
 
-    def _draw_work_s(self) -> float:
+    def _say_troubles(self, attempt: str, identity: str) -> dict[str, str]:
+        """Return the headers of an answer about troubles; record them."""
+        leaving = self._leaving and identity == self.identity
+        return self.troubles.say(
+            self._record, attempt, identity, leaving=leaving
+        )
+
+    def _reject(
+        self,
+        attempt: str,
+        identity: str,
+        headers: Mapping[str, str] = NO_HEADERS,
+    ) -> bytes:
+        """Return the answer to a request that does not run."""
+        return encode(
+            'HTTP/1.1 503 Service Unavailable',
+            {
+                'Attempt-Id': attempt,
+                'Not-Executed': '1',
+                **headers,
+                **self._say_troubles(attempt, identity),
+            },
+        )
+
+    def _draw_work_s(self, path: str) -> float:
+        if path.endswith(LONG_SUFFIX):
+            return LONG_WORK_S
         if not self.longest_work_s:
             return self.work_s
         return random.uniform(self.work_s, self.longest_work_s)
@@ -312,14 +282,12 @@
         reader: asyncio.StreamReader,
         attempt: str,
         identity: str,
+        work_s: float,
     ) -> None:
         """Work until done; stop if the connection closes meanwhile."""
-        if request.start[1] in self.crashing:
-            self._record.add('crashed_by', attempt=attempt, server=identity)
-            raise CrashError
-        closed = asyncio.create_task(_wait_closed(reader))
+        closed = asyncio.create_task(wait_closed(reader))
         try:
-            async with asyncio.timeout(self._draw_work_s()):
+            async with asyncio.timeout(work_s):
                 await closed
         except TimeoutError:
             return
@@ -327,17 +295,3 @@
             closed.cancel()
         self._record.add('dropped', attempt=attempt, server=identity)
         raise ConnectionResetError
-
-
-async def _wait_closed(reader: asyncio.StreamReader) -> None:
-    """Return once the caller has closed its side."""
-    with contextlib.suppress(OSError):
-        while not reader.at_eof() and reader.exception() is None:
-            await asyncio.sleep(CLOSE_CHECK_S)
-
-
-def _not_executed(attempt: str) -> bytes:
-    return encode(
-        'HTTP/1.1 503 Service Unavailable',
-        {'Attempt-Id': attempt, 'Not-Executed': '1'},
-    )
