Soak: a picture of a run

`python -m platform_soak report FOLDER` writes report.png from the plan, the record and the hosts' own logs: requests by outcome and second at each host, faults as bars with their names, versions and evacuations, starts, stops and versions in force as the hosts log them, and breaches.

--- a/platform_soak/__main__.py
+++ b/platform_soak/__main__.py
@@ -62,6 +62,16 @@
     return 0
 
 
+@app.command
+def report(folder: Path) -> int:
+    """Draw the run in a folder; write report.png there."""
+    # Drawing takes longer to import than all else.
+    from platform_soak.report import write_report  # noqa: PLC0415
+
+    sys.stdout.write(f'{write_report(folder)}\n')
+    return 0
+
+
 def _read(path: Path) -> Plan:
     """Return the plan in a file; leave the program if there is none."""
     try:
