--- a/platform_soak/report.py
+++ b/platform_soak/report.py
@@ -92,9 +92,7 @@
         f'{breaches} breaches'
     )
     handles, labels = axes[-1].get_legend_handles_labels()
-    figure.legend(
-        handles, labels, loc='outside lower center', ncols=len(labels)
-    )
+    figure.legend(handles, labels, loc='outside lower center', ncols=5)
     return figure
 
 
