Soak: cuts soon after the first start count

With all beginnings of a host counted as unplanned, check_planned_work passed over requests sent within 5 s of the start of traffic, which the plan stops_in_turn is made of: a trial that cuts all connections once the balancer has noticed (answers_end_at = announced_at) cut 9 bookings with no breach.

--- a/platform_soak/disruptions.py
+++ b/platform_soak/disruptions.py
@@ -13,6 +13,8 @@
 class Cause(enum.Enum):
     """What disturbed something."""
 
+    #: The first start of a host, before the traffic.
+    START = enum.auto()
     STOP = enum.auto()
     KILL = enum.auto()
     FREEZE = enum.auto()
@@ -21,7 +23,7 @@
 
 ALL_CAUSES = frozenset(Cause)
 #: Causes that are not the planned work of an operator.
-UNPLANNED = ALL_CAUSES - {Cause.STOP}
+UNPLANNED = ALL_CAUSES - {Cause.START, Cause.STOP}
 #: Causes after which a process knows nothing of before.
 RESTARTS = frozenset((Cause.STOP, Cause.KILL))
 #: Causes after which a host is not blamed for what targets told it before.
--- a/platform_soak/runner.py
+++ b/platform_soak/runner.py
@@ -19,7 +19,7 @@
     Configurations,
 )
 from platform_soak.deployment import Deployment
-from platform_soak.disruptions import CONTACT_S, Disruptions
+from platform_soak.disruptions import CONTACT_S, Cause, Disruptions
 from platform_soak.faults import GRACE_S, START_S, FaultInjector
 from platform_soak.history import History, HostStops
 from platform_soak.hosts import EntryHost
@@ -159,7 +159,7 @@
     start_at = record.now
     record.add('traffic', unix_s=time.time())
     for host in deployment.hosts:
-        disruptions.add(host.name, 0, start_at)
+        disruptions.add(host.name, 0, start_at, Cause.START)
     _set_work(deployment)
     injector = FaultInjector(deployment, configurations, disruptions)
     faults = asyncio.create_task(injector.play(plan.faults, start_at))
--- a/platform_soak/tests/test_cut_checks.py
+++ b/platform_soak/tests/test_cut_checks.py
@@ -118,6 +118,12 @@
     _cut(history)
 
 
+def _started_before(history: HistoryBuilder) -> None:
+    _stop(history)
+    history.disruptions.add(HOST, 0, SENT_AT - 3, Cause.START)
+    _cut(history)
+
+
 def _paused_before(history: HistoryBuilder) -> None:
     _stop(history)
     history.disruptions.add(HOST, SENT_AT - 5, SENT_AT - 4.5)
@@ -245,6 +251,7 @@
                 Case(_target_went_down),
                 Case(_store_was_away_before),
                 Case(_paused_before),
+                Case(_started_before, ('LOST',)),
             ),
         )
 
