Callers: apply the limit on a head to one that arrives at once

`maxHeaderBytes` bounds the request line and all headers together, but it was only applied to what had arrived of an incomplete head. A head that came in one read, or behind a request that was being served, was accepted with up to 128 headers of that size each.

The size of each complete head is now checked before it is served; beyond the limit, the caller gets a 431 as before and the connection is closed.

--- a/oriolestage/entry/_caller_framing.py
+++ b/oriolestage/entry/_caller_framing.py
@@ -25,6 +25,9 @@
 UNKNOWN_LENGTH = 0xFFFFFFFFFFFFFFFF
 #: Versions that are answered in kind; others are answered in the first one.
 VERSIONS = (HttpVersion10, HttpVersion11)
+#: What lies between the name and the value of a header.
+SEPARATOR = ': '
+LINE_END_BYTES = 2
 #: Key in a request of the version that the caller stated.
 STATED_VERSION = web.RequestKey('stated_version', HttpVersion)
 
@@ -68,6 +71,15 @@
         raise UnknownBodyError('length out of range')
 
 
+def head_bytes(request: web.BaseRequest) -> int:
+    """Return the size of a request's line and headers, in bytes."""
+    line = f'{request.method} {request.raw_path} HTTP/1.1'
+    return len(line) + sum(
+        LINE_END_BYTES + len(name) + len(SEPARATOR) + len(text)
+        for name, text in request.raw_headers
+    )
+
+
 def is_length(stated: Sequence[str]) -> bool:
     """Return whether the values of ``Content-Length`` are one and the same."""
     if len(set(stated)) != 1:
--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -23,7 +23,11 @@
     build_error_response,
     build_rejection,
 )
-from oriolestage.entry._caller_framing import check_framing, is_length
+from oriolestage.entry._caller_framing import (
+    check_framing,
+    head_bytes,
+    is_length,
+)
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._ports import RequestMetadata, WireProtocol
 from oriolestage.entry._request_router import RequestRouter
@@ -163,6 +167,9 @@
         connection: CallerConnection,
         opened: OpenRequest,
     ) -> web.StreamResponse:
+        if head_bytes(request) > self._limits().header_bytes:
+            status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            return build_rejection('', 'head_too_long', status)
         path = request.raw_path
         host = request.headers.get('Host', '').partition(':')[0]
         if not host or not path.startswith('/') or '#' in path:
--- a/oriolestage/platform/tests/served_callers.py
+++ b/oriolestage/platform/tests/served_callers.py
@@ -151,14 +151,15 @@
     reader, writer = await asyncio.open_connection(*address)
     with contextlib.closing(writer):
         # An answer may come, and the connection be closed, in between.
-        answers = asyncio.create_task(_read_all(reader))
+        answers = asyncio.create_task(read_all(reader))
         for part in parts:
             writer.write(part)
             await asyncio.sleep(PART_PAUSE_S if len(parts) > 1 else 0)
         return await answers
 
 
-async def _read_all(reader: asyncio.StreamReader) -> bytes:
+async def read_all(reader: asyncio.StreamReader) -> bytes:
+    """Return all bytes until a stream ends, also those before a reset."""
     received = b''
     async with asyncio.timeout(CALLER_TIMEOUT_S):
         with contextlib.suppress(ConnectionError):
