Callers: no interim answer to a request of HTTP/1.0

A caller of HTTP/1.0 that sent `Expect: 100-continue` got `HTTP/1.1 100 Continue` first, which HTTP/1.0 does not have, so that it took this for the answer. RFC 9110 (10.1.1) has servers ignore the expectation there.

Evidence: test_expectations in `python -m unittest oriolestage.platform.tests.test_odd_requests` failed for HTTP/1.0 and passes; HTTP/1.1 still gets the interim answer.

--- a/oriolestage/entry/_caller_framing.py
+++ b/oriolestage/entry/_caller_framing.py
@@ -80,6 +80,15 @@
     )
 
 
+def expects_continue(request: web.BaseRequest) -> bool:
+    """Return whether a caller waits before it sends a body.
+
+    HTTP/1.0 has no interim answers (RFC 9110, section 10.1.1).
+    """
+    expected = request.headers.get('Expect', '').lower()
+    return expected == '100-continue' and request.version >= HttpVersion11
+
+
 def is_length(stated: Sequence[str]) -> bool:
     """Return whether the values of ``Content-Length`` are one and the same."""
     if len(set(stated)) != 1:
--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -25,6 +25,7 @@
 )
 from oriolestage.entry._caller_framing import (
     check_framing,
+    expects_continue,
     head_bytes,
     is_length,
 )
@@ -261,7 +262,7 @@
         limit = self._limits().body_bytes
         if (request.content_length or 0) > limit:
             raise BodyTooLargeError
-        if request.headers.get('Expect', '').lower() == '100-continue':
+        if expects_continue(request):
             await request.writer.write(CONTINUE)
         chunks: list[bytes] = []
         size = 0
--- a/oriolestage/platform/tests/test_odd_requests.py
+++ b/oriolestage/platform/tests/test_odd_requests.py
@@ -85,6 +85,16 @@
                 self.assertRegex(received, rb'^HTTP/1[.][01] %d ' % status)
                 self.assertEqual(len(forwarded), int(status == 200))
 
+    def test_expectations(self) -> None:
+        """Guards against an interim answer in HTTP/1.0, which has none."""
+        fields = FIELDS + b'Expect: 100-continue\r\nContent-Length: 4\r\n\r\n'
+        for version, interim in ((b'1.0', False), (b'1.1', True)):
+            head = b'POST /a/ HTTP/%s\r\n%s' % (version, fields)
+            with self.subTest(version=version):
+                received, _ = uvloop.run(forward(head, BODY))
+                self.assertEqual(b' 100 ' in received, interim)
+                self.assertIn(b' 200 OK\r\n', received)
+
     def _check_refused(self, parts: tuple[bytes, ...]) -> None:
         received, forwarded = uvloop.run(forward(*parts))
         self.assertEqual(status_of(received), 400)
