Soak: the store's watch loses no change; the review keeps its stand-ins

The targets of the soak no longer crash by request or while cold, which cases 3 and 4 of the review need, so the review has its own stand-ins again, as they were.

--- a/platform_soak/store.py
+++ b/platform_soak/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import functools
 import itertools
 import json
@@ -51,7 +52,8 @@
         self._discarded = 0
         self._leases: dict[int, tuple[float, float]] = {}
         self._lease_numbers = itertools.count(1000)
-        self._changed = asyncio.Condition()
+        #: Notified of each change.
+        self.changed = asyncio.Condition()
         self._servers: list[asyncio.Server] = []
         self._task: asyncio.Task | None = None
         self._late: list[asyncio.Task] = []
@@ -124,8 +126,8 @@
             self._discarded = self._events.pop(0)[1]['revision']
 
     async def _notify(self) -> None:
-        async with self._changed:
-            self._changed.notify_all()
+        async with self.changed:
+            self.changed.notify_all()
 
     async def _end_leases(self) -> None:
         while True:
@@ -218,7 +220,7 @@
             case 'GET', 'kv-range':
                 return self._range(query)
             case 'GET', 'kv-watch':
-                return await self._watch(query)
+                return await self.watch(query)
             case 'POST', 'kv-txn':
                 return await self._transact(json.loads(request.body))
             case 'POST', 'kv-lease':
@@ -246,19 +248,19 @@
             'storeRevision': self.revision,
         }
 
-    async def _watch(self, query: dict[str, str]) -> tuple[int, dict]:
+    async def watch(self, query: dict[str, str]) -> tuple[int, dict]:
+        """Answer a watch with its status and document."""
         after = int(query['after'])
         prefix = query.get('pathPrefix', '')
         if after < self._discarded:
             return 410, {}
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query['waitMs']) / 1000):
-                async with self._changed:
-                    await self._changed.wait_for(
+                async with self.changed:
+                    await self.changed.wait_for(
                         lambda: self._after(prefix, after)
                     )
-        except TimeoutError:
-            return 200, {'events': [], 'storeRevision': self.revision}
+        # Also after the time was up: a change may have been made since.
         events = self._after(prefix, after)
         return 200, {'events': events, 'storeRevision': self.revision}
 
--- a/review/tests/store.py
+++ b/review/tests/store.py
@@ -1,7 +1,276 @@
-"""The stand-in under the name that the cases import it by."""
+"""Stand-in for the platform's store, with its calls for keys and leases."""
 
-from platform_soak.store import (
-    Store,
-)
+import asyncio
+import base64
+import functools
+import itertools
+import json
+import time
+from http import HTTPStatus
+from urllib.parse import parse_qs, urlsplit
 
-__all__ = ('Store',)
+from messages import Message, encode, read_message
+from record import Record
+
+#: Time for which changes are kept, in seconds (``historyS``).
+HISTORY_S = 20.0
+#: Delay of an answer, in seconds.
+ANSWER_S = 0.004
+#: Largest number of items in a page.
+PAGE_ITEMS = 500
+#: Interval of checking for leases that ended, in seconds.
+LEASE_CHECK_S = 0.1
+
+
+class Store:
+    """Keys with revisions, leases and a history of changes.
+
+    Each host calls it at an address of its own, so that the store can turn
+    single hosts away.
+    """
+
+    def __init__(self, record: Record) -> None:
+        """Start empty."""
+        self._record = record
+        #: Hosts whose calls are answered with 503.
+        self.refused: set[str] = set()
+        #: Time after which the first registration of a host is done, by
+        #: host, in seconds. It is not answered, nor is anything that follows
+        #: on its connection.
+        self.late_registrations: dict[str, float] = {}
+        self.revision = 1
+        self._entries: dict[str, dict] = {}
+        self._events: list[tuple[float, dict]] = []
+        #: Revision of the newest change that was discarded.
+        self._discarded = 0
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._lease_numbers = itertools.count(1000)
+        self._changed = asyncio.Condition()
+        self._servers: list[asyncio.Server] = []
+        self._task: asyncio.Task | None = None
+        self._late: list[asyncio.Task] = []
+
+    async def start(self, ip: str, hosts: list[str]) -> dict[str, str]:
+        """Listen for each host; return the addresses by host."""
+        addresses = {}
+        for host in hosts:
+            server = await asyncio.start_server(
+                functools.partial(self._serve, host), ip, 0
+            )
+            self._servers.append(server)
+            port = server.sockets[0].getsockname()[1]
+            addresses[host] = f'{ip}:{port}'
+        self._task = asyncio.create_task(self._end_leases())
+        return addresses
+
+    def close(self) -> None:
+        """Stop listening."""
+        for server in self._servers:
+            server.close()
+        if self._task is not None:
+            self._task.cancel()
+
+    async def put(self, key: str, document: object, lease: int = 0) -> int:
+        """Write a key as the operator or a server; return the revision."""
+        return await self.put_bytes(key, json.dumps(document).encode(), lease)
+
+    async def put_bytes(self, key: str, content: bytes, lease: int = 0) -> int:
+        """Write the bytes of a key; return the revision."""
+        self._write(key, base64.b64encode(content).decode(), lease)
+        await self._notify()
+        return self.revision
+
+    async def remove(self, key: str) -> None:
+        """Remove a key."""
+        if key in self._entries:
+            self._remove(key)
+            await self._notify()
+
+    def _write(self, key: str, text: str, lease: int) -> None:
+        self.revision += 1
+        known = self._entries.get(key)
+        created = self.revision if known is None else known['createRevision']
+        item = {
+            'key': key,
+            'value': text,
+            'revision': self.revision,
+            'createRevision': created,
+            'lease': lease,
+        }
+        self._entries[key] = item
+        self._add_event(item)
+
+    def _remove(self, key: str) -> None:
+        self.revision += 1
+        self._entries.pop(key)
+        event = {'key': key, 'revision': self.revision, 'removed': True}
+        self._add_event(event)
+
+    def _add_event(self, event: dict) -> None:
+        now = time.monotonic()
+        self._events.append((now, event))
+        while self._events and now - self._events[0][0] > HISTORY_S:
+            self._discarded = self._events.pop(0)[1]['revision']
+
+    async def _notify(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _end_leases(self) -> None:
+        while True:
+            await asyncio.sleep(LEASE_CHECK_S)
+            now = time.monotonic()
+            for lease, (_, ends_at) in tuple(self._leases.items()):
+                if ends_at <= now:
+                    await self._end_lease(lease)
+
+    async def _end_lease(self, lease: int) -> None:
+        self._leases.pop(lease)
+        for key, item in tuple(self._entries.items()):
+            if item['lease'] == lease:
+                self._remove(key)
+        await self._notify()
+
+    async def _serve(
+        self,
+        host: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while True:
+                request = await read_message(reader)
+                await asyncio.sleep(ANSWER_S)
+                if self._is_lost(host, request):
+                    await reader.read()
+                    return
+                status, document = 503, {}
+                if host not in self.refused:
+                    status, document = await self._answer(request)
+                if host in self.refused:
+                    status, document = 503, {}
+                writer.write(
+                    encode(
+                        f'HTTP/1.1 {status} {HTTPStatus(status).phrase}',
+                        {'Content-Type': 'application/json'},
+                        json.dumps(document).encode(),
+                    )
+                )
+                await writer.drain()
+        except (asyncio.IncompleteReadError, OSError):
+            return
+        finally:
+            writer.close()
+
+    def _is_lost(self, host: str, request: Message) -> bool:
+        """Return whether an answer gets lost; do the call later then."""
+        method, target, _ = request.start
+        if method == 'GET' or 'kv-keep' in target:
+            return False
+        self._record.add('write', host=host, call=target)
+        if 'kv-txn' not in target or host not in self.late_registrations:
+            return False
+        delay_s = self.late_registrations.pop(host)
+        self._record.add('write_lost', host=host)
+        self._late.append(asyncio.create_task(self._do_late(request, delay_s)))
+        return True
+
+    async def _do_late(self, request: Message, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        status, _ = await self._answer(request)
+        self._record.add('write_done_late', status=status)
+
+    async def _answer(self, request: Message) -> tuple[int, dict]:
+        method, target, _ = request.start
+        split = urlsplit(target)
+        query = {
+            name: texts[0]
+            for name, texts in parse_qs(
+                split.query, keep_blank_values=True
+            ).items()
+        }
+        call = split.path.removeprefix('/oriolestage/').split('/')
+        match method, call[0]:
+            case 'GET', 'kv-range':
+                return self._range(query)
+            case 'GET', 'kv-watch':
+                return await self._watch(query)
+            case 'POST', 'kv-txn':
+                return await self._transact(json.loads(request.body))
+            case 'POST', 'kv-lease':
+                return self._open_lease(json.loads(request.body))
+            case 'POST', 'kv-keep':
+                return self._renew_lease(int(call[1]))
+            case 'DELETE', 'kv-lease-end':
+                if int(call[1]) not in self._leases:
+                    return 404, {}
+                await self._end_lease(int(call[1]))
+                return 200, {}
+        return 404, {}
+
+    def _range(self, query: dict[str, str]) -> tuple[int, dict]:
+        prefix = query.get('pathPrefix', '')
+        after = query.get('after', '')
+        keys = sorted(
+            key
+            for key in self._entries
+            if key.startswith(prefix) and key > after
+        )
+        return 200, {
+            'items': [self._entries[key] for key in keys[:PAGE_ITEMS]],
+            'hasMore': len(keys) > PAGE_ITEMS,
+            'storeRevision': self.revision,
+        }
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, dict]:
+        after = int(query['after'])
+        prefix = query.get('pathPrefix', '')
+        if after < self._discarded:
+            return 410, {}
+        try:
+            async with asyncio.timeout(int(query['waitMs']) / 1000):
+                async with self._changed:
+                    await self._changed.wait_for(
+                        lambda: self._after(prefix, after)
+                    )
+        except TimeoutError:
+            return 200, {'events': [], 'storeRevision': self.revision}
+        events = self._after(prefix, after)
+        return 200, {'events': events, 'storeRevision': self.revision}
+
+    def _after(self, prefix: str, after: int) -> list[dict]:
+        return [
+            event
+            for _, event in self._events
+            if event['revision'] > after and event['key'].startswith(prefix)
+        ]
+
+    async def _transact(self, document: dict) -> tuple[int, dict]:
+        for row in document['expectedRev']:
+            item = self._entries.get(row['key'], {'revision': 0})
+            if item['revision'] != row['revision']:
+                return 412, {'items': []}
+        for write in document['writes']:
+            lease = write.get('lease', 0)
+            if lease and lease not in self._leases:
+                return 404, {}
+        for write in document['writes']:
+            self._write(write['key'], write['value'], write.get('lease', 0))
+        for key in document['remove']:
+            if key in self._entries:
+                self._remove(key)
+        await self._notify()
+        return 200, {'revision': self.revision}
+
+    def _open_lease(self, document: dict) -> tuple[int, dict]:
+        lease = next(self._lease_numbers)
+        ttl_s = document['ttlMs'] / 1000
+        self._leases[lease] = (ttl_s, time.monotonic() + ttl_s)
+        return 200, {'lease': lease, 'ttlMs': document['ttlMs']}
+
+    def _renew_lease(self, lease: int) -> tuple[int, dict]:
+        if lease not in self._leases:
+            return 404, {}
+        ttl_s, _ = self._leases[lease]
+        self._leases[lease] = (ttl_s, time.monotonic() + ttl_s)
+        return 200, {'ttlMs': int(ttl_s * 1000)}
