A withdrawal that the store turned away is repeated during the stop

Other hosts asked a stopping host, and listed it until its lease of 8 s ran out, if the one call to end its lease was turned away: the task that repeats it was cancelled first, so that it would not register the host again. It no longer does that for a withdrawn host, so it goes on.

Evidence: test_refused_withdrawal failed before; test_requests_under_way, which looks at the store every 50 ms during a stop, passes as before.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -38,8 +38,6 @@
 #: Timeout for the first read of the store, in seconds. Callers that connect
 #: meanwhile wait in the backlog; a read takes about 20 ms.
 FIRST_READ_TIMEOUT_S = 0.4
-#: Name of the background work that registers this host.
-REGISTER = 'register'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,7 +83,7 @@
     background_work = (
         ('follow_store', host.follower.run),
         ('expire', host.follower.expire),
-        (REGISTER, host.registration.run),
+        ('register', host.registration.run),
         ('report_crashes', host.crash_reporter.run),
         ('probe_reach', host.reach_probe.run),
         (
@@ -93,18 +91,16 @@
             lambda: check_links(host.peers, host.peer_client, host.follower),
         ),
     )
-    tasks = {
-        name: asyncio.create_task(
+    tasks = [
+        asyncio.create_task(
             keep_running(name, work, host.metrics.record_background_failure)
         )
         for name, work in background_work
-    }
+    ]
     await _listen(host, caller_listener)
     await stop.wait()
-    # It would register this host again during the stop.
-    tasks[REGISTER].cancel()
     unfinished = await _drain(host)
-    for task in tasks.values():
+    for task in tasks:
         task.cancel()
     await _close(host, store)
     log_event('stopped', {'step': 'stop', 'cut': unfinished})
--- a/oriolestage/platform/tests/platform_store.py
+++ b/oriolestage/platform/tests/platform_store.py
@@ -53,6 +53,8 @@
         self.calls: list[str] = []
         #: True while calls get no answer.
         self.silent = False
+        #: Number of calls to end a lease that are still turned away.
+        self.refused_ends = 0
         #: True while calls are lost: they are never answered.
         self.loses_calls = False
         #: Called before each page of a listing.
@@ -157,6 +159,9 @@
             case _names.LEASE_PATH:
                 return self._answer({'lease': self.open_lease(), 'ttlMs': 8000})
         path, _, number = request.path.rpartition('/')
+        if path == _names.LEASE_END_PATH and self.refused_ends:
+            self.refused_ends -= 1
+            return self._answer({}, HTTPStatus.SERVICE_UNAVAILABLE)
         return self._handle_lease(path, int(number))
 
     def _list(self, query: Mapping[str, str]) -> web.Response:
--- a/oriolestage/platform/tests/test_planned_stop.py
+++ b/oriolestage/platform/tests/test_planned_stop.py
@@ -232,6 +232,18 @@
         self.assertEqual(code, 0)
         self.assertLess(took_s, IDLE_STOP_S)
 
+    async def test_refused_withdrawal(self) -> None:
+        """Guards against a host that stays registered after its end.
+
+        The store turned the call away that ends its lease.
+        """
+        host = await self.start_host()
+        host.store.refused_ends = 1
+        host.stop()
+        await host.wait_end()
+        self.assertEqual(host.store.refused_ends, 0)
+        self.assertFalse(host.store.holds(f'{_names.HOST_PREFIX}{host.name}'))
+
     async def test_stop_before_the_first_read(self) -> None:
         """A host that was never ready ends at once."""
         host = StoppedHost(WORK_S)
