--- a/oriolestage/entry/tests/test_repeated_rejections.py
+++ b/oriolestage/entry/tests/test_repeated_rejections.py
@@ -38,8 +38,8 @@
 MOST_READS = (
     DURATION_S / (MAX_BACKOFF_S / 2) + MAX_BACKOFF_S / INITIAL_BACKOFF_S
 )
-REJECTED = AnswerRejectedError('store.kv-watch', 'store', 'status 400')
-LOST = HistoryLostError('store.kv-watch', 'store', 'history lost')
+REJECTED = AnswerRejectedError('store.watch', 'store', 'status 400')
+LOST = HistoryLostError('store.watch', 'store', 'history lost')
 
 
 class RefusingStore:
--- a/oriolestage/routing/tests/test_cluster_state.py
+++ b/oriolestage/routing/tests/test_cluster_state.py
@@ -132,7 +132,7 @@
 
     def test_configuration_unreadable_again(self) -> None:
         """Each time that the configuration cannot be parsed is logged."""
-        unreadable = UnreadableItem('op/config', 'bad')
+        unreadable = UnreadableItem('configuration', 'bad')
         for version in range(3):
             table = build_table(version, (), (), CallerLimits())
             self._state.apply(ConfigurationStored(table), version)
