A target's process keeps its limits while its entry is lost

After another writer has overwritten the entry of a target for a moment, or its lease has lapsed, the host sent to it again although its process had said that it leaves (DRAIN) or had asked for rest (BUDGET), and a cold target got its share of requests twice within a second (FAILBACK).

Ruled out: keeping the target listed while its entry is unreadable. Such an entry names no target to use.

Change: the directory remembers removed targets by process for 60 s, as it did the times of their removal, and restores that the process leaves. The observations and the pace of cold targets are kept for as long.

--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -82,8 +82,13 @@
         )
 
     def forget_removed_targets(self) -> None:
-        """Drop the observations of targets that are no longer known."""
+        """Drop the observations of target processes that are gone.
+
+        Those that were removed of late are kept: such a process may register
+        again, and its limits hold then as before.
+        """
         known = {target.process for target in self._directory.all_targets()}
+        known.update(self._directory.removed_processes)
         self._capacity.forget(self.observations.prune(known))
         self.rates.prune(known)
 
--- a/oriolestage/routing/_targets.py
+++ b/oriolestage/routing/_targets.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 #: Time for which a lapsed registration is kept after the store has returned,
 #: in seconds. By the platform's contract it is back within 2 s.
@@ -16,7 +16,8 @@
 #: after three heartbeats without a sign of life; these are about 1.2 s apart.
 RESURRECTED_HOLD_S = 4.5
 #: Time for which removed targets are remembered, in seconds. Copies of the
-#: store are some seconds old.
+#: store are some seconds old, and a process whose registration was lost or
+#: overwritten registers again.
 REMOVED_RETENTION_S = 60.0
 
 
@@ -70,6 +71,15 @@
         self.process = self.record.process
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RemovedTarget:
+    """A target whose process may register again."""
+
+    target: KnownTarget
+    #: Monotonic time of its removal.
+    removed_at: float
+
+
 class TargetDirectory:
     """Registered targets by identity and by service."""
 
@@ -79,13 +89,18 @@
         self._by_service: dict[str, dict[str, KnownTarget]] = {}
         self._closed_data_centres: frozenset[str] = frozenset()
         self._grace_period_end = float('-inf')
-        #: Monotonic times at which processes of targets were removed.
-        self._removed_at: dict[str, float] = {}
+        #: Targets that were removed of late, by process.
+        self._removed: dict[str, _RemovedTarget] = {}
 
     def __len__(self) -> int:
         """Return the number of known targets."""
         return len(self._targets)
 
+    @property
+    def removed_processes(self) -> Collection[str]:
+        """Names of the target processes that were removed of late."""
+        return self._removed.keys()
+
     @property
     def closed_data_centres(self) -> frozenset[str]:
         """Data centres out of service; their targets get no new work."""
@@ -99,7 +114,8 @@
         """Add or update a target; return whether its process is a new one.
 
         A target that has another start time, address or service than before
-        replaces its entry, and its local state starts afresh.
+        replaces its entry, and its local state starts afresh. A process that
+        was removed of late and has said that it leaves still does.
         """
         known = self._targets.get(record.identity)
         if known is not None:
@@ -114,8 +130,10 @@
                 known.expires_at = float('inf')
                 return False
             self._drop(record.identity, now)
-        self._removed_at.pop(record.process, None)
         added = KnownTarget(record, now + record.warm_up_left_s)
+        removed = self._removed.pop(record.process, None)
+        if removed is not None:
+            added.leaving = removed.target.leaving
         self._targets[record.identity] = added
         siblings = self._by_service.setdefault(record.service, {})
         siblings[record.identity] = added
@@ -198,9 +216,9 @@
         for known in self._targets.values():
             if known.held_until is not None and known.held_until <= now:
                 known.held_until = None
-        for process, removed_at in tuple(self._removed_at.items()):
-            if now - removed_at >= REMOVED_RETENTION_S:
-                self._removed_at.pop(process)
+        for process, removed in tuple(self._removed.items()):
+            if now - removed.removed_at >= REMOVED_RETENTION_S:
+                self._removed.pop(process)
         return expired
 
     def replace_closed_data_centres(self, names: Iterable[str]) -> None:
@@ -229,7 +247,7 @@
         that was draining still is: the state of a process does not go back.
         """
         known = self._targets.get(record.identity)
-        held = record.process in self._removed_at
+        held = record.process in self._removed
         if known is not None and known.process == record.process:
             held = known.held_until is not None
             draining = known.record.draining or record.draining
@@ -241,5 +259,5 @@
 
     def _drop(self, identity: str, now: float) -> None:
         known = self._targets.pop(identity)
-        self._removed_at[known.process] = now
+        self._removed[known.process] = _RemovedTarget(known, now)
         self._by_service[known.record.service].pop(identity, None)
