What a target says without an entry counts when it registers again

A request that was sent before the entry of a target became unreadable or lapsed is answered after that. If the answer said that the target leaves, wants rest or takes so many requests a second, the host dropped it, as it no longer knew the target; it sent again when the process had registered again (DRAIN, BUDGET, LIMIT).

Cause: the three statements looked for a registered target only.

--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -193,7 +193,7 @@
 
         ``limit`` is in requests per second of all hosts; None for no limit.
         """
-        target = self._directory.find(identity)
+        target = self._directory.find_with_removed(identity)
         if target is not None:
             self.rates.record_limit(target, limit, now)
 
@@ -202,7 +202,7 @@
 
         It serves for some time yet, so attempts in flight are not affected.
         """
-        target = self._directory.find(identity)
+        target = self._directory.find_with_removed(identity)
         if target is None or target.leaving:
             return
         target.leaving = True
@@ -217,7 +217,7 @@
 
     def record_rest(self, identity: str, rest_s: float, now: float) -> None:
         """Record that a target wants no request of this host for a time."""
-        target = self._directory.find(identity)
+        target = self._directory.find_with_removed(identity)
         if target is None:
             return
         load = self.observations.load_of(target)
--- a/oriolestage/routing/_targets.py
+++ b/oriolestage/routing/_targets.py
@@ -110,6 +110,19 @@
         """Return the target with this identity, or None."""
         return self._targets.get(identity)
 
+    def find_with_removed(self, identity: str) -> KnownTarget | None:
+        """Return the target with this identity, also if removed of late.
+
+        Its latest process is returned.
+        """
+        known = self._targets.get(identity)
+        if known is not None:
+            return known
+        for removed in reversed(self._removed.values()):
+            if removed.target.record.identity == identity:
+                return removed.target
+        return None
+
     def register(self, record: TargetRecord, now: float) -> bool:
         """Add or update a target; return whether its process is a new one.
 
--- a/oriolestage/routing/tests/test_registered_again.py
+++ b/oriolestage/routing/tests/test_registered_again.py
@@ -109,6 +109,20 @@
                 self._register(2 * STEP_S)
                 self.assertFalse(_is_used(self._placement, 2 * STEP_S))
 
+    def test_said_without_entry(self) -> None:
+        """Guards against answers that are lost on a host without the entry.
+
+        A request that was sent before is answered after the loss.
+        """
+        for name in ('leaves', 'rests', 'states a limit'):
+            for loss in LOSSES:
+                with self.subTest(name=name, loss=type(loss).__name__):
+                    self._start()
+                    self._state.apply(loss, 0)
+                    STATEMENTS[name](self._placement, STEP_S)
+                    self._register(2 * STEP_S)
+                    self.assertFalse(_is_used(self._placement, 2 * STEP_S))
+
     def test_new_process(self) -> None:
         """A new process of the target starts without what the old one said."""
         for name, state in STATEMENTS.items():
