Other hosts hear that a target leaves that registered again meanwhile

While a host sends a request for another host, the entry of the target is lost and written again. The answer says that the target leaves, and the asking host is not told, so it may send to the target itself (DRAIN).

Cause: the new registration was a new object; the attempt looked at the old one. Change: a process that registers again keeps its object. Fields that a registration sets are set in one place now.

--- a/oriolestage/entry/tests/test_relay.py
+++ b/oriolestage/entry/tests/test_relay.py
@@ -124,6 +124,23 @@
         self.assertEqual(await self._relay(), AttemptAnswered(ANSWER))
         self.assertEqual(self._leaving, ['t-1'])
 
+    async def test_leaving_target_registered_again(self) -> None:
+        """Guards against a notice that is lost with a registration.
+
+        The entry of the target was away while the request ran.
+        """
+        placement, directory = make_placement(records=(make_record(),))
+
+        def register_again_and_leave() -> AttemptOutcome:
+            directory.remove('t-1', 1)
+            directory.register(make_record(), 2)
+            placement.record_leaving('t-1')
+            return AttemptAnswered(ANSWER)
+
+        await self._start(OneTarget(register_again_and_leave), placement)
+        await self._relay()
+        self.assertEqual(self._leaving, ['t-1'])
+
     async def test_target_that_stays(self) -> None:
         """Nothing is reported of a target that does not leave."""
         await self._relay_to(lambda: AttemptAnswered(ANSWER))
--- a/oriolestage/routing/_targets.py
+++ b/oriolestage/routing/_targets.py
@@ -70,6 +70,13 @@
         """Derive the name of the process, which keeps it while registered."""
         self.process = self.record.process
 
+    def update(self, record: TargetRecord, now: float) -> None:
+        """Replace the registration by another one of the same process."""
+        self.record = record
+        self.held_until = None
+        self.cold_until = now + record.warm_up_left_s
+        self.expires_at = float('inf')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _RemovedTarget:
@@ -137,16 +144,17 @@
             if known.record.service == record.service and not (
                 restarted or moved
             ):
-                known.record = record
-                known.held_until = None
-                known.cold_until = now + record.warm_up_left_s
-                known.expires_at = float('inf')
+                known.update(record, now)
                 return False
             self._drop(record.identity, now)
-        added = KnownTarget(record, now + record.warm_up_left_s)
         removed = self._removed.pop(record.process, None)
-        if removed is not None:
-            added.leaving = removed.target.leaving
+        if removed is None:
+            added = KnownTarget(record, now + record.warm_up_left_s)
+        else:
+            # Attempts that were sent before its removal refer to it.
+            added = removed.target
+            added.replaced = False
+            added.update(record, now)
         self._targets[record.identity] = added
         siblings = self._by_service.setdefault(record.service, {})
         siblings[record.identity] = added
