store_stalled tells a silent store from a task that does not get on

Operators could not tell from the line why a copy of the store was old: a store that does not answer and a task that hangs gave the same one, and only a later store_lost told them apart. No metric showed the revision of the copy, so a host that the store answers with old content looked current.

Change: the line names the present step of the task that follows the store (read, watch, apply, pause) and how long it lasts; the gauge store_revision can be compared between hosts. No decision changed; the full read is a method of its own now, so that each step has one place.

Evidence: test_progress needs what the code before lacks.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -193,6 +193,7 @@
     metrics.add_gauge(
         'store_items_unreadable', lambda: cluster_state.unreadable_count
     )
+    metrics.add_gauge('store_revision', lambda: follower.freshness.revision)
     metrics.add_gauge('store_stalled', lambda: int(follower.stalled))
     metrics.add_counts(
         'store_follow_failures',
--- a/oriolestage/entry/_stall_detector.py
+++ b/oriolestage/entry/_stall_detector.py
@@ -2,21 +2,55 @@
 
 The causes differ: the store is not reached, its answers cannot be used, or the
 task that follows it does not get on. Callers see the same in each case: old
-routes and targets. The detector therefore looks at the age of the copy only.
+routes and targets. The detector therefore looks at the age of the copy only,
+and reports what the task does, which tells the causes apart.
 """
 
+import dataclasses
+import enum
+import time
+
 from oriolestage.routing._state_changes import StateChange
 
 
+class FollowStep(enum.Enum):
+    """What the task that follows the store does."""
+
+    #: Waits for a full read.
+    READ = 'read'
+    #: Waits for changes.
+    WATCH = 'watch'
+    #: Applies what it has read.
+    APPLY = 'apply'
+    #: Waits before the next call.
+    PAUSE = 'pause'
+
+
+@dataclasses.dataclass(slots=True)
+class FollowProgress:
+    """The present step of the task that follows the store."""
+
+    step: FollowStep = FollowStep.PAUSE
+    #: Monotonic time at which it began.
+    since: float = dataclasses.field(default_factory=time.monotonic)
+
+    def enter(self, step: FollowStep) -> None:
+        """Begin a step."""
+        self.step = step
+        self.since = time.monotonic()
+
+
 class StallDetector:
     """Compares the age of the copy with a limit."""
 
-    def __init__(self, limit_s: float) -> None:
+    def __init__(self, limit_s: float, progress: FollowProgress) -> None:
         """Start with a copy that is up to date.
 
-        ``limit_s`` is the age in seconds from which the copy is stalled.
+        ``limit_s`` is the age in seconds from which the copy is stalled;
+        ``progress`` is that of the task that follows the store.
         """
         self._limit_s = limit_s
+        self._progress = progress
         self._stalled = False
         self._greatest_age_s: float = 0
         self._previous_age_s: float = 0
@@ -69,5 +103,7 @@
                 ('store_age_s', age_s),
                 ('failures', self._failures),
                 ('last_failure', self._last_failure),
+                ('follower', self._progress.step.value),
+                ('follower_s', time.monotonic() - self._progress.since),
             ),
         )
--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -15,7 +15,11 @@
     StoreError,
     StorePosition,
 )
-from oriolestage.entry._stall_detector import StallDetector
+from oriolestage.entry._stall_detector import (
+    FollowProgress,
+    FollowStep,
+    StallDetector,
+)
 from oriolestage.entry._store_pacing import COALESCING_DELAY_S, StorePacing
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._state_changes import Freshness, StateChange
@@ -58,7 +62,8 @@
         self._applied_at = self._answered_at
         self._outage_since: float | None = None
         self._failures: Counter[str] = Counter()
-        self._stalls = StallDetector(propagation_limit_s)
+        self._progress = FollowProgress()
+        self._stalls = StallDetector(propagation_limit_s, self._progress)
         self._first_read = asyncio.Event()
         #: Limits the call for changes that is in progress.
         self._call_limit: asyncio.Timeout | None = None
@@ -130,27 +135,14 @@
 
     async def _follow_once(self) -> None:
         if self._position is None:
-            stored = await self._store.read_all()
-            self._record_success()
-            self._set_position(stored.position)
-            log_event(
-                'store_read',
-                {
-                    'step': 'store',
-                    'items': len(stored.facts),
-                    **self._log_position(),
-                },
-            )
-            self._log(
-                self._cluster_state.replace_all(stored.facts, time.monotonic())
-            )
-            self._applied_at = time.monotonic()
-            self._first_read.set()
+            await self._read_all()
             return
         # A call that is lost in an outage takes until its timeout, which
         # includes the time that it may wait for changes.
         wait_s = self._pacing.watch_wait_s if self._outage_since is None else 0
+        self._progress.enter(FollowStep.WATCH)
         changes = await self._changes_after(self._position, wait_s)
+        self._progress.enter(FollowStep.APPLY)
         self._record_success()
         self._set_position(changes.position)
         now = time.monotonic()
@@ -165,8 +157,31 @@
         self._pacing.reset_backoff()
         if changes.facts:
             grace_left_s = self._directory.grace_left_s(now)
-            pause_s = self._pacing.pause_after_changes_s(grace_left_s)
-            await asyncio.sleep(pause_s)
+            await self._pause(self._pacing.pause_after_changes_s(grace_left_s))
+
+    async def _read_all(self) -> None:
+        self._progress.enter(FollowStep.READ)
+        stored = await self._store.read_all()
+        self._progress.enter(FollowStep.APPLY)
+        self._record_success()
+        self._set_position(stored.position)
+        log_event(
+            'store_read',
+            {
+                'step': 'store',
+                'items': len(stored.facts),
+                **self._log_position(),
+            },
+        )
+        self._log(
+            self._cluster_state.replace_all(stored.facts, time.monotonic())
+        )
+        self._applied_at = time.monotonic()
+        self._first_read.set()
+
+    async def _pause(self, pause_s: float) -> None:
+        self._progress.enter(FollowStep.PAUSE)
+        await asyncio.sleep(pause_s)
 
     async def _changes_after(
         self, position: StorePosition, wait_s: float
@@ -236,7 +251,7 @@
                 self._record_failure(step, str(error))
                 log_event('store_history_lost', {'error': error})
                 self._position = None
-                await asyncio.sleep(
+                await self._pause(
                     self._pacing.pause_before_reading_again_s(spread=False)
                 )
             case AnswerRejectedError(step=step, cause=cause):
@@ -260,7 +275,7 @@
                     'targets': len(self._directory),
                 },
             )
-        await asyncio.sleep(self._pacing.next_backoff_s())
+        await self._pause(self._pacing.next_backoff_s())
 
     async def _read_again(self, step: str, cause: str) -> None:
         """Give up the position, since the same call would fail again.
@@ -273,10 +288,10 @@
             {'step': step, 'cause': cause, **self._log_position()},
         )
         if self._position is None:
-            await asyncio.sleep(self._pacing.next_backoff_s())
+            await self._pause(self._pacing.next_backoff_s())
             return
         self._position = None
-        await asyncio.sleep(
+        await self._pause(
             self._pacing.pause_before_reading_again_s(spread=True)
         )
 
--- a/oriolestage/entry/tests/test_stall_detector.py
+++ b/oriolestage/entry/tests/test_stall_detector.py
@@ -1,8 +1,13 @@
 """Tests of noticing a copy of the store that is not kept up to date."""
 
+import time
 import unittest
 
-from oriolestage.entry._stall_detector import StallDetector
+from oriolestage.entry._stall_detector import (
+    FollowProgress,
+    FollowStep,
+    StallDetector,
+)
 
 LIMIT_S = 5.0
 
@@ -12,7 +17,8 @@
 
     def setUp(self) -> None:
         """Create a detector."""
-        self._detector = StallDetector(LIMIT_S)
+        self._progress = FollowProgress()
+        self._detector = StallDetector(LIMIT_S, self._progress)
 
     def _events(self, *ages_s: float) -> list[str]:
         changes = [self._detector.check(age_s) for age_s in ages_s]
@@ -55,3 +61,18 @@
         self.assertEqual(
             (fields['failures'], fields['last_failure']), (0, 'none')
         )
+
+    def test_progress(self) -> None:
+        """A silent store is told from a task that does not get on."""
+        for step in FollowStep:
+            with self.subTest(step=step.value):
+                self.setUp()
+                self._progress.enter(step)
+                self._progress.since = time.monotonic() - LIMIT_S
+                change = self._detector.check(LIMIT_S)
+                assert change is not None
+                fields = dict(change.fields)
+                self.assertEqual(fields['follower'], step.value)
+                follower_s = fields['follower_s']
+                assert isinstance(follower_s, float)
+                self.assertGreaterEqual(follower_s, LIMIT_S)
