Soak: a refusal of a request that is never answered is allowed at the end

All 553 refusals are `quarantined`, of one request, /lookup/1/long: it takes 1.5 s, its callers leave after 0.8 s at most, so no target ever answers it.

Change: the check leaves out 503s of these requests. Other ends of them still count, and so does a 503 of any other request; both have a case.

--- a/platform_soak/host_checks.py
+++ b/platform_soak/host_checks.py
@@ -4,8 +4,9 @@
 from http import HTTPStatus
 
 from platform_soak.breaches import Breach
-from platform_soak.clients import LEFT
+from platform_soak.clients import LEFT, Call
 from platform_soak.history import History
+from platform_soak.servers import LONG_SUFFIX
 
 #: Share of the requests in the calm at the end that have to be answered.
 SERVED_SHARE = 0.98
@@ -28,12 +29,18 @@
 
 
 def check_recovery(history: History) -> Iterator[Breach]:
-    """SERVED: once nothing is disturbed, callers are served."""
+    """SERVED: once nothing is disturbed, callers are served.
+
+    A refusal of a request that takes longer than its callers wait does not
+    count: it is never answered, so that it is quarantined once two targets
+    have crashed while they ran it.
+    """
     calls = [
         call
         for call in history.calls
         if call.started_at >= history.calm_from
         and not call.path.startswith('/added-')
+        and not _is_refused_long(call)
         and call.problem != LEFT
     ]
     served = sum(
@@ -46,3 +53,11 @@
     elif served < SERVED_SHARE * len(calls):
         text = f'{served} of {len(calls)} requests at the end'
         yield Breach('SERVED', history.calm_from, text)
+
+
+def _is_refused_long(call: Call) -> bool:
+    return (
+        call.path.endswith(LONG_SUFFIX)
+        and call.answer is not None
+        and call.answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+    )
--- a/platform_soak/tests/test_host_checks.py
+++ b/platform_soak/tests/test_host_checks.py
@@ -3,10 +3,12 @@
 from unittest import TestCase
 
 from platform_soak.history import HostStops
+from platform_soak.servers import LONG_SUFFIX
 from platform_soak.tests.cases import Case, assert_verdicts
 from platform_soak.tests.histories import CALM_FROM, HOST, LOG, HistoryBuilder
 
 LOOKUP = '/lookup/1'
+LONG = f'{LOOKUP}{LONG_SUFFIX}'
 
 
 def _ended(history: HistoryBuilder) -> None:
@@ -46,6 +48,16 @@
     _end(history, 50, '/added-2/1')
 
 
+def _long_requests_refused(history: HistoryBuilder) -> None:
+    _end(history, 50, LONG)
+
+
+def _long_requests_lost(history: HistoryBuilder) -> None:
+    _end(history, 0)
+    for status in (0, 502, 504):
+        history.add_call(LONG, sent_at=CALM_FROM, status=status)
+
+
 def _not_served_before_the_calm(history: HistoryBuilder) -> None:
     for _ in range(9):
         history.add_call(LOOKUP, sent_at=CALM_FROM - 1, status=503)
@@ -72,6 +84,8 @@
                 Case(_three_of_a_hundred_not_served, ('SERVED',)),
                 Case(_two_of_a_hundred_not_served),
                 Case(_routes_without_a_promise_not_served),
+                Case(_long_requests_refused),
+                Case(_long_requests_lost, ('SERVED',)),
                 Case(_not_served_before_the_calm),
             ),
         )
