Soak: a store with large entries, in pages of 1 MB, that returns from a copy

The stand-in ended a page at 500 items only, so that 24 entries of 1 MB made every host deaf to it; the users' page says 500 items or 1 MB. No plan had large entries, entries in place of a target's, or a return from an older copy.

Change: what the store holds is a class of its own, which ends pages at either limit and can be copied. New kinds of faults: RestoreStore (away, back from a copy, the era rises, the operator writes again, gone targets lapse), OverwriteTarget, and OddEntry with a count and large entries; each entry has a key of its own, so that several stay at once.

--- a/platform_soak/drawing.py
+++ b/platform_soak/drawing.py
@@ -23,9 +23,11 @@
     LimitTarget,
     LoseWrites,
     OddEntry,
+    OverwriteTarget,
     PauseHost,
     Plan,
     ReloadHost,
+    RestoreStore,
     SlowTarget,
     StopHost,
     TurnAway,
@@ -40,6 +42,12 @@
 #: Longest times for which a host is paused and the store is away, in seconds.
 MAX_PAUSE_S = 4.0
 MAX_STORE_S = 6.0
+#: Greatest age of the copy that the store comes back from, and the longest
+#: time for which it is away meanwhile, in seconds.
+MAX_COPY_AGE_S = 6.0
+MAX_AWAY_S = 2.0
+#: Entries that another writer leaves at once, if many.
+MANY_ENTRIES = 24
 #: Time until a host that was stopped is replaced, in seconds.
 MAX_DOWN_S = 4.0
 
@@ -126,6 +134,23 @@
         at_s=at_s,
         entry=draw.choice(ODD_ENTRIES),
         for_s=_seconds(draw, 0.5, 8),
+        count=draw.choice((1, 1, MANY_ENTRIES)),
+    )
+
+
+def _overwrite_target(draw: random.Random, at_s: float, targets: int) -> Fault:
+    return OverwriteTarget(
+        at_s=at_s,
+        target=draw.randrange(targets),
+        entry=draw.choice(ODD_ENTRIES),
+    )
+
+
+def _restore_store(draw: random.Random, at_s: float, _: int) -> Fault:
+    return RestoreStore(
+        at_s=at_s,
+        copy_age_s=_seconds(draw, 0.5, MAX_COPY_AGE_S),
+        away_s=_seconds(draw, 0, MAX_AWAY_S),
     )
 
 
@@ -211,6 +236,8 @@
         _slow_target: 1,
         _change_configuration: 4,
         _close_data_centre: 1,
+        _overwrite_target: 2,
+        _restore_store: 1,
     }
 )
 #: Kinds that each run has: without them there is nothing to miss.
--- a/platform_soak/faults.py
+++ b/platform_soak/faults.py
@@ -1,26 +1,21 @@
 """Carries out the faults of a plan."""
 
 import asyncio
-import json
 import signal
 from collections.abc import Sequence
 
 from platform_soak import plan
 from platform_soak.configurations import Configurations
 from platform_soak.deployment import Deployment
-from platform_soak.disruptions import STORE, Cause, Disruptions
+from platform_soak.disruptions import Cause, Disruptions
 from platform_soak.hosts import EntryHost
 from platform_soak.servers import Server
+from platform_soak.store_faults import StoreFaults
 
 #: Time from SIGTERM to SIGKILL (``graceS``), in seconds.
 GRACE_S = 6.0
 #: Time that a process needs to serve after its start, in seconds.
 START_S = 1.5
-#: Time after its return within which the store is disturbed still, in seconds.
-STORE_SETTLE_S = 0.1
-NESTING_LEVELS = 1500
-LONG_NUMBER_DIGITS = 400
-ODD_KEY = 'servers/i-other-writer'
 
 
 class FaultInjector:
@@ -37,6 +32,7 @@
         self._configurations = configurations
         self._disruptions = disruptions
         self._record = deployment.record
+        self._store_faults = StoreFaults(deployment, disruptions)
         self._tasks: set[asyncio.Task[None]] = set()
         #: Hosts that are being stopped or restarted.
         self._restarting: set[str] = set()
@@ -90,28 +86,7 @@
             case plan.CloseDataCentre(zone=zone, for_s=for_s):
                 await self._configurations.close_zone(zone, for_s)
             case _:
-                await self._inject_store_fault(fault)
-
-    async def _inject_store_fault(self, fault: plan.Fault) -> None:
-        store = self._deployment.store
-        match fault:
-            case plan.DisturbStore(hosts=numbers, way=way, for_s=for_s):
-                names = [
-                    self._deployment.hosts[number].name for number in numbers
-                ]
-                await self._disturb_store(names, way, for_s)
-            case plan.LoseWrites(for_s=for_s, delay_s=delay_s):
-                start = self._record.now
-                store.late_writes_s = delay_s
-                await asyncio.sleep(for_s)
-                store.late_writes_s = None
-                self._disruptions.add(STORE, start, self._record.now + delay_s)
-            case plan.DiscardHistory():
-                store.discard_history()
-            case plan.OddEntry(entry=entry, for_s=for_s):
-                await store.put_bytes(ODD_KEY, odd_entry(entry))
-                await asyncio.sleep(for_s)
-                await store.remove(ODD_KEY)
+                await self._store_faults.inject(fault)
 
     async def _stop(self, host: EntryHost, down_s: float) -> None:
         if host.name in self._restarting:
@@ -155,25 +130,6 @@
         self._disruptions.add(host.name, start, end, Cause.FREEZE)
         host.pauses.append((start, self._record.now))
 
-    async def _disturb_store(
-        self, names: Sequence[str], way: str, for_s: float
-    ) -> None:
-        store = self._deployment.store
-        disturbed = {
-            'busy': store.refused,
-            'silent': store.silent,
-            'reset': store.reset,
-        }[way]
-        start = self._record.now
-        disturbed.update(names)
-        await asyncio.sleep(for_s)
-        disturbed.difference_update(names)
-        end = self._record.now + STORE_SETTLE_S
-        if len(names) == len(self._deployment.hosts):
-            self._disruptions.add(STORE, start, end)
-        for name in names:
-            self._disruptions.add(name, start, end)
-
     async def _crash(self, server: Server, down_s: float) -> None:
         if server.is_down:
             return
@@ -217,32 +173,3 @@
         server.troubles.is_pausing = True
         await asyncio.sleep(for_s)
         server.troubles.is_pausing = False
-
-
-def odd_entry(entry: str) -> bytes:
-    """Return the registration that another writer leaves."""
-    fields: dict[str, object] = {
-        'service': 'visit-log',
-        'address': '127.0.0.1:9',
-        'zone': plan.ZONES[0],
-        'version': '',
-        'concurrencyLimit': 1,
-        'state': 'ready',
-        'warmupLeftMs': 0,
-        'sequence': 1,
-    }
-    match entry:
-        case 'nested':
-            fields['service'] = 'of-another-team'
-            lists = '[' * NESTING_LEVELS + ']' * NESTING_LEVELS
-            text = json.dumps(fields)
-            return text.replace('"version": ""', f'"version": {lists}').encode()
-        case 'number':
-            fields['concurrencyLimit'] = 10**LONG_NUMBER_DIGITS
-        case 'port':
-            fields['address'] = '127.0.0.1:99999'
-        case 'types':
-            fields.update(service=7, address=None, zone=[], state={})
-        case 'bytes':
-            return b'\xff\x00 no text'
-    return json.dumps(fields).encode()
--- a/platform_soak/plan.py
+++ b/platform_soak/plan.py
@@ -11,7 +11,7 @@
 #: Hosts by number, and targets by number; see `deployment`.
 HOST_COUNT = 6
 StoreWay = Literal['busy', 'silent', 'reset']
-OddKind = Literal['nested', 'number', 'port', 'bytes', 'types']
+OddKind = Literal['nested', 'number', 'port', 'bytes', 'types', 'large']
 BrokenWay = Literal['head', 'body', 'reset', 'extra', 'garbage', 'status_500']
 ZoneName = Literal['marmara-a', 'ege-a', 'ic-anadolu-a']
 STORE_WAYS: tuple[StoreWay, ...] = get_args(StoreWay)
@@ -81,11 +81,27 @@
     """The store forgets its changes."""
 
 
+class RestoreStore(_Fault, frozen=True, tag=True):
+    """The store is away for a time and comes back from an older copy."""
+
+    #: Time between the copy and the outage, in seconds.
+    copy_age_s: Seconds
+    away_s: Seconds
+
+
 class OddEntry(_Fault, frozen=True, tag=True):
-    """Another writer leaves an entry among the targets for a time."""
+    """Another writer leaves entries among the targets for a time."""
 
     entry: OddKind
     for_s: Seconds
+    count: Annotated[int, msgspec.Meta(gt=0)] = 1
+
+
+class OverwriteTarget(_Fault, frozen=True, tag=True):
+    """Another writer overwrites the entry of a target once."""
+
+    target: TargetNumber
+    entry: OddKind
 
 
 class CrashTarget(_Fault, frozen=True, tag=True):
@@ -152,7 +168,9 @@
     | DisturbStore
     | LoseWrites
     | DiscardHistory
+    | RestoreStore
     | OddEntry
+    | OverwriteTarget
     | CrashTarget
     | LeaveTarget
     | BreakAnswers
@@ -173,6 +191,9 @@
     faults: tuple[Fault, ...]
     #: Bookings a second in each data centre, each on a new connection.
     bookings_per_s: Annotated[float, msgspec.Meta(gt=0)] = 15
+    #: Commit of the build that each host runs until it is started again; empty
+    #: for the build at hand.
+    production: Annotated[str, msgspec.Meta(pattern='^[0-9a-f]*$')] = ''
 
 
 def write_plan(plan: Plan, path: Path) -> None:
--- a/platform_soak/store.py
+++ b/platform_soak/store.py
@@ -12,13 +12,10 @@
 
 from platform_soak.messages import Message, encode, read_message
 from platform_soak.record import Record
+from platform_soak.stored_content import StoredContent
 
-#: Time for which changes are kept, in seconds (``historyS``).
-HISTORY_S = 20.0
 #: Delay of an answer, in seconds.
 ANSWER_S = 0.004
-#: Largest number of items in a page.
-PAGE_ITEMS = 500
 #: Interval of checking for leases that ended, in seconds.
 LEASE_CHECK_S = 0.1
 
@@ -38,6 +35,8 @@
         #: Hosts whose calls get no answer, and whose connections are reset.
         self.silent: set[str] = set()
         self.reset: set[str] = set()
+        #: Whether it resets the connections of all hosts.
+        self.away = False
         #: Time after which a write is done whose answer is lost, in seconds;
         #: None while no answers are lost.
         self.late_writes_s: float | None = None
@@ -45,12 +44,10 @@
         #: host, in seconds. It is not answered, nor is anything that follows
         #: on its connection.
         self.late_registrations: dict[str, float] = {}
-        self.revision = 1
-        self._entries: dict[str, dict] = {}
-        self._events: list[tuple[float, dict]] = []
-        #: Revision of the newest change that was discarded.
-        self._discarded = 0
-        self._leases: dict[int, tuple[float, float]] = {}
+        #: Number that rises with each return from a copy; stated in answers.
+        self._era = 1
+        self._content = StoredContent()
+        self._writers: set[asyncio.StreamWriter] = set()
         self._lease_numbers = itertools.count(1000)
         #: Notified of each change.
         self.changed = asyncio.Condition()
@@ -84,46 +81,64 @@
 
     async def put_bytes(self, key: str, content: bytes, lease: int = 0) -> int:
         """Write the bytes of a key; return the revision."""
-        self._write(key, base64.b64encode(content).decode(), lease)
+        text = base64.b64encode(content).decode()
+        self._content.write(key, text, lease)
         await self._notify()
         return self.revision
 
     def discard_history(self) -> None:
         """Forget all changes so far."""
-        self._events.clear()
-        self._discarded = self.revision
+        self._content.discard_history()
 
-    async def remove(self, key: str) -> None:
-        """Remove a key."""
-        if key in self._entries:
-            self._remove(key)
-            await self._notify()
+    def take_copy(self) -> StoredContent:
+        """Return a copy to come back from."""
+        return self._content.take_copy()
 
-    def _write(self, key: str, text: str, lease: int) -> None:
-        self.revision += 1
-        known = self._entries.get(key)
-        created = self.revision if known is None else known['createRevision']
-        item = {
-            'key': key,
-            'value': text,
-            'revision': self.revision,
-            'createRevision': created,
-            'lease': lease,
-        }
-        self._entries[key] = item
-        self._add_event(item)
+    async def restore(self, content: StoredContent) -> StoredContent:
+        """Come back from a copy and return what was there before.
+
+        The era rises, and all connections are cut.
+        """
+        lost = self._content
+        content.start_leases_anew()
+        self._content = content
+        self._era += 1
+        for writer in self._writers:
+            writer.transport.abort()
+        await self._notify()
+        return lost
+
+    async def write_again(self, prefix: str, earlier: StoredContent) -> None:
+        """Write some keys again as they were, as their writers do."""
+        present = self._content.listed
+        written = present.keys() | earlier.listed.keys()
+        for key in sorted(written):
+            if not key.startswith(prefix):
+                continue
+            known = earlier.listed.get(key)
+            if known is None:
+                await self.remove(key)
+            elif known['value'] != present.get(key, {}).get('value'):
+                self._content.write(key, known['value'], 0)
+        await self._notify()
 
-    def _remove(self, key: str) -> None:
-        self.revision += 1
-        self._entries.pop(key)
-        event = {'key': key, 'revision': self.revision, 'removed': True}
-        self._add_event(event)
+    @property
+    def revision(self) -> int:
+        """Revision of the newest change."""
+        return self._content.revision
 
-    def _add_event(self, event: dict) -> None:
-        now = time.monotonic()
-        self._events.append((now, event))
-        while self._events and now - self._events[0][0] > HISTORY_S:
-            self._discarded = self._events.pop(0)[1]['revision']
+    def keys(self, prefix: str) -> set[str]:
+        """Return the keys with a prefix."""
+        return {key for key in self._content.listed if key.startswith(prefix)}
+
+    def revision_of(self, key: str) -> int:
+        """Return the revision of an item; 0 if there is none."""
+        return self._content.listed.get(key, {'revision': 0})['revision']
+
+    async def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self._content.remove(key):
+            await self._notify()
 
     async def _notify(self) -> None:
         async with self.changed:
@@ -133,15 +148,15 @@
         while True:
             await asyncio.sleep(LEASE_CHECK_S)
             now = time.monotonic()
-            for lease, (_, ends_at) in tuple(self._leases.items()):
+            for lease, (_, ends_at) in tuple(self._content.leases.items()):
                 if ends_at <= now:
                     await self._end_lease(lease)
 
     async def _end_lease(self, lease: int) -> None:
-        self._leases.pop(lease)
-        for key, item in tuple(self._entries.items()):
+        self._content.leases.pop(lease)
+        for key, item in tuple(self._content.listed.items()):
             if item['lease'] == lease:
-                self._remove(key)
+                self._content.remove(key)
         await self._notify()
 
     async def _serve(
@@ -150,11 +165,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 request = await read_message(reader)
                 await asyncio.sleep(ANSWER_S)
-                if host in self.reset:
+                if self.away or host in self.reset:
                     writer.transport.abort()
                     return
                 if host in self.silent or self._is_lost(host, request):
@@ -166,7 +182,10 @@
                 writer.write(
                     encode(
                         f'HTTP/1.1 {status} {HTTPStatus(status).phrase}',
-                        {'Content-Type': 'application/json'},
+                        {
+                            'Content-Type': 'application/json',
+                            'Store-Era': str(self._era),
+                        },
                         json.dumps(document).encode(),
                     )
                 )
@@ -174,6 +193,7 @@
         except (asyncio.IncompleteReadError, OSError):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer_unless_refused(
@@ -228,23 +248,19 @@
             case 'POST', 'kv-keep':
                 return self._renew_lease(int(call[1]))
             case 'DELETE', 'kv-lease-end':
-                if int(call[1]) not in self._leases:
+                if int(call[1]) not in self._content.leases:
                     return 404, {}
                 await self._end_lease(int(call[1]))
                 return 200, {}
         return 404, {}
 
     def _range(self, query: dict[str, str]) -> tuple[int, dict]:
-        prefix = query.get('pathPrefix', '')
-        after = query.get('after', '')
-        keys = sorted(
-            key
-            for key in self._entries
-            if key.startswith(prefix) and key > after
+        listed, has_more = self._content.page(
+            query.get('pathPrefix', ''), query.get('after', '')
         )
         return 200, {
-            'items': [self._entries[key] for key in keys[:PAGE_ITEMS]],
-            'hasMore': len(keys) > PAGE_ITEMS,
+            'items': listed,
+            'hasMore': has_more,
             'storeRevision': self.revision,
         }
 
@@ -252,51 +268,44 @@
         """Answer a watch with its status and document."""
         after = int(query['after'])
         prefix = query.get('pathPrefix', '')
-        if after < self._discarded:
+        if not self._content.has_history(after):
             return 410, {}
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query['waitMs']) / 1000):
                 async with self.changed:
                     await self.changed.wait_for(
-                        lambda: self._after(prefix, after)
+                        lambda: self._content.events_after(prefix, after)
                     )
         # Also after the time was up: a change may have been made since.
-        events = self._after(prefix, after)
+        events = self._content.events_after(prefix, after)
         return 200, {'events': events, 'storeRevision': self.revision}
 
-    def _after(self, prefix: str, after: int) -> list[dict]:
-        return [
-            event
-            for _, event in self._events
-            if event['revision'] > after and event['key'].startswith(prefix)
-        ]
-
     async def _transact(self, document: dict) -> tuple[int, dict]:
         for row in document['expectedRev']:
-            item = self._entries.get(row['key'], {'revision': 0})
-            if item['revision'] != row['revision']:
+            if self.revision_of(row['key']) != row['revision']:
                 return 412, {'items': []}
         for write in document['writes']:
             lease = write.get('lease', 0)
-            if lease and lease not in self._leases:
+            if lease and lease not in self._content.leases:
                 return 404, {}
         for write in document['writes']:
-            self._write(write['key'], write['value'], write.get('lease', 0))
+            self._content.write(
+                write['key'], write['value'], write.get('lease', 0)
+            )
         for key in document['remove']:
-            if key in self._entries:
-                self._remove(key)
+            self._content.remove(key)
         await self._notify()
         return 200, {'revision': self.revision}
 
     def _open_lease(self, document: dict) -> tuple[int, dict]:
         lease = next(self._lease_numbers)
         ttl_s = document['ttlMs'] / 1000
-        self._leases[lease] = (ttl_s, time.monotonic() + ttl_s)
+        self._content.leases[lease] = (ttl_s, time.monotonic() + ttl_s)
         return 200, {'lease': lease, 'ttlMs': document['ttlMs']}
 
     def _renew_lease(self, lease: int) -> tuple[int, dict]:
-        if lease not in self._leases:
+        if lease not in self._content.leases:
             return 404, {}
-        ttl_s, _ = self._leases[lease]
-        self._leases[lease] = (ttl_s, time.monotonic() + ttl_s)
+        ttl_s, _ = self._content.leases[lease]
+        self._content.leases[lease] = (ttl_s, time.monotonic() + ttl_s)
         return 200, {'ttlMs': int(ttl_s * 1000)}
--- a/platform_soak/tests/test_plans.py
+++ b/platform_soak/tests/test_plans.py
@@ -40,6 +40,9 @@
     b'"at_s": 1, "target": 1, "way": "other", "for_s": 1}]}',
     b'{"seed": 1, "length_s": 9, "faults": [{"type": "CloseDataCentre", '
     b'"at_s": 1, "zone": "other", "for_s": 1}]}',
+    b'{"seed": 1, "length_s": 9, "faults": [], "production": "--exec"}',
+    b'{"seed": 1, "length_s": 9, "faults": [{"type": "OddEntry", '
+    b'"at_s": 1, "entry": "large", "for_s": 1, "count": 0}]}',
     b'\xff\xfe',
 )
 
--- a/platform_soak/tests/test_store.py
+++ b/platform_soak/tests/test_store.py
@@ -33,3 +33,24 @@
         _, answer = watch.result()
         self.assertEqual(answer['storeRevision'], store.revision)
         self.assertEqual([event['key'] for event in answer['events']], [KEY])
+
+
+class RestoreTest(unittest.IsolatedAsyncioTestCase):
+    """The store comes back from a copy as the users' platform does."""
+
+    async def test_operator_writes_again(self) -> None:
+        """What was written since is gone but for what is written again."""
+        store = Store(Record())
+        await store.put('op/kept', 1)
+        await store.put('op/removed', 1)
+        copied = store.take_copy()
+        await store.remove('op/removed')
+        await store.put(KEY, 9)
+        await store.put('hosts/h', {})
+        lost = await store.restore(copied)
+        self.assertEqual(store.keys(''), {'op/kept', 'op/removed'})
+        self.assertLess(store.revision, lost.revision)
+        kept = store.revision_of('op/kept')
+        await store.write_again('op/', lost)
+        self.assertEqual(store.keys(''), {'op/kept', KEY})
+        self.assertEqual(store.revision_of('op/kept'), kept)
