Soak: hosts of an earlier build beside those of the build at hand

Two builds side by side were not proved. With `--production COMMIT`, or `production` in a plan, each host runs the files of that commit until it is started again. Its locked packages have to be those at hand.

--- a/platform_soak/__main__.py
+++ b/platform_soak/__main__.py
@@ -4,6 +4,7 @@
 import sys
 from pathlib import Path
 
+import msgspec
 from cyclopts import App
 
 from platform_soak.drawing import make_plan
@@ -28,11 +29,17 @@
     count: int = 1,
     length_s: float = LENGTH_S,
     folder: Path = FOLDER,
+    production: str = '',
 ) -> int:
-    """Play the plans of ``count`` seeds; return 1 if a rule was broken."""
+    """Play the plans of ``count`` seeds; return 1 if a rule was broken.
+
+    ``production`` is the commit of the build that hosts run until they are
+    started again.
+    """
     failed = 0
     for seed in range(first, first + count):
-        plan = make_plan(seed, length_s, target_count())
+        drawn = make_plan(seed, length_s, target_count())
+        plan = msgspec.structs.replace(drawn, production=production)
         failed += not _play(plan, folder / str(seed))
     sys.stdout.write(f'{count - failed} seeds held, {failed} broke a rule\n')
     return 1 if failed else 0
--- a/platform_soak/deployment.py
+++ b/platform_soak/deployment.py
@@ -10,8 +10,9 @@
 from pathlib import Path
 
 from platform_soak.balancer import Balancer
+from platform_soak.builds import check_out
 from platform_soak.clients import Clients
-from platform_soak.hosts import EntryHost
+from platform_soak.hosts import ROOT, EntryHost
 from platform_soak.record import Record
 from platform_soak.servers import Server
 from platform_soak.store import Store
@@ -43,20 +44,25 @@
         seed: int,
         logs: Path | None = None,
         slots: Mapping[str, int] = USUAL_SLOTS,
+        production: str = '',
     ) -> None:
         """Create a deployment that does not run yet.
 
         Settings and logs of the hosts go to the folder ``logs``, or to one
         that is removed at the end. ``slots`` has the number of requests that
         a server runs at a time, by service, where it is not `SLOTS`.
+        ``production`` is the commit that the hosts run at first; empty for
+        the build at hand.
         """
         self._slots = slots
+        self._production = production
         self.record = Record()
         self.store = Store(self.record)
         self.servers: list[Server] = []
         self.hosts: list[EntryHost] = []
         self._folder = tempfile.TemporaryDirectory()
-        self._logs = logs or Path(self._folder.name)
+        # Processes of an earlier build have another working folder.
+        self._logs = (logs or Path(self._folder.name)).resolve()
         #: Hosts have addresses of their own, since their ports are the same.
         self._claim = claim_net(random.Random())
         self._net = net_of(self._claim)
@@ -75,6 +81,10 @@
         ``late_registrations`` is for the store.
         """
         self.store.late_registrations = dict(late_registrations or {})
+        first_build = ROOT
+        if self._production:
+            folder = Path(self._folder.name) / 'production'
+            first_build = check_out(self._production, folder)
         names = [
             (f'edge-{zone}-{number}', zone)
             for zone, count in HOSTS.items()
@@ -90,7 +100,12 @@
                 await self.build_server(service, zone, slots).start()
         for number, (name, zone) in enumerate(names, 10):
             host = EntryHost(
-                name, zone, f'{self._net}.{number}', stores[name], self._logs
+                name,
+                zone,
+                f'{self._net}.{number}',
+                stores[name],
+                self._logs,
+                first_build,
             )
             self.hosts.append(host)
             await host.start()
--- a/platform_soak/hosts.py
+++ b/platform_soak/hosts.py
@@ -54,10 +54,21 @@
     """One entry host, a process of the program under review."""
 
     def __init__(
-        self, name: str, zone: str, ip: str, store: str, folder: Path
+        self,
+        name: str,
+        zone: str,
+        ip: str,
+        store: str,
+        folder: Path,
+        first_build: Path = ROOT,
     ) -> None:
-        """Create a host that does not run yet."""
+        """Create a host that does not run yet.
+
+        Its first process runs the build in the folder ``first_build``, and
+        those after it the one at hand.
+        """
         self.name = name
+        self._build = first_build
         self.zone = zone
         self.ip = ip
         self.front = f'{ip}:8104'
@@ -80,14 +91,14 @@
         """Write the settings, which are JSON and so YAML, and start."""
         self._settings.write_text(json.dumps(self._document()), 'utf-8')
         deploy = tomllib.loads(
-            (ROOT / 'deploy' / 'system.toml').read_text('utf-8')
+            (self._build / 'deploy' / 'system.toml').read_text('utf-8')
         )
         command = host_command(deploy['roles']['entry']['run'])
         packages = next(folder for folder in PACKAGES if folder.is_dir())
         with self._log.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 *command,
-                cwd=ROOT,
+                cwd=self._build,
                 env={
                     'PATH': os.environ['PATH'],
                     'HOME': os.environ.get('HOME', '/'),
@@ -98,6 +109,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self._build = ROOT
         self.stopped_at = None
         self.ending = False
 
--- a/platform_soak/runner.py
+++ b/platform_soak/runner.py
@@ -110,7 +110,12 @@
     Raises ``NotStartedError`` if the hosts do not become ready.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    deployment = Deployment(plan.seed, folder, {BOOKING_SERVICE: BOOKING_SLOTS})
+    deployment = Deployment(
+        plan.seed,
+        folder,
+        {BOOKING_SERVICE: BOOKING_SLOTS},
+        plan.production,
+    )
     configurations = Configurations(deployment.store, deployment.record)
     disruptions = Disruptions()
     ends: dict[str, list[float]] = {}
