--- a/oriolestage/platform/tests/stopped_host.py
+++ b/oriolestage/platform/tests/stopped_host.py
@@ -226,6 +226,18 @@
             code = await self.process.wait()
         return code, time.monotonic() - self.stopped_at
 
+    def unanswered(self) -> list[float]:
+        """Return when requests were sent that the target got and that failed.
+
+        The times are in seconds since the stop.
+        """
+        passed_on = set(self.target.received)
+        return [
+            exchange.sent_at - self.stopped_at
+            for exchange in self.exchanges
+            if exchange.request_id in passed_on and exchange.status != 200
+        ]
+
     async def connect(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
--- a/oriolestage/platform/tests/test_disturbed_stop.py
+++ b/oriolestage/platform/tests/test_disturbed_stop.py
@@ -83,13 +83,7 @@
         await asyncio.gather(*calls)
         self.assertEqual(code, 0, host.log)
         self.assertLess(took_s, GRACE_S)
-        passed_on = set(host.target.received)
-        unanswered = [
-            exchange.sent_at - host.stopped_at
-            for exchange in host.exchanges
-            if exchange.request_id in passed_on and exchange.status != 200
-        ]
-        self.assertEqual(unanswered, [], host.log)
+        self.assertEqual(host.unanswered(), [], host.log)
         statuses = {exchange.status for exchange in host.exchanges}
         self.assertIn(503, statuses, 'nothing was refused')
         self.assertIn('cut=0', host.log_lines('stopped')[0])
--- a/oriolestage/platform/tests/test_planned_stop.py
+++ b/oriolestage/platform/tests/test_planned_stop.py
@@ -173,13 +173,7 @@
         """Guards against requests that are passed on and cut by the end."""
         host = await self.start_host()
         code, took_s = await _stop_under_load(host)
-        passed_on = set(host.target.received)
-        unanswered = [
-            exchange.sent_at - host.stopped_at
-            for exchange in host.exchanges
-            if exchange.request_id in passed_on and exchange.status != 200
-        ]
-        self.assertEqual(unanswered, [], host.log)
+        self.assertEqual(host.unanswered(), [], host.log)
         refused = [
             exchange for exchange in host.exchanges if exchange.status == 503
         ]
