Specify roll-outs, accounts, quotas and pacing; add their shared types

Cause: two customers ask for accounts with quotas and for service under uneven load, and roll-outs of versions are not served. Several parts need the same fields, so they are decoded once, before the parts are built.

Nothing acts on them yet.

--- a/oriolestage/entry/_caller_request.py
+++ b/oriolestage/entry/_caller_request.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from oriolestage.admission._accounts import Account
 from oriolestage.entry._ports import RequestMetadata
 
 
@@ -24,3 +25,5 @@
     network_delay_s: float
     #: Hash of the request's content, equal for repeated requests.
     fingerprint: int
+    #: The client account by whose key it was sent; None without one.
+    account: Account | None = None
--- a/oriolestage/entry/_settings.py
+++ b/oriolestage/entry/_settings.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from oriolestage.admission._quota_bounds import QuotaBounds
+from oriolestage.rollouts._bounds import RolloutBounds
 from oriolestage.routing._placement_types import HostLocation
 from oriolestage.routing._retry_budget import BudgetBounds
 from oriolestage.routing._warm_up import WarmUpBounds
@@ -33,3 +35,14 @@
     propagation_limit_s: float
     budget: BudgetBounds
     warm_up: WarmUpBounds
+    #: Bounds on the quotas of client accounts.
+    quota: QuotaBounds = QuotaBounds()
+    #: Bounds on roll-outs of versions; None if there are no roll-outs.
+    rollouts: RolloutBounds | None = None
+    #: Whether targets that have started or recovered are given work at the
+    #: pace that their answers allow.
+    target_pacing: bool = False
+    #: Memory of the host's machine in bytes; None if it is not known.
+    memory_bytes: int | None = None
+    #: File descriptors that the process may have open; None if not known.
+    descriptors: int | None = None
--- a/oriolestage/platform/_configuration.py
+++ b/oriolestage/platform/_configuration.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from oriolestage.admission._accounts import Account, AccountDirectory
 from oriolestage.routing._rules import (
     CallerLimits,
     Destination,
@@ -61,6 +62,8 @@
     # certainly did not run do not count.
     max_attempts: _Count = DEFAULT_MAX_ATTEMPTS
     allowed_regions: tuple[str, ...] = ()
+    # True if a request needs no key.
+    public: bool = False
     # One of the next three is set and not empty.
     service: str | None = None
     backends: tuple[_Weighted, ...] | None = None
@@ -78,6 +81,18 @@
     warmup_per_s: _Rate = msgspec.field(default=0, name='warmupPerS')
 
 
+class _Tenant(msgspec.Struct, frozen=True, rename='camel'):
+    # Tenant is the platform's word for a client account.
+    name: str
+    api_keys: tuple[str, ...] = ()
+    # Zero is the highest one; without it, the priority of the route applies.
+    priority: _Count | None = None
+    # Requests per second and beyond them, over all hosts; zero means no limit.
+    rate_per_s: _Rate = msgspec.field(default=0, name='ratePerS')
+    burst: _Rate = 0
+    allowed_regions: tuple[str, ...] = ()
+
+
 class _Limits(msgspec.Struct, frozen=True, rename='camel'):
     max_header_bytes: Annotated[int, msgspec.Meta(ge=1, le=MAX_SIZE_BYTES)] = (
         16_384
@@ -94,6 +109,7 @@
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
 
 
 def decode_configuration(content: bytes) -> RoutingTable:
@@ -123,6 +139,20 @@
             header_timeout_s=limits.header_timeout_ms / MS_PER_S,
             idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
         ),
+        accounts=AccountDirectory(
+            (_build_account(tenant), tenant.api_keys)
+            for tenant in document.tenants
+        ),
+    )
+
+
+def _build_account(tenant: _Tenant) -> Account:
+    return Account(
+        name=tenant.name,
+        priority=tenant.priority,
+        rate=tenant.rate_per_s,
+        burst=tenant.burst,
+        regions=frozenset(tenant.allowed_regions),
     )
 
 
@@ -145,6 +175,7 @@
         max_attempts=max(1, route.max_attempts),
         priority=route.priority,
         regions=frozenset(route.allowed_regions),
+        public=route.public,
     )
 
 
--- a/oriolestage/platform/_documents.py
+++ b/oriolestage/platform/_documents.py
@@ -59,8 +59,9 @@
     concurrency_limit: Annotated[int, msgspec.Meta(ge=1, le=MAX_CONCURRENCY)]
     state: str
     warmup_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARM_UP_MS)]
-    # The next two are not used; an entry without them is of another writer.
+    # Of the target's software, not of the entry.
     version: str
+    # Not used; an entry without it is of another writer.
     sequence: int
     # Start of the process, Unix time in milliseconds.
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_STARTED_MS)] = 0
@@ -179,6 +180,7 @@
         draining=entry.state == STATE_DRAINING,
         warm_up_left_s=max(0, entry.warmup_left_ms) / MS_PER_S,
         started_ms=entry.born,
+        version=entry.version,
     )
 
 
--- a/oriolestage/platform/_names.py
+++ b/oriolestage/platform/_names.py
@@ -47,3 +47,5 @@
 
 #: Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = 'ORIOLESTAGE_SETTINGS'
+#: Environment variable that turns the pacing of targets on.
+TARGET_PACING_VARIABLE = 'ORIOLESTAGE_TARGET_PACING'
--- a/oriolestage/platform/_settings.py
+++ b/oriolestage/platform/_settings.py
@@ -9,8 +9,10 @@
 import yaml
 
 from oriolestage._addresses import MAX_PORT, MIN_PORT, parse_address
+from oriolestage.admission._quota_bounds import QuotaBounds
 from oriolestage.entry._settings import EntrySettings, EntrySettingsError
 from oriolestage.platform import _names
+from oriolestage.rollouts._bounds import RolloutBounds
 from oriolestage.routing._placement_types import HostLocation
 from oriolestage.routing._retry_budget import BudgetBounds
 from oriolestage.routing._warm_up import WarmUpBounds
@@ -23,6 +25,15 @@
 MAX_DURATION_S = MAX_DURATION_MS / MS_PER_S
 #: Highest ratio or number of requests that a bound allows.
 MAX_REQUESTS = 1_000_000_000.0
+#: Bytes in a megabyte of the platform's settings.
+BYTES_PER_MB = 1_048_576
+#: Most megabytes of memory, and most descriptors.
+MAX_MEMORY_MB = 1_048_576
+MAX_DESCRIPTORS = 1_048_576
+#: Policy of a deployment whose operators order roll-outs.
+ROLLOUT_POLICY = 'rollout'
+#: Value of the variable that turns the pacing of targets on.
+SWITCHED_ON = 'on'
 
 _DurationS = Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_S)]
 _DurationMs = Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_MS)]
@@ -53,6 +64,28 @@
     # warmupPerS * warmupOverage + warmupSlack requests per second.
     warmup_overage: _Requests = 1.5
     warmup_slack: _Requests = 5
+    # All hosts together let at most (rate * quotaWindowS + burst)
+    # * (1 + quotaOverage) + quotaSlack requests of an account run in any
+    # window.
+    quota_window_s: _DurationS = msgspec.field(default=5, name='quotaWindowS')
+    quota_overage: _Requests = 0.1
+    quota_slack: _Requests = 20
+    # A bad version gets at most this share of its service's requests and
+    # canarySlack requests more.
+    canary_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    canary_slack: _Requests = 50
+    # Time after its 50th bad answer from which it gets no request.
+    rollback_ms: _DurationMs = 5000
+
+
+class _MachineLimits(msgspec.Struct, frozen=True, rename='camel'):
+    memory_mb: Annotated[int, msgspec.Meta(ge=1, le=MAX_MEMORY_MB)] | None = (
+        None
+    )
+    # File descriptors of each process.
+    max_fds: Annotated[int, msgspec.Meta(ge=1, le=MAX_DESCRIPTORS)] | None = (
+        None
+    )
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -72,6 +105,9 @@
     port_range: tuple[_Port, _Port]
     bounds: _Bounds
     platform: _Platform
+    limits: _MachineLimits = _MachineLimits()
+    # Names of the rules in force.
+    policies: tuple[str, ...] = ()
 
 
 def settings_path() -> Path:
@@ -137,6 +173,32 @@
             overage=bounds.warmup_overage,
             slack=bounds.warmup_slack,
         ),
+        quota=QuotaBounds(
+            window_s=bounds.quota_window_s,
+            overage=bounds.quota_overage,
+            slack=bounds.quota_slack,
+        ),
+        rollouts=_read_rollouts(document),
+        target_pacing=(
+            os.environ.get(_names.TARGET_PACING_VARIABLE) == SWITCHED_ON
+        ),
+        memory_bytes=(
+            None
+            if document.limits.memory_mb is None
+            else document.limits.memory_mb * BYTES_PER_MB
+        ),
+        descriptors=document.limits.max_fds,
+    )
+
+
+def _read_rollouts(document: _Settings) -> RolloutBounds | None:
+    if ROLLOUT_POLICY not in document.policies:
+        return None
+    bounds = document.bounds
+    return RolloutBounds(
+        canary_share=bounds.canary_share,
+        canary_slack=bounds.canary_slack,
+        rollback_s=bounds.rollback_ms / MS_PER_S,
     )
 
 
--- /dev/null
+++ b/oriolestage/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Moves the traffic of a service to another version of its targets."""
--- a/oriolestage/routing/_rules.py
+++ b/oriolestage/routing/_rules.py
@@ -7,6 +7,8 @@
 import dataclasses
 from collections.abc import Mapping
 
+from oriolestage.admission._accounts import NO_ACCOUNTS, AccountDirectory
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SingleService:
@@ -69,6 +71,8 @@
     priority: int = 0
     #: Regions that may serve the request; empty means all.
     regions: frozenset[str] = frozenset()
+    #: True if requests need no key of an account.
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,6 +111,8 @@
     #: Services by name.
     services: Mapping[str, ServiceRule]
     limits: CallerLimits
+    #: Client accounts; empty if requests carry no keys.
+    accounts: AccountDirectory = NO_ACCOUNTS
 
     def find(self, host: str, path: str) -> RouteRule | None:
         """Return the rule whose prefix is the longest match for ``path``.
@@ -125,6 +131,7 @@
     rules: tuple[RouteRule, ...],
     services: tuple[ServiceRule, ...],
     limits: CallerLimits,
+    accounts: AccountDirectory = NO_ACCOUNTS,
 ) -> RoutingTable:
     """Return a table with the rules indexed by host name."""
     by_host: dict[str, list[RouteRule]] = {}
@@ -140,6 +147,7 @@
         },
         services={service.name: service for service in services},
         limits=limits,
+        accounts=accounts,
     )
 
 
--- a/oriolestage/routing/_targets.py
+++ b/oriolestage/routing/_targets.py
@@ -39,6 +39,8 @@
     #: Start of its process, Unix time in milliseconds; it tells a restarted
     #: process from the one before.
     started_ms: int
+    #: Version of its software; empty if it is not known.
+    version: str = ''
 
     @property
     def process(self) -> str:
