Accounts: pass the keys of each account as a mapping

Cause: the linter refuses the nested type of the directory's argument. Change: a mapping from accounts to their keys. No behaviour changes. Measured: the tests of the accounts pass.

--- a/oriolestage/admission/_accounts.py
+++ b/oriolestage/admission/_accounts.py
@@ -8,7 +8,7 @@
 import dataclasses
 import hashlib
 import secrets
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 #: Size of a digest and of the secret that it depends on, in bytes.
 DIGEST_BYTES = 16
@@ -32,10 +32,6 @@
     regions: frozenset[str] = frozenset()
 
 
-#: An account and its keys.
-AccountKeys = tuple[Account, Iterable[str]]
-
-
 class AccountDirectory:
     """The accounts of one configuration, by their keys. Immutable."""
 
@@ -48,9 +44,9 @@
         """
         accounts: dict[str, Account] = {}
         by_digest: dict[bytes, Account] = {}
-        for account, keys in entries:
+        for account, held in keys.items():
             accounts[account.name] = account
-            for key in keys:
+            for key in held:
                 by_digest.setdefault(_digest(key), account)
         self._accounts: Mapping[str, Account] = accounts
         self._by_digest: Mapping[bytes, Account] = by_digest
@@ -69,7 +65,7 @@
 
 
 #: Directory of a configuration without accounts.
-NO_ACCOUNTS = AccountDirectory(())
+NO_ACCOUNTS = AccountDirectory({})
 
 
 def _digest(key: str) -> bytes:
--- a/oriolestage/platform/_configuration.py
+++ b/oriolestage/platform/_configuration.py
@@ -140,8 +140,10 @@
             idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
         ),
         accounts=AccountDirectory(
-            (_build_account(tenant), tenant.api_keys)
-            for tenant in document.tenants
+            {
+                _build_account(tenant): tenant.api_keys
+                for tenant in document.tenants
+            },
         ),
     )
 
