--- a/oriolestage/admission/_accounts.py
+++ b/oriolestage/admission/_accounts.py
@@ -35,9 +35,7 @@
 class AccountDirectory:
     """The accounts of one configuration, by their keys. Immutable."""
 
-    def __init__(
-        self, entries: Iterable[tuple[Account, Iterable[str]]]
-    ) -> None:
+    def __init__(self, keys: Mapping[Account, tuple[str, ...]]) -> None:
         """Create a directory of accounts with the keys of each.
 
         A key that several accounts have belongs to the first of them.
