Accounts: check keys, name the account to targets

Cause: the configuration's accounts were decoded, but nothing used them.

Change: a request needs the key of an account unless its route is public (401 otherwise, with WWW-Authenticate). Its headers are cleaned once, before any attempt: without the key, without accounts that the caller states, with Tenant for the account. Hop-by-hop headers are removed at the same place, so that Connection cannot list Tenant. Priority and regions of the account apply to the rule of the request; regions without a common one give 503 (no_region). An account's name must be usable as a header value.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from oriolestage._logging import log_event
+from oriolestage.entry._account_checks import AccountChecker
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._control_server import ControlServer
 from oriolestage.entry._crash_tracking import CrashReporter, CrashTrackingSender
@@ -175,6 +176,7 @@
         peer_client,
         settings.budget,
         RequestLog(metrics, lambda: follower.age_s),
+        AccountChecker(wire_protocol),
     )
     metrics.add_gauge('in_flight', lambda: router.in_flight)
     metrics.add_gauge('held_response_bytes', lambda: client.held_bytes)
--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -179,6 +179,21 @@
         Raises ``ValueError`` for malformed values.
         """
 
+    def account_key(self, headers: tuple[tuple[str, str], ...]) -> str | None:
+        """Return the key of an account in a request's headers.
+
+        None if there is none, or not exactly one that is well formed.
+        """
+
+    def account_headers(
+        self, headers: tuple[tuple[str, str], ...], account: str | None
+    ) -> tuple[tuple[str, str], ...]:
+        """Return headers that name an account, based on the caller's.
+
+        They contain no key, and no account that the caller states. ``account``
+        is None for a request without one.
+        """
+
     def target_headers(
         self,
         headers: tuple[tuple[str, str], ...],
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import AsyncGenerator
 
+from oriolestage.entry._account_checks import AccountChecker, CheckedRequest
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._crash_tracking import AttemptSender
 from oriolestage.entry._peer_client import PeerClient
@@ -75,9 +76,11 @@
         peer_client: PeerClient,
         budget_bounds: BudgetBounds,
         log: RequestLog,
+        account_checker: AccountChecker,
     ) -> None:
         """Create a router without requests in flight."""
         self._log = log
+        self._account_checker = account_checker
         self._cluster_state = cluster_state
         self._placement = placement
         self._peers = peers
@@ -114,7 +117,8 @@
         """Run a request and return its result.
 
         The request is refused without an attempt if there is no
-        configuration or no route for it, while it is quarantined because it
+        configuration or no route for it, if it has no key of an account that
+        its route needs, while it is quarantined because it
         crashed targets, or if it may outlast a stop of the host. Cancelling
         the call cancels all its attempts.
         """
@@ -128,6 +132,18 @@
         rule = table.find(request.host, request.path.partition('?')[0])
         if rule is None:
             return self._refuse(request, GiveUpReason.UNKNOWN_ROUTE, 0)
+        match self._account_checker.check(request, rule, table):
+            case Refused(reason=reason, retry_after_s=retry_after_s):
+                return self._refuse(request, reason, retry_after_s)
+            case CheckedRequest(request=checked, rule=own_rule):
+                return await self._serve_checked(checked, own_rule, table)
+
+    async def _serve_checked(
+        self,
+        request: CallerRequest,
+        rule: RouteRule,
+        table: RoutingTable,
+    ) -> RequestResult:
         refused_for_s = self._crash_detector.refuse_for_s(
             request.fingerprint,
             request.arrived_at,
--- a/oriolestage/entry/tests/test_crash_tracking.py
+++ b/oriolestage/entry/tests/test_crash_tracking.py
@@ -12,6 +12,7 @@
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._request_router import RequestRouter
 from oriolestage.entry._target_client import TargetCall
+from oriolestage.entry.tests.account_checks import make_unused_checker
 from oriolestage.routing._answers import (
     AttemptAnswered,
     AttemptLost,
@@ -187,6 +188,7 @@
             PeerClient(lambda _: None),
             BudgetBounds(),
             RequestLog(EntryMetrics(), float),
+            make_unused_checker(),
         )
 
     async def _serve(
--- a/oriolestage/platform/_configuration.py
+++ b/oriolestage/platform/_configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from oriolestage.admission._accounts import Account, AccountDirectory
+from oriolestage.platform._header_values import can_be_sent
 from oriolestage.routing._rules import (
     CallerLimits,
     Destination,
@@ -149,6 +150,11 @@
 
 
 def _build_account(tenant: _Tenant) -> Account:
+    # The name becomes the value of a header.
+    if not tenant.name or tenant.name != tenant.name.strip():
+        raise ValueError(f'account name {tenant.name!r} is empty or padded')
+    if not can_be_sent(tenant.name):
+        raise ValueError(f'account name {tenant.name!r} cannot be sent')
     return Account(
         name=tenant.name,
         priority=tenant.priority,
--- a/oriolestage/platform/_names.py
+++ b/oriolestage/platform/_names.py
@@ -6,6 +6,14 @@
 DEADLINE_HEADER = 'Deadline-Ms'
 #: Signature by which a caller tells which target answered.
 SIGNATURE_HEADER = 'Server-Stamp'
+#: Carries the key of the caller's account, after `KEY_SCHEME`.
+KEY_HEADER = 'Authorization'
+#: Scheme of a key, compared without regard to case (RFC 9110, section 11.1).
+KEY_SCHEME = 'Bearer'
+#: Asks a caller for a key (RFC 9110, section 11.6.1).
+CHALLENGE_HEADER = 'WWW-Authenticate'
+#: Name of the caller's account, in requests to targets.
+ACCOUNT_HEADER = 'Tenant'
 #: Identity of the only target that may run the request.
 TARGET_HEADER = 'Target-Instance'
 #: Present if the target certainly did not run the request.
--- a/oriolestage/platform/_wire_protocol.py
+++ b/oriolestage/platform/_wire_protocol.py
@@ -65,6 +65,11 @@
         _names.SIGNATURE_HEADER.lower(),
     ),
 )
+#: Headers of a caller's request that are not forwarded if the configuration
+#: has accounts.
+ACCOUNT_HEADERS = frozenset(
+    (_names.KEY_HEADER.lower(), _names.ACCOUNT_HEADER.lower()),
+)
 #: Values of the header that says whether a target leaves.
 LEAVING = '1'
 NOT_LEAVING = '0'
@@ -97,6 +102,33 @@
             raise malformed(_names.REQUEST_ID_HEADER, request_id)
         return RequestMetadata(request_id, time_left_s)
 
+    def account_key(self, headers: tuple[tuple[str, str], ...]) -> str | None:
+        """Return the key of an account in a request's headers.
+
+        None if there is none, if the header comes twice, or if it does not
+        consist of the scheme, spaces and a key.
+        """
+        texts = _texts_of(headers, _names.KEY_HEADER)
+        if len(texts) != 1:
+            return None
+        scheme, _, rest = texts[0].partition(' ')
+        if scheme.lower() != _names.KEY_SCHEME.lower():
+            return None
+        return rest.strip(' ') or None
+
+    def account_headers(
+        self, headers: tuple[tuple[str, str], ...], account: str | None
+    ) -> tuple[tuple[str, str], ...]:
+        """Return the headers to pass on, with the name of an account.
+
+        The headers that ``Connection`` lists are removed here: it may list
+        that of the account, which must stay.
+        """
+        passed_on = end_to_end_headers(headers, ACCOUNT_HEADERS)
+        if account is not None:
+            passed_on.append((_names.ACCOUNT_HEADER, account))
+        return tuple(passed_on)
+
     def target_headers(
         self,
         headers: tuple[tuple[str, str], ...],
@@ -251,8 +283,17 @@
 def _build_refusal(reason: GiveUpReason, retry_after_s: float) -> Response:
     if reason == GiveUpReason.UNKNOWN_ROUTE:
         return Response(HTTPStatus.NOT_FOUND, (), reason.value.encode())
+    if reason == GiveUpReason.UNKNOWN_KEY:
+        return Response(
+            HTTPStatus.UNAUTHORIZED,
+            ((_names.CHALLENGE_HEADER, _names.KEY_SCHEME),),
+            reason.value.encode(),
+        )
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    if reason == GiveUpReason.OVER_QUOTA:
+        status = HTTPStatus.TOO_MANY_REQUESTS
     return Response(
-        HTTPStatus.SERVICE_UNAVAILABLE,
+        status,
         ((_names.RETRY_AFTER_HEADER, f'{retry_after_s:.3f}'),),
         reason.value.encode(),
     )
--- a/oriolestage/routing/_answers.py
+++ b/oriolestage/routing/_answers.py
@@ -68,6 +68,12 @@
 
     NO_CONFIGURATION = 'no_configuration'
     UNKNOWN_ROUTE = 'unknown_route'
+    #: The request has no key of an account, and its route needs one.
+    UNKNOWN_KEY = 'unknown_key'
+    #: The regions of its route and those of its account have none in common.
+    NO_REGION = 'no_region'
+    #: Its account has used up its quota.
+    OVER_QUOTA = 'over_quota'
     #: The service has no usable target.
     NO_TARGET = 'no_target'
     #: No target has a free slot.
