Answers: take no status outside of 100 to 599

Cause: 600 and 999 were passed on as the target's answer, directly and through another host, and a promise in such an answer that the request has not run was believed.

The attempt is lost and the target counts as failing; the store counts as failing, as with a status of 5xx.

--- a/oriolestage/entry/_relay_serving.py
+++ b/oriolestage/entry/_relay_serving.py
@@ -6,6 +6,7 @@
 import time
 
 from oriolestage._logging import log_event
+from oriolestage._statuses import InvalidStatusError, check_status
 from oriolestage.entry._compressed_frames import FrameWriter
 from oriolestage.entry._crash_tracking import (
     AttemptSender,
@@ -38,6 +39,8 @@
 FIRST_ATTEMPT_NUMBER = 2_000_000_000_000
 #: Step of a request whose task ended with an error or was cancelled.
 CRASH_STEP = 'relay.crash'
+#: Step of a request whose answer has a status that no response may have.
+STATUS_STEP = 'relay.status'
 MS_PER_S = 1000
 
 
@@ -184,9 +187,16 @@
 
 
 def outcome_of_reply(reply: RelayReply) -> AttemptOutcome:
-    """Return the outcome that a reply describes."""
+    """Return the outcome that a reply describes.
+
+    An answer is lost if the other host should not have passed on its status.
+    """
     match reply:
-        case RelayAnswered():
+        case RelayAnswered(status=status):
+            try:
+                check_status(status)
+            except InvalidStatusError:
+                return AttemptLost(STATUS_STEP)
             return AttemptAnswered(reply.answer)
         case RelayNotRun(shed=shed):
             return AttemptNotRun(
--- a/oriolestage/entry/_response_framing.py
+++ b/oriolestage/entry/_response_framing.py
@@ -10,9 +10,13 @@
 from aiohttp.http import HttpVersion11, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
-#: Statuses of interim responses, which precede a final one.
-FIRST_INTERIM_STATUS = 100
-FIRST_FINAL_STATUS = 200
+from oriolestage._statuses import (
+    FIRST_FINAL_STATUS,
+    FIRST_INTERIM_STATUS,
+    InvalidStatusError,
+    check_status,
+)
+
 #: Major version of HTTP whose messages are framed as here.
 HTTP_MAJOR = 1
 #: Status line at the end of a text. It is that of the next response if a head
@@ -28,6 +32,10 @@
     """The bytes received are not an HTTP response."""
 
 
+class StatusResponseError(MalformedResponseError):
+    """A response has a status that no response may have."""
+
+
 class CutOffResponseError(MalformedResponseError):
     """The connection has ended within a response."""
 
@@ -46,13 +54,15 @@
 ) -> None:
     """Raise :class:`MalformedResponseError` if a body's end is unknown.
 
-    ``without_body`` is True if the response has no body whatever its headers
-    say.
+    The same holds for a status that no response may have. ``without_body`` is
+    True if the response has no body whatever its headers say.
     """
     if message.version.major != HTTP_MAJOR:
         raise MalformedResponseError(f'version {message.version}')
-    if message.code < FIRST_INTERIM_STATUS:
-        raise MalformedResponseError(f'status {message.code}')
+    try:
+        check_status(message.code)
+    except InvalidStatusError as error:
+        raise StatusResponseError(str(error)) from error
     _check_lines(message)
     if without_body:
         return
--- a/oriolestage/platform/_store_calls.py
+++ b/oriolestage/platform/_store_calls.py
@@ -23,6 +23,7 @@
     LeaseEndedError,
     StoreError,
 )
+from oriolestage.entry._response_framing import StatusResponseError
 from oriolestage.entry._store_eras import StoreEras
 from oriolestage.entry._target_connection import (
     MalformedResponseError,
@@ -165,7 +166,7 @@
         except CALL_ERRORS as error:
             cause = f'{type(error).__name__}: {error}'
             kind = StoreError
-            if isinstance(error, UNUSABLE_ANSWER_ERRORS):
+            if _is_unusable(error):
                 kind = AnswerRejectedError
             raise kind(step, self.address, cause) from error
         stated = response.headers.get(_names.STORE_ERA_HEADER)
@@ -269,6 +270,16 @@
         return '\r\n'.join((*lines, '', '')).encode() + body
 
 
+def _is_unusable(error: Exception) -> bool:
+    """Return whether the answer to the same call would be the same again.
+
+    A store that sends no valid status is failing, like one with a 5xx status.
+    """
+    if isinstance(error, StatusResponseError):
+        return False
+    return isinstance(error, UNUSABLE_ANSWER_ERRORS)
+
+
 def _is_client_error(status: int) -> bool:
     """Return whether the call as such was refused."""
     first = HTTPStatus.BAD_REQUEST
