--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -5,12 +5,16 @@
 import signal
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from oriolestage._logging import log_event
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._control_server import ControlServer
-from oriolestage.entry._crash_tracking import CrashReporter, CrashTrackingSender
+from oriolestage.entry._crash_tracking import (
+    AttemptSender,
+    CrashReporter,
+    CrashTrackingSender,
+)
 from oriolestage.entry._host_registration import HostRegistration
 from oriolestage.entry._link_checks import check_links
 from oriolestage.entry._listening import listen_on
@@ -18,10 +22,12 @@
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_server import PeerServer
 from oriolestage.entry._planned_stop import PlannedStop
-from oriolestage.entry._ports import Store, WireProtocol
+from oriolestage.entry._ports import RolloutStore, Store, WireProtocol
 from oriolestage.entry._reach_probe import ReachProbe
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._request_router import RequestRouter
+from oriolestage.entry._rollout_controller import RolloutController
+from oriolestage.entry._rollout_parts import build_rollouts
 from oriolestage.entry._settings import EntrySettings
 from oriolestage.entry._store_follower import StoreFollower
 from oriolestage.entry._supervision import keep_running
@@ -39,6 +45,8 @@
 #: meanwhile wait in the backlog; a read takes about 20 ms.
 FIRST_READ_TIMEOUT_S = 0.4
 
+_Work = Callable[[], Coroutine[None, None, None]]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryHost:
@@ -52,6 +60,8 @@
     follower: StoreFollower
     registration: HostRegistration
     crash_reporter: CrashReporter
+    #: None if roll-outs are not enabled.
+    rollouts: RolloutController | None
     client: TargetClient
     reach_probe: ReachProbe
     peers: PeerDirectory
@@ -62,7 +72,7 @@
 
 async def run_entry_host(
     settings: EntrySettings,
-    store: Store,
+    store: RolloutStore,
     wire_protocol: WireProtocol,
     reload: Callable[[], None],
     caller_listener: socket.socket,
@@ -80,7 +90,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.set_exception_handler(_log_loop_error)
     host = _build_host(settings, store, wire_protocol)
-    background_work = (
+    background_work: list[tuple[str, _Work]] = [
         ('follow_store', host.follower.run),
         ('expire', host.follower.expire),
         ('register', host.registration.run),
@@ -90,7 +100,9 @@
             'links',
             lambda: check_links(host.peers, host.peer_client, host.follower),
         ),
-    )
+    ]
+    if host.rollouts is not None:
+        background_work.append(('rollouts', host.rollouts.run))
     tasks = [
         asyncio.create_task(
             keep_running(name, work, host.metrics.record_background_failure)
@@ -142,28 +154,41 @@
 
 def _build_host(
     settings: EntrySettings,
-    store: Store,
+    store: RolloutStore,
     wire_protocol: WireProtocol,
 ) -> EntryHost:
     stopping = asyncio.Event()
     metrics = EntryMetrics()
-    directory = TargetDirectory()
+    rollouts = build_rollouts(
+        settings.rollouts,
+        settings.location.name,
+        lambda: follower.age_s,
+    )
     placement = Placement(
         settings.location,
-        directory,
+        TargetDirectory(),
         settings.warm_up,
         _log_change,
+        None if rollouts is None else rollouts.book,
     )
     peers = PeerDirectory(settings.location)
     crash_detector = CrashDetector(_log_change)
-    cluster_state = ClusterState(directory, placement, peers, crash_detector)
+    cluster_state = ClusterState(
+        placement.directory,
+        placement,
+        peers,
+        crash_detector,
+        None if rollouts is None else rollouts.book,
+    )
     client = TargetClient(wire_protocol, placement)
-    sender = CrashTrackingSender(client, crash_detector)
+    sender: AttemptSender = CrashTrackingSender(client, crash_detector)
+    if rollouts is not None:
+        sender = rollouts.attach(sender, placement, metrics)
     peer_client = PeerClient(placement.record_leaving)
     follower = StoreFollower(
         store,
         cluster_state,
-        directory,
+        placement.directory,
         settings.propagation_limit_s,
     )
     router = RequestRouter(
@@ -178,7 +203,41 @@
     )
     metrics.add_gauge('in_flight', lambda: router.in_flight)
     metrics.add_gauge('held_response_bytes', lambda: client.held_bytes)
-    metrics.add_gauge('targets', lambda: len(directory))
+    _add_target_gauges(metrics, placement)
+    _add_store_gauges(metrics, store, follower, cluster_state)
+    return EntryHost(
+        settings=settings,
+        metrics=metrics,
+        router=router,
+        callers=CallerServer(
+            router, wire_protocol, lambda: cluster_state.limits
+        ),
+        control=ControlServer(
+            lambda: cluster_state.table is not None and not stopping.is_set(),
+            metrics,
+        ),
+        follower=follower,
+        registration=_build_registration(settings, store, cluster_state),
+        crash_reporter=CrashReporter(store, crash_detector),
+        rollouts=(
+            None if rollouts is None else rollouts.controller(store, placement)
+        ),
+        client=client,
+        reach_probe=ReachProbe(placement, client.try_connect),
+        peers=peers,
+        peer_client=peer_client,
+        peer_server=PeerServer(
+            cluster_state,
+            placement,
+            sender,
+            lambda: follower.freshness,
+        ),
+        stopping=stopping,
+    )
+
+
+def _add_target_gauges(metrics: EntryMetrics, placement: Placement) -> None:
+    metrics.add_gauge('targets', lambda: len(placement.directory))
     metrics.add_gauge(
         'cut_off', lambda: int(placement.observations.reach.cut_off)
     )
@@ -186,6 +245,14 @@
         'rate_limited_targets', lambda: placement.rates.limited_count
     )
     metrics.add_gauge('hosts', lambda: len(placement.hosts))
+
+
+def _add_store_gauges(
+    metrics: EntryMetrics,
+    store: Store,
+    follower: StoreFollower,
+    cluster_state: ClusterState,
+) -> None:
     metrics.add_gauge('store_age_seconds', lambda: follower.age_s)
     metrics.add_gauge(
         'store_changes_unapplied', lambda: cluster_state.unapplied_count
@@ -208,32 +275,6 @@
             -1 if cluster_state.table is None else cluster_state.table.version
         ),
     )
-    return EntryHost(
-        settings=settings,
-        metrics=metrics,
-        router=router,
-        callers=CallerServer(
-            router, wire_protocol, lambda: cluster_state.limits
-        ),
-        control=ControlServer(
-            lambda: cluster_state.table is not None and not stopping.is_set(),
-            metrics,
-        ),
-        follower=follower,
-        registration=_build_registration(settings, store, cluster_state),
-        crash_reporter=CrashReporter(store, crash_detector),
-        client=client,
-        reach_probe=ReachProbe(placement, client.try_connect),
-        peers=peers,
-        peer_client=peer_client,
-        peer_server=PeerServer(
-            cluster_state,
-            placement,
-            sender,
-            lambda: follower.freshness,
-        ),
-        stopping=stopping,
-    )
 
 
 def _build_registration(
--- a/oriolestage/entry/_metrics.py
+++ b/oriolestage/entry/_metrics.py
@@ -50,6 +50,25 @@
         return family
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _LabelledGauge:
+    """Values by one label that are kept elsewhere."""
+
+    name: str
+    description: str
+    label: str
+    read: Callable[[], Mapping[str, float]]
+
+    def collect(self) -> GaugeMetricFamily:
+        """Return the present values."""
+        family = GaugeMetricFamily(
+            f'oriolestage_{self.name}', self.description, labels=[self.label]
+        )
+        for label, value in self.read().items():
+            family.add_metric((label,), value)
+        return family
+
+
 class EntryMetrics:
     """Counts requests and attempts by outcome and records latencies."""
 
@@ -63,6 +82,7 @@
         self._event_delay_s: float = 0
         self._gauges: dict[str, Callable[[], float]] = {}
         self._background_failures: Counter[str] = Counter()
+        self._labelled: list[_LabelledGauge] = []
         self._counts: list[_Counts] = [
             _Counts(
                 'background_failures',
@@ -86,6 +106,16 @@
         """Add counters by one label, which are read at each collection."""
         self._counts.append(_Counts(name, description, label, read))
 
+    def add_labelled_gauge(
+        self,
+        name: str,
+        description: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Add a gauge by one label, which is read at each collection."""
+        self._labelled.append(_LabelledGauge(name, description, label, read))
+
     def record_background_failure(self, work: str) -> None:
         """Count an error that ended background work."""
         self._background_failures[work] += 1
@@ -152,6 +182,8 @@
         self._event_delay_s = 0
         for counts in self._counts:
             yield from _collect(counts.name, counts.collect)
+        for labelled in self._labelled:
+            yield from _collect(labelled.name, labelled.collect)
         for name, read in self._gauges.items():
             yield from _collect(name, functools.partial(_gauge, name, read))
 
--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -53,6 +53,9 @@
     #: True if the id and the texts of the headers have one character for each
     #: byte, since they are no UTF-8.
     latin1: bool = False
+    #: True if attempts at these services were made before; they do not go to
+    #: a version on trial.
+    repeat: bool = False
 
 
 class GatherCancel(
@@ -148,6 +151,7 @@
     time_left_s: float
     #: As in :class:`GatherRequest`.
     latin1: bool = False
+    repeat: bool = False
 
 
 class RelayAnswered(
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -54,6 +54,7 @@
 from oriolestage.routing._state_changes import Freshness
 from oriolestage.routing._stragglers import StragglerDetector
 from oriolestage.routing._targets import KnownTarget
+from oriolestage.routing._version_rules import NOT_EXPOSED
 
 #: Number of the first attempt for another host. Attempts for callers count
 #: from 1, so the ranges do not meet.
@@ -270,7 +271,12 @@
                 declined[service] = CUT_OFF_RETRY_AFTER_S
                 continue
             requirements = self._build_requirements(request, service)
-            choice = self._placement.choose(requirements, (), now)
+            choice = self._placement.choose(
+                requirements,
+                (),
+                now,
+                draw=NOT_EXPOSED if request.repeat else self._placement.draw(),
+            )
             match choice:
                 case ChosenTarget(target=target):
                     chosen[service] = target
@@ -333,6 +339,7 @@
                     address=target.record.address,
                     time_left_s=request.time_left_s,
                     fingerprint=fingerprint,
+                    route=request.route,
                 ),
             )
         except asyncio.CancelledError:
--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from oriolestage.entry._store_eras import StoreEras
+from oriolestage.rollouts._orders import HostEvidence, RolloutStatus
 from oriolestage.routing._answers import (
     AttemptOutcome,
     RequestResult,
@@ -151,6 +152,21 @@
         """Store at most 32 crash reports under a lease."""
 
 
+class RolloutStore(Store, Protocol):
+    """The store with what hosts write about roll-outs."""
+
+    async def write_evidence(
+        self, reports: Sequence[HostEvidence], lease: Lease
+    ) -> None:
+        """Store the counters of this host for at most 32 roll-outs."""
+
+    async def write_status(self, status: RolloutStatus) -> None:
+        """Store the status of a roll-out if it still has its revision.
+
+        Raises :class:`StoreError` if it has another one.
+        """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestMetadata:
     """What a caller states about its request in headers."""
--- a/oriolestage/entry/_relay_serving.py
+++ b/oriolestage/entry/_relay_serving.py
@@ -33,6 +33,7 @@
 from oriolestage.routing._placement_types import ChosenTarget, NoCapacity
 from oriolestage.routing._requirements import build_requirements
 from oriolestage.routing._targets import KnownTarget
+from oriolestage.routing._version_rules import NOT_EXPOSED
 
 #: Number of the first relayed attempt; above those of callers and batches.
 FIRST_ATTEMPT_NUMBER = 2_000_000_000_000
@@ -121,7 +122,8 @@
             request.route,
             frozenset(request.regions),
         )
-        match self._placement.choose(requirements, (), now):
+        draw = NOT_EXPOSED if request.repeat else self._placement.draw()
+        match self._placement.choose(requirements, (), now, draw=draw):
             case ChosenTarget(target=target):
                 outcome = await self._send(request, target)
                 identity = target.record.identity if target.leaving else ''
@@ -156,6 +158,7 @@
                         request.path,
                         request.body,
                     ),
+                    route=request.route,
                 ),
             )
         finally:
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -270,6 +270,7 @@
                     MIN_ATTEMPT_TIMEOUT_S, action.deadline - sent_at
                 ),
                 fingerprint=request.fingerprint,
+                route=rule.name,
             ),
         )
         self._log.record_attempt(request, action, outcome, sent_at)
@@ -299,6 +300,7 @@
                 time_left_s=max(
                     MIN_ATTEMPT_TIMEOUT_S, action.deadline - sent_at
                 ),
+                repeat=action.repeat,
             ),
         )
         self._log.record_attempt(request, action, outcome, sent_at)
@@ -327,6 +329,7 @@
             late_s=action.late_s,
             work_s=action.work_s,
             time_left_s=max(MIN_ATTEMPT_TIMEOUT_S, action.deadline - now),
+            repeat=action.repeat,
         )
         address = action.peer.peer_address
         reply_stream = self._peer_client.gather(address, gather_request)
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -61,6 +61,14 @@
         """
 
 
+@dataclasses.dataclass(slots=True)
+class ExchangeTimer:
+    """When a request was sent on an open connection."""
+
+    #: Monotonic time; None before it is sent.
+    sent_at: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetCall:
     """One attempt at a target, with everything needed to send it."""
@@ -79,6 +87,10 @@
     time_left_s: float
     #: Hash of the request's content, equal for repeated requests.
     fingerprint: int
+    route: str = ''
+    timer: ExchangeTimer = dataclasses.field(
+        default_factory=ExchangeTimer, compare=False
+    )
 
 
 class TargetClient:
@@ -143,7 +155,8 @@
         try:
             # The time left is stated as late as possible: connecting takes
             # time, and the process may have been paused meanwhile.
-            time_left_s = deadline - time.monotonic()
+            call.timer.sent_at = time.monotonic()
+            time_left_s = deadline - call.timer.sent_at
             if time_left_s <= 0:
                 raise TimeoutError
             response = await connection.exchange(
--- a/oriolestage/platform/_documents.py
+++ b/oriolestage/platform/_documents.py
@@ -13,6 +13,11 @@
 from oriolestage._addresses import parse_remote_address
 from oriolestage.platform import _names
 from oriolestage.platform._configuration import decode_configuration
+from oriolestage.platform._rollout_documents import (
+    ROLLOUT_PREFIXES,
+    decode_rollout_item,
+    decode_rollout_removal,
+)
 from oriolestage.routing._crash_detector import ANSWERED, CrashReport
 from oriolestage.routing._facts import (
     ConfigurationStored,
@@ -72,14 +77,18 @@
     peer_address: str
 
 
-def decode_item(key: str, content: bytes) -> StoredFact | None:
-    """Decode one item.
+def decode_item(
+    key: str, content: bytes, revision: int = 0
+) -> StoredFact | None:
+    """Decode one item, which the store holds at a revision.
 
     Return :class:`UnreadableItem` if it is invalid, and None if its key does
     not concern an entry host. Whatever the bytes are, no error is raised:
     the items before and after this one are still to be read.
     """
     try:
+        if key.startswith(ROLLOUT_PREFIXES):
+            return decode_rollout_item(key, content, revision)
         return _decode_by_key(key, content)
     except (msgspec.DecodeError, ValueError) as error:
         return _unreadable(key, str(error))
@@ -87,7 +96,9 @@
         return _unreadable(key, f'{type(error).__name__}: {error}')
 
 
-def decode_value(key: str, value: object) -> StoredFact | None:
+def decode_value(
+    key: str, value: object, revision: int = 0
+) -> StoredFact | None:
     """Decode one item from its value as the store returns it: base64 text.
 
     The result is that of :func:`decode_item`; a value that is no such text
@@ -99,7 +110,7 @@
         content = base64.b64decode(value, validate=True)
     except ValueError as error:
         return _unreadable(key, str(error))
-    return decode_item(key, content)
+    return decode_item(key, content, revision)
 
 
 def _unreadable(key: str, problem: str) -> UnreadableItem:
@@ -121,7 +132,7 @@
         return DataCentreOpened(name)
     if key.startswith(_names.HOST_PREFIX):
         return HostRemoved(key.removeprefix(_names.HOST_PREFIX))
-    return None
+    return decode_rollout_removal(key)
 
 
 def encode_host(record: HostRecord) -> bytes:
--- a/oriolestage/platform/_leased_items.py
+++ b/oriolestage/platform/_leased_items.py
@@ -124,6 +124,21 @@
         self._check_lease(lease, self._calls.eras.era)
         await self._write(documents, lease, ())
 
+    async def replace(self, key: str, content: bytes, revision: int) -> None:
+        """Write an item without a lease if it still has a revision.
+
+        Raises :class:`StoreError` if it has another one.
+        """
+        await self._calls.call(
+            'POST',
+            _names.STORE_WRITE_PATH,
+            content={
+                'expectedRev': [{'key': key, 'revision': revision}],
+                'writes': [{'key': key, 'value': _encode(content), 'lease': 0}],
+                'remove': [],
+            },
+        )
+
     async def _read(self, key: str, lease: Lease) -> _OwnItem:
         """Return an item; without value, revision and lease if none exists."""
         answer = await self._calls.call(
--- a/oriolestage/platform/_names.py
+++ b/oriolestage/platform/_names.py
@@ -45,6 +45,13 @@
 HOST_PREFIX = 'hosts/'
 CRASH_PREFIX = 'crashes/'
 
+#: Prefix of the orders of roll-outs, which operators write.
+ROLLOUT_ORDER_PREFIX = 'op/rollout/'
+#: Prefix of the statuses of roll-outs, which hosts write and operators read.
+ROLLOUT_STATUS_PREFIX = 'status/rollout/'
+#: Prefix of the counters of hosts for roll-outs, by service and host.
+ROLLOUT_EVIDENCE_PREFIX = 'rollouts/'
+
 #: Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = 'ORIOLESTAGE_SETTINGS'
 #: Environment variable that turns the pacing of targets on.
--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -19,6 +19,12 @@
 from oriolestage.platform import _names
 from oriolestage.platform._documents import crash_key, encode_host
 from oriolestage.platform._leased_items import LeasedItems
+from oriolestage.platform._rollout_documents import (
+    encode_evidence,
+    encode_status,
+    evidence_key,
+    status_key,
+)
 from oriolestage.platform._store_calls import (
     MS_PER_S,
     NoOpenConnectionError,
@@ -30,6 +36,7 @@
     readable_keys,
     read_facts,
 )
+from oriolestage.rollouts._orders import HostEvidence, RolloutStatus
 from oriolestage.routing._crash_detector import CrashReport
 from oriolestage.routing._facts import HostRecord, StoredFact
 
@@ -205,6 +212,31 @@
         if storable:
             await self._leased.write(dict.fromkeys(storable, b''), lease)
 
+    async def write_evidence(
+        self, reports: Sequence[HostEvidence], lease: Lease
+    ) -> None:
+        """Store the counters of this host for at most 32 roll-outs.
+
+        Those whose key the store would refuse are logged and left out.
+        """
+        documents: dict[str, bytes] = {}
+        for report in reports:
+            key = evidence_key(report)
+            if len(key.encode()) > MAX_KEY_BYTES:
+                log_event('evidence_not_storable', {'service': report.service})
+                continue
+            documents[key] = encode_evidence(report)
+        if documents:
+            await self._leased.write(documents, lease)
+
+    async def write_status(self, status: RolloutStatus) -> None:
+        """Store the status of a roll-out if it still has its revision."""
+        await self._leased.replace(
+            status_key(status.service),
+            encode_status(status),
+            status.revision,
+        )
+
     def _last_key(self, keys: Sequence[str]) -> str:
         """Return the key after which the next page begins.
 
--- a/oriolestage/platform/_store_items.py
+++ b/oriolestage/platform/_store_items.py
@@ -19,6 +19,9 @@
     _names.TARGET_PREFIX,
     _names.HOST_PREFIX,
     _names.CRASH_PREFIX,
+    _names.ROLLOUT_ORDER_PREFIX,
+    _names.ROLLOUT_STATUS_PREFIX,
+    _names.ROLLOUT_EVIDENCE_PREFIX,
 )
 
 
@@ -29,6 +32,7 @@
     # Base64 text. Any JSON is accepted here and in the next field.
     value: object = ''
     removed: object = False
+    revision: object = 0
 
 
 def decode_items(encoded: Iterable[bytes]) -> list[StoreItem | UnreadableItem]:
@@ -71,4 +75,5 @@
         return None
     if item.removed:
         return decode_removal(item.key)
-    return decode_value(item.key, item.value)
+    revision = item.revision if isinstance(item.revision, int) else 0
+    return decode_value(item.key, item.value, revision)
--- /dev/null
+++ b/oriolestage/rollouts/_book.py
@@ -0,0 +1,319 @@
+"""All roll-outs as one host knows them.
+
+It answers which versions of a service may get an attempt, and returns the
+changes of statuses that this host has to write.
+"""
+
+import operator
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+
+from oriolestage.rollouts._evidence import OwnEvidence
+from oriolestage.rollouts._orders import (
+    HostEvidence,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+)
+from oriolestage.rollouts._schedule import Schedule
+from oriolestage.rollouts._service_rollout import ServiceRollout
+from oriolestage.routing._facts import (
+    EvidenceStored,
+    OrderRemoved,
+    OrderStored,
+    StatusRemoved,
+    StatusStored,
+    StoredFact,
+    TargetStored,
+)
+from oriolestage.routing._rollout_facts import RolloutFact
+from oriolestage.routing._state_changes import StateChange
+from oriolestage.routing._targets import TargetRecord
+from oriolestage.routing._version_rules import VersionSplit
+
+#: Time for which what a restored store lacks is kept, in seconds.
+RESTORED_S = 6.0
+#: Interval of reports without new responses of the new version, in seconds.
+OLD_REPORT_S = 2.0
+
+
+class RolloutBook:
+    """Roll-outs and versions by service."""
+
+    def __init__(
+        self,
+        schedule: Schedule,
+        own: OwnEvidence,
+        copy_age_s: Callable[[], float],
+        draws: random.Random,
+    ) -> None:
+        """Start without roll-outs.
+
+        ``copy_age_s`` returns the age of this host's copy of the store in
+        seconds, and ``draws`` the draws of first attempts.
+        """
+        self.own = own
+        self._schedule = schedule
+        self._copy_age_s = copy_age_s
+        self._draws = draws
+        self._services: dict[str, ServiceRollout] = {}
+        self._restored_until = float('-inf')
+        self._outage_s: float = 0
+        #: True once the store was read.
+        self._read = False
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Number of roll-outs by state."""
+        return Counter(status.state.value for status in self.statuses())
+
+    def statuses(self) -> Iterator[RolloutStatus]:
+        """Yield the status of each order that has one."""
+        for rollout in self._services.values():
+            if rollout.status is not None:
+                yield rollout.status
+
+    def shares(self, now: float) -> dict[str, float]:
+        """Return the share of each active roll-out by its service."""
+        age_s = self._copy_age_s()
+        return {
+            service: rollout.share(now, age_s)
+            for service, rollout in self._services.items()
+            if rollout.active
+        }
+
+    def rollouts(self) -> Iterator[ServiceRollout]:
+        """Yield the services of which anything is known."""
+        yield from self._services.values()
+
+    def find(self, service: str) -> ServiceRollout | None:
+        """Return the roll-out of a service; None if nothing is known."""
+        return self._services.get(service)
+
+    def draw(self) -> float:
+        """Return the draw of a first attempt."""
+        return self._draws.random()
+
+    def split(self, service: str, now: float) -> VersionSplit | None:
+        """Return the versions of a service to use; None if all may be."""
+        rollout = self._services.get(service)
+        if rollout is None:
+            return None
+        return rollout.split(now, self._copy_age_s())
+
+    def record_outage(self, outage_s: float) -> None:
+        """Record for how long the store was not read, in seconds.
+
+        An order that is read next may be older by that.
+        """
+        self._outage_s = outage_s
+
+    def start_restoration(self, now: float) -> None:
+        """Keep what a restored store lacks until it is written again."""
+        self._restored_until = now + RESTORED_S
+
+    def record_target(self, record: TargetRecord) -> list[StateChange]:
+        """Record the version of a target that has registered.
+
+        The versions that are there before any order are known.
+        """
+        return self._learn(record, first=not self._read)
+
+    def _learn(self, record: TargetRecord, *, first: bool) -> list[StateChange]:
+        rollout = self._rollout(record.service)
+        version = record.version
+        target = rollout.order.target_version if rollout.order else None
+        if version in rollout.known or version == target:
+            return []
+        if first or not rollout.known:
+            if version not in rollout.rejected:
+                rollout.known.add(version)
+            return []
+        if version in rollout.logged_unknown:
+            return []
+        rollout.logged_unknown.add(version)
+        return [
+            StateChange(
+                'target_version_unknown',
+                (
+                    ('service', record.service),
+                    ('version', version),
+                    ('target', record.identity),
+                    ('known', ','.join(sorted(rollout.known))),
+                ),
+            ),
+        ]
+
+    def replace_all(
+        self, facts: Iterable[StoredFact], now: float
+    ) -> list[StateChange]:
+        """Replace orders and statuses by those of a full read."""
+        listed = tuple(facts)
+        changes: list[StateChange] = []
+        orders = [fact for fact in listed if isinstance(fact, OrderStored)]
+        statuses = [fact for fact in listed if isinstance(fact, StatusStored)]
+        ordered = {fact.order.service for fact in orders}
+        stated = {fact.status.service for fact in statuses}
+        for service, rollout in self._services.items():
+            if service not in stated:
+                rollout.stored = None
+            if service in ordered or rollout.order is None:
+                continue
+            if now < self._restored_until:
+                rollout.unconfirmed = True
+            else:
+                changes.extend(self._remove(rollout))
+        for kind in (OrderStored, StatusStored, EvidenceStored):
+            for fact in listed:
+                if isinstance(fact, kind):
+                    changes.extend(self.apply(fact, now))
+        changes.extend(self._learn_listed(listed))
+        return changes
+
+    def apply(self, fact: RolloutFact, now: float) -> list[StateChange]:
+        """Apply one change of the store; return the changes to log."""
+        match fact:
+            case OrderStored(order=order):
+                return self._apply_order(order, now)
+            case OrderRemoved(service=service):
+                return self._remove(self._rollout(service))
+            case StatusStored(status=status):
+                return self._apply_status(status, now)
+            case StatusRemoved(service=service):
+                self._rollout(service).stored = None
+                return []
+            case EvidenceStored(evidence=evidence):
+                rollout = self._rollout(evidence.service)
+                rollout.apply_evidence(evidence, now)
+                return []
+
+    def due_reports(self, now: float, limit: int) -> list[HostEvidence]:
+        """Return the counters of this host that have to be written.
+
+        At most ``limit`` are returned, those that have waited longest.
+        """
+        due: list[tuple[float, HostEvidence]] = []
+        for service, rollout in self._services.items():
+            if not rollout.active:
+                continue
+            self.count_own(rollout, now)
+            report = self.own.unwritten(
+                service, new_only=now - rollout.reported_at < OLD_REPORT_S
+            )
+            if report is not None:
+                due.append((rollout.reported_at, report))
+        due.sort(key=operator.itemgetter(0))
+        return [report for _, report in due[:limit]]
+
+    def record_reported(
+        self, reports: Iterable[HostEvidence], now: float
+    ) -> None:
+        """Record that counters were written."""
+        for report in reports:
+            self.own.record_written(report)
+            self._rollout(report.service).reported_at = now
+
+    def _apply_order(
+        self, order: RolloutOrder, now: float
+    ) -> list[StateChange]:
+        rollout = self._rollout(order.service)
+        known = rollout.order
+        if known is not None and known.same_content(order):
+            if known.revision == order.revision:
+                rollout.unconfirmed = False
+                return []
+            if rollout.active or now < self._restored_until:
+                rollout.confirm(order)
+                return [rollout.describe('rollout_order_repeated')]
+        late_s = self._outage_s
+        self._outage_s = 0
+        rollout.start(order, now, late_s)
+        self.own.start(order)
+        changes = [
+            rollout.describe(
+                'rollout_ordered',
+                duration_s=order.duration_s,
+                known=','.join(sorted(rollout.known)),
+                late_s=late_s,
+            )
+        ]
+        if rollout.stored is not None:
+            changes.extend(self._apply_status(rollout.stored, now))
+        return changes
+
+    def _apply_status(
+        self, status: RolloutStatus, now: float
+    ) -> list[StateChange]:
+        rollout = self._rollout(status.service)
+        if not rollout.apply_status(status, now):
+            return []
+        event = 'rollout_phase'
+        if status.state != RolloutState.ACTIVE:
+            event = 'rollout_decided'
+        return [
+            rollout.describe(
+                event,
+                state=status.state.value,
+                target_version=status.target_version,
+                phase=status.phase.value,
+                share=status.share,
+                elapsed_s=status.elapsed_s,
+                requests=status.requests,
+                exposed=status.exposed,
+                bad=status.bad,
+                reason=status.reason,
+            )
+        ]
+
+    def _remove(self, rollout: ServiceRollout) -> list[StateChange]:
+        if rollout.order is None:
+            return []
+        change = rollout.describe('rollout_order_removed')
+        rollout.remove_order()
+        self.own.stop(rollout.service)
+        return [change]
+
+    def remove_unconfirmed(self, now: float) -> list[StateChange]:
+        """Forget orders that were not written again after a restoration."""
+        if now < self._restored_until:
+            return []
+        changes: list[StateChange] = []
+        for rollout in self._services.values():
+            if rollout.unconfirmed:
+                changes.extend(self._remove(rollout))
+        return changes
+
+    def _learn_listed(self, listed: Iterable[StoredFact]) -> list[StateChange]:
+        """Record the versions of the listed targets.
+
+        Those of the first read are known unless a status names others.
+        """
+        first = not self._read
+        settled = {
+            service
+            for service, rollout in self._services.items()
+            if first and rollout.known
+        }
+        changes: list[StateChange] = []
+        for fact in listed:
+            if not isinstance(fact, TargetStored):
+                continue
+            learns = first and fact.record.service not in settled
+            changes.extend(self._learn(fact.record, first=learns))
+        self._read = True
+        return changes
+
+    def count_own(self, rollout: ServiceRollout, now: float) -> None:
+        """Add the latest counters of this host to those of all."""
+        elapsed_s = rollout.elapsed_s(now)
+        report = self.own.take(rollout.service, elapsed_s)
+        if report is not None:
+            rollout.evidence.add(report)
+
+    def _rollout(self, service: str) -> ServiceRollout:
+        rollout = self._services.get(service)
+        if rollout is None:
+            rollout = ServiceRollout(service, self._schedule)
+            self._services[service] = rollout
+        return rollout
--- /dev/null
+++ b/oriolestage/rollouts/_service_rollout.py
@@ -0,0 +1,235 @@
+"""State of the versions of one service and of its roll-out."""
+
+import dataclasses
+
+from oriolestage.rollouts._fleet_evidence import FleetEvidence
+from oriolestage.rollouts._orders import (
+    HostEvidence,
+    RolloutOrder,
+    RolloutPhase,
+    RolloutState,
+    RolloutStatus,
+)
+from oriolestage.rollouts._schedule import Schedule, Step
+from oriolestage.routing._state_changes import StateChange
+from oriolestage.routing._version_rules import VersionSplit
+
+#: Age of the copy of the store from which nothing is sent to a version on
+#: trial, in seconds. It is below the time within which a bad version has to
+#: get nothing more, and above the longest watch without changes.
+MAX_COPY_AGE_S = 4.5
+#: The same after the planned end of the ramp, when an answer of the store
+#: should have brought the end.
+MAX_COPY_AGE_AT_END_S = 2.0
+#: Part of the interval of reports by which the first one is earlier, in
+#: seconds.
+FIRST_REPORT_S = 1.0
+#: Largest part of the duration that may have passed before an order is read.
+MAX_LATE_SHARE = 0.3
+
+
+@dataclasses.dataclass(slots=True)
+class PendingStep:
+    """A change of the status that this host writes if no other one does."""
+
+    step: Step
+    #: Monotonic time since which it is due.
+    since: float
+
+    def same_as(self, step: Step) -> bool:
+        """Return whether a step leads to the same phase."""
+        return (self.step.state, self.step.phase) == (step.state, step.phase)
+
+
+class ServiceRollout:
+    """Versions of one service, and the order for it if there is one."""
+
+    def __init__(self, service: str, schedule: Schedule) -> None:
+        """Start without versions and without an order."""
+        self.service = service
+        self.order: RolloutOrder | None = None
+        #: The latest status in the store, of this or an earlier order.
+        self.stored: RolloutStatus | None = None
+        #: The end of the order, also if the store has lost it.
+        self.final: RolloutStatus | None = None
+        self.evidence = FleetEvidence()
+        self.pending: PendingStep | None = None
+        #: Monotonic time before which nothing is written.
+        self.quiet_until = float('-inf')
+        #: Monotonic time of the latest report of this host.
+        self.reported_at = float('-inf')
+        #: True while a full read of a restored store lacks the order.
+        self.unconfirmed = False
+        #: Versions whose use without an order was logged.
+        self.logged_unknown: set[str] = set()
+        self.known: set[str] = set()
+        self.rejected: set[str] = set()
+        self._schedule = schedule
+        #: Revisions of the store's item under which the order was read.
+        self._revisions: set[int] = set()
+        #: Monotonic time of the order, as far as it is known.
+        self._started_at: float = 0
+        #: Time by which it may have been earlier, in seconds.
+        self._late_s: float = 0
+
+    @property
+    def status(self) -> RolloutStatus | None:
+        """The status of the order; None without one."""
+        return self.final or self.stored_status
+
+    @property
+    def stored_status(self) -> RolloutStatus | None:
+        """The status of the order in the store; None without one."""
+        if self.order is None or self.stored is None:
+            return None
+        if self.stored.order not in self._revisions:
+            return None
+        if self.stored.target_version != self.order.target_version:
+            return None
+        return self.stored
+
+    @property
+    def active(self) -> bool:
+        """Whether there is an order that has not ended."""
+        return self.order is not None and self.final is None
+
+    @property
+    def trial(self) -> str:
+        """The version on trial; empty if there is none."""
+        if self.order is None or self.final is not None:
+            return ''
+        target = self.order.target_version
+        return '' if self.known <= {target} else target
+
+    def start(self, order: RolloutOrder, now: float, late_s: float) -> None:
+        """Begin with another order.
+
+        It was written ``late_s`` seconds before ``now`` at the earliest.
+        """
+        self.order = order
+        self.final = None
+        self.evidence = FleetEvidence()
+        self.pending = None
+        self.quiet_until = float('-inf')
+        self.reported_at = now - FIRST_REPORT_S
+        self.unconfirmed = False
+        self.rejected.discard(order.target_version)
+        self._revisions = {order.revision}
+        self._started_at = now
+        self._late_s = min(late_s, MAX_LATE_SHARE * order.duration_s)
+        if self.known != {order.target_version}:
+            self.known.discard(order.target_version)
+
+    def confirm(self, order: RolloutOrder) -> None:
+        """Continue with an order that was written again."""
+        self.order = order
+        self.unconfirmed = False
+        self._revisions.add(order.revision)
+
+    def remove_order(self) -> None:
+        """Forget the order; its version is no longer allowed by it."""
+        self.order = None
+        self.final = None
+        self.pending = None
+        self.unconfirmed = False
+
+    def elapsed_s(self, now: float) -> float:
+        """Return the time since the order, in seconds."""
+        return now - self._started_at
+
+    def begin_trial(self, now: float) -> None:
+        """Fix the time of the order before the first status is written."""
+        self._started_at = min(self._started_at, now) - self._late_s
+        self._late_s = 0
+
+    def apply_status(self, status: RolloutStatus, now: float) -> bool:
+        """Apply a status of the store; return whether it is new."""
+        before = self.stored
+        self.stored = status
+        self.quiet_until = float('-inf')
+        self.rejected.update(status.rejected_versions)
+        current = self.stored_status
+        if current is None:
+            self._apply_other(status)
+            return before != status
+        self._late_s = 0
+        self._started_at = min(self._started_at, now - status.elapsed_s)
+        self._end(current)
+        if self.final is None and status.known_versions:
+            self.known = set(status.known_versions)
+        return before is None or (
+            (before.state, before.phase, before.order)
+            != (status.state, status.phase, status.order)
+        )
+
+    def apply_evidence(self, evidence: HostEvidence, now: float) -> None:
+        """Apply the counters of a process if they are for this order."""
+        if evidence.order not in self._revisions or self.order is None:
+            return
+        started_at = now - evidence.elapsed_s
+        self._started_at = min(self._started_at, started_at)
+        self.evidence.add(evidence)
+
+    def split(self, now: float, copy_age_s: float) -> VersionSplit:
+        """Return how attempts are divided among the versions."""
+        return VersionSplit(
+            known=frozenset(self.known),
+            rejected=frozenset(self.rejected),
+            trial=self.trial,
+            share=self.share(now, copy_age_s) if self.active else 0,
+        )
+
+    def share(self, now: float, copy_age_s: float) -> float:
+        """Return the share of the first attempts at the version on trial.
+
+        It is that of the status, or 0 if the version may get no more or if
+        this host may have missed that.
+        """
+        status = self.stored_status
+        order = self.order
+        if status is None or order is None or self.final is not None:
+            return 0
+        elapsed_s = self.elapsed_s(now)
+        if self.evidence.verdict.bad_because or elapsed_s > order.duration_s:
+            return 0
+        if copy_age_s > MAX_COPY_AGE_S:
+            return 0
+        ended = elapsed_s > self._schedule.end_s(order, status)
+        if ended and copy_age_s > MAX_COPY_AGE_AT_END_S:
+            return 0
+        evidence = self.evidence
+        if self._schedule.exhausted(evidence.requests, evidence.exposed):
+            return 0
+        return status.share
+
+    def describe(self, event: str, **fields: object) -> StateChange:
+        """Return a change to log about the order."""
+        named: dict[str, object] = {'service': self.service}
+        if self.order is not None:
+            named['version'] = self.order.target_version
+            named['order'] = self.order.revision
+        return StateChange(event, tuple({**named, **fields}.items()))
+
+    def _apply_other(self, status: RolloutStatus) -> None:
+        """Learn the versions from the status of an earlier order."""
+        if status.known_versions:
+            self.known = set(status.known_versions)
+        if self.order is not None and self.known != {self.order.target_version}:
+            self.known.discard(self.order.target_version)
+
+    def _end(self, status: RolloutStatus) -> None:
+        """Remember the end of the order; a completed one stays completed."""
+        if status.state == RolloutState.ACTIVE:
+            return
+        if self.final is not None and (
+            self.final.state == RolloutState.COMPLETED
+        ):
+            return
+        self.final = dataclasses.replace(status, phase=RolloutPhase.ENDED)
+        target = status.target_version
+        if status.state == RolloutState.COMPLETED:
+            self.known = {target}
+            self.rejected.discard(target)
+        elif self.known != {target}:
+            self.known.discard(target)
+            self.rejected.add(target)
--- a/oriolestage/routing/_batch_planning.py
+++ b/oriolestage/routing/_batch_planning.py
@@ -19,6 +19,7 @@
     TargetRequirements,
 )
 from oriolestage.routing._target_choice import TargetChooser
+from oriolestage.routing._version_rules import LAST_EXPOSED
 
 #: Minimum number of shards in a batch; fewer are sent directly.
 MIN_BATCH_SHARDS = 2
@@ -141,7 +142,7 @@
     if requirements.regions and region not in requirements.regions:
         return float('inf')
     in_region = dataclasses.replace(requirements, regions=frozenset((region,)))
-    placed = placement.choose(in_region, (), now)
+    placed = placement.choose(in_region, (), now, draw=LAST_EXPOSED)
     return (
         placed.expected_s if isinstance(placed, ChosenTarget) else float('inf')
     )
--- a/oriolestage/routing/_cluster_state.py
+++ b/oriolestage/routing/_cluster_state.py
@@ -13,8 +13,13 @@
     CrashStored,
     DataCentreClosed,
     DataCentreOpened,
+    EvidenceStored,
     HostRemoved,
     HostStored,
+    OrderRemoved,
+    OrderStored,
+    StatusRemoved,
+    StatusStored,
     StoredFact,
     TargetRemoved,
     TargetStored,
@@ -23,6 +28,7 @@
 from oriolestage.routing._known_hosts import KnownHosts
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
+from oriolestage.routing._rollout_facts import NoRollouts, RolloutObserver
 from oriolestage.routing._rules import CallerLimits, RoutingTable
 from oriolestage.routing._state_changes import StateChange
 from oriolestage.routing._targets import (
@@ -45,8 +51,13 @@
         placement: Placement,
         peers: PeerDirectory,
         crashes: CrashDetector,
+        rollouts: RolloutObserver | None = None,
     ) -> None:
-        """Start without a configuration and without hosts."""
+        """Start without a configuration and without hosts.
+
+        ``rollouts`` is told of roll-outs if these are enabled.
+        """
+        self._rollouts: RolloutObserver = rollouts or NoRollouts()
         self._crashes = crashes
         self._directory = directory
         self._placement = placement
@@ -108,6 +119,7 @@
             (fact.record for fact in listed if isinstance(fact, HostStored)),
             now,
         )
+        changes += self._rollouts.replace_all(listed, now)
         changes += self._replace_targets(listed, now)
         for fact in listed:
             if isinstance(
@@ -127,6 +139,11 @@
         """
         self._restored_until = now + LAPSE_GRACE_PERIOD_S
         self._directory.start_lapse_grace_period(now)
+        self._rollouts.start_restoration(now)
+
+    def record_outage(self, outage_s: float) -> None:
+        """Record that the store was not read for a time, in seconds."""
+        self._rollouts.record_outage(outage_s)
 
     def apply(self, fact: StoredFact, now: float) -> list[StateChange]:
         """Apply one fact; return the changes to log.
@@ -173,6 +190,7 @@
                         draining=record.draining,
                         new=added,
                     ),
+                    *self._rollouts.record_target(record),
                 ]
             case TargetRemoved(identity=identity):
                 self._unreadable.forget(identity)
@@ -189,19 +207,30 @@
                 return []
             case UnreadableItem():
                 return self._apply_unreadable(fact, now)
-            case DataCentreClosed(name=name):
-                self._closed.add(name)
-                self._unconfirmed.discard(name)
-                return [self._publish_closed_data_centres()]
-            case DataCentreOpened(name=name):
-                self._closed.discard(name)
-                self._unconfirmed.discard(name)
-                return [self._publish_closed_data_centres()]
+            case (
+                OrderStored()
+                | OrderRemoved()
+                | StatusStored()
+                | StatusRemoved()
+                | EvidenceStored()
+            ):
+                return self._rollouts.apply(fact, now)
+            case DataCentreClosed(name=name) | DataCentreOpened(name=name):
+                closed = isinstance(fact, DataCentreClosed)
+                return [self._apply_data_centre(name, closed=closed)]
             case HostStored(record=host):
                 return self._hosts.register(host, now)
             case HostRemoved(name=name):
                 return [self._hosts.unregister(name, now)]
 
+    def _apply_data_centre(self, name: str, *, closed: bool) -> StateChange:
+        self._unconfirmed.discard(name)
+        if closed:
+            self._closed.add(name)
+        else:
+            self._closed.discard(name)
+        return self._publish_closed_data_centres()
+
     @property
     def _version(self) -> int:
         """Version of the routing table in force; -1 without one."""
--- a/oriolestage/routing/_dispatch.py
+++ b/oriolestage/routing/_dispatch.py
@@ -47,6 +47,8 @@
     position: int
     placed: ChosenTarget
     hedge: bool = False
+    #: True if an attempt of the part was made before.
+    repeat: bool = False
 
 
 class AttemptDispatcher:
@@ -155,7 +157,9 @@
         hedge: bool = False,
     ) -> None:
         """Add an attempt of a part, to be sent by the next ``flush``."""
-        self._queued.append(_QueuedAttempt(part.position, placed, hedge))
+        self._queued.append(
+            _QueuedAttempt(part.position, placed, hedge, part.attempted)
+        )
 
     def send_first_batches(
         self, now: float
@@ -183,7 +187,7 @@
         in one request.
         """
         actions: list[Action] = []
-        remote: dict[tuple[HostRecord, str], list[int]] = {}
+        remote: dict[tuple[HostRecord, str, bool], list[int]] = {}
         for queued in self._queued:
             part = self._parts[queued.position]
             part.relay_count += queued.placed.relayed
@@ -195,11 +199,14 @@
                 actions.append(self._send_relayed(queued, peer, now))
                 continue
             region = self._hosts.remote_region(queued.placed)
-            remote.setdefault((peer, region), []).append(queued.position)
+            group = (peer, region, queued.repeat)
+            remote.setdefault(group, []).append(queued.position)
         self._queued.clear()
-        for (peer, region), positions in remote.items():
+        for (peer, region, repeat), positions in remote.items():
             batch = Batch(peer, region, tuple(positions))
-            actions.append(self._send_batch(batch, now, merged=False))
+            actions.append(
+                self._send_batch(batch, now, merged=False, repeat=repeat)
+            )
         return actions
 
     def cancel_direct(self, part: Part, now: float) -> list[Action]:
@@ -280,6 +287,7 @@
         now: float,
         *,
         merged: bool,
+        repeat: bool = False,
     ) -> SendBatch:
         number = self._next_attempt()
         round_trip_s = self._hosts.round_trip_s(batch.peer, batch.region)
@@ -323,6 +331,7 @@
             late_s=self._stragglers.late_s,
             work_s=self._stragglers.work_s,
             deadline=self._times.deadline,
+            repeat=repeat,
         )
 
     def _send_direct(self, queued: _QueuedAttempt, now: float) -> SendAttempt:
@@ -370,6 +379,7 @@
             deadline=self._times.deadline,
             hedge=queued.hedge,
             relay=peer,
+            repeat=queued.repeat,
         )
 
     def _log_entry(self, destination: str, now: float) -> str:
--- a/oriolestage/routing/_facts.py
+++ b/oriolestage/routing/_facts.py
@@ -2,6 +2,11 @@
 
 import dataclasses
 
+from oriolestage.rollouts._orders import (
+    HostEvidence,
+    RolloutOrder,
+    RolloutStatus,
+)
 from oriolestage.routing._crash_detector import CrashReport
 from oriolestage.routing._rules import RoutingTable
 from oriolestage.routing._targets import TargetRecord
@@ -73,6 +78,41 @@
     report: CrashReport
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderStored:
+    """An order of the operators to roll out a version."""
+
+    order: RolloutOrder
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderRemoved:
+    """The order for a service was removed."""
+
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusStored:
+    """What a host has decided about a roll-out."""
+
+    status: RolloutStatus
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusRemoved:
+    """The status of a service's roll-out was removed."""
+
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvidenceStored:
+    """Counters of one host for a roll-out."""
+
+    evidence: HostEvidence
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnreadableItem:
     """An item of the store that could not be parsed and is ignored."""
@@ -93,5 +133,10 @@
     | HostStored
     | HostRemoved
     | CrashStored
+    | OrderStored
+    | OrderRemoved
+    | StatusStored
+    | StatusRemoved
+    | EvidenceStored
     | UnreadableItem
 )
--- a/oriolestage/routing/_parts.py
+++ b/oriolestage/routing/_parts.py
@@ -117,6 +117,14 @@
     shortage: Shortage | None = None
     #: Time after which a target may be free, in seconds.
     retry_after_s: float = MIN_RETRY_AFTER_S
+    #: Draw that decides whether its first attempt goes to a version on trial;
+    #: None before it is drawn.
+    draw: float | None = None
+
+    @property
+    def attempted(self) -> bool:
+        """Whether an attempt was made, whatever became of it."""
+        return bool(self.trace)
 
     @property
     def service(self) -> str:
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -6,7 +6,7 @@
 failing at the same time.
 """
 
-from collections.abc import Callable, Collection, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from oriolestage.routing._observations import Observations
 from oriolestage.routing._placement_types import (
@@ -21,6 +21,13 @@
 from oriolestage.routing._target_capacity import TargetCapacity
 from oriolestage.routing._target_rates import TargetRates
 from oriolestage.routing._targets import KnownTarget, TargetDirectory
+from oriolestage.routing._version_rules import (
+    LAST_EXPOSED,
+    NOT_EXPOSED,
+    AllVersions,
+    VersionRules,
+    VersionSplit,
+)
 from oriolestage.routing._warm_up import WarmUpBounds
 
 #: Shortest time for which no attempt is sent to targets for which another
@@ -40,13 +47,16 @@
         directory: TargetDirectory,
         warm_up: WarmUpBounds,
         on_change: Callable[[StateChange], None],
+        versions: VersionRules | None = None,
     ) -> None:
         """Start without observations; this host is the only one.
 
         ``on_change`` is called with the log event when a target enters
-        back-off or answers again.
+        back-off or answers again. ``versions`` says which versions of targets
+        may be used; without it all may.
         """
         self.location = location
+        self._versions: VersionRules = versions or AllVersions()
         self.observations = Observations(location, on_change)
         self.rates = TargetRates(location, on_change)
         self._directory = directory
@@ -92,33 +102,45 @@
         self._capacity.forget(self.observations.prune(known))
         self.rates.prune(known)
 
+    def draw(self) -> float:
+        """Return the draw of a first attempt, see :meth:`choose`."""
+        return self._versions.draw()
+
     def choose(
         self,
         requirements: TargetRequirements,
         excluded: Collection[str],
         now: float,
+        *,
+        draw: float = NOT_EXPOSED,
+        batches: bool = False,
     ) -> PlacementResult:
         """Choose the target with the shortest expected delay.
 
         ``excluded`` holds identities of targets to skip, such as those that
-        were tried before.
+        were tried before. ``draw`` decides whether the attempt goes to a
+        version on trial. If the caller ``batches`` attempts at other regions,
+        the host there draws for them, so that the version on trial is used
+        here only for attempts that stay in the region.
         """
-        best: ChosenTarget | None = None
-        first: NoCapacity | None = None
-        for target in self._candidates(requirements, excluded):
-            refused = self._capacity.refuse(
-                target, requirements, self._hosts, now
-            )
-            if refused is not None:
-                if first is None or refused.wait_s < first.wait_s:
-                    first = refused
-                continue
-            expected_s = self.observations.expected_s(
-                target, requirements.route, now
-            )
-            if best is None or expected_s < best.expected_s:
-                best = ChosenTarget(target, expected_s)
-        return best or first or NoTarget()
+        split = self._versions.split(requirements.service, now)
+        targets = self._candidates(requirements, excluded)
+        if split is None:
+            return self._choose_among(requirements, targets, now)
+        usual = self._choose_among(requirements, split.settled(targets), now)
+        if not split.exposes(draw):
+            return usual
+        on_trial = split.on_trial(targets)
+        if batches and not split.exposes(LAST_EXPOSED):
+            if not self._stays(usual):
+                return usual
+            on_trial = [
+                target
+                for target in on_trial
+                if self.region_of(target) == self.location.region
+            ]
+        tried = self._choose_among(requirements, on_trial, now)
+        return tried if isinstance(tried, ChosenTarget) else usual
 
     def unreachable(self, requirements: TargetRequirements, now: float) -> bool:
         """Return whether no target is used because none is reached from here.
@@ -128,7 +150,7 @@
         """
         if self.observations.reach.cut_off:
             return True
-        targets = tuple(self._candidates(requirements, ()))
+        targets = self._permitted(requirements, (), now)
         return bool(targets) and all(
             self.observations.load_of(target).in_backoff(now)
             for target in targets
@@ -151,7 +173,7 @@
         """
         best: ChosenTarget | None = None
         cut_off = self.observations.reach.cut_off
-        for target in self._candidates(requirements, excluded):
+        for target in self._permitted(requirements, excluded, now):
             load = self.observations.load_of(target)
             if now < max(load.full_until, load.rest_until):
                 continue
@@ -272,12 +294,69 @@
         self,
         requirements: TargetRequirements,
         excluded: Collection[str],
-    ) -> Iterator[KnownTarget]:
-        """Yield the targets that meet the requirements, at a limit or not."""
+    ) -> list[KnownTarget]:
+        """Return the targets that meet the requirements, at a limit or not."""
+        found: list[KnownTarget] = []
         for target in self._directory.usable(requirements.service):
             if target.record.identity in excluded:
                 continue
             region = self.location.region_of(target.record.data_centre)
             if requirements.regions and region not in requirements.regions:
                 continue
-            yield target
+            found.append(target)
+        return found
+
+    def _permitted(
+        self,
+        requirements: TargetRequirements,
+        excluded: Collection[str],
+        now: float,
+    ) -> list[KnownTarget]:
+        """Return the candidates of the versions that all attempts may use.
+
+        While all first attempts go to a version on trial, it is among them.
+        """
+        targets = self._candidates(requirements, excluded)
+        split = self._versions.split(requirements.service, now)
+        if split is None:
+            return targets
+        return _all_usable(split, targets)
+
+    def _choose_among(
+        self,
+        requirements: TargetRequirements,
+        targets: Iterable[KnownTarget],
+        now: float,
+    ) -> PlacementResult:
+        """Choose among targets that meet the requirements."""
+        best: ChosenTarget | None = None
+        first: NoCapacity | None = None
+        for target in targets:
+            refused = self._capacity.refuse(
+                target, requirements, self._hosts, now
+            )
+            if refused is not None:
+                if first is None or refused.wait_s < first.wait_s:
+                    first = refused
+                continue
+            expected_s = self.observations.expected_s(
+                target, requirements.route, now
+            )
+            if best is None or expected_s < best.expected_s:
+                best = ChosenTarget(target, expected_s)
+        return best or first or NoTarget()
+
+    def _stays(self, placed: PlacementResult) -> bool:
+        """Return whether an attempt stays in the region of this host."""
+        if not isinstance(placed, ChosenTarget):
+            return True
+        return self.region_of(placed.target) == self.location.region
+
+
+def _all_usable(
+    split: VersionSplit, targets: Iterable[KnownTarget]
+) -> list[KnownTarget]:
+    usable = split.settled(targets)
+    if split.exposes(LAST_EXPOSED):
+        usable += split.on_trial(targets)
+    return usable
--- a/oriolestage/routing/_run_types.py
+++ b/oriolestage/routing/_run_types.py
@@ -58,6 +58,8 @@
     #: The host that chooses a target and sends the attempt there; None if
     #: this host sends it to ``target``.
     relay: HostRecord | None = None
+    #: True if an attempt of the same part was made before.
+    repeat: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +95,8 @@
     work_s: float
     #: Monotonic time at which the request ends.
     deadline: float
+    #: True if attempts of the same parts were made before.
+    repeat: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/oriolestage/routing/_target_choice.py
+++ b/oriolestage/routing/_target_choice.py
@@ -12,6 +12,7 @@
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._placement_types import ChosenTarget, PlacementResult
+from oriolestage.routing._version_rules import NOT_EXPOSED
 
 #: Attempts of one part that are sent through other hosts. A target that is
 #: down is in back-off at all hosts; asking them all would delay the request.
@@ -45,12 +46,28 @@
             if relayed is not None:
                 return relayed
         placed = self._placement.choose(
-            part.request.requirements, excluded, now
+            part.request.requirements,
+            excluded,
+            now,
+            draw=self._draw(part),
+            batches=self._gathers,
         )
         if isinstance(placed, ChosenTarget):
             return placed
         return self._choose_relayed(part, excluded, now) or placed
 
+    def _draw(self, part: Part) -> float:
+        """Return the draw of the next attempt of a part.
+
+        Only a first attempt may go to a version on trial; each decision about
+        it has the same draw.
+        """
+        if part.attempted:
+            return NOT_EXPOSED
+        if part.draw is None:
+            part.draw = self._placement.draw()
+        return part.draw
+
     def _choose_relayed(
         self, part: Part, excluded: Collection[str], now: float
     ) -> ChosenTarget | None:
