--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -286,6 +286,7 @@
                     MIN_ATTEMPT_TIMEOUT_S, action.deadline - sent_at
                 ),
                 fingerprint=request.fingerprint,
+                route=rule.name,
             ),
         )
         self._log.record_attempt(request, action, outcome, sent_at)
@@ -315,6 +316,7 @@
                 time_left_s=max(
                     MIN_ATTEMPT_TIMEOUT_S, action.deadline - sent_at
                 ),
+                repeat=action.repeat,
             ),
         )
         self._log.record_attempt(request, action, outcome, sent_at)
@@ -343,6 +345,7 @@
             late_s=action.late_s,
             work_s=action.work_s,
             time_left_s=max(MIN_ATTEMPT_TIMEOUT_S, action.deadline - now),
+            repeat=action.repeat,
         )
         address = action.peer.peer_address
         reply_stream = self._peer_client.gather(address, gather_request)
