Refuse requests that have reached no target in time for the caller

Cause: a part without a free target waited for a quarter of the latency objective, counted from its first placement. The network delay of the caller and the time until the refusal is written came on top. A request that every target had shed counted as one that may have run and waited for a free target until its deadline. A cold target without room was tried every 10 ms although the end of the wait is known, also in the 2 s in which a restarted host sends nothing to cold targets.

Change: the refusal leaves so that it arrives within the quarter, if the network delay leaves room for that; a shed request is refused like one that has reached no target; the wait for a cold target is computed, and a request that would wait longer than it may is refused at once with that time.

--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -208,6 +208,7 @@
             delivery_margin_s=self._delivery_margin.margin_s(
                 parts, rule.objective_s
             ),
+            network_delay_s=request.network_delay_s,
         )
         return times.ended_by_stop(self._runs.ends_at)
 
--- a/oriolestage/routing/_attempt_policy.py
+++ b/oriolestage/routing/_attempt_policy.py
@@ -9,6 +9,7 @@
 from collections import Counter
 
 from oriolestage.routing._answers import GiveUpReason
+from oriolestage.routing._capacity_waits import CapacityWaits
 from oriolestage.routing._dispatch import AttemptDispatcher
 from oriolestage.routing._due_parts import DueParts
 from oriolestage.routing._parts import (
@@ -28,9 +29,6 @@
 from oriolestage.routing._stragglers import StragglerDetector
 from oriolestage.routing._target_choice import TargetChooser
 
-#: Share of the latency objective for which a part may wait for a free target.
-CAPACITY_WAIT_SHARE = 0.25
-
 
 class AttemptPolicy:
     """Decides which attempts the parts of one request get."""
@@ -58,6 +56,7 @@
         self._dispatch = dispatch
         self._stragglers = stragglers
         self._due = due
+        self._waits = CapacityWaits(progress)
 
     def decide_due(self, now: float) -> None:
         """Place the parts that waited long enough and hedge late ones."""
@@ -96,9 +95,7 @@
                 part.retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
                 part.reason = GiveUpReason.NO_ROOM
                 part.next_placement_at = now + wait_s
-                if part.next_placement_at >= self._capacity_wait_until(
-                    part, now
-                ):
+                if part.next_placement_at >= self._waits.wait_until(part, now):
                     part.give_up()
                 self._due.add(part)
             case NoTarget():
@@ -179,19 +176,3 @@
         if attempt.late:
             return attempt.sent_at
         return attempt.idle_answer_at + self._stragglers.late_s
-
-    def _capacity_wait_until(self, part: Part, now: float) -> float:
-        """Return the time until which a part may wait for a free target.
-
-        A part that reached no target is refused soon, so that the caller can
-        try elsewhere. A part that may have run can no longer be refused as
-        not run and waits until the deadline.
-        """
-        times = self._progress.times
-        if part.delivered_count:
-            return times.deadline
-        part.no_capacity_since = min(part.no_capacity_since, now)
-        return (
-            part.no_capacity_since
-            + (times.objective - times.started) * CAPACITY_WAIT_SHARE
-        )
--- a/oriolestage/routing/_progress.py
+++ b/oriolestage/routing/_progress.py
@@ -23,6 +23,11 @@
         self._tally = tally
         self._min_parts = min_parts(rule.destination, parts)
 
+    @property
+    def single(self) -> bool:
+        """Whether the request has only one part."""
+        return self._parts == 1
+
     @property
     def answered_count(self) -> int:
         """Number of parts with an answer."""
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -74,6 +74,8 @@
         #: Monotonic time since which there are enough answers.
         self._enough_since = float('inf')
         self._partial_answer_due_at: float | None = None
+        #: Monotonic time at which the run ends if no attempt was sent.
+        self._refuse_by = float('inf')
         self._records = GatheredRecords(
             getattr(rule.destination, 'top_records', 0)
         )
@@ -126,10 +128,12 @@
     @property
     def end_at(self) -> float:
         """Monotonic time at which the run ends with the answers so far."""
-        deadline = self._progress.times.deadline
+        times = self._progress.times
         if self._progress.has_enough:
-            return min(deadline, self._progress.partial_answer_at)
-        return deadline
+            return min(times.deadline, self._progress.partial_answer_at)
+        if self._dispatch.sent_count:
+            return times.deadline
+        return min(times.deadline, self._refuse_by)
 
     @property
     def partial_answer_due_at(self) -> float | None:
@@ -141,6 +145,9 @@
 
     def start(self, now: float) -> list[Action]:
         """Return the first attempts, or the end if too few can be placed."""
+        refuse_by = self._progress.times.refuse_by
+        if now < refuse_by:
+            self._refuse_by = refuse_by
         for part in self._parts:
             part.request.budget.record_request(now)
         actions, choices = self._dispatch.send_first_batches(now)
@@ -337,7 +344,8 @@
             return []
         if self._progress.has_enough:
             self._enough_since = min(self._enough_since, now)
-        return self._end(now) if self._progress.must_end(now) else []
+        ended = now >= self.end_at or self._progress.must_end(now)
+        return self._end(now) if ended else []
 
     def _end(self, now: float) -> list[Action]:
         self._finished = True
--- a/oriolestage/routing/_run_types.py
+++ b/oriolestage/routing/_run_types.py
@@ -10,6 +10,11 @@
 from oriolestage.routing._targets import KnownTarget
 
 
+#: Share of the latency objective within which a refusal reaches the caller, so
+#: that another host can still serve the request in time.
+REFUSAL_SHARE = 0.25
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunTimes:
     """Arrival, latency objective and deadline of a request.
@@ -27,6 +32,26 @@
     delivery_margin_s: float
     #: Why a request without an answer ends at its deadline.
     deadline_reason: GiveUpReason = GiveUpReason.DEADLINE
+    #: Time that the caller loses to the network, in seconds; the objective
+    #: has it subtracted.
+    network_delay_s: float = 0
+
+    @property
+    def wait_s(self) -> float:
+        """Longest time for which a part waits for a free target, in seconds."""
+        return (self.objective - self.started) * REFUSAL_SHARE
+
+    @property
+    def refuse_by(self) -> float:
+        """Monotonic time by which a refusal has to be decided to be in time.
+
+        It reaches the caller within `REFUSAL_SHARE` of the latency objective,
+        counted from when the caller sent the request.
+        """
+        network_delay_s = self.network_delay_s
+        objective_s = self.objective + network_delay_s - self.started
+        spent_s = network_delay_s + self.delivery_margin_s
+        return self.started + objective_s * REFUSAL_SHARE - spent_s
 
     def ended_by_stop(self, ends_at: float) -> 'RunTimes':
         """Return the times at a host that ends all requests by ``ends_at``."""
--- a/oriolestage/routing/_target_capacity.py
+++ b/oriolestage/routing/_target_capacity.py
@@ -80,8 +80,9 @@
             return _retry_after(rate_wait_s, ShortageCause.RATE_LIMIT, age_s)
         if load.outstanding >= _attempt_limit(target, requirements, hosts):
             return _retry_after(FULL_WAIT_S, ShortageCause.OUTSTANDING)
-        if not self._warm_up_allows(target, requirements, hosts, now):
-            return _retry_after(FULL_WAIT_S, ShortageCause.WARM_UP)
+        warm_up_wait_s = self._warm_up_wait_s(target, requirements, hosts, now)
+        if warm_up_wait_s:
+            return _retry_after(warm_up_wait_s, ShortageCause.WARM_UP)
         return None
 
     def record_registered(self, now: float) -> None:
@@ -105,19 +106,21 @@
         for name in processes:
             self._pacers.pop(name, None)
 
-    def _warm_up_allows(
+    def _warm_up_wait_s(
         self,
         target: KnownTarget,
         requirements: TargetRequirements,
         hosts: tuple[str, ...],
         now: float,
-    ) -> bool:
-        if not requirements.warm_up_rate or target.cold_until <= now:
-            return True
-        if self._joining.is_joining(now):
-            return False
-        pacer = self._pacer(target)
-        return pacer.allows(requirements.warm_up_rate, hosts, now)
+    ) -> float:
+        """Return the time until a cold target may get a request, in seconds."""
+        left_s = target.cold_until - now
+        if not requirements.warm_up_rate or left_s <= 0:
+            return 0
+        wait_s = self._joining.left_s(now) or self._pacer(target).wait_s(
+            requirements.warm_up_rate, hosts, now
+        )
+        return min(wait_s, left_s)
 
     def _pacer(self, target: KnownTarget) -> WarmUpPacer:
         pacer = self._pacers.get(target.process)
--- a/oriolestage/routing/_warm_up.py
+++ b/oriolestage/routing/_warm_up.py
@@ -51,9 +51,12 @@
         """Record that this host is among the registered ones."""
         self._joined_at = min(self._joined_at, now + JOINING_S)
 
-    def is_joining(self, now: float) -> bool:
-        """Return whether some hosts may not count this one yet."""
-        return now < self._joined_at
+    def left_s(self, now: float) -> float:
+        """Return for how long some hosts may not count this one yet.
+
+        0 once all hosts count it, `JOINING_S` before it is registered.
+        """
+        return min(max(0, self._joined_at - now), JOINING_S)
 
 
 class WarmUpPacer:
@@ -70,12 +73,24 @@
 
         ``rate`` is in requests per second, of all ``hosts`` together.
         """
+        return not self.wait_s(rate, hosts, now)
+
+    def wait_s(self, rate: float, hosts: tuple[str, ...], now: float) -> float:
+        """Return the time until this host may send one more request.
+
+        It is `WINDOW_S` for a host without a share in the bound.
+        """
         while self._sent and self._sent[0] <= now - WINDOW_S:
             self._sent.popleft()
         total = int(
             BOUND_FRACTION * (rate * self._bounds.overage + self._bounds.slack),
         )
-        return len(self._sent) < self._share.of_total(total, hosts)
+        excess = len(self._sent) - self._share.of_total(total, hosts)
+        if excess < 0:
+            return 0
+        if excess >= len(self._sent):
+            return WINDOW_S
+        return self._sent[excess] + WINDOW_S - now
 
     def record_sent(self, now: float) -> None:
         """Record that a request was sent."""
--- a/oriolestage/routing/tests/runs.py
+++ b/oriolestage/routing/tests/runs.py
@@ -44,6 +44,7 @@
     known: Placement | None = None,
     delivery_margin_s: float = DELIVERY_MARGIN_S,
     peers: PeerDirectory | None = None,
+    times: RunTimes | None = None,
 ) -> RequestRun:
     """Return a run that arrives at the monotonic time ``started``."""
     placement = known or make_placement('dc-a', records)[0]
@@ -60,7 +61,8 @@
             )
             for name in names
         ),
-        times=RunTimes(
+        times=times
+        or RunTimes(
             started,
             started + rule.objective_s,
             started + rule.timeout_s,
