Order the requests that wait for capacity, and refuse those without hope

Cause: parts without a free target tried again every 10 ms, in no order. An account with eight times its usual load, or a burst on one route, took the capacity of the others, and all refused callers were told the same time to return.

Change: with accounts in the configuration, one line per host and service decides who is placed next: by priority, with every fourth place for lower ones, then in turn among the accounts, then by the time left. Each route that was in use of late keeps room of its own. A request whose expected wait is longer than it may wait is refused at once; the times to return follow from the line and the rate of answers, each caller at a time of its own. The line has metrics and a bounded log event. Without accounts nothing is ordered.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import dataclasses
+import random
 import signal
 import socket
 import time
 from collections.abc import Callable
 
 from oriolestage._logging import log_event
+from oriolestage.admission._waiting_line import WaitingLine
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._control_server import ControlServer
 from oriolestage.entry._crash_tracking import CrashReporter, CrashTrackingSender
@@ -175,6 +177,7 @@
         peer_client,
         settings.budget,
         RequestLog(metrics, lambda: follower.age_s),
+        _build_waiting_line(metrics),
     )
     metrics.add_gauge('in_flight', lambda: router.in_flight)
     metrics.add_gauge('held_response_bytes', lambda: client.held_bytes)
@@ -236,6 +239,18 @@
     )
 
 
+def _build_waiting_line(metrics: EntryMetrics) -> WaitingLine:
+    line = WaitingLine(random.Random(), _log_change)
+    metrics.add_gauge('waiting_requests', lambda: line.waiting)
+    metrics.add_counts(
+        'waiting_refusals',
+        'Requests that were refused a target, by reason.',
+        'reason',
+        lambda: line.refusals,
+    )
+    return line
+
+
 def _build_registration(
     settings: EntrySettings, store: Store, cluster_state: ClusterState
 ) -> HostRegistration:
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -11,6 +11,8 @@
 import time
 from collections.abc import AsyncGenerator
 
+from oriolestage.admission._waiting_line import Waiter, WaitingLine
+from oriolestage.admission._waiting_ranks import Rank
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._crash_tracking import AttemptSender
 from oriolestage.entry._peer_client import PeerClient
@@ -75,9 +77,14 @@
         peer_client: PeerClient,
         budget_bounds: BudgetBounds,
         log: RequestLog,
+        waiting_line: WaitingLine | None = None,
     ) -> None:
-        """Create a router without requests in flight."""
+        """Create a router without requests in flight.
+
+        Requests wait in ``waiting_line`` while the configuration has accounts.
+        """
         self._log = log
+        self._waiting_line = waiting_line
         self._cluster_state = cluster_state
         self._placement = placement
         self._peers = peers
@@ -158,19 +165,27 @@
         rule: RouteRule,
     ) -> RequestResult:
         parts = self._build_parts(rule, table)
+        times = self._run_times(rule, request, len(parts))
+        waiter: Waiter | None = None
+        if self._waiting_line is not None and len(table.accounts):
+            rank = _rank_request(request, rule, times)
+            waiter = Waiter(self._waiting_line, rank)
         run = RequestRun(
             rule=rule,
             parts=parts,
-            times=self._run_times(rule, request, len(parts)),
+            times=times,
             placement=self._placement,
             peers=self._peers,
             next_attempt=lambda: next(self._attempt_numbers),
+            waiter=waiter,
         )
         driver = RunDriver(
             run,
             lambda action: self._send(request, rule, action),
             lambda action: self._send_batch(request, rule, action),
         )
+        if waiter is not None:
+            waiter.call_when_woken(driver.wake)
         try:
             with self._runs.track(driver, rule.name, request.arrived_at):
                 result = await driver.drive()
@@ -180,6 +195,8 @@
             raise
         finally:
             driver.cancel_all()
+            if waiter is not None:
+                waiter.close(time.monotonic())
         self._runs.record_result(request, rule.name, result)
         self._record_completion(request, rule, table, driver, result)
         due_at = run.partial_answer_due_at
@@ -366,3 +383,19 @@
         result = Refused(reason, retry_after_s)
         self._log.record_refusal(request, result)
         return result
+
+
+def _rank_request(
+    request: CallerRequest, rule: RouteRule, times: RunTimes
+) -> Rank:
+    """Return the place of a request among those that wait for capacity."""
+    account = request.account
+    priority = rule.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    return Rank(
+        priority=priority,
+        account='' if account is None else account.name,
+        objective=times.objective,
+        kind=(rule.name, rule.regions),
+    )
--- a/oriolestage/entry/_run_driver.py
+++ b/oriolestage/entry/_run_driver.py
@@ -124,6 +124,10 @@
         self.run.end_by(ends_at)
         self._set_timer()
 
+    def wake(self) -> None:
+        """Have the run look at its parts because one may be placed now."""
+        self._add_event(_TimerFired())
+
     def cancel_all(self) -> None:
         """Cancel the timer and all unfinished attempts and batches."""
         for handle in (self._timer, self._rearm):
--- /dev/null
+++ b/oriolestage/entry/tests/crowded_host.py
@@ -0,0 +1,195 @@
+"""Replays load on one host whose targets have too little room.
+
+The host is the product's own router and line; only the targets are modelled.
+Time is virtual, so a replay has the same result on any machine.
+"""
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections.abc import Iterable
+from unittest import mock
+
+from oriolestage.admission._accounts import Account, AccountDirectory
+from oriolestage.admission._waiting_line import WaitingLine
+from oriolestage.entry._caller_request import CallerRequest
+from oriolestage.entry._metrics import EntryMetrics
+from oriolestage.entry._peer_client import PeerClient
+from oriolestage.entry._ports import RequestMetadata
+from oriolestage.entry._request_log import RequestLog
+from oriolestage.entry._request_router import RequestRouter
+from oriolestage.entry._target_client import TargetCall
+from oriolestage.entry.tests.virtual_time import (
+    VirtualTimeLoop,
+    run_in_virtual_time,
+)
+from oriolestage.routing._answers import (
+    AttemptAnswered,
+    AttemptOutcome,
+    Delivered,
+    Refused,
+)
+from oriolestage.routing._cluster_state import ClusterState
+from oriolestage.routing._facts import ConfigurationStored
+from oriolestage.routing._peers import PeerDirectory
+from oriolestage.routing._retry_budget import BudgetBounds
+from oriolestage.routing._rules import (
+    CallerLimits,
+    RouteRule,
+    ServiceRule,
+    build_table,
+)
+from oriolestage.routing._state_changes import StateChange
+from oriolestage.routing.tests.builders import (
+    make_answer,
+    make_crash_detector,
+    make_placement,
+    make_record,
+)
+
+#: Requests that a target processes at once, which is also how many it takes.
+SLOTS = 2
+#: Mean time that a target takes for a request, in seconds.
+WORK_S = 0.02
+#: Network delay of all callers, in seconds.
+NETWORK_DELAY_S = 0.002
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request of a caller."""
+
+    #: Time after the start of the replay, in seconds.
+    after_s: float
+    account: Account
+    #: Path prefix of the route.
+    path: str = '/rota/'
+    #: Times that the caller returns after a refusal.
+    returns: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Served:
+    """What became of a request in the end."""
+
+    arrival: Arrival
+    answered: bool
+    #: Time from the last arrival to the result, in seconds.
+    took_s: float
+    #: Refusals that the caller got.
+    refusals: int
+
+
+class SlotTargets:
+    """Targets that take a time of their own for each request."""
+
+    def __init__(self, seed: int) -> None:
+        """Create targets whose times depend on ``seed``."""
+        self._rng = random.Random(seed)
+        self._slots: dict[str, asyncio.Semaphore] = {}
+
+    async def send(self, call: TargetCall) -> AttemptOutcome:
+        """Answer an attempt once a slot was free for its work."""
+        slots = self._slots.setdefault(call.target, asyncio.Semaphore(SLOTS))
+        async with slots:
+            await asyncio.sleep(WORK_S * self._rng.uniform(0.7, 1.3))
+        return AttemptAnswered(make_answer())
+
+
+class CrowdedHost:
+    """A host with a service of some targets, without room for a queue."""
+
+    def __init__(
+        self,
+        rules: tuple[RouteRule, ...],
+        accounts: Iterable[Account],
+        seed: int,
+        *,
+        targets: int = 1,
+        with_line: bool = True,
+    ) -> None:
+        """Create the host; ``with_line`` is False to turn the line off."""
+        placement, directory = make_placement(
+            records=tuple(
+                make_record(f't-{number}', slots=SLOTS)
+                for number in range(targets)
+            )
+        )
+        peers = PeerDirectory(placement.location)
+        detector = make_crash_detector()
+        state = ClusterState(directory, placement, peers, detector)
+        table = build_table(
+            1,
+            rules,
+            (ServiceRule('shard-0', connection_limit=SLOTS),),
+            CallerLimits(),
+            AccountDirectory({account: () for account in accounts}),
+        )
+        state.apply(ConfigurationStored(table), 0)
+        #: Log events of the line.
+        self.events: list[StateChange] = []
+        self.line = WaitingLine(random.Random(seed), self.events.append)
+        self._router = RequestRouter(
+            state,
+            placement,
+            peers,
+            SlotTargets(seed),
+            detector,
+            PeerClient(lambda _: None),
+            BudgetBounds(),
+            RequestLog(EntryMetrics(), float),
+            self.line if with_line else None,
+        )
+
+    def replay(self, arrivals: Iterable[Arrival]) -> list[Served]:
+        """Return what became of each request."""
+        with mock.patch('oriolestage.entry._request_log.log_event'):
+            return run_in_virtual_time(
+                VirtualTimeLoop(), self._replay(arrivals)
+            )
+
+    async def _replay(self, arrivals: Iterable[Arrival]) -> list[Served]:
+        callers = [
+            asyncio.create_task(self._call(number, arrival))
+            for number, arrival in enumerate(arrivals)
+        ]
+        return await asyncio.gather(*callers)
+
+    async def _call(self, number: int, arrival: Arrival) -> Served:
+        await asyncio.sleep(arrival.after_s)
+        for refusals in range(arrival.returns + 1):
+            started = time.monotonic()
+            result = await self._router.serve(_request(number, arrival))
+            took_s = time.monotonic() - started
+            answered = isinstance(result, Delivered)
+            if answered or refusals == arrival.returns:
+                break
+            assert isinstance(result, Refused)
+            await asyncio.sleep(result.retry_after_s)
+        return Served(arrival, answered, took_s, refusals + (not answered))
+
+
+def _request(number: int, arrival: Arrival) -> CallerRequest:
+    return CallerRequest(
+        metadata=RequestMetadata(f'r-{number}', None),
+        method='GET',
+        host='search.example',
+        path=f'{arrival.path}{number}',
+        headers=(),
+        body=b'',
+        arrived_at=time.monotonic(),
+        network_delay_s=NETWORK_DELAY_S,
+        fingerprint=number,
+        account=arrival.account,
+    )
+
+
+def poisson(
+    rate: float, duration_s: float, rng: random.Random
+) -> Iterable[float]:
+    """Yield the times of requests that come at random, in seconds."""
+    after_s = rng.expovariate(rate)
+    while after_s < duration_s:
+        yield after_s
+        after_s += rng.expovariate(rate)
--- a/oriolestage/routing/_attempt_policy.py
+++ b/oriolestage/routing/_attempt_policy.py
@@ -9,12 +9,11 @@
 from collections import Counter
 
 from oriolestage.routing._answers import GiveUpReason
-from oriolestage.routing._capacity_waits import CapacityWaits
+from oriolestage.routing._capacity_waits import NOT_ITS_TURN, CapacityWaits
 from oriolestage.routing._dispatch import AttemptDispatcher
 from oriolestage.routing._due_parts import DueParts
 from oriolestage.routing._parts import (
     MAX_SHED_ATTEMPTS,
-    MIN_RETRY_AFTER_S,
     Attempt,
     Part,
 )
@@ -41,10 +40,12 @@
         dispatch: AttemptDispatcher,
         stragglers: StragglerDetector,
         due: DueParts,
+        waits: CapacityWaits,
     ) -> None:
         """Start without attempts; decided ones are enqueued at ``dispatch``.
 
-        Parts that need a later decision are added to ``due``.
+        Parts that need a later decision are added to ``due``, and ``waits``
+        decides on those without a free target.
         """
         self.hedge_count = 0
         #: Late attempts that got no hedge, by reason.
@@ -56,10 +57,12 @@
         self._dispatch = dispatch
         self._stragglers = stragglers
         self._due = due
-        self._waits = CapacityWaits(progress)
+        self._waits = waits
 
     def decide_due(self, now: float) -> None:
         """Place the parts that waited long enough and hedge late ones."""
+        for woken in self._waits.take_woken(now):
+            self._due.add(woken)
         for part in self._due.pop_due(now):
             if part.next_placement_at <= now:
                 part.next_placement_at = float('inf')
@@ -80,25 +83,23 @@
         """
         if part.in_flight or part.finished:
             return
-        placed = choice or self._choose(part, now)
+        placed = self._choose_in_turn(part, choice, now)
         match placed:
             case ChosenTarget():
                 if part.delivered_count and not self._spend_extra_attempt(
                     part, now
                 ):
+                    self._waits.leave(part, now)
                     part.give_up(GiveUpReason.NO_BUDGET)
                     return
                 part.shortage = None
+                self._waits.record_placed(part, now)
                 self._dispatch.enqueue(part, placed)
-            case NoCapacity(wait_s=wait_s, shortage=shortage):
-                part.shortage = shortage
-                part.retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
-                part.reason = GiveUpReason.NO_ROOM
-                part.next_placement_at = now + wait_s
-                if part.next_placement_at >= self._waits.wait_until(part, now):
-                    part.give_up()
+            case NoCapacity():
+                self._waits.wait(part, placed, now)
                 self._due.add(part)
             case NoTarget():
+                self._waits.leave(part, now)
                 part.give_up(GiveUpReason.NO_TARGET)
 
     def retry(self, part: Part, now: float) -> None:
@@ -135,7 +136,12 @@
         attempt.hedge_considered = True
         if part.may_have_run + 1 >= self._rule.max_attempts:
             return
-        placed = self._chooser.choose(part, part.tried, now)
+        if not self._waits.allows_hedge(part):
+            self.unhedged['others_wait'] += 1
+            return
+        placed = self._waits.keep_reserved(
+            part, self._chooser.choose(part, part.tried, now), now
+        )
         if not isinstance(placed, ChosenTarget):
             self.unhedged['no_target'] += 1
             return
@@ -148,6 +154,15 @@
         self.hedge_count += 1
         self._dispatch.enqueue(part, placed, hedge=True)
 
+    def _choose_in_turn(
+        self, part: Part, choice: PlacementResult | None, now: float
+    ) -> PlacementResult:
+        """Choose a target, or none if better requests wait for one."""
+        if not self._waits.may_try(part, now):
+            return NOT_ITS_TURN
+        placed = choice or self._choose(part, now)
+        return self._waits.keep_reserved(part, placed, now)
+
     def _choose(self, part: Part, now: float) -> PlacementResult:
         """Choose an untried target, or any target if none is free."""
         placed = self._chooser.choose(part, part.tried, now)
--- a/oriolestage/routing/_dispatch.py
+++ b/oriolestage/routing/_dispatch.py
@@ -8,6 +8,7 @@
 import dataclasses
 from collections.abc import Callable, Sequence
 
+from oriolestage.admission._waiting_line import Waiter
 from oriolestage.routing._answers import TargetAnswer
 from oriolestage.routing._batch_planning import Batch, plan_batches
 from oriolestage.routing._due_parts import DueParts
@@ -64,11 +65,12 @@
         records: GatheredRecords,
         due: DueParts,
         next_attempt: Callable[[], int],
+        waiter: Waiter | None,
     ) -> None:
         """Start with nothing in flight.
 
         The records of answers are merged into ``records``, and parts with a
-        new attempt are added to ``due``.
+        new attempt are added to ``due``. ``waiter`` is told of the attempts.
         """
         self.sent_count = 0
         self.batch_count = 0
@@ -84,6 +86,7 @@
         self._records = records
         self._due = due
         self._next_attempt = next_attempt
+        self._waiter = waiter
         self._part_by_attempt: dict[int, Part] = {}
         self._batches: dict[int, Batch] = {}
         self._queued: list[_QueuedAttempt] = []
@@ -214,6 +217,8 @@
             if sent.target is None:
                 self._peers.record_ended(sent.relay)
                 continue
+            if self._waiter is not None:
+                self._waiter.record_ended(attempt, now)
             if sent.sent_at == UNSENT:
                 self._placement.record_withdrawn(sent.target, attempt, now)
                 continue
@@ -339,6 +344,8 @@
         self.sent_count += 1
         self._part_by_attempt[attempt] = part
         self._placement.record_sent(placed.target, attempt, now)
+        if self._waiter is not None:
+            self._waiter.record_sent(part.service, attempt, now)
         return SendAttempt(
             attempt=attempt,
             target=placed.target,
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -15,10 +15,12 @@
     NoCapacity,
     NoTarget,
     PlacementResult,
+    Room,
+    ShortageCause,
     TargetRequirements,
 )
 from oriolestage.routing._state_changes import StateChange
-from oriolestage.routing._target_capacity import TargetCapacity
+from oriolestage.routing._target_capacity import TargetCapacity, attempt_limit
 from oriolestage.routing._target_rates import TargetRates
 from oriolestage.routing._targets import KnownTarget, TargetDirectory
 from oriolestage.routing._warm_up import WarmUpBounds
@@ -120,6 +122,22 @@
                 best = ChosenTarget(target, expected_s)
         return best or first or NoTarget()
 
+    def room(self, requirements: TargetRequirements, now: float) -> Room:
+        """Return the room for attempts at the targets of a service."""
+        free = 0
+        total = 0
+        for target in self._candidates(requirements, ()):
+            refused = self._capacity.refuse(
+                target, requirements, self._hosts, now
+            )
+            limit = attempt_limit(target, requirements, self._hosts)
+            if refused is None:
+                free += limit - self.observations.load_of(target).outstanding
+                total += limit
+            elif refused.shortage.cause == ShortageCause.OUTSTANDING:
+                total += limit
+        return Room(free, total)
+
     def unreachable(self, requirements: TargetRequirements, now: float) -> bool:
         """Return whether no target is used because none is reached from here.
 
--- a/oriolestage/routing/_placement_types.py
+++ b/oriolestage/routing/_placement_types.py
@@ -59,7 +59,9 @@
 
     ``REST`` and ``RATE_LIMIT`` are stated by the target, ``BACKOFF`` follows
     from this host's attempts and ``DECLINED`` from the reply of another host.
-    ``OUTSTANDING`` and ``WARM_UP`` are limits on this host's attempts.
+    ``OUTSTANDING`` and ``WARM_UP`` are limits on this host's attempts. With
+    ``LINE``, better requests wait for the service; with ``RESERVED``, the
+    capacity is kept for other routes.
     """
 
     REST = 'rest'
@@ -68,6 +70,8 @@
     RATE_LIMIT = 'rate_limit'
     OUTSTANDING = 'outstanding'
     WARM_UP = 'warm_up'
+    LINE = 'line'
+    RESERVED = 'reserved'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +98,16 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """Attempts that this host may have outstanding at a service."""
+
+    #: Those that it may send now.
+    free: int
+    #: Those that it may have at the targets that it may use now.
+    total: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoTarget:
     """No usable target meets the requirements and is not excluded."""
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 
+from oriolestage.admission._waiting_line import Waiter
 from oriolestage.routing._answers import (
     FIRST_SERVER_ERROR,
     AttemptAnswered,
@@ -22,6 +23,7 @@
 )
 from oriolestage.routing._attempt_policy import AttemptPolicy
 from oriolestage.routing._batch_replies import BatchReplyHandler
+from oriolestage.routing._capacity_waits import CapacityWaits
 from oriolestage.routing._dispatch import AttemptDispatcher
 from oriolestage.routing._due_parts import DueParts
 from oriolestage.routing._merge import GatheredRecords
@@ -54,10 +56,13 @@
         placement: Placement,
         peers: PeerDirectory,
         next_attempt: Callable[[], int],
+        waiter: Waiter | None = None,
     ) -> None:
         """Initialise the run; ``start`` returns the first actions.
 
         ``next_attempt`` returns a new number for each attempt and batch.
+        ``waiter`` stands for the request in the line of the host; None if
+        the host has none.
         """
         self._rule = rule
         self._placement = placement
@@ -96,7 +101,10 @@
             records=self._records,
             due=self._due,
             next_attempt=next_attempt,
+            waiter=waiter,
         )
+        self._waiter = waiter
+        self._waits = CapacityWaits(self._progress, placement, waiter)
         self._policy = AttemptPolicy(
             self._progress,
             placement,
@@ -104,6 +112,7 @@
             self._dispatch,
             self._stragglers,
             self._due,
+            self._waits,
         )
         self._replies = BatchReplyHandler(
             parts=self._parts,
@@ -183,6 +192,7 @@
         if part is None or self._finished:
             return []
         ended = part.remove_attempt(attempt)
+        self._record_ended(attempt, outcome, now)
         target = ended.target
         if target is None:
             return self._on_relayed(part, ended.relay, outcome, now)
@@ -235,6 +245,7 @@
         """
         self._dispatch.cancel_all(now)
         self._finished = True
+        self._leave_line(now)
 
     def summary(self) -> dict[str, object]:
         """Return the log fields that describe what the run did."""
@@ -347,8 +358,21 @@
         ended = now >= self.end_at or self._progress.must_end(now)
         return self._end(now) if ended else []
 
+    def _record_ended(
+        self, attempt: int, outcome: AttemptOutcome, now: float
+    ) -> None:
+        if self._waiter is not None:
+            answered = isinstance(outcome, AttemptAnswered)
+            self._waiter.record_ended(attempt, now, answered=answered)
+
+    def _leave_line(self, now: float) -> None:
+        if self._waiter is not None:
+            self._waiter.close(now)
+
     def _end(self, now: float) -> list[Action]:
         self._finished = True
+        if not self._dispatch.sent_count:
+            self._waits.refuse_waiting(now)
         partial_answer_at = self._progress.partial_answer_at
         if self._progress.has_enough and now >= partial_answer_at:
             self._partial_answer_due_at = max(
@@ -365,4 +389,6 @@
         self._stragglers.report_observations(
             self._placement, self._rule.name, now
         )
-        return [Finish(result), *self._dispatch.cancel_all(now)]
+        cancelled = self._dispatch.cancel_all(now)
+        self._leave_line(now)
+        return [Finish(result), *cancelled]
--- a/oriolestage/routing/_target_capacity.py
+++ b/oriolestage/routing/_target_capacity.py
@@ -78,7 +78,7 @@
         if rate_wait_s:
             age_s = self._rates.limit_age_s(target, now)
             return _retry_after(rate_wait_s, ShortageCause.RATE_LIMIT, age_s)
-        if load.outstanding >= _attempt_limit(target, requirements, hosts):
+        if load.outstanding >= attempt_limit(target, requirements, hosts):
             return _retry_after(FULL_WAIT_S, ShortageCause.OUTSTANDING)
         warm_up_wait_s = self._warm_up_wait_s(target, requirements, hosts, now)
         if warm_up_wait_s:
@@ -131,7 +131,7 @@
         return pacer
 
 
-def _attempt_limit(
+def attempt_limit(
     target: KnownTarget,
     requirements: TargetRequirements,
     hosts: tuple[str, ...],
