--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import dataclasses
+import random
 import signal
 import socket
 import time
 from collections.abc import Callable, Coroutine
 
 from oriolestage._logging import log_event
+from oriolestage.admission._waiting_line import WaitingLine
 from oriolestage.entry._account_checks import AccountChecker
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._control_server import ControlServer
@@ -202,6 +204,7 @@
         settings.budget,
         RequestLog(metrics, lambda: follower.age_s),
         AccountChecker(wire_protocol),
+        _build_waiting_line(metrics),
     )
     metrics.add_gauge('in_flight', lambda: router.in_flight)
     metrics.add_gauge('held_response_bytes', lambda: client.held_bytes)
@@ -279,6 +282,18 @@
     )
 
 
+def _build_waiting_line(metrics: EntryMetrics) -> WaitingLine:
+    line = WaitingLine(random.Random(), _log_change)
+    metrics.add_gauge('waiting_requests', lambda: line.waiting)
+    metrics.add_counts(
+        'waiting_refusals',
+        'Requests that were refused a target, by reason.',
+        'reason',
+        lambda: line.refusals,
+    )
+    return line
+
+
 def _build_registration(
     settings: EntrySettings, store: Store, cluster_state: ClusterState
 ) -> HostRegistration:
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -11,6 +11,8 @@
 import time
 from collections.abc import AsyncGenerator
 
+from oriolestage.admission._waiting_line import Waiter, WaitingLine
+from oriolestage.admission._waiting_ranks import Rank
 from oriolestage.entry._account_checks import AccountChecker, CheckedRequest
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._crash_tracking import AttemptSender
@@ -77,10 +79,15 @@
         budget_bounds: BudgetBounds,
         log: RequestLog,
         account_checker: AccountChecker,
+        waiting_line: WaitingLine | None = None,
     ) -> None:
-        """Create a router without requests in flight."""
+        """Create a router without requests in flight.
+
+        Requests wait in ``waiting_line`` while the configuration has accounts.
+        """
         self._log = log
         self._account_checker = account_checker
+        self._waiting_line = waiting_line
         self._cluster_state = cluster_state
         self._placement = placement
         self._peers = peers
@@ -174,19 +181,28 @@
         rule: RouteRule,
     ) -> RequestResult:
         parts = self._build_parts(rule, table)
+        times = self._run_times(rule, request, len(parts))
+        waiter: Waiter | None = None
+        if self._waiting_line is not None and len(table.accounts):
+            regions = parts[0].requirements.regions
+            rank = _rank_request(request, rule, regions, times)
+            waiter = Waiter(self._waiting_line, rank)
         run = RequestRun(
             rule=rule,
             parts=parts,
-            times=self._run_times(rule, request, len(parts)),
+            times=times,
             placement=self._placement,
             peers=self._peers,
             next_attempt=lambda: next(self._attempt_numbers),
+            waiter=waiter,
         )
         driver = RunDriver(
             run,
             lambda action: self._send(request, rule, action),
             lambda action: self._send_batch(request, rule, action),
         )
+        if waiter is not None:
+            waiter.call_when_woken(driver.wake)
         try:
             with self._runs.track(driver, rule.name, request.arrived_at):
                 result = await driver.drive()
@@ -196,6 +212,8 @@
             raise
         finally:
             driver.cancel_all()
+            if waiter is not None:
+                waiter.close(time.monotonic())
         self._runs.record_result(request, rule.name, result)
         self._record_completion(request, rule, table, driver, result)
         due_at = run.partial_answer_due_at
@@ -224,6 +242,7 @@
             delivery_margin_s=self._delivery_margin.margin_s(
                 parts, rule.objective_s
             ),
+            network_delay_s=request.network_delay_s,
         )
         return times.ended_by_stop(self._runs.ends_at)
 
@@ -384,3 +403,22 @@
         result = Refused(reason, retry_after_s)
         self._log.record_refusal(request, result)
         return result
+
+
+def _rank_request(
+    request: CallerRequest,
+    rule: RouteRule,
+    regions: frozenset[str],
+    times: RunTimes,
+) -> Rank:
+    """Return the place of a request among those that wait for capacity."""
+    account = request.account
+    priority = rule.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    return Rank(
+        priority=priority,
+        account='' if account is None else account.name,
+        objective=times.objective,
+        kind=(rule.name, regions),
+    )
--- a/oriolestage/rollouts/tests/replay.py
+++ b/oriolestage/rollouts/tests/replay.py
@@ -312,5 +312,3 @@
         started_ms=1,
         version=version,
     )
-
-
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 
+from oriolestage.admission._waiting_line import Waiter
 from oriolestage.routing._answers import (
     FIRST_SERVER_ERROR,
     AttemptAnswered,
@@ -22,6 +23,7 @@
 )
 from oriolestage.routing._attempt_policy import AttemptPolicy
 from oriolestage.routing._batch_replies import BatchReplyHandler
+from oriolestage.routing._capacity_waits import CapacityWaits
 from oriolestage.routing._dispatch import AttemptDispatcher
 from oriolestage.routing._due_parts import DueParts
 from oriolestage.routing._merge import GatheredRecords
@@ -54,10 +56,13 @@
         placement: Placement,
         peers: PeerDirectory,
         next_attempt: Callable[[], int],
+        waiter: Waiter | None = None,
     ) -> None:
         """Initialise the run; ``start`` returns the first actions.
 
         ``next_attempt`` returns a new number for each attempt and batch.
+        ``waiter`` stands for the request in the line of the host; None if
+        the host has none.
         """
         self._rule = rule
         self._placement = placement
@@ -74,6 +79,8 @@
         #: Monotonic time since which there are enough answers.
         self._enough_since = float('inf')
         self._partial_answer_due_at: float | None = None
+        #: Monotonic time at which the run ends if no attempt was sent.
+        self._refuse_by = float('inf')
         self._records = GatheredRecords(
             getattr(rule.destination, 'top_records', 0)
         )
@@ -94,7 +101,10 @@
             records=self._records,
             due=self._due,
             next_attempt=next_attempt,
+            waiter=waiter,
         )
+        self._waiter = waiter
+        self._waits = CapacityWaits(self._progress, placement, waiter)
         self._policy = AttemptPolicy(
             self._progress,
             placement,
@@ -102,6 +112,7 @@
             self._dispatch,
             self._stragglers,
             self._due,
+            self._waits,
         )
         self._replies = BatchReplyHandler(
             parts=self._parts,
@@ -126,10 +137,12 @@
     @property
     def end_at(self) -> float:
         """Monotonic time at which the run ends with the answers so far."""
-        deadline = self._progress.times.deadline
+        times = self._progress.times
         if self._progress.has_enough:
-            return min(deadline, self._progress.partial_answer_at)
-        return deadline
+            return min(times.deadline, self._progress.partial_answer_at)
+        if self._dispatch.sent_count:
+            return times.deadline
+        return min(times.deadline, self._refuse_by)
 
     @property
     def partial_answer_due_at(self) -> float | None:
@@ -141,6 +154,9 @@
 
     def start(self, now: float) -> list[Action]:
         """Return the first attempts, or the end if too few can be placed."""
+        refuse_by = self._progress.times.refuse_by
+        if now < refuse_by:
+            self._refuse_by = refuse_by
         for part in self._parts:
             part.request.budget.record_request(now)
         actions, choices = self._dispatch.send_first_batches(now)
@@ -176,6 +192,7 @@
         if part is None or self._finished:
             return []
         ended = part.remove_attempt(attempt)
+        self._record_ended(attempt, outcome, now)
         target = ended.target
         if target is None:
             return self._on_relayed(part, ended.relay, outcome, now)
@@ -228,6 +245,7 @@
         """
         self._dispatch.cancel_all(now)
         self._finished = True
+        self._leave_line(now)
 
     def summary(self) -> dict[str, object]:
         """Return the log fields that describe what the run did."""
@@ -337,10 +355,24 @@
             return []
         if self._progress.has_enough:
             self._enough_since = min(self._enough_since, now)
-        return self._end(now) if self._progress.must_end(now) else []
+        ended = now >= self.end_at or self._progress.must_end(now)
+        return self._end(now) if ended else []
+
+    def _record_ended(
+        self, attempt: int, outcome: AttemptOutcome, now: float
+    ) -> None:
+        if self._waiter is not None:
+            answered = isinstance(outcome, AttemptAnswered)
+            self._waiter.record_ended(attempt, now, answered=answered)
+
+    def _leave_line(self, now: float) -> None:
+        if self._waiter is not None:
+            self._waiter.close(now)
 
     def _end(self, now: float) -> list[Action]:
         self._finished = True
+        if not self._dispatch.sent_count:
+            self._waits.refuse_waiting(now)
         partial_answer_at = self._progress.partial_answer_at
         if self._progress.has_enough and now >= partial_answer_at:
             self._partial_answer_due_at = max(
@@ -357,4 +389,6 @@
         self._stragglers.report_observations(
             self._placement, self._rule.name, now
         )
-        return [Finish(result), *self._dispatch.cancel_all(now)]
+        cancelled = self._dispatch.cancel_all(now)
+        self._leave_line(now)
+        return [Finish(result), *cancelled]
