Accounts: describe a directory by its accounts, without keys

Cause: two tables of one configuration had different descriptions, as the directory had that of an object, so test_decoder_fuzz failed. Change: the description names the accounts and the number of keys. Measured: test_decoder_fuzz fails before and passes after; the new test also finds no key in the description.

--- a/oriolestage/admission/_accounts.py
+++ b/oriolestage/admission/_accounts.py
@@ -49,6 +49,11 @@
         self._accounts: Mapping[str, Account] = accounts
         self._by_digest: Mapping[bytes, Account] = by_digest
 
+    def __repr__(self) -> str:
+        """Return the accounts and the number of keys, but no key."""
+        accounts = list(self._accounts.values())
+        return f'AccountDirectory({accounts!r}, keys={len(self._by_digest)})'
+
     def __len__(self) -> int:
         """Return the number of accounts; without any, keys are not checked."""
         return len(self._accounts)
--- a/oriolestage/platform/tests/test_accounts.py
+++ b/oriolestage/platform/tests/test_accounts.py
@@ -42,6 +42,14 @@
         """Guards against keys that are checked where there are no accounts."""
         self.assertEqual(len(_decode().accounts), 0)
 
+    def test_described_without_keys(self) -> None:
+        """Guards against keys in logs, and equal tables that differ there."""
+        tenant = {'name': 'kiosks', 'apiKeys': ['key-1']}
+        described = [repr(_decode(tenants=[tenant])) for _ in range(2)]
+        self.assertEqual(described[0], described[1])
+        self.assertIn('kiosks', described[0])
+        self.assertNotIn('key-1', described[0])
+
     def test_defaults(self) -> None:
         """An account without limits and priority has none."""
         account = _decode(
