Pacing: pace targets that have started or recovered

Cause: a target that has just started gets load like an idle healthy one, and one that recovers gets its full load after its first response.

Change: TargetPaces holds a pace for each target process that is new to a running host or answers again after back-off. The first requests of the hosts are spread by rendezvous rank, and the replies raise or lower each host's part of the target's rate. Placement applies it after the hard limits and yields it when no sibling has capacity. Off unless the setting is on.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -15,6 +15,7 @@
 from oriolestage.entry._link_checks import check_links
 from oriolestage.entry._listening import listen_on
 from oriolestage.entry._metrics import EntryMetrics
+from oriolestage.entry._pacing_metrics import add_pacing_metrics
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_server import PeerServer
 from oriolestage.entry._planned_stop import PlannedStop
@@ -26,6 +27,7 @@
 from oriolestage.entry._store_follower import StoreFollower
 from oriolestage.entry._supervision import keep_running
 from oriolestage.entry._target_client import TargetClient
+from oriolestage.pacing._target_paces import TargetPaces
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._crash_detector import CrashDetector
 from oriolestage.routing._facts import HostRecord
@@ -153,6 +155,7 @@
         directory,
         settings.warm_up,
         _log_change,
+        _build_paces(settings, metrics),
     )
     peers = PeerDirectory(settings.location)
     crash_detector = CrashDetector(_log_change)
@@ -236,6 +239,17 @@
     )
 
 
+def _build_paces(
+    settings: EntrySettings, metrics: EntryMetrics
+) -> TargetPaces | None:
+    """Return the paces of targets with their metrics, None if not enabled."""
+    if not settings.target_pacing:
+        return None
+    paces = TargetPaces(settings.location.name, _log_change)
+    add_pacing_metrics(metrics, paces)
+    return paces
+
+
 def _build_registration(
     settings: EntrySettings, store: Store, cluster_state: ClusterState
 ) -> HostRegistration:
--- a/oriolestage/routing/_observations.py
+++ b/oriolestage/routing/_observations.py
@@ -6,6 +6,10 @@
 
 from collections.abc import Callable, Collection
 
+from oriolestage.pacing._target_paces import (
+    PACED_BACKOFF_LIMIT_S,
+    TargetPaces,
+)
 from oriolestage.routing._delays import (
     PRIOR_OTHER_REGION_S,
     PRIOR_SAME_DATA_CENTRE_S,
@@ -14,7 +18,7 @@
 )
 from oriolestage.routing._placement_types import HostLocation
 from oriolestage.routing._state_changes import StateChange
-from oriolestage.routing._target_load import TargetLoad
+from oriolestage.routing._target_load import BACKOFF_LIMIT_S, TargetLoad
 from oriolestage.routing._target_reach import TargetReach
 from oriolestage.routing._targets import KnownTarget
 
@@ -32,14 +36,20 @@
         self,
         location: HostLocation,
         on_change: Callable[[StateChange], None],
+        paces: TargetPaces | None = None,
     ) -> None:
         """Start without observations.
 
         ``on_change`` is called with the log event when a target enters
-        back-off or answers again.
+        back-off or answers again. ``paces`` is told what replies say about
+        their targets; None if targets are not paced.
         """
         self._location = location
         self._on_change = on_change
+        self._paces = paces
+        self._backoff_limit_s = (
+            BACKOFF_LIMIT_S if paces is None else PACED_BACKOFF_LIMIT_S
+        )
         self._delays = DelayModel()
         self.reach = TargetReach(on_change)
         self._loads: dict[str, TargetLoad] = {}
@@ -48,7 +58,7 @@
         """Return the load and health of a target's current process."""
         load = self._loads.get(target.process)
         if load is None:
-            load = TargetLoad()
+            load = TargetLoad(self._backoff_limit_s)
             self._loads[target.process] = load
         return load
 
@@ -130,10 +140,14 @@
     ) -> None:
         """Record the work of an answer as a multiple of that of others."""
         self.load_of(target).record_work(work_ratio, now)
+        if self._paces is not None:
+            self._paces.record_ratio(target, work_ratio, now)
 
     def record_work(self, route: str, worked_s: float) -> None:
         """Record the work of one request of a route, in seconds."""
         self._delays.record_work(route, worked_s)
+        if self._paces is not None:
+            self._paces.record_work(route, worked_s)
 
     def record_failure(
         self,
@@ -161,7 +175,9 @@
         sent_at = load.sent_at(attempt, now)
         if now - sent_at >= waited_s:
             self.reach.record_unreached(target.process, sent_at, now)
-        load.record_abandoned(attempt, now, waited_s)
+            if self._paces is not None:
+                self._paces.record_late(target)
+        load.record_abandoned(attempt, now, waited_s, self._spread_s(target))
         self._report_new_backoff(target, earlier_until, 'silent', now)
 
     def record_lost(
@@ -169,6 +185,8 @@
     ) -> None:
         """Record an attempt that ended without a complete answer."""
         self.load_of(target).record_lost(attempt, now)
+        if self._paces is not None:
+            self._paces.record_failed(target)
 
     def record_not_reached(
         self,
@@ -181,7 +199,7 @@
         earlier_until = load.backoff_until
         sent_at = load.sent_at(attempt, now)
         self.reach.record_unreached(target.process, sent_at, now)
-        load.record_not_reached(attempt, now)
+        load.record_not_reached(attempt, now, self._spread_s(target))
         self._report_new_backoff(target, earlier_until, 'not_reached', now)
 
     def _record_response(
@@ -198,6 +216,18 @@
         load.record_answer(attempt, now, failed=failed)
         if was_awaiting_recovery:
             self._report('target_answers_again', target, failed=failed)
+        if self._paces is None:
+            return
+        if was_awaiting_recovery:
+            self._paces.record_recovered(target, now)
+        if failed:
+            self._paces.record_failed(target)
+
+    def _spread_s(self, target: KnownTarget) -> float:
+        """Return by how much this host's part in probing extends back-off."""
+        if self._paces is None:
+            return 0
+        return self._paces.probe_spread_s(target)
 
     def _report_new_backoff(
         self,
@@ -209,6 +239,8 @@
         load = self.load_of(target)
         if load.backoff_until <= earlier_until:
             return
+        if self._paces is not None:
+            self._paces.record_unreached(target, now)
         self._report(
             'target_left_alone',
             target,
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -8,18 +8,18 @@
 
 from collections.abc import Callable, Collection, Iterator, Mapping
 
+from oriolestage.pacing._target_paces import TargetPaces
 from oriolestage.routing._observations import Observations
 from oriolestage.routing._placement_types import (
     ChosenTarget,
     HostLocation,
-    NoCapacity,
-    NoTarget,
     PlacementResult,
     TargetRequirements,
 )
 from oriolestage.routing._state_changes import StateChange
 from oriolestage.routing._target_capacity import TargetCapacity
 from oriolestage.routing._target_rates import TargetRates
+from oriolestage.routing._target_selection import TargetSelector
 from oriolestage.routing._targets import KnownTarget, TargetDirectory
 from oriolestage.routing._warm_up import WarmUpBounds
 
@@ -40,20 +40,24 @@
         directory: TargetDirectory,
         warm_up: WarmUpBounds,
         on_change: Callable[[StateChange], None],
+        paces: TargetPaces | None = None,
     ) -> None:
         """Start without observations; this host is the only one.
 
         ``on_change`` is called with the log event when a target enters
-        back-off or answers again.
+        back-off or answers again. ``paces`` limits the load of targets that
+        have started or recovered; None if it is not limited.
         """
         self.location = location
-        self.observations = Observations(location, on_change)
+        self.observations = Observations(location, on_change, paces)
         self.rates = TargetRates(location, on_change)
         self._directory = directory
         self._on_change = on_change
+        self._paces = paces
         self._capacity = TargetCapacity(
-            location.name, self.observations, self.rates, warm_up
+            location.name, self.observations, self.rates, warm_up, paces
         )
+        self._selector = TargetSelector(self._capacity, self.observations)
         self._hosts: tuple[str, ...] = (location.name,)
 
     @property
@@ -73,6 +77,8 @@
         """
         own = self.location
         self._hosts = tuple(sorted({*regions, own.name}))
+        if self._paces is not None:
+            self._paces.replace_hosts(self._hosts)
         if own.name in regions:
             self._capacity.record_registered(now)
         self.rates.replace_hosts(
@@ -103,22 +109,12 @@
         ``excluded`` holds identities of targets to skip, such as those that
         were tried before.
         """
-        best: ChosenTarget | None = None
-        first: NoCapacity | None = None
-        for target in self._candidates(requirements, excluded):
-            refused = self._capacity.refuse(
-                target, requirements, self._hosts, now
-            )
-            if refused is not None:
-                if first is None or refused.wait_s < first.wait_s:
-                    first = refused
-                continue
-            expected_s = self.observations.expected_s(
-                target, requirements.route, now
-            )
-            if best is None or expected_s < best.expected_s:
-                best = ChosenTarget(target, expected_s)
-        return best or first or NoTarget()
+        return self._selector.select(
+            self._candidates(requirements, excluded),
+            requirements,
+            self._hosts,
+            now,
+        )
 
     def unreachable(self, requirements: TargetRequirements, now: float) -> bool:
         """Return whether no target is used because none is reached from here.
--- a/oriolestage/routing/_placement_types.py
+++ b/oriolestage/routing/_placement_types.py
@@ -59,7 +59,8 @@
 
     ``REST`` and ``RATE_LIMIT`` are stated by the target, ``BACKOFF`` follows
     from this host's attempts and ``DECLINED`` from the reply of another host.
-    ``OUTSTANDING`` and ``WARM_UP`` are limits on this host's attempts.
+    ``OUTSTANDING``, ``WARM_UP`` and ``PACE`` are limits on this host's
+    attempts.
     """
 
     REST = 'rest'
@@ -68,6 +69,7 @@
     RATE_LIMIT = 'rate_limit'
     OUTSTANDING = 'outstanding'
     WARM_UP = 'warm_up'
+    PACE = 'pace'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/oriolestage/routing/_target_capacity.py
+++ b/oriolestage/routing/_target_capacity.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 
+from oriolestage.pacing._target_paces import TargetPaces
 from oriolestage.routing._even_shares import EvenShare
 from oriolestage.routing._observations import Observations
 from oriolestage.routing._placement_types import (
@@ -39,8 +40,14 @@
         observations: Observations,
         rates: TargetRates,
         warm_up: WarmUpBounds,
+        paces: TargetPaces | None = None,
     ) -> None:
-        """Create the limits of ``host``, without attempts."""
+        """Create the limits of ``host``, without attempts.
+
+        ``paces`` limits attempts at targets that have started or recovered;
+        None if they are not paced.
+        """
+        self._paces = paces
         self._host = host
         self._observations = observations
         self._rates = rates
@@ -60,7 +67,7 @@
         A target has no capacity while it rests, in back-off, while another
         host declines attempts at it, at the rate limit that it states, and at
         its limit of attempts, of connections or of requests while it is cold.
-        All ``hosts`` share these limits.
+        All ``hosts`` share these limits. Last, it has none beyond its pace.
         """
         load = self._observations.load_of(target)
         if now < load.rest_until:
@@ -82,7 +89,24 @@
             return _retry_after(FULL_WAIT_S, ShortageCause.OUTSTANDING)
         if not self._warm_up_allows(target, requirements, hosts, now):
             return _retry_after(FULL_WAIT_S, ShortageCause.WARM_UP)
-        return None
+        if self._paces is None:
+            return None
+        pace_wait_s = self._paces.wait_s(target, requirements.route, now)
+        return self._pace_refusal(self._paces, target, pace_wait_s, now)
+
+    def refuse_without_sibling(
+        self, target: KnownTarget, requirements: TargetRequirements, now: float
+    ) -> NoCapacity | None:
+        """Return why a target has no capacity although no sibling has any.
+
+        Call this for a target that :meth:`refuse` refuses for its pace alone.
+        """
+        if self._paces is None:
+            return None
+        pace_wait_s = self._paces.yielded_wait_s(
+            target, requirements.route, now
+        )
+        return self._pace_refusal(self._paces, target, pace_wait_s, now)
 
     def record_registered(self, now: float) -> None:
         """Record that this host is registered, so that others count it."""
@@ -91,19 +115,26 @@
     def record_sent(self, target: KnownTarget, now: float) -> None:
         """Count an attempt that is sent."""
         self._rates.record_sent(target, now)
+        if self._paces is not None:
+            self._paces.record_sent(target)
         if target.cold_until > now:
             self._pacer(target).record_sent(now)
 
     def record_withdrawn(self, target: KnownTarget, now: float) -> None:
         """Give back what an attempt took that is not sent after all."""
         self._rates.record_withdrawn(target, now)
+        if self._paces is not None:
+            self._paces.record_withdrawn(target)
         if target.cold_until > now:
             self._pacer(target).withdraw()
 
     def forget(self, processes: Iterable[str]) -> None:
         """Drop target processes that are gone."""
-        for name in processes:
+        gone = tuple(processes)
+        for name in gone:
             self._pacers.pop(name, None)
+        if self._paces is not None:
+            self._paces.forget(gone)
 
     def _warm_up_allows(
         self,
@@ -119,6 +150,18 @@
         pacer = self._pacer(target)
         return pacer.allows(requirements.warm_up_rate, hosts, now)
 
+    def _pace_refusal(
+        self,
+        paces: TargetPaces,
+        target: KnownTarget,
+        wait_s: float,
+        now: float,
+    ) -> NoCapacity | None:
+        if not wait_s:
+            return None
+        age_s = paces.age_s(target, now)
+        return _retry_after(wait_s, ShortageCause.PACE, age_s)
+
     def _pacer(self, target: KnownTarget) -> WarmUpPacer:
         pacer = self._pacers.get(target.process)
         if pacer is None:
--- a/oriolestage/routing/_target_load.py
+++ b/oriolestage/routing/_target_load.py
@@ -42,8 +42,12 @@
     values of a healthy target.
     """
 
-    def __init__(self) -> None:
-        """Start as a healthy, idle target."""
+    def __init__(self, backoff_limit_s: float = BACKOFF_LIMIT_S) -> None:
+        """Start as a healthy, idle target.
+
+        ``backoff_limit_s`` is the longest back-off, in seconds.
+        """
+        self._backoff_limit_s = backoff_limit_s
         self._outstanding: dict[int, float] = {}
         self._slowness = 1.0
         self._slowness_at = float('-inf')
@@ -193,11 +197,14 @@
         self._rest_until = max(self._rest_until, until)
         self._rest_known_at = now
 
-    def record_abandoned(self, attempt: int, now: float, late_s: float) -> None:
+    def record_abandoned(
+        self, attempt: int, now: float, late_s: float, spread_s: float = 0
+    ) -> None:
         """Record an abandoned attempt.
 
         It counts as unanswered if it was sent at least ``late_s`` ago. After
-        enough of these the target is put into back-off.
+        enough of these the target is put into back-off, which ``spread_s``
+        extends.
         """
         sent_at = self._outstanding.pop(attempt, now)
         if now - sent_at < late_s:
@@ -208,20 +215,27 @@
         self._unanswered += 1
         silent_s = now - self._silent_since
         if self._unanswered >= MIN_UNANSWERED and silent_s >= MIN_SILENCE_S:
-            self._start_backoff(sent_at, now)
+            self._start_backoff(sent_at, now, spread_s)
 
     def record_lost(self, attempt: int, now: float) -> None:
         """Record a broken connection or a damaged answer."""
         self._outstanding.pop(attempt, None)
         self._update_failure_rate(now, failed=True)
 
-    def record_not_reached(self, attempt: int, now: float) -> None:
-        """Record a failed connect; put the target into back-off."""
+    def record_not_reached(
+        self, attempt: int, now: float, spread_s: float = 0
+    ) -> None:
+        """Record a failed connect; put the target into back-off.
+
+        ``spread_s`` extends the back-off, in seconds.
+        """
         sent_at = self._outstanding.pop(attempt, now)
         self._update_failure_rate(now, failed=True)
-        self._start_backoff(sent_at, now)
+        self._start_backoff(sent_at, now, spread_s)
 
-    def _start_backoff(self, sent_at: float, now: float) -> None:
+    def _start_backoff(
+        self, sent_at: float, now: float, spread_s: float
+    ) -> None:
         """Put the target into back-off, twice as long each time.
 
         Ignore attempts that were sent before the last back-off began; their
@@ -230,8 +244,8 @@
         if sent_at <= self._backoff_started_at:
             return
         self._backoff_started_at = now
-        self._backoff_until = now + self._backoff_s
-        self._backoff_s = min(BACKOFF_LIMIT_S, self._backoff_s * 2)
+        self._backoff_until = now + self._backoff_s + spread_s
+        self._backoff_s = min(self._backoff_limit_s, self._backoff_s * 2)
 
     def _update_failure_rate(self, now: float, *, failed: bool) -> None:
         sample = 1.0 if failed else 0
--- a/oriolestage/routing/_targets.py
+++ b/oriolestage/routing/_targets.py
@@ -61,6 +61,9 @@
     #: Monotonic time until which it is not used, since a restored store lists
     #: it although it was removed; None while it may be used.
     held_until: float | None = None
+    #: Monotonic time at which its process became known to this host, which
+    #: ran already, or which learned that it is cold; None for another one.
+    new_at: float | None = None
     #: True once another target has answered at its address.
     replaced: bool = False
     #: True once it has said in a response that it leaves.
@@ -98,6 +101,9 @@
         self._by_service: dict[str, dict[str, KnownTarget]] = {}
         self._closed_data_centres: frozenset[str] = frozenset()
         self._grace_period_end = float('-inf')
+        #: True once a full listing was read; targets that appear afterwards
+        #: are new.
+        self._listed = False
         #: Targets that were removed of late, by process.
         self._removed: dict[str, _RemovedTarget] = {}
 
@@ -152,6 +158,8 @@
         removed = self._removed.pop(record.process, None)
         if removed is None:
             added = KnownTarget(record, now + record.warm_up_left_s)
+            if self._listed or record.warm_up_left_s > 0:
+                added.new_at = now
         else:
             # Attempts that were sent before its removal refer to it.
             added = removed.target
@@ -208,6 +216,7 @@
 
         Return their identities.
         """
+        self._listed = True
         missing = [name for name in self._targets if name not in listed]
         for identity in missing:
             self.remove(identity, now)
