--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -8,12 +8,11 @@
 
 from collections.abc import Callable, Collection, Iterable, Mapping
 
+from oriolestage.pacing._target_paces import TargetPaces
 from oriolestage.routing._observations import Observations
 from oriolestage.routing._placement_types import (
     ChosenTarget,
     HostLocation,
-    NoCapacity,
-    NoTarget,
     PlacementResult,
     Room,
     ShortageCause,
@@ -22,6 +21,7 @@
 from oriolestage.routing._state_changes import StateChange
 from oriolestage.routing._target_capacity import TargetCapacity, attempt_limit
 from oriolestage.routing._target_rates import TargetRates
+from oriolestage.routing._target_selection import TargetSelector
 from oriolestage.routing._targets import KnownTarget, TargetDirectory
 from oriolestage.routing._version_rules import (
     LAST_EXPOSED,
@@ -50,22 +50,26 @@
         warm_up: WarmUpBounds,
         on_change: Callable[[StateChange], None],
         versions: VersionRules | None = None,
+        paces: TargetPaces | None = None,
     ) -> None:
         """Start without observations; this host is the only one.
 
         ``on_change`` is called with the log event when a target enters
         back-off or answers again. ``versions`` says which versions of targets
-        may be used; without it all may.
+        may be used; without it all may. ``paces`` limits the load of targets
+        that have started or recovered; None if it is not limited.
         """
         self.location = location
         self._versions: VersionRules = versions or AllVersions()
-        self.observations = Observations(location, on_change)
+        self.observations = Observations(location, on_change, paces)
         self.rates = TargetRates(location, on_change)
         self._directory = directory
         self._on_change = on_change
+        self._paces = paces
         self._capacity = TargetCapacity(
-            location.name, self.observations, self.rates, warm_up
+            location.name, self.observations, self.rates, warm_up, paces
         )
+        self._selector = TargetSelector(self._capacity, self.observations)
         self._hosts: tuple[str, ...] = (location.name,)
 
     @property
@@ -85,6 +89,8 @@
         """
         own = self.location
         self._hosts = tuple(sorted({*regions, own.name}))
+        if self._paces is not None:
+            self._paces.replace_hosts(self._hosts)
         if own.name in regions:
             self._capacity.record_registered(now)
         self.rates.replace_hosts(
@@ -347,22 +353,7 @@
         now: float,
     ) -> PlacementResult:
         """Choose among targets that meet the requirements."""
-        best: ChosenTarget | None = None
-        first: NoCapacity | None = None
-        for target in targets:
-            refused = self._capacity.refuse(
-                target, requirements, self._hosts, now
-            )
-            if refused is not None:
-                if first is None or refused.wait_s < first.wait_s:
-                    first = refused
-                continue
-            expected_s = self.observations.expected_s(
-                target, requirements.route, now
-            )
-            if best is None or expected_s < best.expected_s:
-                best = ChosenTarget(target, expected_s)
-        return best or first or NoTarget()
+        return self._selector.select(targets, requirements, self._hosts, now)
 
     def _stays(self, placed: PlacementResult) -> bool:
         """Return whether an attempt stays in the region of this host."""
--- a/oriolestage/routing/_placement_types.py
+++ b/oriolestage/routing/_placement_types.py
@@ -59,9 +59,9 @@
 
     ``REST`` and ``RATE_LIMIT`` are stated by the target, ``BACKOFF`` follows
     from this host's attempts and ``DECLINED`` from the reply of another host.
-    ``OUTSTANDING`` and ``WARM_UP`` are limits on this host's attempts. With
-    ``LINE``, better requests wait for the service; with ``RESERVED``, the
-    capacity is kept for other routes.
+    ``OUTSTANDING``, ``WARM_UP`` and ``PACE`` are limits on this host's
+    attempts. With ``LINE``, better requests wait for the service; with
+    ``RESERVED``, the capacity is kept for other routes.
     """
 
     REST = 'rest'
@@ -72,6 +72,7 @@
     WARM_UP = 'warm_up'
     LINE = 'line'
     RESERVED = 'reserved'
+    PACE = 'pace'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
