Roll-outs: judge the ramp by itself, and shorten it at high rates

Cause: a version that fails under load only was completed at 40 and more requests a second, since the exposure budget never allowed all requests until the end; good responses from before the ramp hid the bad ones. Change: the responses of the ramp are judged by themselves too; where the budget does not last until the end, all requests go to the new version for a short time; the end waits until each route has shown enough responses.

--- a/oriolestage/platform/_rollout_documents.py
+++ b/oriolestage/platform/_rollout_documents.py
@@ -4,6 +4,7 @@
 fields are ignored.
 """
 
+import math
 from collections import Counter
 from collections.abc import Mapping
 from typing import Annotated
@@ -59,6 +60,8 @@
     phase: RolloutPhase = RolloutPhase.ENDED
     share: _Share = 0
     phase_since_s: _Seconds = 0
+    # None if the full share lasts until the end.
+    full_until_s: _Seconds | None = None
     elapsed_s: _Seconds = 0
     reason: str = ''
     requests: _Count = 0
@@ -83,6 +86,7 @@
     exposed: _Count
     old: dict[str, _Counts]
     new: dict[str, _Counts]
+    ramp: dict[str, _Counts] = {}
 
 
 def decode_rollout_item(key: str, content: bytes, revision: int) -> StoredFact:
@@ -103,9 +107,10 @@
         service = key.removeprefix(_names.ROLLOUT_STATUS_PREFIX)
         status = msgspec.json.decode(content, type=_Status)
         _check_service(status.service, service)
-        return StatusStored(
-            RolloutStatus(**msgspec.structs.asdict(status), revision=revision)
-        )
+        fields = msgspec.structs.asdict(status)
+        if status.full_until_s is None:
+            fields['full_until_s'] = math.inf
+        return StatusStored(RolloutStatus(**fields, revision=revision))
     return EvidenceStored(_decode_evidence(key, content))
 
 
@@ -143,6 +148,11 @@
             phase=status.phase,
             share=status.share,
             phase_since_s=status.phase_since_s,
+            full_until_s=(
+                status.full_until_s
+                if math.isfinite(status.full_until_s)
+                else None
+            ),
             elapsed_s=status.elapsed_s,
             reason=status.reason,
             requests=status.requests,
@@ -165,6 +175,7 @@
             exposed=evidence.exposed,
             old=_encode_counts(evidence.old),
             new=_encode_counts(evidence.new),
+            ramp=_encode_counts(evidence.ramp),
         )
     )
 
@@ -185,6 +196,7 @@
         exposed=entry.exposed,
         old=_decode_counts(entry.old),
         new=_decode_counts(entry.new),
+        ramp=_decode_counts(entry.ramp),
     )
 
 
--- a/oriolestage/rollouts/_book.py
+++ b/oriolestage/rollouts/_book.py
@@ -13,6 +13,7 @@
 from oriolestage.rollouts._orders import (
     HostEvidence,
     RolloutOrder,
+    RolloutPhase,
     RolloutState,
     RolloutStatus,
 )
@@ -246,7 +247,11 @@
         self, status: RolloutStatus, now: float
     ) -> list[StateChange]:
         rollout = self._rollout(status.service)
-        if not rollout.apply_status(status, now):
+        new = rollout.apply_status(status, now)
+        current = rollout.stored_status
+        if current is not None and current.phase == RolloutPhase.RAMP:
+            self.own.start_ramp(status.service)
+        if not new:
             return []
         event = 'rollout_phase'
         if status.state != RolloutState.ACTIVE:
--- a/oriolestage/rollouts/_counts.py
+++ b/oriolestage/rollouts/_counts.py
@@ -8,7 +8,7 @@
 import dataclasses
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 #: Lower end of the histogram, in seconds; shorter times count as this.
 SHORTEST_S = 0.002
@@ -89,9 +89,6 @@
         totals[route].subtract(removed)
 
 
-def sum_counts(parts: Iterable[RouteCounts]) -> RouteCounts:
-    """Return the sum of some counts."""
-    total = RouteCounts()
-    for part in parts:
-        total.add(part)
-    return total
+def copy_by_route(counts: Mapping[str, RouteCounts]) -> dict[str, RouteCounts]:
+    """Return independent counts by route with the same values."""
+    return {route: known.copy() for route, known in counts.items()}
--- a/oriolestage/rollouts/_decisions.py
+++ b/oriolestage/rollouts/_decisions.py
@@ -157,8 +157,10 @@
             rollout.begin_trial(now)
         elapsed_s = rollout.elapsed_s(now)
         since_s = elapsed_s
+        full_until_s = elapsed_s + step.full_s
         if base is not None and base.phase == step.phase:
             since_s = base.phase_since_s
+            full_until_s = base.full_until_s
         known, rejected = _versions_after(rollout, order.target_version, step)
         return RolloutStatus(
             service=rollout.service,
@@ -168,6 +170,7 @@
             phase=step.phase,
             share=step.share,
             phase_since_s=since_s,
+            full_until_s=full_until_s,
             elapsed_s=elapsed_s,
             reason=step.reason,
             requests=evidence.requests,
--- a/oriolestage/rollouts/_evidence.py
+++ b/oriolestage/rollouts/_evidence.py
@@ -1,7 +1,12 @@
 """Counts the responses that this host gets, by service, version and route."""
 
 import dataclasses
-from oriolestage.rollouts._counts import RouteCounts, add_by_route, bucket_of
+from oriolestage.rollouts._counts import (
+    RouteCounts,
+    add_by_route,
+    bucket_of,
+    copy_by_route,
+)
 from oriolestage.rollouts._orders import HostEvidence, RolloutOrder
 
 #: Time after which older responses of the old version are forgotten while
@@ -69,6 +74,9 @@
     order: RolloutOrder
     old: _ByRoute
     new: _ByRoute = dataclasses.field(default_factory=dict)
+    ramp: _ByRoute = dataclasses.field(default_factory=dict)
+    #: True from the time at which this host learned of the ramp.
+    ramping: bool = False
     requests: int = 0
     exposed: int = 0
     changed: bool = True
@@ -95,6 +103,12 @@
             old = window.totals()
         self._counts[order.service] = _OrderCounts(order, old)
 
+    def start_ramp(self, service: str) -> None:
+        """Count the responses of the new version as those of its ramp."""
+        counts = self._counts.get(service)
+        if counts is not None:
+            counts.ramping = True
+
     def stop(self, service: str) -> None:
         """Forget the counts of an order that was removed."""
         self._counts.pop(service, None)
@@ -116,6 +130,8 @@
             counts.changed = True
             if ended.version == counts.order.target_version:
                 ended.count(counts.new)
+                if counts.ramping:
+                    ended.count(counts.ramp)
                 return
             ended.count(counts.old)
         window = self._windows.get(ended.service)
@@ -138,8 +154,9 @@
             elapsed_s=elapsed_s,
             requests=counts.requests,
             exposed=counts.exposed,
-            old={route: known.copy() for route, known in counts.old.items()},
-            new={route: known.copy() for route, known in counts.new.items()},
+            old=copy_by_route(counts.old),
+            new=copy_by_route(counts.new),
+            ramp=copy_by_route(counts.ramp),
         )
         return counts.taken
 
--- a/oriolestage/rollouts/_fleet_evidence.py
+++ b/oriolestage/rollouts/_fleet_evidence.py
@@ -27,13 +27,14 @@
         self._reports: dict[str, HostEvidence] = {}
         self._old: dict[str, RouteCounts] = {}
         self._new: dict[str, RouteCounts] = {}
+        self._ramp: dict[str, RouteCounts] = {}
         self._verdict: Verdict | None = None
 
     @property
     def verdict(self) -> Verdict:
         """What the counters say about the new version."""
         if self._verdict is None:
-            self._verdict = judge(self._old, self._new)
+            self._verdict = judge(self._old, self._new, self._ramp)
         return self._verdict
 
     def rate(self, elapsed_s: float) -> float:
@@ -53,9 +54,11 @@
             self.exposed -= known.exposed
             subtract_by_route(self._old, known.old)
             subtract_by_route(self._new, known.new)
+            subtract_by_route(self._ramp, known.ramp)
         self._reports[report.process] = report
         self.requests += report.requests
         self.exposed += report.exposed
         add_by_route(self._old, report.old)
         add_by_route(self._new, report.new)
+        add_by_route(self._ramp, report.ramp)
         self._verdict = None
--- a/oriolestage/rollouts/_orders.py
+++ b/oriolestage/rollouts/_orders.py
@@ -59,6 +59,9 @@
     share: float = 0
     #: Time between the order and the start of the phase, in seconds.
     phase_since_s: float = 0
+    #: Time between the order and the end of a ramp at the full share, in
+    #: seconds; infinite if it lasts until the end.
+    full_until_s: float = float('inf')
     #: Time between the order and the latest write, in seconds.
     elapsed_s: float = 0
     #: Why the state was entered.
@@ -97,6 +100,8 @@
     old: Mapping[str, RouteCounts]
     #: Responses of the new version by route.
     new: Mapping[str, RouteCounts]
+    #: Those of them that came during the ramp.
+    ramp: Mapping[str, RouteCounts]
 
     @property
     def new_volume(self) -> tuple[int, int]:
--- a/oriolestage/rollouts/_schedule.py
+++ b/oriolestage/rollouts/_schedule.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from oriolestage.rollouts._bounds import RolloutBounds
 from oriolestage.rollouts._orders import (
@@ -35,10 +36,14 @@
 MIN_RAMP_S = 2.5
 #: Mean time after which hosts follow a change of the share, in seconds.
 FOLLOWED_S = 0.5
-#: A share of the ramp from which it is rounded up to 1.
-FULL_SHARE = 0.85
-#: Responses below which a single bad one delays the end.
-FEW_RESPONSES = 30
+#: Part of a ramp until the end that has to fit in the budget. If less fits,
+#: the full share lasts for a shorter time.
+FULL_PART = 0.85
+#: Time within which all hosts learn of a change, in seconds.
+LEARNED_S = 1.3
+#: Time before the end from which a target of the new version may stand in for
+#: the old ones if these have stopped, in seconds.
+SPARE_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +71,8 @@
     phase: RolloutPhase
     share: float
     reason: str
+    #: Time for which the share is full, in seconds.
+    full_s: float = math.inf
 
 
 class Schedule:
@@ -116,6 +123,19 @@
         planned_s = order.duration_s * PLANNED_END_SHARE
         return min(latest_s, max(planned_s, status.phase_since_s + MIN_RAMP_S))
 
+    def share(self, status: RolloutStatus, elapsed_s: float) -> float:
+        """Return the share of first attempts that a status allows."""
+        if elapsed_s > status.full_until_s:
+            return min(status.share, self._bounds.canary_share)
+        return status.share
+
+    def ends_soon(
+        self, order: RolloutOrder, status: RolloutStatus, elapsed_s: float
+    ) -> bool:
+        """Return whether the ramp may have ended for other hosts."""
+        end_s = self.end_s(order, status)
+        return status.phase == RolloutPhase.RAMP and elapsed_s > end_s - SPARE_S
+
     def exhausted(self, requests: int, exposed: int) -> bool:
         """Return whether the new version may get nothing more for now."""
         bounds = self._bounds
@@ -134,16 +154,14 @@
             return None
         end_s = max(planned_s, known.elapsed_s + MIN_RAMP_S)
         expected = known.rate * (end_s - known.elapsed_s - FOLLOWED_S)
-        share = (
-            self._budget_left(order, known) * BUDGET_SHARE / max(1, expected)
-        )
-        if share >= 1:
-            return _ramp_to(1, 'fits')
+        usable = self._budget_left(order, known) * BUDGET_SHARE
+        if usable >= expected:
+            return _ramp_for(math.inf)
         if known.elapsed_s < planned_s - MIN_RAMP_S:
             return None
-        if share >= FULL_SHARE:
-            return _ramp_to(1, 'fits')
-        return _ramp_to(max(share, self._bounds.canary_share), 'in_part')
+        if usable >= FULL_PART * expected:
+            return _ramp_for(math.inf)
+        return _ramp_for(_burst_s(usable / known.rate))
 
     def _budget_left(self, order: RolloutOrder, known: Situation) -> float:
         """Return how many more requests a bad version might get."""
@@ -155,14 +173,13 @@
     def _end(self, order: RolloutOrder, known: Situation) -> Step | None:
         """Return the end of a roll-out whose time has come.
 
-        Wait longer if one bad response among few may be the first of many.
+        Wait longer if a few more responses may show whether it is good.
         """
         verdict = known.verdict
+        if not verdict.convincing and known.elapsed_s < _latest_end_s(order):
+            return None
         if verdict.doubtful_because:
             return _roll_back(f'doubtful:{verdict.doubtful_because}')
-        few = verdict.bad > 0 and verdict.responses < FEW_RESPONSES
-        if few and known.elapsed_s < _latest_end_s(order):
-            return None
         return Step(
             RolloutState.COMPLETED,
             RolloutPhase.ENDED,
@@ -171,8 +188,24 @@
         )
 
 
-def _ramp_to(share: float, reason: str) -> Step:
-    return Step(RolloutState.ACTIVE, RolloutPhase.RAMP, share, reason)
+def _ramp_for(full_s: float) -> Step:
+    return Step(
+        RolloutState.ACTIVE,
+        RolloutPhase.RAMP,
+        1,
+        'fits' if math.isinf(full_s) else 'burst',
+        full_s,
+    )
+
+
+def _burst_s(host_s: float) -> float:
+    """Return the time of a ramp that lasts ``host_s`` at the average host.
+
+    Hosts learn of it up to `LEARNED_S` late and all end it together.
+    """
+    if host_s >= LEARNED_S / 2:
+        return host_s + LEARNED_S / 2
+    return math.sqrt(2 * LEARNED_S * host_s)
 
 
 def _roll_back(reason: str) -> Step:
--- a/oriolestage/rollouts/_service_rollout.py
+++ b/oriolestage/rollouts/_service_rollout.py
@@ -172,11 +172,13 @@
 
     def split(self, now: float, copy_age_s: float) -> VersionSplit:
         """Return how attempts are divided among the versions."""
+        share = self.share(now, copy_age_s)
         return VersionSplit(
             known=frozenset(self.known),
             rejected=frozenset(self.rejected),
             trial=self.trial,
-            share=self.share(now, copy_age_s) if self.active else 0,
+            share=share,
+            spare=share > 0 and self._ends_soon(now),
         )
 
     def share(self, now: float, copy_age_s: float) -> float:
@@ -200,7 +202,7 @@
         evidence = self.evidence
         if self._schedule.exhausted(evidence.requests, evidence.exposed):
             return 0
-        return status.share
+        return self._schedule.share(status, elapsed_s)
 
     def describe(self, event: str, **fields: object) -> StateChange:
         """Return a change to log about the order."""
@@ -210,6 +212,12 @@
             named['order'] = self.order.revision
         return StateChange(event, tuple({**named, **fields}.items()))
 
+    def _ends_soon(self, now: float) -> bool:
+        status = self.stored_status
+        if status is None or self.order is None:
+            return False
+        return self._schedule.ends_soon(self.order, status, self.elapsed_s(now))
+
     def _apply_other(self, status: RolloutStatus) -> None:
         """Learn the versions from the status of an earlier order."""
         if status.known_versions:
--- a/oriolestage/rollouts/tests/replay.py
+++ b/oriolestage/rollouts/tests/replay.py
@@ -14,7 +14,6 @@
 from oriolestage.rollouts._decisions import DeciderInputs, RolloutDecider
 from oriolestage.rollouts._evidence import AttemptEnd, OwnEvidence
 from oriolestage.rollouts._orders import (
-    HostEvidence,
     RolloutOrder,
     RolloutState,
     RolloutStatus,
@@ -130,7 +129,7 @@
         """Create a host that has read the registrations."""
         self.name = name
         self.draws = random.Random(f'{seed}-{name}')
-        self.now = 0.0
+        self.now: float = 0
         schedule = Schedule(BOUNDS)
         self.book = RolloutBook(
             schedule,
@@ -145,7 +144,7 @@
         )
         self.ended = False
         self._position = 0
-        self._read_at = 0.0
+        self._read_at: float = 0
         self._ready_at = self.draws.uniform(0, WATCH_S)
         self._report_at = self.draws.uniform(0, REPORT_INTERVAL_S)
 
@@ -173,7 +172,8 @@
         written = False
         for status in self.decider.due_statuses(self.now):
             done = store.write_status(status)
-            self.decider.record_write(SERVICE, self.now + (3 if done else 0.5))
+            quiet_s = 3 if done else 0.5
+            self.decider.record_write(SERVICE, self.now + quiet_s)
             written = written or done
         if self.now >= self._report_at:
             self._report_at = self.now + REPORT_INTERVAL_S
@@ -312,5 +312,3 @@
         started_ms=1,
         version=version,
     )
-
-
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -128,6 +128,8 @@
         if split is None:
             return self._choose_among(requirements, targets, now)
         usual = self._choose_among(requirements, split.settled(targets), now)
+        if split.spare and not isinstance(usual, ChosenTarget):
+            draw = 0
         if not split.exposes(draw):
             return usual
         on_trial = split.on_trial(targets)
--- a/oriolestage/routing/_version_rules.py
+++ b/oriolestage/routing/_version_rules.py
@@ -24,6 +24,8 @@
     trial: str = ''
     #: Share of the first attempts that go to the version on trial.
     share: float = 0
+    #: Whether the version on trial may be used if no other target is usable.
+    spare: bool = False
 
     def exposes(self, draw: float) -> bool:
         """Return whether an attempt with this draw goes to the trial."""
