--- a/oriolestage/entry/_rollout_controller.py
+++ b/oriolestage/entry/_rollout_controller.py
@@ -16,7 +16,7 @@
 from oriolestage.rollouts._orders import RolloutStatus
 
 #: Interval at which decisions are made, in seconds.
-DECISION_INTERVAL_S = 0.1
+DECISION_INTERVAL_S = 0.2
 #: Interval at which counters are written, in seconds, and how many at once.
 REPORT_INTERVAL_S = 0.5
 REPORTS_LIMIT = 32
--- a/oriolestage/rollouts/_book.py
+++ b/oriolestage/rollouts/_book.py
@@ -67,13 +67,11 @@
     @property
     def counts(self) -> Counter[str]:
         """Number of roll-outs by state."""
-        return Counter(status.state.value for status in self.statuses())
-
-    def statuses(self) -> Iterator[RolloutStatus]:
-        """Yield the status of each order that has one."""
-        for rollout in self._services.values():
-            if rollout.status is not None:
-                yield rollout.status
+        return Counter(
+            rollout.status.state.value
+            for rollout in self._services.values()
+            if rollout.status is not None
+        )
 
     def shares(self, now: float) -> dict[str, float]:
         """Return the share of each active roll-out by its service."""
@@ -119,52 +117,15 @@
 
         The versions that are there before any order are known.
         """
-        return self._learn(record, first=not self._read)
-
-    def _learn(self, record: TargetRecord, *, first: bool) -> list[StateChange]:
         rollout = self._rollout(record.service)
-        version = record.version
-        target = rollout.order.target_version if rollout.order else None
-        if version in rollout.known or version == target:
-            return []
-        if first or not rollout.known:
-            if version not in rollout.rejected:
-                rollout.known.add(version)
-            return []
-        if version in rollout.logged_unknown:
-            return []
-        rollout.logged_unknown.add(version)
-        return [
-            StateChange(
-                'target_version_unknown',
-                (
-                    ('service', record.service),
-                    ('version', version),
-                    ('target', record.identity),
-                    ('known', ','.join(sorted(rollout.known))),
-                ),
-            ),
-        ]
+        return rollout.learn_version(record, first=not self._read)
 
     def replace_all(
         self, facts: Iterable[StoredFact], now: float
     ) -> list[StateChange]:
         """Replace orders and statuses by those of a full read."""
         listed = tuple(facts)
-        changes: list[StateChange] = []
-        orders = [fact for fact in listed if isinstance(fact, OrderStored)]
-        statuses = [fact for fact in listed if isinstance(fact, StatusStored)]
-        ordered = {fact.order.service for fact in orders}
-        stated = {fact.status.service for fact in statuses}
-        for service, rollout in self._services.items():
-            if service not in stated:
-                rollout.stored = None
-            if service in ordered or rollout.order is None:
-                continue
-            if now < self._restored_until:
-                rollout.unconfirmed = True
-            else:
-                changes.extend(self._remove(rollout))
+        changes = self._drop_unlisted(listed, now)
         for kind in (OrderStored, StatusStored, EvidenceStored):
             for fact in listed:
                 if isinstance(fact, kind):
@@ -289,6 +250,30 @@
                 changes.extend(self._remove(rollout))
         return changes
 
+    def _drop_unlisted(
+        self, listed: Iterable[StoredFact], now: float
+    ) -> list[StateChange]:
+        """Forget orders and statuses that a full read does not list."""
+        ordered: set[str] = set()
+        stated: set[str] = set()
+        for fact in listed:
+            match fact:
+                case OrderStored(order=order):
+                    ordered.add(order.service)
+                case StatusStored(status=status):
+                    stated.add(status.service)
+        changes: list[StateChange] = []
+        for service, rollout in self._services.items():
+            if service not in stated:
+                rollout.stored = None
+            if service in ordered or rollout.order is None:
+                continue
+            if now < self._restored_until:
+                rollout.unconfirmed = True
+            else:
+                changes.extend(self._remove(rollout))
+        return changes
+
     def _learn_listed(self, listed: Iterable[StoredFact]) -> list[StateChange]:
         """Record the versions of the listed targets.
 
@@ -305,7 +290,8 @@
             if not isinstance(fact, TargetStored):
                 continue
             learns = first and fact.record.service not in settled
-            changes.extend(self._learn(fact.record, first=learns))
+            rollout = self._rollout(fact.record.service)
+            changes.extend(rollout.learn_version(fact.record, first=learns))
         self._read = True
         return changes
 
--- a/oriolestage/rollouts/_schedule.py
+++ b/oriolestage/rollouts/_schedule.py
@@ -26,8 +26,9 @@
 #: Part of the remaining exposure budget that the ramp may use.
 BUDGET_SHARE = 0.6
 #: Part of the exposure budget from which a host sends nothing more to the new
-#: version. Reports of other hosts are a second old.
+#: version, and the age of the requests that are not reported yet, in seconds.
 EXPOSED_SHARE = 0.85
+UNREPORTED_S = 0.6
 #: Time after the order from which the rate of requests counts as known, in
 #: seconds: by then all hosts have reported once.
 RATE_KNOWN_S = 3.0
@@ -136,11 +137,17 @@
         end_s = self.end_s(order, status)
         return status.phase == RolloutPhase.RAMP and elapsed_s > end_s - SPARE_S
 
-    def exhausted(self, requests: int, exposed: int) -> bool:
-        """Return whether the new version may get nothing more for now."""
+    def exhausted(
+        self, requests: int, exposed: int, unreported_rate: float
+    ) -> bool:
+        """Return whether the new version may get nothing more for now.
+
+        It gets ``unreported_rate`` requests per second at present.
+        """
         bounds = self._bounds
         budget = bounds.canary_share * requests + bounds.canary_slack
-        return exposed >= EXPOSED_SHARE * budget
+        unreported = unreported_rate * UNREPORTED_S
+        return exposed >= min(EXPOSED_SHARE * budget, budget - unreported)
 
     def _ramp(self, order: RolloutOrder, known: Situation) -> Step | None:
         """Return the start of the ramp, if its requests fit in the budget."""
--- a/oriolestage/rollouts/_service_rollout.py
+++ b/oriolestage/rollouts/_service_rollout.py
@@ -1,6 +1,7 @@
 """State of the versions of one service and of its roll-out."""
 
 import dataclasses
+import math
 
 from oriolestage.rollouts._fleet_evidence import FleetEvidence
 from oriolestage.rollouts._orders import (
@@ -12,6 +13,7 @@
 )
 from oriolestage.rollouts._schedule import Schedule, Step
 from oriolestage.routing._state_changes import StateChange
+from oriolestage.routing._targets import TargetRecord
 from oriolestage.routing._version_rules import VersionSplit
 
 #: Age of the copy of the store from which nothing is sent to a version on
@@ -60,13 +62,14 @@
         self.reported_at = float('-inf')
         #: True while a full read of a restored store lacks the order.
         self.unconfirmed = False
-        #: Versions whose use without an order was logged.
-        self.logged_unknown: set[str] = set()
         self.known: set[str] = set()
         self.rejected: set[str] = set()
         self._schedule = schedule
+        self._settled = VersionSplit(frozenset())
         #: Revisions of the store's item under which the order was read.
         self._revisions: set[int] = set()
+        #: Versions that were logged as unknown.
+        self._logged_unknown: set[str] = set()
         #: Monotonic time of the order, as far as it is known.
         self._started_at: float = 0
         #: Time by which it may have been earlier, in seconds.
@@ -126,6 +129,33 @@
         self.unconfirmed = False
         self._revisions.add(order.revision)
 
+    def learn_version(
+        self, record: TargetRecord, *, first: bool
+    ) -> list[StateChange]:
+        """Record the version of a target; return what to log.
+
+        It is known if it is of the ``first`` read of the store, or if no
+        version is.
+        """
+        version = record.version
+        target = self.order.target_version if self.order else None
+        if version in self.known or version == target:
+            return []
+        if first or not self.known:
+            if version not in self.rejected:
+                self.known.add(version)
+            return []
+        if version in self._logged_unknown:
+            return []
+        self._logged_unknown.add(version)
+        named = {
+            'service': self.service,
+            'version': version,
+            'target': record.identity,
+            'known': ','.join(sorted(self.known)),
+        }
+        return [StateChange('target_version_unknown', tuple(named.items()))]
+
     def remove_order(self) -> None:
         """Forget the order; its version is no longer allowed by it."""
         self.order = None
@@ -172,6 +202,8 @@
 
     def split(self, now: float, copy_age_s: float) -> VersionSplit:
         """Return how attempts are divided among the versions."""
+        if not self.active:
+            return self._settled_split()
         share = self.share(now, copy_age_s)
         return VersionSplit(
             known=frozenset(self.known),
@@ -200,9 +232,15 @@
         if ended and copy_age_s > MAX_COPY_AGE_AT_END_S:
             return 0
         evidence = self.evidence
-        if self._schedule.exhausted(evidence.requests, evidence.exposed):
-            return 0
-        return self._schedule.share(status, elapsed_s)
+        share = self._schedule.share(status, elapsed_s)
+        unreported_rate: float = 0
+        if math.isinf(status.full_until_s):
+            # A ramp of a limited time is bounded by that.
+            unreported_rate = share * evidence.rate(elapsed_s)
+        exhausted = self._schedule.exhausted(
+            evidence.requests, evidence.exposed, unreported_rate
+        )
+        return 0 if exhausted else share
 
     def describe(self, event: str, **fields: object) -> StateChange:
         """Return a change to log about the order."""
@@ -212,6 +250,16 @@
             named['order'] = self.order.revision
         return StateChange(event, tuple({**named, **fields}.items()))
 
+    def _settled_split(self) -> VersionSplit:
+        """Return the versions to use while none is on trial."""
+        split = self._settled
+        if split.known != self.known or split.rejected != self.rejected:
+            split = VersionSplit(
+                frozenset(self.known), frozenset(self.rejected)
+            )
+            self._settled = split
+        return split
+
     def _ends_soon(self, now: float) -> bool:
         status = self.stored_status
         if status is None or self.order is None:
@@ -222,8 +270,12 @@
         """Learn the versions from the status of an earlier order."""
         if status.known_versions:
             self.known = set(status.known_versions)
-        if self.order is not None and self.known != {self.order.target_version}:
-            self.known.discard(self.order.target_version)
+        if self.order is None:
+            return
+        target = self.order.target_version
+        self.rejected.discard(target)
+        if self.known != {target}:
+            self.known.discard(target)
 
     def _end(self, status: RolloutStatus) -> None:
         """Remember the end of the order; a completed one stays completed."""
