Quotas: share the limit of an account over all hosts

Cause: the limits of accounts (ratePerS, burst) were decoded and not applied.

Change: requests of accounts with a limit need a token before they run; over the limit they get 429 with the time of the next token. Tokens of requests that end without having run go back. A host owns accounts only while its own lease has certainly not ended, or while no host reaches the store. Metrics: quota_events by event, quota_links.

--- a/oriolestage/admission/_accounts.py
+++ b/oriolestage/admission/_accounts.py
@@ -48,11 +48,19 @@
                 by_digest.setdefault(_digest(key), account)
         self._accounts: Mapping[str, Account] = accounts
         self._by_digest: Mapping[bytes, Account] = by_digest
+        self._limited = tuple(
+            account for account in accounts.values() if account.rate > 0
+        )
 
     def __len__(self) -> int:
         """Return the number of accounts; without any, keys are not checked."""
         return len(self._accounts)
 
+    @property
+    def limited(self) -> tuple[Account, ...]:
+        """The accounts that have a quota."""
+        return self._limited
+
     def find(self, key: str) -> Account | None:
         """Return the account that holds a key, None if none does."""
         return self._by_digest.get(_digest(key))
--- a/oriolestage/admission/_quota_books.py
+++ b/oriolestage/admission/_quota_books.py
@@ -8,6 +8,7 @@
     UsageReport,
     debt_of,
 )
+from oriolestage.admission._quota_plan import LONGEST_WAIT_S
 from oriolestage.admission._token_bucket import TokenBucket
 
 #: Time after its last report for which a host counts among those that share
@@ -72,7 +73,6 @@
         host: tuple[str, int],
         report: UsageReport,
         now: float,
-        longest_wait_s: float,
     ) -> TokenGrant | None:
         """Process a report; return the answer, None for one that is outdated."""
         self.bucket.refill(now)
@@ -94,7 +94,7 @@
         usage.granted += added
         usage.charged += added
         usage.reserved += added
-        interval_s = longest_wait_s
+        interval_s = LONGEST_WAIT_S
         if self.bucket.rate > 0:
             interval_s = min(interval_s, self._sharing / self.bucket.rate)
         return TokenGrant(
@@ -102,7 +102,7 @@
             report.number,
             report.epoch,
             usage.granted,
-            self.bucket.wait_s(now, longest_wait_s),
+            self.bucket.wait_s(now, LONGEST_WAIT_S),
             interval_s,
         )
 
--- a/oriolestage/admission/_quota_client.py
+++ b/oriolestage/admission/_quota_client.py
@@ -10,7 +10,7 @@
 from oriolestage.admission._quota_hosts import QuotaHosts
 from oriolestage.admission._quota_leases import TokenLease
 from oriolestage.admission._quota_messages import TokenGrant, UsageReport
-from oriolestage.admission._quota_plan import plan_quota
+from oriolestage.admission._quota_plan import LONGEST_WAIT_S, plan_quota
 
 #: Least time between reports of use to one grantor, in seconds.
 REPORT_INTERVAL_S = 0.1
@@ -78,6 +78,15 @@
         #: Whether a request waits that no question has counted.
         self.unasked = False
 
+    def tidy(self, now: float) -> None:
+        """Forget old leases, and give up tokens that are not needed."""
+        for grantor, lease in tuple(self.leases.items()):
+            if now - lease.last_sent_at > FORGET_S:
+                self.leases.pop(grantor)
+            lease.lapse(now)
+            if now - self.requested_at > IDLE_S:
+                lease.held = 0
+
     def expected(self, now: float) -> int:
         """Return the tokens to hold for requests that have not arrived."""
         if now - self.requested_at > IDLE_S:
@@ -141,9 +150,7 @@
         state = self._states[account]
         return self._take(state, len(state.waits), now)
 
-    def _take(
-        self, state: _State, before: int, now: float
-    ) -> Admission | None:
+    def _take(self, state: _State, before: int, now: float) -> Admission | None:
         """Use a token unless all are for the ``before`` earlier requests."""
         for lease in state.leases.values():
             lease.lapse(now)
@@ -199,7 +206,7 @@
         wait_s = max(0, lease.next_token_at - now)
         wait_s += lease.refused * lease.interval_s
         lease.refused += 1
-        return min(wait_s, self._bounds.window_s)
+        return min(wait_s, LONGEST_WAIT_S)
 
     def is_silent(self, grantor: str, now: float) -> bool:
         """Return whether a grantor has not answered for long."""
@@ -275,18 +282,12 @@
     def due_reports(self, now: float) -> Iterator[tuple[str, UsageReport]]:
         """Yield the reports that are due, by grantor; forget idle accounts."""
         for account, state in tuple(self._states.items()):
-            idle_s = now - state.requested_at
-            if idle_s > FORGET_S and not state.waits:
+            if now - state.requested_at > FORGET_S and not state.waits:
                 self._states.pop(account)
                 continue
             grantors = self._hosts.grantors(account)
+            state.tidy(now)
             for grantor, lease in tuple(state.leases.items()):
-                if now - lease.last_sent_at > FORGET_S:
-                    state.leases.pop(grantor)
-                    continue
-                lease.lapse(now)
-                if idle_s > IDLE_S:
-                    lease.held = 0
                 owns = grantors[:1] == (grantor,)
                 if self._is_due(state, lease, now, owns=owns):
                     yield grantor, self._report(state, grantor, now)
--- a/oriolestage/admission/_quota_demand.py
+++ b/oriolestage/admission/_quota_demand.py
@@ -34,8 +34,11 @@
         """Record a request that was admitted."""
         slot = int(now / SLOT_S)
         if slot not in self._admitted:
-            for old in [old for old in self._admitted if old <= slot - SLOTS]:
-                self._admitted.pop(old)
+            self._admitted = {
+                counted: count
+                for counted, count in self._admitted.items()
+                if counted > slot - SLOTS
+            }
         self._admitted[slot] = self._admitted.get(slot, 0) + 1
 
     def withdraw_admitted(self, admitted_at: float) -> None:
--- a/oriolestage/admission/_quota_leases.py
+++ b/oriolestage/admission/_quota_leases.py
@@ -76,8 +76,11 @@
 
     def record_sent(self, now: float) -> None:
         """Record that a report is sent with the next number."""
-        for number in [old for old in self.sent if now - self.sent[old] > VALID_S]:
-            self.sent.pop(number)
+        self.sent = {
+            number: sent_at
+            for number, sent_at in self.sent.items()
+            if now - sent_at <= VALID_S
+        }
         if not self.sent:
             self.lapse(now + ANSWER_S)
         self.number += 1
@@ -91,8 +94,11 @@
         sent_at = self.sent.get(grant.number)
         if sent_at is None or grant.epoch != self.epoch:
             return False
-        for number in [sent for sent in self.sent if sent <= grant.number]:
-            self.sent.pop(number)
+        self.sent = {
+            number: when
+            for number, when in self.sent.items()
+            if number > grant.number
+        }
         self.answered = grant.number
         self.confirmed_at = max(self.confirmed_at, sent_at)
         added = max(0, grant.granted - self.received)
--- a/oriolestage/admission/_quota_messages.py
+++ b/oriolestage/admission/_quota_messages.py
@@ -1,10 +1,22 @@
-"""What hosts and grantors of tokens tell one another."""
+"""What hosts and grantors of tokens tell one another.
 
-import dataclasses
+The structures are parts of messages between hosts. The positions of their
+fields are part of the protocol; the names are not sent.
+"""
 
+from typing import Annotated
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UsageReport:
+import msgspec
+
+#: Largest total, and longest time in seconds and largest rate in a message.
+MAX_TOTAL = 1_000_000_000_000_000
+MAX_AMOUNT = 1e12
+
+_Total = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOTAL)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+
+
+class UsageReport(msgspec.Struct, frozen=True, array_like=True):
     """What one process has done with the tokens of one grantor.
 
     All counts are totals, so that a lost or late report is made good by the
@@ -13,41 +25,40 @@
 
     account: str
     #: Limit of the account by the configuration of the reporting host.
-    rate: float
-    burst: float
+    rate: _Amount
+    burst: _Amount
     #: Rises with each report about the account to this grantor.
-    number: int
+    number: _Total
     #: Rises when the host has given up the tokens that it held or expected.
-    epoch: int
+    epoch: _Total
     #: Requests that ran or run with tokens of the grantor, in all epochs.
-    used: int
+    used: _Total
     #: Tokens that the host holds.
-    held: int
+    held: _Total
     #: Tokens that it was granted in this epoch.
-    received: int
+    received: _Total
     #: Requests that wait for a token.
-    wanted: int
+    wanted: _Total
     #: Tokens that it will need soon, the waiting requests not counted.
-    expected: int
+    expected: _Total
     #: Requests of the account that this host has let run with any tokens, by
     #: age in slots of `SLOT_S`, the present slot first.
-    recent: tuple[int, ...]
+    recent: tuple[_Total, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TokenGrant:
+class TokenGrant(msgspec.Struct, frozen=True, array_like=True):
     """The answer to a report."""
 
     account: str
     #: Number and epoch of the report.
-    number: int
-    epoch: int
+    number: _Total
+    epoch: _Total
     #: Tokens granted in this epoch in all.
-    granted: int
+    granted: _Total
     #: Time until the next token, in seconds; 0 if there is one.
-    wait_s: float
+    wait_s: _Amount
     #: Time between the tokens that one host can expect, in seconds.
-    interval_s: float
+    interval_s: _Amount
 
 
 #: Length of the slots in which hosts count recent requests, in seconds.
--- a/oriolestage/admission/_quota_owner.py
+++ b/oriolestage/admission/_quota_owner.py
@@ -43,8 +43,8 @@
 
     book: AccountBook
     role: Role
-    rate: float
-    burst: float
+    #: Rate and burst of the account.
+    limit: tuple[float, float]
     #: Time at which the role was given up.
     lost_at: float = float('inf')
 
@@ -110,7 +110,7 @@
         kept = self._keep(report.account, rate, burst, now)
         if kept is None:
             return None
-        grant = kept.book.grant(host, report, now, self._bounds.window_s)
+        grant = kept.book.grant(host, report, now)
         if kept.role == Role.FORMER and grant is not None:
             if grant.granted <= report.received:
                 # Another grantor may have tokens.
@@ -143,15 +143,14 @@
         if kept is None:
             if role == Role.FORMER:
                 return None
-            kept = _Kept(
-                self._open(account, role, plan, now), role, rate, burst
-            )
+            book = self._open(account, role, plan, now)
+            kept = _Kept(book, role, (rate, burst))
             self._kept[account] = kept
         elif kept.role != role:
             self._change_role(account, kept, role, plan, now)
-        elif (kept.rate, kept.burst) != (rate, burst):
+        elif kept.limit != (rate, burst):
             kept.book.bucket.change(*_pace(role, plan), now)
-        kept.rate, kept.burst = rate, burst
+        kept.limit = (rate, burst)
         return kept
 
     def _role(self, account: str, now: float) -> Role:
--- a/oriolestage/admission/_quota_plan.py
+++ b/oriolestage/admission/_quota_plan.py
@@ -23,6 +23,8 @@
 FIXED_PART = 0.1
 #: Fraction of a deputy's part that may come at once; the rest is added evenly.
 DEPUTY_BURST = 0.4
+#: Longest retry-after of a request over the limit, in seconds.
+LONGEST_WAIT_S = 60.0
 #: Longest time for which two hosts are taken for the owner of an account, in
 #: seconds: a change of the hosts is known everywhere within it.
 OVERLAP_S = 1.5
--- a/oriolestage/admission/tests/quota_replay.py
+++ b/oriolestage/admission/tests/quota_replay.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -86,9 +87,7 @@
         }
         for name in self.regions:
             self.start_host(name)
-            self.hosts[name].owner.replace_hosts(
-                QuotaHosts(self.regions), -100
-            )
+            self.hosts[name].owner.replace_hosts(QuotaHosts(self.regions), -100)
             self.hosts[name].client.replace_hosts(QuotaHosts(self.regions))
 
     def start_host(self, name: str) -> None:
@@ -163,12 +162,8 @@
         self.regions = regions
         for host in tuple(self.hosts.values()):
             lag_s = self.random.uniform(0, LARGEST_LAG_S)
-            self.at(
-                when + lag_s,
-                lambda host=host: self._learn(  # type: ignore[misc]
-                    host, QuotaHosts(regions)
-                ),
-            )
+            learn = functools.partial(self.learn, host, regions)
+            self.at(when + lag_s, learn)
 
     def admitted_times(self, account: str) -> list[float]:
         """Return when requests of an account were admitted, in order."""
@@ -238,7 +233,7 @@
         client = host.client
         client.record_request(self.accounts[account], self.now)
         admission = client.admit(account, self.now)
-        if admission is not None:
+        if admission:
             self._end(account, host, admission)
         elif client.is_exhausted(account, self.now):
             refusal = OverQuota(client.retry_after_s(account, self.now))
@@ -253,11 +248,11 @@
             return
         self._send_all(host, host.client.ask(wait.account, self.now))
         outcome = host.client.poll(wait, self.now)
-        if outcome is None:
-            self.at(self.now + POLL_S, lambda: self._poll(host, wait))
+        if outcome:
+            host.client.end_wait(wait)
+            self._end(wait.account, host, outcome)
             return
-        host.client.end_wait(wait)
-        self._end(wait.account, host, outcome)
+        self.at(self.now + POLL_S, lambda: self._poll(host, wait))
 
     def _end(
         self, account: str, host: SimulatedHost, outcome: Admission | OverQuota
@@ -289,13 +284,8 @@
             self.messages += 1
             other = self.hosts[grantor]
             if self.is_linked(host.name, grantor):
-                self._deliver(
-                    host,
-                    other,
-                    lambda other=other, report=report: (  # type: ignore[misc]
-                        self._answer(host, other, report)
-                    ),
-                )
+                answer = functools.partial(self._answer, host, other, report)
+                self._deliver(host, other, answer)
 
     def _answer(
         self, host: SimulatedHost, grantor: SimulatedHost, report: UsageReport
@@ -340,7 +330,9 @@
         self.at(host.paused_until, action)
         return True
 
-    def _learn(self, host: SimulatedHost, hosts: QuotaHosts) -> None:
+    def learn(self, host: SimulatedHost, regions: dict[str, str]) -> None:
+        """Let a host know other hosts."""
+        hosts = QuotaHosts(regions)
         host.client.replace_hosts(hosts)
         host.owner.replace_hosts(hosts, self.now)
 
--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import dataclasses
+import functools
 import signal
 import socket
 import time
 from collections.abc import Callable
 
 from oriolestage._logging import log_event
+from oriolestage.admission._accounts import NO_ACCOUNTS
+from oriolestage.admission._quota_client import QuotaClient
+from oriolestage.admission._quota_owner import QuotaOwner
 from oriolestage.entry._account_checks import AccountChecker
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._control_server import ControlServer
@@ -20,6 +24,8 @@
 from oriolestage.entry._peer_server import PeerServer
 from oriolestage.entry._planned_stop import PlannedStop
 from oriolestage.entry._ports import Store, WireProtocol
+from oriolestage.entry._quota_exchange import QuotaExchange
+from oriolestage.entry._quota_log import QuotaLog
 from oriolestage.entry._reach_probe import ReachProbe
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._request_router import RequestRouter
@@ -39,6 +45,12 @@
 #: Timeout for the first read of the store, in seconds. Callers that connect
 #: meanwhile wait in the backlog; a read takes about 20 ms.
 FIRST_READ_TIMEOUT_S = 0.4
+#: Time before the end of its lease at which a host no longer owns accounts, in
+#: seconds, for clocks that differ in speed.
+LEASE_MARGIN_S = 0.3
+#: Age from which a copy of the store counts as lost, in seconds. A watch
+#: without changes takes up to 3.6 s, and the next one begins 1.2 s later.
+STORE_LOST_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +70,7 @@
     peers: PeerDirectory
     peer_client: PeerClient
     peer_server: PeerServer
+    quotas: QuotaExchange
     stopping: asyncio.Event
 
 
@@ -80,13 +93,14 @@
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.set_exception_handler(_log_loop_error)
-    host = _build_host(settings, store, wire_protocol)
+    host = _build_host(settings, store, wire_protocol, asyncio.Event())
     background_work = (
         ('follow_store', host.follower.run),
         ('expire', host.follower.expire),
         ('register', host.registration.run),
         ('report_crashes', host.crash_reporter.run),
         ('probe_reach', host.reach_probe.run),
+        ('quotas', host.quotas.run),
         (
             'links',
             lambda: check_links(host.peers, host.peer_client, host.follower),
@@ -136,6 +150,7 @@
 async def _close(host: EntryHost, store: Store) -> None:
     host.peer_server.close()
     host.peer_client.close()
+    host.quotas.close()
     host.client.close()
     await host.control.close()
     await store.close()
@@ -145,28 +160,31 @@
     settings: EntrySettings,
     store: Store,
     wire_protocol: WireProtocol,
+    stopping: asyncio.Event,
 ) -> EntryHost:
-    stopping = asyncio.Event()
     metrics = EntryMetrics()
-    directory = TargetDirectory()
     placement = Placement(
         settings.location,
-        directory,
+        TargetDirectory(),
         settings.warm_up,
         _log_change,
     )
     peers = PeerDirectory(settings.location)
     crash_detector = CrashDetector(_log_change)
-    cluster_state = ClusterState(directory, placement, peers, crash_detector)
+    cluster_state = ClusterState(
+        placement.directory, placement, peers, crash_detector
+    )
     client = TargetClient(wire_protocol, placement)
     sender = CrashTrackingSender(client, crash_detector)
     peer_client = PeerClient(placement.record_leaving)
     follower = StoreFollower(
         store,
         cluster_state,
-        directory,
+        placement.directory,
         settings.propagation_limit_s,
     )
+    registration = _build_registration(settings, store, cluster_state)
+    quotas = _build_quotas(settings, cluster_state, peers, registration)
     router = RequestRouter(
         cluster_state,
         placement,
@@ -177,10 +195,11 @@
         settings.budget,
         RequestLog(metrics, lambda: follower.age_s),
         AccountChecker(wire_protocol),
+        quotas,
     )
     metrics.add_gauge('in_flight', lambda: router.in_flight)
     metrics.add_gauge('held_response_bytes', lambda: client.held_bytes)
-    metrics.add_gauge('targets', lambda: len(directory))
+    metrics.add_gauge('targets', lambda: len(placement.directory))
     metrics.add_gauge(
         'cut_off', lambda: int(placement.observations.reach.cut_off)
     )
@@ -188,28 +207,14 @@
         'rate_limited_targets', lambda: placement.rates.limited_count
     )
     metrics.add_gauge('hosts', lambda: len(placement.hosts))
-    metrics.add_gauge('store_age_seconds', lambda: follower.age_s)
-    metrics.add_gauge(
-        'store_changes_unapplied', lambda: cluster_state.unapplied_count
-    )
-    metrics.add_gauge(
-        'store_items_unreadable', lambda: cluster_state.unreadable_count
-    )
-    metrics.add_gauge('store_revision', lambda: follower.freshness.revision)
-    metrics.add_gauge('store_stalled', lambda: int(follower.stalled))
+    _add_store_metrics(metrics, store, follower, cluster_state)
     metrics.add_counts(
-        'store_follow_failures',
-        'Failed attempts to bring the copy of the store up to date.',
-        'step',
-        lambda: follower.failures,
-    )
-    metrics.add_gauge('store_era_rises', lambda: store.eras.rises)
-    metrics.add_gauge(
-        'configuration_version',
-        lambda: (
-            -1 if cluster_state.table is None else cluster_state.table.version
-        ),
+        'quota_events',
+        'Requests of accounts with a limit, and messages about them.',
+        'event',
+        lambda: quotas.counts,
     )
+    metrics.add_gauge('quota_links', lambda: quotas.link_count)
     return EntryHost(
         settings=settings,
         metrics=metrics,
@@ -222,7 +227,7 @@
             metrics,
         ),
         follower=follower,
-        registration=_build_registration(settings, store, cluster_state),
+        registration=registration,
         crash_reporter=CrashReporter(store, crash_detector),
         client=client,
         reach_probe=ReachProbe(placement, client.try_connect),
@@ -233,11 +238,77 @@
             placement,
             sender,
             lambda: follower.freshness,
+            quotas.answer,
         ),
+        quotas=quotas,
         stopping=stopping,
     )
 
 
+def _add_store_metrics(
+    metrics: EntryMetrics,
+    store: Store,
+    follower: StoreFollower,
+    cluster_state: ClusterState,
+) -> None:
+    metrics.add_gauge('store_age_seconds', lambda: follower.age_s)
+    metrics.add_gauge(
+        'store_changes_unapplied', lambda: cluster_state.unapplied_count
+    )
+    metrics.add_gauge(
+        'store_items_unreadable', lambda: cluster_state.unreadable_count
+    )
+    metrics.add_gauge('store_revision', lambda: follower.freshness.revision)
+    metrics.add_gauge('store_stalled', lambda: int(follower.stalled))
+    metrics.add_counts(
+        'store_follow_failures',
+        'Failed attempts to bring the copy of the store up to date.',
+        'step',
+        lambda: follower.failures,
+    )
+    metrics.add_gauge('store_era_rises', lambda: store.eras.rises)
+    metrics.add_gauge(
+        'configuration_version',
+        lambda: (
+            -1 if cluster_state.table is None else cluster_state.table.version
+        ),
+    )
+
+
+def _build_quotas(
+    settings: EntrySettings,
+    cluster_state: ClusterState,
+    peers: PeerDirectory,
+    registration: HostRegistration,
+) -> QuotaExchange:
+    name = settings.location.name
+    log = QuotaLog()
+    may_own = functools.partial(_may_own, registration, peers)
+    return QuotaExchange(
+        name,
+        QuotaClient(name, settings.quota),
+        QuotaOwner(name, settings.quota, may_own, log.record_change),
+        lambda: (
+            NO_ACCOUNTS
+            if cluster_state.table is None
+            else cluster_state.table.accounts
+        ),
+        cluster_state.hosts.registered,
+        settings.location.region_of,
+        log,
+    )
+
+
+def _may_own(
+    registration: HostRegistration, peers: PeerDirectory, now: float
+) -> bool:
+    """Return whether no other host can have taken the place of this one."""
+    if now < registration.lease_ends_at - LEASE_MARGIN_S:
+        return True
+    # While no host reaches the store, none learns that another one is lost.
+    return peers.all_lack_store(STORE_LOST_S)
+
+
 def _build_registration(
     settings: EntrySettings, store: Store, cluster_state: ClusterState
 ) -> HostRegistration:
--- a/oriolestage/entry/_peer_link.py
+++ b/oriolestage/entry/_peer_link.py
@@ -22,6 +22,7 @@
     decode_from_peer,
     encode,
 )
+from oriolestage.entry._quota_wire import QuotaGrants, QuotaReports
 from oriolestage.entry._relay_serving import outcome_of_reply
 from oriolestage.routing._answers import (
     AttemptLost,
@@ -51,11 +52,24 @@
 MS_PER_S = 1000
 
 
+def _ignore(_: QuotaGrants) -> None:
+    """Do nothing."""
+
+
 class PeerLink:
     """The stream to one host."""
 
-    def __init__(self, address: str, on_leaving: Callable[[str], None]) -> None:
-        """Create a closed link; :meth:`open` connects it."""
+    def __init__(
+        self,
+        address: str,
+        on_leaving: Callable[[str], None],
+        on_grants: Callable[[QuotaGrants], None] = _ignore,
+    ) -> None:
+        """Create a closed link; :meth:`open` connects it.
+
+        ``on_grants`` is called with the host's answers to reports of quotas.
+        """
+        self._on_grants = on_grants
         self._address = address
         self._on_leaving = on_leaving
         self._frames: FrameWriter | None = None
@@ -113,6 +127,16 @@
             self._frames.write(encode(Ping()))
             log_event('peer_linked', {'step': 'link', 'peer': self._address})
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the stream is open, as far as this host knows."""
+        return self._frames is not None
+
+    def report(self, reports: QuotaReports) -> None:
+        """Send reports of quotas, unless the stream is closed."""
+        if self._frames is not None:
+            self._frames.write(encode(reports))
+
     async def gather(
         self,
         request: GatherRequest,
@@ -230,6 +254,9 @@
             if relayed is not None and not relayed.done():
                 relayed.set_result(outcome_of_reply(reply))
             return
+        if isinstance(reply, QuotaGrants):
+            self._on_grants(reply)
+            return
         self._freshness = Freshness(
             reply.revision, reply.age_ms / MS_PER_S, reply.era
         )
--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -14,6 +14,7 @@
     map_headers,
     text_to_latin1,
 )
+from oriolestage.entry._quota_wire import QuotaGrants, QuotaReports
 from oriolestage.routing._answers import TargetAnswer
 
 
@@ -220,8 +221,8 @@
     era: int | None = None
 
 
-ToPeer = GatherRequest | GatherCancel | RelayRequest | Ping
-FromPeer = GatherReply | GatherDeclined | RelayReply | Pong
+ToPeer = GatherRequest | GatherCancel | RelayRequest | Ping | QuotaReports
+FromPeer = GatherReply | GatherDeclined | RelayReply | Pong | QuotaGrants
 
 _Message = TypeVar('_Message', bound=ToPeer | FromPeer)
 
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -23,6 +23,7 @@
     encode,
 )
 from oriolestage.entry._peer_requests import PeerRequests
+from oriolestage.entry._quota_wire import QuotaGrants, QuotaReports
 from oriolestage.entry._relay_serving import RelayServer
 from oriolestage.entry._shard_gathering import (
     ReplyWriter,
@@ -69,6 +70,10 @@
 CRASH_STEP = 'batch.crash'
 
 
+def _no_grants(_: QuotaReports) -> QuotaGrants | None:
+    """Grant nothing."""
+
+
 class PeerServer:
     """Sends the shards of other hosts' batches to targets and replies."""
 
@@ -78,8 +83,16 @@
         placement: Placement,
         sender: AttemptSender,
         freshness: Callable[[], Freshness],
+        answer_quotas: Callable[
+            [QuotaReports], QuotaGrants | None
+        ] = _no_grants,
     ) -> None:
-        """Create a server; ``freshness`` is read for each reply."""
+        """Create a server; ``freshness`` is read for each reply.
+
+        ``answer_quotas`` returns the answer to reports of quotas, None if
+        there is none.
+        """
+        self._answer_quotas = answer_quotas
         self._freshness = freshness
         self._cluster_state = cluster_state
         self._placement = placement
@@ -173,6 +186,10 @@
                 frames.write(encode(self._make_pong()))
             case GatherCancel(number=number):
                 running.cancel(number)
+            case QuotaReports():
+                grants = self._answer_quotas(message)
+                if grants is not None:
+                    frames.write(encode(grants))
 
     def _make_pong(self) -> Pong:
         freshness = self._freshness()
--- a/oriolestage/entry/_request_log.py
+++ b/oriolestage/entry/_request_log.py
@@ -12,6 +12,7 @@
     AttemptLost,
     AttemptNotRun,
     AttemptOutcome,
+    GiveUpReason,
     Refused,
     RequestResult,
 )
@@ -82,6 +83,9 @@
     def record_refusal(self, request: CallerRequest, result: Refused) -> None:
         """Record a request that was refused without a run."""
         self._metrics.record_request('none', result, 0)
+        if result.reason == GiveUpReason.OVER_QUOTA:
+            # One line for many such requests is written elsewhere.
+            return
         log_event(
             'request_refused',
             {
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -11,11 +11,13 @@
 import time
 from collections.abc import AsyncGenerator
 
+from oriolestage.admission._quota_client import Admission, OverQuota
 from oriolestage.entry._account_checks import AccountChecker, CheckedRequest
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._crash_tracking import AttemptSender
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_messages import GatherRequest, RelayRequest
+from oriolestage.entry._quota_exchange import QuotaExchange
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._run_driver import RunDriver
 from oriolestage.entry._runs_in_flight import RunsInFlight
@@ -77,10 +79,12 @@
         budget_bounds: BudgetBounds,
         log: RequestLog,
         account_checker: AccountChecker,
+        quotas: QuotaExchange,
     ) -> None:
         """Create a router without requests in flight."""
         self._log = log
         self._account_checker = account_checker
+        self._quotas = quotas
         self._cluster_state = cluster_state
         self._placement = placement
         self._peers = peers
@@ -157,7 +161,7 @@
             return self.refuse_stopping(request)
         self._in_flight += 1
         try:
-            return await self._run(request, table, rule)
+            return await self._run_in_quota(request, table, rule)
         finally:
             self._in_flight -= 1
 
@@ -167,6 +171,30 @@
             request, GiveUpReason.STOPPING, STOPPING_RETRY_AFTER_S
         )
 
+    async def _run_in_quota(
+        self,
+        request: CallerRequest,
+        table: RoutingTable,
+        rule: RouteRule,
+    ) -> RequestResult:
+        """Run a request if its account has not used up its quota.
+
+        A request that ends without having run does not count.
+        """
+        account = request.account
+        if account is None or account.rate <= 0:
+            return await self._run(request, table, rule)
+        match await self._quotas.admit(account):
+            case OverQuota(retry_after_s=retry_after_s):
+                return self._refuse(
+                    request, GiveUpReason.OVER_QUOTA, retry_after_s
+                )
+            case Admission() as admission:
+                result = await self._run(request, table, rule)
+        if isinstance(result, Refused):
+            self._quotas.put_back(admission)
+        return result
+
     async def _run(
         self,
         request: CallerRequest,
--- a/oriolestage/entry/tests/peer_requests.py
+++ b/oriolestage/entry/tests/peer_requests.py
@@ -2,12 +2,14 @@
 
 import contextlib
 import socket
+from collections.abc import Callable
 from unittest.mock import patch
 
 from oriolestage.entry import _peer_link
 from oriolestage.entry._crash_tracking import AttemptSender
 from oriolestage.entry._peer_messages import GatherRequest, RelayRequest
 from oriolestage.entry._peer_server import PeerServer
+from oriolestage.entry._quota_wire import QuotaGrants, QuotaReports
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
@@ -70,8 +72,14 @@
     return patch.object(_peer_link, 'CONNECT_TIMEOUT_S', CONNECT_TIMEOUT_S)
 
 
+def _no_grants(_: QuotaReports) -> QuotaGrants | None:
+    """Grant nothing."""
+
+
 async def start_peer_server(
-    placement: Placement, sender: AttemptSender
+    placement: Placement,
+    sender: AttemptSender,
+    answer_quotas: Callable[[QuotaReports], QuotaGrants | None] = _no_grants,
 ) -> tuple[PeerServer, str]:
     """Start a server on loopback; return it and its address."""
     cluster_state = ClusterState(
@@ -85,6 +93,7 @@
         placement,
         sender,
         lambda: Freshness(revision=7, age_s=0.5),
+        answer_quotas,
     )
     listener = socket.create_server(('127.0.0.1', 0))
     listener.setblocking(False)
--- a/oriolestage/entry/tests/test_crash_tracking.py
+++ b/oriolestage/entry/tests/test_crash_tracking.py
@@ -12,7 +12,10 @@
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._request_router import RequestRouter
 from oriolestage.entry._target_client import TargetCall
-from oriolestage.entry.tests.account_checks import make_unused_checker
+from oriolestage.entry.tests.account_checks import (
+    make_unused_checker,
+    make_unused_quotas,
+)
 from oriolestage.routing._answers import (
     AttemptAnswered,
     AttemptLost,
@@ -189,6 +192,7 @@
             BudgetBounds(),
             RequestLog(EntryMetrics(), float),
             make_unused_checker(),
+            make_unused_quotas(),
         )
 
     async def _serve(
--- /dev/null
+++ b/oriolestage/entry/tests/test_quota_exchange.py
@@ -0,0 +1,68 @@
+"""Tests of quotas that hosts exchange over streams."""
+
+import asyncio
+import unittest
+
+from oriolestage.admission._accounts import Account
+from oriolestage.admission._quota_bounds import QuotaBounds
+from oriolestage.admission._quota_client import Admission, OverQuota
+from oriolestage.admission._quota_plan import plan_quota
+from oriolestage.entry._quota_exchange import QuotaExchange
+from oriolestage.entry.tests.peer_requests import link_patiently
+from oriolestage.entry.tests.quota_hosts import running_exchanges
+
+NAMES = ('host-1', 'host-2', 'host-3')
+#: An account whose bucket does not fill noticeably during a test.
+ACCOUNT = Account('kiosks', rate=0.001, burst=30)
+CAPACITY = int(plan_quota(ACCOUNT.rate, ACCOUNT.burst, QuotaBounds()).capacity)
+#: Time within which the streams are open, in seconds.
+LINK_TIMEOUT_S = 10.0
+#: Requests that are sent one after another.
+REQUESTS = 150
+
+
+async def _linked(exchanges: dict[str, QuotaExchange]) -> None:
+    """Wait until every host has a stream to another one."""
+    async with asyncio.timeout(LINK_TIMEOUT_S):
+        while not all(one.link_count for one in exchanges.values()):
+            await asyncio.sleep(0.01)
+
+
+class QuotaExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """The limit of an account holds for all hosts together."""
+
+    async def test_limit_of_all_hosts(self) -> None:
+        """Guards against a limit that each host grants anew.
+
+        Nothing is granted twice, and what the owner has is granted whichever
+        hosts the requests arrive at. Deputies and the fixed part may add
+        their part of the room above the limit.
+        """
+        admitted = 0
+        refused: list[OverQuota] = []
+        with link_patiently():
+            async with running_exchanges(NAMES, ACCOUNT) as exchanges:
+                await _linked(exchanges)
+                for number in range(REQUESTS):
+                    exchange = exchanges[NAMES[number % len(NAMES)]]
+                    match await exchange.admit(ACCOUNT):
+                        case Admission():
+                            admitted += 1
+                        case OverQuota() as refusal:
+                            refused.append(refusal)
+        bounds = QuotaBounds()
+        room = bounds.overage * ACCOUNT.burst + bounds.slack
+        self.assertGreaterEqual(admitted, CAPACITY / 2)
+        self.assertLessEqual(admitted, ACCOUNT.burst + room)
+        self.assertTrue(refused)
+
+    async def test_returned_token(self) -> None:
+        """Guards against tokens lost with requests that have not run."""
+        with link_patiently():
+            async with running_exchanges(NAMES, ACCOUNT) as exchanges:
+                await _linked(exchanges)
+                for number in range(REQUESTS):
+                    exchange = exchanges[NAMES[number % len(NAMES)]]
+                    admission = await exchange.admit(ACCOUNT)
+                    assert isinstance(admission, Admission), number
+                    exchange.put_back(admission)
--- a/oriolestage/entry/tests/test_request_router.py
+++ b/oriolestage/entry/tests/test_request_router.py
@@ -11,7 +11,10 @@
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._request_router import RequestRouter
 from oriolestage.entry._target_client import TargetCall
-from oriolestage.entry.tests.account_checks import make_unused_checker
+from oriolestage.entry.tests.account_checks import (
+    make_unused_checker,
+    make_unused_quotas,
+)
 from oriolestage.entry.tests.virtual_time import (
     VirtualTimeLoop,
     run_in_virtual_time,
@@ -74,6 +77,7 @@
         BudgetBounds(),
         RequestLog(EntryMetrics(), float),
         make_unused_checker(),
+        make_unused_quotas(),
     )
 
 
--- a/oriolestage/platform/tests/account_hosts.py
+++ b/oriolestage/platform/tests/account_hosts.py
@@ -6,13 +6,16 @@
 
 import msgspec
 
+from oriolestage.admission._accounts import NO_ACCOUNTS, AccountDirectory
 from oriolestage.entry._account_checks import AccountChecker
 from oriolestage.entry._metrics import EntryMetrics
 from oriolestage.entry._peer_client import PeerClient
+from oriolestage.entry._quota_log import QuotaLog
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._request_router import RequestRouter
 from oriolestage.entry._target_client import TargetClient
 from oriolestage.entry.tests.peer_requests import start_peer_server
+from oriolestage.entry.tests.quota_hosts import make_exchange
 from oriolestage.platform._configuration import decode_configuration
 from oriolestage.platform._wire_protocol import PlatformWireProtocol
 from oriolestage.platform.tests.served_callers import EchoingTarget, serving
@@ -120,6 +123,12 @@
             BudgetBounds(),
             RequestLog(EntryMetrics(), float),
             AccountChecker(PlatformWireProtocol()),
+            make_exchange(
+                'host-1',
+                lambda: _accounts_of(self._state),
+                {'host-1': HostRecord('host-1', 'dc-a', '')},
+                QuotaLog(),
+            ),
         )
         try:
             async with serving(router) as address:
@@ -141,3 +150,8 @@
     freshness = Freshness(1, 0)
     link = LinkState(now + LINK_HEARD_FOR_S, freshness, cut_off=False)
     peers.record_link_state(address, link, freshness, now)
+
+
+def _accounts_of(state: ClusterState | None) -> AccountDirectory:
+    table = None if state is None else state.table
+    return NO_ACCOUNTS if table is None else table.accounts
