--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import dataclasses
-import random
 import signal
 import socket
 import time
 from collections.abc import Callable, Coroutine
 
 from oriolestage._logging import log_event
-from oriolestage.admission._waiting_line import WaitingLine
 from oriolestage.entry._account_checks import AccountChecker
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._control_server import ControlServer
@@ -18,33 +16,38 @@
     CrashReporter,
     CrashTrackingSender,
 )
+from oriolestage.entry._host_metrics import (
+    add_quota_metrics,
+    add_store_gauges,
+    add_target_gauges,
+)
+from oriolestage.entry._host_parts import (
+    build_quotas,
+    build_registration,
+    build_state,
+    build_waiting_line,
+)
 from oriolestage.entry._host_registration import HostRegistration
 from oriolestage.entry._link_checks import check_links
 from oriolestage.entry._listening import listen_on
 from oriolestage.entry._metrics import EntryMetrics
-from oriolestage.entry._pacing_metrics import add_pacing_metrics
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_server import PeerServer
 from oriolestage.entry._planned_stop import PlannedStop
 from oriolestage.entry._ports import RolloutStore, Store, WireProtocol
+from oriolestage.entry._quota_exchange import QuotaExchange
 from oriolestage.entry._reach_probe import ReachProbe
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._request_router import RequestRouter
 from oriolestage.entry._rollout_controller import RolloutController
-from oriolestage.entry._rollout_parts import build_rollouts
 from oriolestage.entry._settings import EntrySettings
 from oriolestage.entry._store_follower import StoreFollower
 from oriolestage.entry._supervision import keep_running
 from oriolestage.entry._target_client import TargetClient
-from oriolestage.pacing._target_paces import TargetPaces
 from oriolestage.routing._cluster_state import ClusterState
-from oriolestage.routing._crash_detector import CrashDetector
-from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
-from oriolestage.routing._state_changes import StateChange
 from oriolestage.routing._stop_plan import BALANCER_NOTICE_S, StopTimes
-from oriolestage.routing._targets import TargetDirectory
 
 #: Timeout for the first read of the store, in seconds. Callers that connect
 #: meanwhile wait in the backlog; a read takes about 20 ms.
@@ -72,6 +75,7 @@
     peers: PeerDirectory
     peer_client: PeerClient
     peer_server: PeerServer
+    quotas: QuotaExchange
     stopping: asyncio.Event
 
 
@@ -101,6 +105,7 @@
         ('register', host.registration.run),
         ('report_crashes', host.crash_reporter.run),
         ('probe_reach', host.reach_probe.run),
+        ('quotas', host.quotas.run),
         (
             'links',
             lambda: check_links(host.peers, host.peer_client, host.follower),
@@ -152,6 +157,7 @@
 async def _close(host: EntryHost, store: Store) -> None:
     host.peer_server.close()
     host.peer_client.close()
+    host.quotas.close()
     host.client.close()
     await host.control.close()
     await store.close()
@@ -164,32 +170,12 @@
 ) -> EntryHost:
     stopping = asyncio.Event()
     metrics = EntryMetrics()
-    rollouts = build_rollouts(
-        settings.rollouts,
-        settings.location.name,
-        lambda: follower.age_s,
-    )
-    placement = Placement(
-        settings.location,
-        TargetDirectory(),
-        settings.warm_up,
-        _log_change,
-        None if rollouts is None else rollouts.book,
-        _build_paces(settings, metrics),
-    )
-    peers = PeerDirectory(settings.location)
-    crash_detector = CrashDetector(_log_change)
-    cluster_state = ClusterState(
-        placement.directory,
-        placement,
-        peers,
-        crash_detector,
-        None if rollouts is None else rollouts.book,
-    )
+    state = build_state(settings, metrics, lambda: follower.age_s)
+    placement, cluster_state = state.placement, state.cluster_state
     client = TargetClient(wire_protocol, placement)
-    sender: AttemptSender = CrashTrackingSender(client, crash_detector)
-    if rollouts is not None:
-        sender = rollouts.attach(sender, placement, metrics)
+    sender: AttemptSender = CrashTrackingSender(client, state.crash_detector)
+    if state.rollouts is not None:
+        sender = state.rollouts.attach(sender, placement, metrics)
     peer_client = PeerClient(placement.record_leaving)
     follower = StoreFollower(
         store,
@@ -197,22 +183,26 @@
         placement.directory,
         settings.propagation_limit_s,
     )
+    registration = build_registration(settings, store, cluster_state)
+    quotas = build_quotas(settings, cluster_state, state.peers, registration)
     router = RequestRouter(
         cluster_state,
         placement,
-        peers,
+        state.peers,
         sender,
-        crash_detector,
+        state.crash_detector,
         peer_client,
         settings.budget,
         RequestLog(metrics, lambda: follower.age_s),
         AccountChecker(wire_protocol),
-        _build_waiting_line(metrics),
+        quotas,
+        build_waiting_line(metrics),
     )
     metrics.add_gauge('in_flight', lambda: router.in_flight)
     metrics.add_gauge('held_response_bytes', lambda: client.held_bytes)
-    _add_target_gauges(metrics, placement)
-    _add_store_gauges(metrics, store, follower, cluster_state)
+    add_target_gauges(metrics, placement)
+    add_store_gauges(metrics, store, follower, cluster_state)
+    add_quota_metrics(metrics, quotas)
     return EntryHost(
         settings=settings,
         metrics=metrics,
@@ -225,21 +215,25 @@
             metrics,
         ),
         follower=follower,
-        registration=_build_registration(settings, store, cluster_state),
-        crash_reporter=CrashReporter(store, crash_detector),
+        registration=registration,
+        crash_reporter=CrashReporter(store, state.crash_detector),
         rollouts=(
-            None if rollouts is None else rollouts.controller(store, placement)
+            None
+            if state.rollouts is None
+            else state.rollouts.controller(store, placement)
         ),
         client=client,
         reach_probe=ReachProbe(placement, client.try_connect),
-        peers=peers,
+        peers=state.peers,
         peer_client=peer_client,
         peer_server=PeerServer(
             cluster_state,
             placement,
             sender,
             lambda: follower.freshness,
+            quotas.answer,
         ),
+        quotas=quotas,
         stopping=stopping,
     )
 
@@ -285,42 +279,6 @@
     )
 
 
-def _build_waiting_line(metrics: EntryMetrics) -> WaitingLine:
-    line = WaitingLine(random.Random(), _log_change)
-    metrics.add_gauge('waiting_requests', lambda: line.waiting)
-    metrics.add_counts(
-        'waiting_refusals',
-        'Requests that were refused a target, by reason.',
-        'reason',
-        lambda: line.refusals,
-    )
-    return line
-
-
-def _build_paces(
-    settings: EntrySettings, metrics: EntryMetrics
-) -> TargetPaces | None:
-    """Return the paces of targets with their metrics, None if not enabled."""
-    if not settings.target_pacing:
-        return None
-    paces = TargetPaces(settings.location.name, _log_change)
-    add_pacing_metrics(metrics, paces)
-    return paces
-
-
-def _build_registration(
-    settings: EntrySettings, store: Store, cluster_state: ClusterState
-) -> HostRegistration:
-    record = HostRecord(
-        settings.location.name,
-        settings.location.data_centre,
-        settings.peer_address,
-    )
-    return HostRegistration(
-        store, record, lambda: cluster_state.hosts.lists(record)
-    )
-
-
 async def _listen(host: EntryHost, caller_listener: socket.socket) -> None:
     """Start all servers, the one for callers last.
 
@@ -338,10 +296,6 @@
     )
 
 
-def _log_change(change: StateChange) -> None:
-    log_event(change.event, dict(change.fields))
-
-
 def _log_loop_error(
     _: asyncio.AbstractEventLoop,
     context: dict[str, object],
--- a/oriolestage/entry/tests/account_checks.py
+++ b/oriolestage/entry/tests/account_checks.py
@@ -1,10 +1,11 @@
-"""Builders of checks of accounts."""
+"""Builders of checks of accounts and quotas that no request needs."""
 
 from unittest.mock import create_autospec
 
 from oriolestage.entry._account_checks import AccountChecker, CheckedRequest
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._ports import WireProtocol
+from oriolestage.entry._quota_exchange import QuotaExchange
 from oriolestage.routing._rules import RouteRule, RoutingTable
 
 
@@ -13,6 +14,12 @@
     return AccountChecker(create_autospec(WireProtocol, instance=True))
 
 
+def make_unused_quotas() -> QuotaExchange:
+    """Return quotas for requests without accounts."""
+    quotas: QuotaExchange = create_autospec(QuotaExchange, instance=True)
+    return quotas
+
+
 class KnownAccounts(AccountChecker):
     """Takes the account that a request has already, without a key."""
 
--- a/oriolestage/entry/tests/crowded_host.py
+++ b/oriolestage/entry/tests/crowded_host.py
@@ -20,7 +20,10 @@
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._request_router import RequestRouter
 from oriolestage.entry._target_client import TargetCall
-from oriolestage.entry.tests.account_checks import KnownAccounts
+from oriolestage.entry.tests.account_checks import (
+    KnownAccounts,
+    make_unused_quotas,
+)
 from oriolestage.entry.tests.virtual_time import (
     VirtualTimeLoop,
     run_in_virtual_time,
@@ -141,6 +144,7 @@
             BudgetBounds(),
             RequestLog(EntryMetrics(), float),
             KnownAccounts(),
+            make_unused_quotas(),
             self.line if with_line else None,
         )
 
