Add a command that explains where a request would go

Cause: operators can see where a request went, but not where one would go now, and why, without sending it.

Change: Placement and the directory tell what keeps a target from getting a request; the metrics address of an entry host answers GET /explain, and 'oriolestage explain' prints it.

Measured: the explanation names the target that the choice returns, also at a limit, and 100 explanations leave no attempt counted; unit tests only.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -45,6 +45,7 @@
 from oriolestage.entry._supervision import keep_running
 from oriolestage.entry._target_client import TargetClient
 from oriolestage.routing._cluster_state import ClusterState
+from oriolestage.routing._explanations import explain_request
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._stop_plan import BALANCER_NOTICE_S, StopTimes
@@ -213,6 +214,14 @@
         control=ControlServer(
             lambda: cluster_state.table is not None and not stopping.is_set(),
             metrics,
+            lambda host, path, account: explain_request(
+                cluster_state.table,
+                placement,
+                host,
+                path,
+                account,
+                time.monotonic(),
+            ),
         ),
         follower=follower,
         registration=registration,
--- a/oriolestage/entry/_control_server.py
+++ b/oriolestage/entry/_control_server.py
@@ -1,17 +1,24 @@
-"""HTTP servers for the balancer's readiness checks and for metrics."""
+"""HTTP servers for the balancer's readiness checks, and for operators."""
 
 import socket
 from collections.abc import Callable
 from http import HTTPStatus
 
+import msgspec
 from aiohttp import web
 from prometheus_client import CollectorRegistry
 from prometheus_client.exposition import generate_latest
 
 from oriolestage.entry._metrics import EntryMetrics
+from oriolestage.routing._explanations import RequestView
 
 #: Time that open requests get when the servers are closed, in seconds.
 CLOSE_TIMEOUT_S = 0.05
+#: Path at the metrics address that explains where a request would go.
+EXPLAIN_PATH = '/explain'
+
+#: Returns where a request would go, by its host name, path and account.
+Explain = Callable[[str, str, str], RequestView]
 
 
 class ControlServer:
@@ -21,9 +28,11 @@
         self,
         is_ready: Callable[[], bool],
         metrics: EntryMetrics,
+        explain: Explain,
     ) -> None:
         """Create a server; ``is_ready`` is called for each check."""
         self._is_ready = is_ready
+        self._explain = explain
         self._registry = CollectorRegistry()
         self._registry.register(metrics)
         self._runners: list[web.ServerRunner] = []
@@ -36,7 +45,7 @@
     async def start(self, listener: socket.socket, *, ready: bool) -> None:
         """Serve readiness checks on a listening socket if ``ready``.
 
-        Otherwise serve metrics on it.
+        Otherwise serve metrics and explanations on it.
         """
         handler = self._check if ready else self._metrics
         runner = web.ServerRunner(
@@ -58,4 +67,14 @@
         return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
 
     async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == EXPLAIN_PATH:
+            query = request.query
+            view = self._explain(
+                query.get('host', ''),
+                query.get('path', ''),
+                query.get('account', ''),
+            )
+            return web.Response(
+                body=msgspec.json.encode(view), content_type='application/json'
+            )
         return web.Response(body=generate_latest(self._registry))
--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -13,6 +13,7 @@
 from oriolestage.routing._placement_types import (
     ChosenTarget,
     HostLocation,
+    NoCapacity,
     PlacementResult,
     Room,
     ShortageCause,
@@ -152,6 +153,18 @@
         tried = self._choose_among(requirements, on_trial, now)
         return tried if isinstance(tried, ChosenTarget) else usual
 
+    def permits(
+        self, requirements: TargetRequirements, target: KnownTarget, now: float
+    ) -> bool:
+        """Return whether a region and version allow attempts at a target."""
+        return target in self._permitted(requirements, (), now)
+
+    def refuse(
+        self, requirements: TargetRequirements, target: KnownTarget, now: float
+    ) -> NoCapacity | None:
+        """Return why a target has no capacity now, None if it has."""
+        return self._capacity.refuse(target, requirements, self._hosts, now)
+
     def room(self, requirements: TargetRequirements, now: float) -> Room:
         """Return the room for attempts at the targets of a service."""
         free = 0
--- a/oriolestage/routing/_targets.py
+++ b/oriolestage/routing/_targets.py
@@ -261,16 +261,29 @@
         """Yield all known targets, usable or not."""
         yield from self._targets.values()
 
+    def registered(self, service: str) -> Iterator[KnownTarget]:
+        """Yield the targets of a service, usable or not."""
+        yield from self._by_service.get(service, {}).values()
+
     def usable(self, service: str) -> Iterator[KnownTarget]:
         """Yield the targets of a service that may get new work."""
         for known in self._by_service.get(service, {}).values():
-            if known.held_until is not None:
-                continue
-            if known.record.draining or known.leaving or known.replaced:
-                continue
-            if known.record.data_centre in self._closed_data_centres:
-                continue
-            yield known
+            if not self.obstacle(known):
+                yield known
+
+    def obstacle(self, known: KnownTarget) -> str:
+        """Return why a target may get no new work; empty if it may."""
+        if known.held_until is not None:
+            return 'held'
+        if known.record.draining:
+            return 'draining'
+        if known.leaving:
+            return 'leaving'
+        if known.replaced:
+            return 'replaced'
+        if known.record.data_centre in self._closed_data_centres:
+            return 'data_centre_closed'
+        return ''
 
     def _register_restored(self, record: TargetRecord, now: float) -> None:
         """Register what a restored store lists, which may be outdated.
--- a/oriolestage/tool/__init__.py
+++ b/oriolestage/tool/__init__.py
@@ -11,6 +11,7 @@
     DaemonUnreachableError,
 )
 from oriolestage.tool._exit_codes import ExitCode
+from oriolestage.tool._explain import fetch_explanation, render_explanation
 from oriolestage.tool._language import parse_command
 from oriolestage.tool._session import Session
 
@@ -22,6 +23,8 @@
     'ExitCode',
     'Session',
     'dump_document',
+    'fetch_explanation',
     'load_document',
     'parse_command',
+    'render_explanation',
 )
--- a/oriolestage/tool/__main__.py
+++ b/oriolestage/tool/__main__.py
@@ -10,7 +10,14 @@
 import cyclopts
 
 from oriolestage._event_loop import disable_io_uring
-from oriolestage.tool import DaemonClient, ExitCode, Session
+from oriolestage.tool import (
+    DaemonClient,
+    DaemonUnreachableError,
+    ExitCode,
+    Session,
+    fetch_explanation,
+    render_explanation,
+)
 
 #: Environment variable with addresses of daemons, separated by commas.
 HOSTS_VARIABLE = 'ORIOLESTAGE_HOSTS'
@@ -83,6 +90,35 @@
     return highest_code
 
 
+@app.command
+def explain(
+    url: Annotated[
+        str,
+        cyclopts.Parameter(help='URL of the request, such as http://h/p/1.'),
+    ],
+    *,
+    entry: Annotated[
+        str,
+        cyclopts.Parameter(help='Metrics address of an entry host.'),
+    ],
+    account: Annotated[
+        str,
+        cyclopts.Parameter(help="Name of the caller's account."),
+    ] = '',
+) -> int:
+    """Show where an entry host would send a request now; send nothing."""
+    disable_io_uring()
+    import uvloop  # noqa: PLC0415 - reads its variable when a loop is made
+
+    try:
+        view = uvloop.run(fetch_explanation(entry, url, account))
+    except DaemonUnreachableError as error:
+        _write_error_line(str(error))
+        return ExitCode.UNREACHABLE
+    _write_line(render_explanation(view))
+    return ExitCode.REFUSED if view.refused else ExitCode.DONE
+
+
 def _command_lines(words: tuple[str, ...], file: Path | None) -> Iterator[str]:
     if words:
         return iter((' '.join(words),))
