Roll-outs: bound the writes of counters by all hosts together

Cause: with 620 hosts, one write in 0.5 s each exceeds what the store takes. Change: the interval grows with the number of hosts beyond 300; an error in one of the two loops of the controller ends the other as well.

--- a/oriolestage/entry/_rollout_controller.py
+++ b/oriolestage/entry/_rollout_controller.py
@@ -20,6 +20,8 @@
 #: Interval at which counters are written, in seconds, and how many at once.
 REPORT_INTERVAL_S = 0.5
 REPORTS_LIMIT = 32
+#: Writes of counters per second of all hosts together, at most.
+REPORT_RATE_LIMIT = 600
 #: Time after a failed call before the next one of its kind, in seconds.
 RETRY_INTERVAL_S = 0.5
 #: Time after the write of a status for which its change is awaited, in
@@ -39,9 +41,14 @@
         store: RolloutStore,
         book: RolloutBook,
         decider: RolloutDecider,
+        host_count: Callable[[], int],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Create a controller that has written nothing."""
+        """Create a controller that has written nothing.
+
+        ``host_count`` returns the number of hosts that share the store.
+        """
+        self._host_count = host_count
         self._store = store
         self._book = book
         self._decider = decider
@@ -52,11 +59,13 @@
 
     async def run(self) -> None:
         """Write what is due until cancelled."""
-        await asyncio.gather(self._run_reports(), self._run_decisions())
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._run_reports())
+            tasks.create_task(self._run_decisions())
 
     async def _run_reports(self) -> None:
         while True:
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            await asyncio.sleep(report_interval_s(self._host_count()))
             await self._report()
 
     async def _run_decisions(self) -> None:
@@ -119,3 +128,8 @@
             quiet_s = AWAIT_CHANGE_S
             log_event('rollout_status_written', named)
         self._decider.record_write(status.service, self._clock() + quiet_s)
+
+
+def report_interval_s(hosts: int) -> float:
+    """Return the interval at which each of some hosts writes counters."""
+    return max(REPORT_INTERVAL_S, hosts / REPORT_RATE_LIMIT)
--- a/oriolestage/entry/_rollout_parts.py
+++ b/oriolestage/entry/_rollout_parts.py
@@ -61,7 +61,9 @@
             functools.partial(_has_targets, placement.directory),
         )
         decider = RolloutDecider(self.book, self.schedule, inputs)
-        return RolloutController(store, self.book, decider)
+        return RolloutController(
+            store, self.book, decider, lambda: len(placement.hosts)
+        )
 
 
 def build_rollouts(
--- a/oriolestage/platform/tests/rolling_host.py
+++ b/oriolestage/platform/tests/rolling_host.py
@@ -61,4 +61,5 @@
         """Stop following the store."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.wait(self._tasks)
         await self.client.close()
