Roll-outs: log why a host holds back the share

Cause: an operator could not see why a host sends nothing to a new version while the status allows it. Change: one line for each change of the share at a host, with what holds it back; the limits of a host and the choice of reports are modules of their own. Measured: the tests of shares, decisions, the controller, the store and the replays pass.

--- a/oriolestage/entry/_rollout_controller.py
+++ b/oriolestage/entry/_rollout_controller.py
@@ -14,6 +14,7 @@
 from oriolestage.rollouts._book import RolloutBook
 from oriolestage.rollouts._decisions import RolloutDecider
 from oriolestage.rollouts._orders import RolloutStatus
+from oriolestage.rollouts._reports import RolloutReports
 
 #: Interval at which decisions are made, in seconds.
 DECISION_INTERVAL_S = 0.2
@@ -51,6 +52,7 @@
         self._host_count = host_count
         self._store = store
         self._book = book
+        self._reports = RolloutReports(book)
         self._decider = decider
         self._clock = clock
         self._lease: Lease | None = None
@@ -72,14 +74,16 @@
         while True:
             await asyncio.sleep(DECISION_INTERVAL_S)
             now = self._clock()
-            for change in self._book.remove_unconfirmed(now):
+            changes = self._book.remove_unconfirmed(now)
+            changes += self._book.changes_of_shares(now)
+            for change in changes:
                 log_event(change.event, dict(change.fields))
             for status in self._decider.due_statuses(now):
                 await self._write_status(status)
 
     async def _report(self) -> None:
         now = self._clock()
-        reports = self._book.due_reports(now, REPORTS_LIMIT)
+        reports = self._reports.due(now, REPORTS_LIMIT)
         if not reports or now < self._report_at:
             return
         try:
@@ -94,7 +98,7 @@
                 {'reports': len(reports), 'error': error},
             )
         else:
-            self._book.record_reported(reports, now)
+            self._reports.record_written(reports, now)
 
     async def _usable_lease(self, now: float) -> Lease:
         lease = self._lease
--- a/oriolestage/entry/tests/test_rollout_controller.py
+++ b/oriolestage/entry/tests/test_rollout_controller.py
@@ -119,11 +119,13 @@
         self.assertEqual(len(self._store.statuses), 1)
 
     def test_refused_status(self) -> None:
-        """A status that was refused is written again soon, not at once."""
+        """Guards against a refused status that is written again at once."""
         self._store.errors = [REFUSED]
         self._run(RETRY_INTERVAL_S)
         self.assertEqual(self._store.statuses, [])
-        self.setUp()
+
+    def test_repeated_status(self) -> None:
+        """Guards against a refused status that is not written again."""
         self._store.errors = [REFUSED]
         self._run(RETRY_INTERVAL_S * 2 + 0.1)
         self.assertEqual(len(self._store.statuses), 1)
--- a/oriolestage/rollouts/_book.py
+++ b/oriolestage/rollouts/_book.py
@@ -4,14 +4,12 @@
 changes of statuses that this host has to write.
 """
 
-import operator
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 
 from oriolestage.rollouts._evidence import OwnEvidence
 from oriolestage.rollouts._orders import (
-    HostEvidence,
     RolloutOrder,
     RolloutPhase,
     RolloutState,
@@ -35,8 +33,6 @@
 
 #: Time for which what a restored store lacks is kept, in seconds.
 RESTORED_S = 6.0
-#: Interval of reports without new responses of the new version, in seconds.
-OLD_REPORT_S = 2.0
 
 
 class RolloutBook:
@@ -150,31 +146,24 @@
                 rollout.apply_evidence(evidence, now)
                 return []
 
-    def due_reports(self, now: float, limit: int) -> list[HostEvidence]:
-        """Return the counters of this host that have to be written.
-
-        At most ``limit`` are returned, those that have waited longest.
-        """
-        due: list[tuple[float, HostEvidence]] = []
-        for service, rollout in self._services.items():
-            if not rollout.active:
-                continue
-            self.count_own(rollout, now)
-            report = self.own.unwritten(
-                service, new_only=now - rollout.reported_at < OLD_REPORT_S
-            )
-            if report is not None:
-                due.append((rollout.reported_at, report))
-        due.sort(key=operator.itemgetter(0))
-        return [report for _, report in due[:limit]]
+    def changes_of_shares(self, now: float) -> list[StateChange]:
+        """Return the changes to log of the shares at this host."""
+        age_s = self._copy_age_s()
+        changes: list[StateChange] = []
+        for rollout in self._services.values():
+            if rollout.order is not None:
+                changes.extend(rollout.change_of_share(now, age_s))
+        return changes
 
-    def record_reported(
-        self, reports: Iterable[HostEvidence], now: float
-    ) -> None:
-        """Record that counters were written."""
-        for report in reports:
-            self.own.record_written(report)
-            self._rollout(report.service).reported_at = now
+    def remove_unconfirmed(self, now: float) -> list[StateChange]:
+        """Forget orders that were not written again after a restoration."""
+        if now < self._restored_until:
+            return []
+        changes: list[StateChange] = []
+        for rollout in self._services.values():
+            if rollout.unconfirmed:
+                changes.extend(self._remove(rollout))
+        return changes
 
     def _apply_order(
         self, order: RolloutOrder, now: float
@@ -240,16 +229,6 @@
         self.own.stop(rollout.service)
         return [change]
 
-    def remove_unconfirmed(self, now: float) -> list[StateChange]:
-        """Forget orders that were not written again after a restoration."""
-        if now < self._restored_until:
-            return []
-        changes: list[StateChange] = []
-        for rollout in self._services.values():
-            if rollout.unconfirmed:
-                changes.extend(self._remove(rollout))
-        return changes
-
     def _drop_unlisted(
         self, listed: Iterable[StoredFact], now: float
     ) -> list[StateChange]:
--- a/oriolestage/rollouts/_service_rollout.py
+++ b/oriolestage/rollouts/_service_rollout.py
@@ -1,8 +1,8 @@
 """State of the versions of one service and of its roll-out."""
 
 import dataclasses
-import math
 
+from oriolestage.rollouts._exposure import Exposure, limit_exposure
 from oriolestage.rollouts._fleet_evidence import FleetEvidence
 from oriolestage.rollouts._orders import (
     HostEvidence,
@@ -16,13 +16,6 @@
 from oriolestage.routing._targets import TargetRecord
 from oriolestage.routing._version_rules import VersionSplit
 
-#: Age of the copy of the store from which nothing is sent to a version on
-#: trial, in seconds. It is below the time within which a bad version has to
-#: get nothing more, and above the longest watch without changes.
-MAX_COPY_AGE_S = 4.5
-#: The same after the planned end of the ramp, when an answer of the store
-#: should have brought the end.
-MAX_COPY_AGE_AT_END_S = 2.0
 #: Part of the interval of reports by which the first one is earlier, in
 #: seconds.
 FIRST_REPORT_S = 1.0
@@ -66,6 +59,7 @@
         self.rejected: set[str] = set()
         self._schedule = schedule
         self._settled = VersionSplit(frozenset())
+        self._logged_exposure = Exposure(0)
         #: Revisions of the store's item under which the order was read.
         self._revisions: set[int] = set()
         #: Versions that were logged as unknown.
@@ -219,28 +213,24 @@
         It is that of the status, or 0 if the version may get no more or if
         this host may have missed that.
         """
-        status = self.stored_status
-        order = self.order
-        if status is None or order is None or self.final is not None:
-            return 0
-        elapsed_s = self.elapsed_s(now)
-        if self.evidence.verdict.bad_because or elapsed_s > order.duration_s:
-            return 0
-        if copy_age_s > MAX_COPY_AGE_S:
-            return 0
-        ended = elapsed_s > self._schedule.end_s(order, status)
-        if ended and copy_age_s > MAX_COPY_AGE_AT_END_S:
-            return 0
-        evidence = self.evidence
-        share = self._schedule.share(status, elapsed_s)
-        unreported_rate: float = 0
-        if math.isinf(status.full_until_s):
-            # A ramp of a limited time is bounded by that.
-            unreported_rate = share * evidence.rate(elapsed_s)
-        exhausted = self._schedule.exhausted(
-            evidence.requests, evidence.exposed, unreported_rate
-        )
-        return 0 if exhausted else share
+        return self._exposure(now, copy_age_s).share
+
+    def change_of_share(
+        self, now: float, copy_age_s: float
+    ) -> list[StateChange]:
+        """Return the change to log if the share is another one than before."""
+        exposure = self._exposure(now, copy_age_s)
+        if exposure == self._logged_exposure:
+            return []
+        self._logged_exposure = exposure
+        return [
+            self.describe(
+                'rollout_share',
+                share=exposure.share,
+                held_because=exposure.held_because or 'none',
+                elapsed_s=self.elapsed_s(now),
+            )
+        ]
 
     def describe(self, event: str, **fields: object) -> StateChange:
         """Return a change to log about the order."""
@@ -260,6 +250,19 @@
             self._settled = split
         return split
 
+    def _exposure(self, now: float, copy_age_s: float) -> Exposure:
+        status = self.stored_status
+        if status is None or self.order is None or self.final is not None:
+            return Exposure(0)
+        return limit_exposure(
+            self._schedule,
+            self.order,
+            status,
+            self.evidence,
+            self.elapsed_s(now),
+            copy_age_s,
+        )
+
     def _ends_soon(self, now: float) -> bool:
         status = self.stored_status
         if status is None or self.order is None:
--- a/oriolestage/rollouts/tests/replay.py
+++ b/oriolestage/rollouts/tests/replay.py
@@ -18,6 +18,7 @@
     RolloutState,
     RolloutStatus,
 )
+from oriolestage.rollouts._reports import RolloutReports
 from oriolestage.rollouts._schedule import Schedule
 from oriolestage.routing._facts import (
     EvidenceStored,
@@ -143,6 +144,7 @@
             DeciderInputs(name, lambda: names, lambda service, version: True),
         )
         self.ended = False
+        self._reports = RolloutReports(self.book)
         self._position = 0
         self._read_at: float = 0
         self._ready_at = self.draws.uniform(0, WATCH_S)
@@ -177,10 +179,10 @@
             written = written or done
         if self.now >= self._report_at:
             self._report_at = self.now + REPORT_INTERVAL_S
-            reports = self.book.due_reports(self.now, 32)
+            reports = self._reports.due(self.now, 32)
             for report in reports:
                 store.put(EvidenceStored(report))
-            self.book.record_reported(reports, self.now)
+            self._reports.record_written(reports, self.now)
         return written
 
 
--- a/oriolestage/rollouts/tests/test_shares.py
+++ b/oriolestage/rollouts/tests/test_shares.py
@@ -3,7 +3,7 @@
 import unittest
 
 from oriolestage.rollouts._orders import RolloutPhase, RolloutState
-from oriolestage.rollouts._service_rollout import (
+from oriolestage.rollouts._exposure import (
     MAX_COPY_AGE_AT_END_S,
     MAX_COPY_AGE_S,
 )
@@ -62,6 +62,20 @@
         self.assertEqual(self._host.share(8), 1)
         self.assertEqual(self._host.share(9.1), 0)
 
+    def test_log(self) -> None:
+        """A change of the share is logged once, with what holds it back."""
+        self.assertEqual(len(self._host.book.changes_of_shares(1)), 1)
+        self._host.age_s = MAX_COPY_AGE_S + 0.1
+        changes = self._host.book.changes_of_shares(5)
+        changes += self._host.book.changes_of_shares(5.2)
+        self.assertEqual(
+            [change.event for change in changes], ['rollout_share']
+        )
+        fields = dict(changes[0].fields)
+        self.assertEqual(
+            (fields['share'], fields['held_because']), (0, 'old_copy')
+        )
+
     def test_limited_ramp(self) -> None:
         """A ramp of a limited time ends by itself at all hosts."""
         ramp = make_status(
