--- a/oriolestage/entry/_rollout_controller.py
+++ b/oriolestage/entry/_rollout_controller.py
@@ -14,12 +14,15 @@
 from oriolestage.rollouts._book import RolloutBook
 from oriolestage.rollouts._decisions import RolloutDecider
 from oriolestage.rollouts._orders import RolloutStatus
+from oriolestage.rollouts._reports import RolloutReports
 
 #: Interval at which decisions are made, in seconds.
 DECISION_INTERVAL_S = 0.2
 #: Interval at which counters are written, in seconds, and how many at once.
 REPORT_INTERVAL_S = 0.5
 REPORTS_LIMIT = 32
+#: Writes of counters per second of all hosts together, at most.
+REPORT_RATE_LIMIT = 600
 #: Time after a failed call before the next one of its kind, in seconds.
 RETRY_INTERVAL_S = 0.5
 #: Time after the write of a status for which its change is awaited, in
@@ -39,11 +42,17 @@
         store: RolloutStore,
         book: RolloutBook,
         decider: RolloutDecider,
+        host_count: Callable[[], int],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Create a controller that has written nothing."""
+        """Create a controller that has written nothing.
+
+        ``host_count`` returns the number of hosts that share the store.
+        """
+        self._host_count = host_count
         self._store = store
         self._book = book
+        self._reports = RolloutReports(book)
         self._decider = decider
         self._clock = clock
         self._lease: Lease | None = None
@@ -52,25 +61,29 @@
 
     async def run(self) -> None:
         """Write what is due until cancelled."""
-        await asyncio.gather(self._run_reports(), self._run_decisions())
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._run_reports())
+            tasks.create_task(self._run_decisions())
 
     async def _run_reports(self) -> None:
         while True:
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            await asyncio.sleep(report_interval_s(self._host_count()))
             await self._report()
 
     async def _run_decisions(self) -> None:
         while True:
             await asyncio.sleep(DECISION_INTERVAL_S)
             now = self._clock()
-            for change in self._book.remove_unconfirmed(now):
+            changes = self._book.remove_unconfirmed(now)
+            changes += self._book.changes_of_shares(now)
+            for change in changes:
                 log_event(change.event, dict(change.fields))
             for status in self._decider.due_statuses(now):
                 await self._write_status(status)
 
     async def _report(self) -> None:
         now = self._clock()
-        reports = self._book.due_reports(now, REPORTS_LIMIT)
+        reports = self._reports.due(now, REPORTS_LIMIT)
         if not reports or now < self._report_at:
             return
         try:
@@ -85,7 +98,7 @@
                 {'reports': len(reports), 'error': error},
             )
         else:
-            self._book.record_reported(reports, now)
+            self._reports.record_written(reports, now)
 
     async def _usable_lease(self, now: float) -> Lease:
         lease = self._lease
@@ -119,3 +132,8 @@
             quiet_s = AWAIT_CHANGE_S
             log_event('rollout_status_written', named)
         self._decider.record_write(status.service, self._clock() + quiet_s)
+
+
+def report_interval_s(hosts: int) -> float:
+    """Return the interval at which each of some hosts writes counters."""
+    return max(REPORT_INTERVAL_S, hosts / REPORT_RATE_LIMIT)
