Quotas: let a deputy grant the limit if the owner is lost

Change: owner and two deputies vote; whoever has the vote of another besides its own grants the limit. The first deputy is the host that owns the account once the owner is removed.

--- a/oriolestage/admission/_quota_books.py
+++ b/oriolestage/admission/_quota_books.py
@@ -46,7 +46,12 @@
     """The tokens of one account at one grantor."""
 
     def __init__(
-        self, bucket: TokenBucket, allowed_debt: float, *, counts_debt: bool
+        self,
+        bucket: TokenBucket,
+        allowed_debt: float,
+        opened_at: float,
+        *,
+        counts_debt: bool,
     ) -> None:
         """Create a book of a bucket without hosts.
 
@@ -54,6 +59,9 @@
         report here is taken from the bucket, beyond ``allowed_debt``.
         """
         self.bucket = bucket
+        self.opened_at = opened_at
+        #: Limit of the account, whatever part of it the bucket grants.
+        self.rate = bucket.rate
         self._allowed_debt = allowed_debt
         self._counts_debt = counts_debt
         self._usages: dict[tuple[str, int], _HostUsage] = {}
@@ -183,7 +191,7 @@
         self.bucket.take(max(0, self._debt(slot) - before))
 
     def _debt(self, slot: int) -> float:
-        owed = debt_of(self._earlier, self.bucket.rate, slot)
+        owed = debt_of(self._earlier, self.rate, slot)
         return max(0, owed - self._allowed_debt)
 
     def _count_sharing(self, now: float) -> None:
--- a/oriolestage/admission/_quota_client.py
+++ b/oriolestage/admission/_quota_client.py
@@ -187,7 +187,7 @@
 
     def is_exhausted(self, account: str, now: float) -> bool:
         """Return whether the owner has just said that there is no token."""
-        lease = self._owner_lease(account)
+        lease = self._leader_lease(account, now)
         return (
             lease is not None
             and now - lease.confirmed_at < REPORT_INTERVAL_S
@@ -200,7 +200,7 @@
         Requests that this host refuses between two answers of the owner get
         the times of successive tokens.
         """
-        lease = self._owner_lease(account)
+        lease = self._leader_lease(account, now)
         if lease is None or not lease.is_valid(now):
             return NO_CONTACT_RETRY_AFTER_S
         wait_s = max(0, lease.next_token_at - now)
@@ -229,7 +229,7 @@
             contact = self._contacts[grantor]
             if not contact.is_late(now, LATE_S):
                 break
-        owner = self._owner_lease(account)
+        owner = self._leader_lease(account, now)
         state.asked_number = 0 if owner is None else owner.number
         return reports
 
@@ -255,7 +255,7 @@
         admission = self._take(state, state.waits.index(wait), now)
         if admission is not None:
             return admission
-        lease = self._owner_lease(wait.account)
+        lease = self._leader_lease(wait.account, now)
         # Each question counts all requests that wait: while one is on its
         # way, its answer may have a token for any of them.
         counted = state.asked_at >= wait.started_at
@@ -285,15 +285,15 @@
             if now - state.requested_at > FORGET_S and not state.waits:
                 self._states.pop(account)
                 continue
-            grantors = self._hosts.grantors(account)
+            leader = self._leader(account, now)
             state.tidy(now)
             for grantor, lease in tuple(state.leases.items()):
-                owns = grantors[:1] == (grantor,)
-                if self._is_due(state, lease, now, owns=owns):
+                leads = grantor == leader
+                if self._is_due(state, lease, now, leads=leads):
                     yield grantor, self._report(state, grantor, now)
 
     def _is_due(
-        self, state: _State, lease: TokenLease, now: float, *, owns: bool
+        self, state: _State, lease: TokenLease, now: float, *, leads: bool
     ) -> bool:
         since_s = now - lease.last_sent_at
         if since_s < REPORT_INTERVAL_S:
@@ -302,7 +302,7 @@
             return True
         if lease.held and since_s >= CONFIRM_INTERVAL_S:
             return True
-        return owns and state.expected(now) > lease.held
+        return leads and state.expected(now) > lease.held
 
     def _report(self, state: _State, grantor: str, now: float) -> UsageReport:
         lease = state.leases.get(grantor)
@@ -329,12 +329,18 @@
             recent=state.demand.recent(now),
         )
 
-    def _owner_lease(self, account: str) -> TokenLease | None:
-        grantors = self._hosts.grantors(account)
+    def _leader(self, account: str, now: float) -> str:
+        """Return the first grantor that is not silent; empty without one."""
+        for grantor in self._hosts.grantors(account):
+            if not self.is_silent(grantor, now):
+                return grantor
+        return ''
+
+    def _leader_lease(self, account: str, now: float) -> TokenLease | None:
         state = self._states.get(account)
-        if not grantors or state is None:
+        if state is None:
             return None
-        return state.leases.get(grantors[0])
+        return state.leases.get(self._leader(account, now))
 
     def _fixed_share(self, state: _State) -> int:
         account = state.account
--- a/oriolestage/admission/_quota_hosts.py
+++ b/oriolestage/admission/_quota_hosts.py
@@ -2,7 +2,7 @@
 
 The owner grants within the limit. Two deputies grant a part of the room above
 it to hosts that do not reach the owner. All three are chosen by rendezvous
-hashing, the deputies from other regions than the owner if there are any.
+hashing, the second deputy from another region if there is one.
 """
 
 from collections.abc import Mapping
@@ -56,13 +56,13 @@
 
     def _rank(self, account: str) -> tuple[str, ...]:
         ranked = rendezvous_rank(account, self._regions)
-        chosen = ranked[:1]
-        taken = {self._regions[name] for name in chosen}
-        for name in ranked[1:]:
-            if len(chosen) <= DEPUTIES and self._regions[name] not in taken:
-                chosen.append(name)
-                taken.add(self._regions[name])
-        for name in ranked[1:]:
-            if len(chosen) <= DEPUTIES and name not in chosen:
-                chosen.append(name)
-        return tuple(chosen)
+        # The first deputy becomes the owner if the owner is lost.
+        chosen = ranked[:DEPUTIES]
+        regions = {self._regions[name] for name in chosen}
+        others = [
+            name
+            for name in ranked[DEPUTIES:]
+            if self._regions[name] not in regions
+        ]
+        last = others or ranked[DEPUTIES:]
+        return (*chosen, *last[:1])
--- a/oriolestage/admission/_quota_owner.py
+++ b/oriolestage/admission/_quota_owner.py
@@ -15,6 +15,7 @@
     QuotaPlan,
     plan_quota,
 )
+from oriolestage.admission._quota_votes import LEAD_S, QuotaVotes
 from oriolestage.admission._token_bucket import TokenBucket
 
 #: Time for which a host that has lost an account answers reports with the
@@ -45,6 +46,8 @@
     role: Role
     #: Rate and burst of the account.
     limit: tuple[float, float]
+    #: Tokens when this host last stopped granting the limit.
+    level_before: float = 0
     #: Time at which the role was given up.
     lost_at: float = float('inf')
 
@@ -58,8 +61,9 @@
         bounds: QuotaBounds,
         may_own: Callable[[float], bool],
         on_change: Callable[[str, Mapping[str, object]], None],
+        started_at: float,
     ) -> None:
-        """Create a host without accounts.
+        """Create a host without accounts at the start of its process.
 
         ``may_own`` returns whether no other host can have taken the place of
         this one at a time; ``on_change`` gets the events to log.
@@ -74,7 +78,10 @@
         self._listed_since = float('inf')
         #: Time until which another host may have taken the place of this one.
         self._doubted_until = float('-inf')
+        self.votes = QuotaVotes(name, started_at, self._settling_s, may_own)
         self.granted_count = 0
+        #: Whether votes should be asked for at once.
+        self.wants_votes = False
 
     def __len__(self) -> int:
         """Return the number of accounts with a book."""
@@ -86,6 +93,7 @@
             self._listed_since = float('inf')
         elif self._listed_since > now:
             self._listed_since = now
+        self.votes.replace_hosts(hosts)
         self._history.append((now, hosts))
         self._forget_history(now)
 
@@ -107,6 +115,8 @@
             rate, burst = known.rate, known.burst
         if rate <= 0:
             return None
+        if self.votes.want(report.account, now):
+            self.wants_votes = True
         kept = self._keep(report.account, rate, burst, now)
         if kept is None:
             return None
@@ -119,6 +129,18 @@
             self.granted_count += max(0, grant.granted - report.received)
         return grant
 
+    def prepare(self, account: str, now: float) -> None:
+        """Be ready for reports about an account if this host owns it."""
+        if self.owns(account):
+            self.votes.want(account, now)
+
+    def owns(self, account: str) -> bool:
+        """Return whether this host is the owner of an account."""
+        if not self._history:
+            return False
+        _, hosts = self._history[-1]
+        return hosts.grantors(account)[:1] == (self._name,)
+
     def sweep(self, now: float) -> None:
         """Drop the books that are no longer needed."""
         self._check_ownership(now)
@@ -140,6 +162,12 @@
         role = self._role(account, now)
         plan = plan_quota(rate, burst, self._bounds)
         kept = self._kept.get(account)
+        if kept is not None and kept.role == Role.OWNER:
+            # Nothing is added for a time in which another host may have led.
+            until = self.votes.led_until(account)
+            kept.book.bucket.refill(min(now, until))
+            if until < now:
+                kept.book.bucket.delay_refill(now)
         if kept is None:
             if role == Role.FORMER:
                 return None
@@ -151,6 +179,7 @@
         elif kept.limit != (rate, burst):
             kept.book.bucket.change(*_pace(role, plan), now)
         kept.limit = (rate, burst)
+        kept.book.rate = rate
         return kept
 
     def _role(self, account: str, now: float) -> Role:
@@ -159,9 +188,11 @@
         grantors = self._history[-1][1].grantors(account)
         if self._name not in grantors:
             return Role.FORMER
-        if grantors[0] != self._name:
-            return Role.DEPUTY
-        return Role.OWNER if self._check_ownership(now) else Role.FORMER
+        owns = grantors[0] == self._name
+        if owns and not self._check_ownership(now):
+            return Role.FORMER
+        leads = now < self.votes.led_until(account)
+        return Role.OWNER if leads else Role.DEPUTY
 
     def _check_ownership(self, now: float) -> bool:
         owns = self._may_own(now)
@@ -179,7 +210,8 @@
     ) -> AccountBook:
         rate, capacity = _pace(role, plan)
         level = capacity
-        if role == Role.OWNER and not self._is_settled(account, now):
+        settled = self._is_settled(account, now)
+        if role == Role.OWNER and not settled:
             level = min(capacity, plan.start_level)
         young_until = self._listed_since + OVERLAP_S
         young = now < young_until
@@ -191,9 +223,9 @@
             self._log_start(account, level, young=young)
         if young:
             bucket.delay_refill(young_until)
-        return AccountBook(
-            bucket, capacity - level, counts_debt=role == Role.OWNER
-        )
+        owns = self.owns(account)
+        allowed_debt = 0 if settled else plan.capacity - level
+        return AccountBook(bucket, allowed_debt, now, counts_debt=owns)
 
     def _change_role(
         self, account: str, kept: _Kept, role: Role, plan: QuotaPlan, now: float
@@ -202,16 +234,34 @@
         bucket = kept.book.bucket
         bucket.refill(now)
         kept.lost_at = float('inf')
+        if kept.role == Role.OWNER:
+            kept.level_before = bucket.level
         if role == Role.FORMER:
             kept.lost_at = now
             bucket.change(0, max(0, bucket.level + bucket.reserved), now)
         else:
             bucket.change(*_pace(role, plan), now)
-        if role == Role.OWNER and not self._is_settled(account, now):
+        if role == Role.OWNER:
+            self._start_leading(account, kept, plan, now)
+        kept.role = role
+
+    def _start_leading(
+        self, account: str, kept: _Kept, plan: QuotaPlan, now: float
+    ) -> None:
+        """Choose the tokens of a book whose limit this host grants now."""
+        bucket = kept.book.bucket
+        if not self._is_settled(account, now):
             bucket.take(max(0, bucket.level - plan.start_level))
             bucket.delay_refill(now + plan.refill_delay_s)
-            self._log_start(account, bucket.level, young=False)
-        kept.role = role
+        elif self.votes.is_settled(account):
+            # No other host has led. Either the book was opened for the first
+            # report of an idle account, or votes were lost for a moment.
+            before = kept.level_before
+            if now - kept.book.opened_at < LEAD_S:
+                before = bucket.level + plan.capacity - plan.deputy_capacity
+            bucket.take(min(0, bucket.level - before))
+            return
+        self._log_start(account, bucket.level, young=False)
 
     def _is_settled(self, account: str, now: float) -> bool:
         """Return whether this host has long been the owner."""
--- a/oriolestage/admission/tests/quota_replay.py
+++ b/oriolestage/admission/tests/quota_replay.py
@@ -47,6 +47,8 @@
     owner: QuotaOwner
     alive: bool = True
     paused_until: float = 0
+    #: Number of the change of the hosts that it knows.
+    version: int = 0
     #: Time until which no other host can take its place.
     owns_until: float = float('inf')
 
@@ -80,6 +82,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._processes = itertools.count(1)
+        self._version = 0
         self.hosts: dict[str, SimulatedHost] = {}
         self.regions = {
             f'host-{number}': REGIONS[number % len(REGIONS)]
@@ -101,6 +104,7 @@
                 self.bounds,
                 lambda now: now < host.owns_until,
                 lambda event, fields: None,
+                self.now if self.now else -100,
             ),
         )
         self.hosts[name] = host
@@ -160,9 +164,10 @@
     def change_hosts(self, regions: dict[str, str], when: float) -> None:
         """Change the hosts in the store; each host learns of it late."""
         self.regions = regions
+        self._version += 1
         for host in tuple(self.hosts.values()):
             lag_s = self.random.uniform(0, LARGEST_LAG_S)
-            learn = functools.partial(self.learn, host, regions)
+            learn = functools.partial(self.learn, host, regions, self._version)
             self.at(when + lag_s, learn)
 
     def admitted_times(self, account: str) -> list[float]:
@@ -271,6 +276,9 @@
         if self._postpone(host, lambda: self._tick(host)):
             return
         host.owner.sweep(self.now)
+        for account in self.accounts:
+            host.owner.prepare(account, self.now)
+        self._claim(host, at_once=False)
         self._send_all(host, list(host.client.due_reports(self.now)))
         self.at(self.now + TICK_S, lambda: self._tick(host))
 
@@ -287,12 +295,41 @@
                 answer = functools.partial(self._answer, host, other, report)
                 self._deliver(host, other, answer)
 
+    def _claim(self, host: SimulatedHost, *, at_once: bool) -> None:
+        claims = host.owner.votes.claims(self.now, at_once=at_once)
+        for name, (number, accounts) in claims.items():
+            self.messages += 1
+            other = self.hosts[name]
+            vote = functools.partial(self._vote, host, other, number, accounts)
+            if self.is_linked(host.name, name):
+                self._deliver(host, other, vote)
+
+    def _vote(
+        self,
+        claimant: SimulatedHost,
+        voter: SimulatedHost,
+        number: int,
+        accounts: tuple[str, ...],
+    ) -> None:
+        granted, settled = voter.owner.votes.vote(
+            claimant.name, accounts, self.now
+        )
+        receive = functools.partial(
+            claimant.owner.votes.receive, number, granted, settled
+        )
+        self.messages += 1
+        if self.is_linked(voter.name, claimant.name):
+            self._deliver(voter, claimant, receive)
+
     def _answer(
         self, host: SimulatedHost, grantor: SimulatedHost, report: UsageReport
     ) -> None:
         key = (host.name, host.process)
         account = self.accounts.get(report.account)
         grant = grantor.owner.answer(key, report, account, self.now)
+        if grantor.owner.wants_votes:
+            grantor.owner.wants_votes = False
+            self._claim(grantor, at_once=True)
         if grant is None:
             return
         if host is grantor:
@@ -330,8 +367,13 @@
         self.at(host.paused_until, action)
         return True
 
-    def learn(self, host: SimulatedHost, regions: dict[str, str]) -> None:
-        """Let a host know other hosts."""
+    def learn(
+        self, host: SimulatedHost, regions: dict[str, str], version: int = 0
+    ) -> None:
+        """Let a host know other hosts, unless it knows of a later change."""
+        if version < host.version:
+            return
+        host.version = version
         hosts = QuotaHosts(regions)
         host.client.replace_hosts(hosts)
         host.owner.replace_hosts(hosts, self.now)
--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -215,6 +215,7 @@
         lambda: quotas.counts,
     )
     metrics.add_gauge('quota_links', lambda: quotas.link_count)
+    metrics.add_gauge('quota_accounts_led', lambda: quotas.led_count)
     return EntryHost(
         settings=settings,
         metrics=metrics,
@@ -287,7 +288,13 @@
     return QuotaExchange(
         name,
         QuotaClient(name, settings.quota),
-        QuotaOwner(name, settings.quota, may_own, log.record_change),
+        QuotaOwner(
+            name,
+            settings.quota,
+            may_own,
+            log.record_change,
+            time.monotonic(),
+        ),
         lambda: (
             NO_ACCOUNTS
             if cluster_state.table is None
--- a/oriolestage/entry/_peer_link.py
+++ b/oriolestage/entry/_peer_link.py
@@ -22,7 +22,12 @@
     decode_from_peer,
     encode,
 )
-from oriolestage.entry._quota_wire import QuotaGrants, QuotaReports
+from oriolestage.entry._quota_wire import (
+    QuotaAnswer,
+    QuotaGrants,
+    QuotaQuestion,
+    QuotaVotesGiven,
+)
 from oriolestage.entry._relay_serving import outcome_of_reply
 from oriolestage.routing._answers import (
     AttemptLost,
@@ -52,7 +57,7 @@
 MS_PER_S = 1000
 
 
-def _ignore(_: QuotaGrants) -> None:
+def _ignore(_: QuotaAnswer) -> None:
     """Do nothing."""
 
 
@@ -63,13 +68,13 @@
         self,
         address: str,
         on_leaving: Callable[[str], None],
-        on_grants: Callable[[QuotaGrants], None] = _ignore,
+        on_quota: Callable[[QuotaAnswer], None] = _ignore,
     ) -> None:
         """Create a closed link; :meth:`open` connects it.
 
-        ``on_grants`` is called with the host's answers to reports of quotas.
+        ``on_quota`` is called with the host's answers to reports of quotas.
         """
-        self._on_grants = on_grants
+        self._on_quota = on_quota
         self._address = address
         self._on_leaving = on_leaving
         self._frames: FrameWriter | None = None
@@ -132,7 +137,7 @@
         """Whether the stream is open, as far as this host knows."""
         return self._frames is not None
 
-    def report(self, reports: QuotaReports) -> None:
+    def report(self, reports: QuotaQuestion) -> None:
         """Send reports of quotas, unless the stream is closed."""
         if self._frames is not None:
             self._frames.write(encode(reports))
@@ -254,8 +259,8 @@
             if relayed is not None and not relayed.done():
                 relayed.set_result(outcome_of_reply(reply))
             return
-        if isinstance(reply, QuotaGrants):
-            self._on_grants(reply)
+        if isinstance(reply, QuotaGrants | QuotaVotesGiven):
+            self._on_quota(reply)
             return
         self._freshness = Freshness(
             reply.revision, reply.age_ms / MS_PER_S, reply.era
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -23,7 +23,12 @@
     encode,
 )
 from oriolestage.entry._peer_requests import PeerRequests
-from oriolestage.entry._quota_wire import QuotaGrants, QuotaReports
+from oriolestage.entry._quota_wire import (
+    QuotaAnswer,
+    QuotaClaims,
+    QuotaQuestion,
+    QuotaReports,
+)
 from oriolestage.entry._relay_serving import RelayServer
 from oriolestage.entry._shard_gathering import (
     ReplyWriter,
@@ -70,7 +75,7 @@
 CRASH_STEP = 'batch.crash'
 
 
-def _no_grants(_: QuotaReports) -> QuotaGrants | None:
+def _no_grants(_: QuotaQuestion) -> QuotaAnswer | None:
     """Grant nothing."""
 
 
@@ -84,7 +89,7 @@
         sender: AttemptSender,
         freshness: Callable[[], Freshness],
         answer_quotas: Callable[
-            [QuotaReports], QuotaGrants | None
+            [QuotaQuestion], QuotaAnswer | None
         ] = _no_grants,
     ) -> None:
         """Create a server; ``freshness`` is read for each reply.
@@ -186,7 +191,7 @@
                 frames.write(encode(self._make_pong()))
             case GatherCancel(number=number):
                 running.cancel(number)
-            case QuotaReports():
+            case QuotaReports() | QuotaClaims():
                 grants = self._answer_quotas(message)
                 if grants is not None:
                     frames.write(encode(grants))
--- a/oriolestage/entry/_quota_exchange.py
+++ b/oriolestage/entry/_quota_exchange.py
@@ -22,7 +22,14 @@
 from oriolestage.admission._quota_owner import QuotaOwner
 from oriolestage.entry._quota_links import QuotaLinks
 from oriolestage.entry._quota_log import QuotaLog
-from oriolestage.entry._quota_wire import QuotaGrants, QuotaReports
+from oriolestage.entry._quota_wire import (
+    QuotaAnswer,
+    QuotaClaims,
+    QuotaGrants,
+    QuotaQuestion,
+    QuotaReports,
+    QuotaVotesGiven,
+)
 from oriolestage.routing._facts import HostRecord
 
 #: Interval of looking for reports that are due, in seconds.
@@ -79,6 +86,11 @@
         """Number of events by kind."""
         return self._log.counts
 
+    @property
+    def led_count(self) -> int:
+        """Number of accounts whose limit this host grants."""
+        return self._owner.votes.led_count(time.monotonic())
+
     @property
     def link_count(self) -> int:
         """Number of open streams to grantors."""
@@ -114,8 +126,19 @@
         self._log.count('returned')
         self._client.put_back(admission, time.monotonic())
 
-    def answer(self, message: QuotaReports) -> QuotaGrants | None:
-        """Return the tokens for the reports of a host; None for no answer."""
+    def answer(self, message: QuotaQuestion) -> QuotaAnswer | None:
+        """Return the answer to a question of a host; None for no answer."""
+        match message:
+            case QuotaReports():
+                return self._answer_reports(message)
+            case QuotaClaims(host=host, number=number, accounts=accounts):
+                granted, settled = self._owner.votes.vote(
+                    host, accounts, time.monotonic()
+                )
+                return QuotaVotesGiven(self._name, number, granted, settled)
+
+    def _answer_reports(self, message: QuotaReports) -> QuotaGrants | None:
+        """Return the tokens for the reports of a host."""
         now = time.monotonic()
         accounts = self._accounts()
         grants = [
@@ -127,11 +150,24 @@
             )
             for report in message.reports
         ]
+        if self._owner.wants_votes:
+            self._owner.wants_votes = False
+            self._claim(now, at_once=True)
         answered = tuple(grant for grant in grants if grant is not None)
         return QuotaGrants(self._name, answered) if answered else None
 
-    def receive(self, message: QuotaGrants) -> None:
-        """Take the tokens in the answer of a host."""
+    def receive(self, message: QuotaAnswer) -> None:
+        """Take the tokens or votes in the answer of a host."""
+        match message:
+            case QuotaVotesGiven(
+                number=number, granted=granted, settled=settled
+            ):
+                self._owner.votes.receive(number, granted, settled)
+            case QuotaGrants():
+                self._receive_grants(message)
+
+    def _receive_grants(self, message: QuotaGrants) -> None:
+        """Take the tokens of a host, and wake the requests that wait."""
         now = time.monotonic()
         for grant in message.grants:
             self._log.count('answers')
@@ -150,6 +186,7 @@
             if accounts.limited:
                 self._send(self._client.due_reports(now))
                 self._owner.sweep(now)
+                self._claim(now, at_once=False)
                 self._log.record_silent(
                     frozenset(
                         name
@@ -158,7 +195,7 @@
                     )
                 )
                 self._log.forget(now)
-                self._rank_some(accounts.limited)
+                self._prepare(accounts.limited, now)
                 if turn % LINK_CHECK_INTERVALS == 0:
                     self._links.maintain(self._wanted(accounts.limited))
             await asyncio.sleep(REPORT_INTERVAL_S)
@@ -210,25 +247,35 @@
         for grantor, reports in by_grantor.items():
             message = QuotaReports(self._name, self._process, tuple(reports))
             if grantor == self._name:
-                grants = self.answer(message)
+                grants = self._answer_reports(message)
                 if grants is not None:
-                    self.receive(grants)
+                    self._receive_grants(grants)
                 continue
+            self._send_to(grantor, message)
+
+    def _claim(self, now: float, *, at_once: bool) -> None:
+        """Ask for the votes that are due."""
+        claims = self._owner.votes.claims(now, at_once=at_once)
+        for other, (number, accounts) in claims.items():
+            self._send_to(other, QuotaClaims(self._name, number, accounts))
+
+    def _send_to(self, name: str, message: QuotaQuestion) -> None:
+        address = self._addresses.get(name)
+        if address is not None:
             self._log.count('messages')
-            address = self._addresses.get(grantor)
-            if address is not None:
-                self._links.send(address, message)
+            self._links.send(address, message)
+
+    def _prepare(self, limited: tuple[Account, ...], now: float) -> None:
+        """Be ready for the accounts that this host owns.
 
-    def _rank_some(self, limited: tuple[Account, ...]) -> None:
-        """Compute the grantors of a few accounts in advance."""
+        Compute the grantors of a few accounts in advance.
+        """
         hosts = self._client.hosts
-        unranked = (
-            account.name
-            for account in limited[:MAX_PREPARED_ACCOUNTS]
-            if not hosts.knows_grantors(account.name)
-        )
-        for name in itertools.islice(unranked, RANKED_PER_INTERVAL):
-            hosts.grantors(name)
+        left = RANKED_PER_INTERVAL
+        for account in limited[:MAX_PREPARED_ACCOUNTS]:
+            left -= not hosts.knows_grantors(account.name)
+            if left >= 0:
+                self._owner.prepare(account.name, now)
 
     def _wanted(self, limited: tuple[Account, ...]) -> set[str]:
         """Return the addresses of grantors that may be asked soon."""
--- a/oriolestage/entry/_quota_links.py
+++ b/oriolestage/entry/_quota_links.py
@@ -11,7 +11,7 @@
 
 from oriolestage._logging import log_event
 from oriolestage.entry._peer_link import PeerLink
-from oriolestage.entry._quota_wire import QuotaGrants, QuotaReports
+from oriolestage.entry._quota_wire import QuotaAnswer, QuotaQuestion
 
 #: Time without an attempt to open a stream after one has failed, in seconds.
 RETRY_S = 0.5
@@ -24,9 +24,9 @@
 class QuotaLinks:
     """Opens streams to grantors as they are needed."""
 
-    def __init__(self, on_grants: Callable[[QuotaGrants], None]) -> None:
-        """Create it without streams; ``on_grants`` gets the answers."""
-        self._on_grants = on_grants
+    def __init__(self, on_answer: Callable[[QuotaAnswer], None]) -> None:
+        """Create it without streams; ``on_answer`` gets the answers."""
+        self._on_answer = on_answer
         self._links: dict[str, PeerLink] = {}
         self._opening: dict[str, asyncio.Task[None]] = {}
         self._failed_at: dict[str, float] = {}
@@ -36,14 +36,14 @@
         """Return the number of open streams."""
         return sum(1 for link in self._links.values() if link.is_open)
 
-    def send(self, address: str, reports: QuotaReports) -> None:
-        """Send reports, once the stream is open; they may be lost."""
+    def send(self, address: str, question: QuotaQuestion) -> None:
+        """Send a question, once the stream is open; it may be lost."""
         self._used_at[address] = time.monotonic()
         link = self._links.get(address)
         if link is not None and link.is_open:
-            link.report(reports)
+            link.report(question)
             return
-        self._start_opening(address, reports)
+        self._start_opening(address, question)
 
     def maintain(self, wanted: set[str]) -> None:
         """Open streams to addresses, check those in use, close old ones."""
@@ -69,19 +69,19 @@
             link.close('link.stop')
 
     def _start_opening(
-        self, address: str, reports: QuotaReports | None
+        self, address: str, question: QuotaQuestion | None
     ) -> None:
         failed_s = time.monotonic() - self._failed_at.get(address, 0)
         if address in self._opening or failed_s < RETRY_S:
             return
-        task = asyncio.create_task(self._open(address, reports))
+        task = asyncio.create_task(self._open(address, question))
         self._opening[address] = task
         task.add_done_callback(lambda _: self._opening.pop(address, None))
 
-    async def _open(self, address: str, reports: QuotaReports | None) -> None:
+    async def _open(self, address: str, question: QuotaQuestion | None) -> None:
         link = self._links.get(address)
         if link is None:
-            link = PeerLink(address, _ignore, self._on_grants)
+            link = PeerLink(address, _ignore, self._on_answer)
             self._links[address] = link
             self._used_at.setdefault(address, time.monotonic())
         try:
@@ -93,8 +93,8 @@
                 {'step': 'quota', 'peer': address, 'error': repr(error)},
             )
             return
-        if reports is not None:
-            link.report(reports)
+        if question is not None:
+            link.report(question)
 
 
 def _ignore(_: str) -> None:
--- a/oriolestage/entry/_quota_wire.py
+++ b/oriolestage/entry/_quota_wire.py
@@ -33,3 +33,38 @@
     #: Name of the granting host.
     host: str
     grants: tuple[TokenGrant, ...]
+
+
+class QuotaClaims(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='quota_claims',
+):
+    """Asks for votes in some accounts."""
+
+    host: str
+    #: Number that identifies the claims at the host.
+    number: int
+    accounts: tuple[str, ...]
+
+
+class QuotaVotesGiven(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='quota_votes',
+):
+    """Answers :class:`QuotaClaims`."""
+
+    #: Name of the voting host.
+    host: str
+    number: int
+    #: Accounts in which the claimant gets the vote.
+    granted: tuple[str, ...]
+    #: Those of them in which no other host has led in the last window.
+    settled: tuple[str, ...]
+
+
+QuotaQuestion = QuotaReports | QuotaClaims
+QuotaAnswer = QuotaGrants | QuotaVotesGiven
--- a/oriolestage/entry/tests/quota_hosts.py
+++ b/oriolestage/entry/tests/quota_hosts.py
@@ -13,7 +13,7 @@
 from oriolestage.admission._quota_owner import QuotaOwner
 from oriolestage.entry._quota_exchange import QuotaExchange
 from oriolestage.entry._quota_log import QuotaLog
-from oriolestage.entry._quota_wire import QuotaGrants, QuotaReports
+from oriolestage.entry._quota_wire import QuotaAnswer, QuotaQuestion
 from oriolestage.entry._target_client import TargetCall
 from oriolestage.entry.tests.peer_requests import start_peer_server
 from oriolestage.routing._answers import AttemptLost, AttemptOutcome
@@ -41,10 +41,13 @@
     """Return the quotas of a host that has long known other hosts."""
     bounds = QuotaBounds()
     client = QuotaClient(name, bounds)
-    owner = QuotaOwner(name, bounds, lambda now: True, log.record_change)
+    started_at = time.monotonic() - KNOWN_FOR_S
+    owner = QuotaOwner(
+        name, bounds, lambda now: True, log.record_change, started_at
+    )
     hosts = QuotaHosts({other: 'region-a' for other in records})
     client.replace_hosts(hosts)
-    owner.replace_hosts(hosts, time.monotonic() - KNOWN_FOR_S)
+    owner.replace_hosts(hosts, started_at)
     return QuotaExchange(
         name,
         client,
@@ -87,6 +90,6 @@
 
 
 def _answer(
-    exchanges: Mapping[str, QuotaExchange], name: str, message: QuotaReports
-) -> QuotaGrants | None:
+    exchanges: Mapping[str, QuotaExchange], name: str, message: QuotaQuestion
+) -> QuotaAnswer | None:
     return exchanges[name].answer(message)
--- a/oriolestage/entry/tests/test_quota_exchange.py
+++ b/oriolestage/entry/tests/test_quota_exchange.py
@@ -22,9 +22,12 @@
 
 
 async def _linked(exchanges: dict[str, QuotaExchange]) -> None:
-    """Wait until every host has a stream to another one."""
+    """Wait until every host has a stream, and the owner has a vote."""
+    hosts = exchanges.values()
     async with asyncio.timeout(LINK_TIMEOUT_S):
-        while not all(one.link_count for one in exchanges.values()):
+        while not all(host.link_count for host in hosts) or not any(
+            host.led_count for host in hosts
+        ):
             await asyncio.sleep(0.01)
 
 
