--- a/oriolestage/entry/_host_parts.py
+++ b/oriolestage/entry/_host_parts.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 import random
+import time
 from collections.abc import Callable
 
 from oriolestage._logging import log_event
@@ -127,7 +128,13 @@
     return QuotaExchange(
         name,
         QuotaClient(name, settings.quota),
-        QuotaOwner(name, settings.quota, may_own, log.record_change),
+        QuotaOwner(
+            name,
+            settings.quota,
+            may_own,
+            log.record_change,
+            time.monotonic(),
+        ),
         lambda: (
             NO_ACCOUNTS
             if cluster_state.table is None
