--- a/oriolestage/routing/tests/builders.py
+++ b/oriolestage/routing/tests/builders.py
@@ -109,7 +109,7 @@
         directory.register(record, 0)
     location = HostLocation(name, data_centre, REGIONS)
     placement = Placement(
-        location, directory, WarmUpBounds(), lambda _: None, paces
+        location, directory, WarmUpBounds(), lambda _: None, paces=paces
     )
     placement.replace_hosts({name: location.region}, float('-inf'))
     return placement, directory
