Guarantee lower priorities a share of the places by their requests

Cause: every fourth place for lower priorities did not help requests that may wait for three places only: they were refused before their turn, and served a tenth as often as all.

Change: each priority has a tally of requests that had to wait and of those placed. One whose share is below 0.4 of that of all goes first. The line keeps a count of its requests, and looks up a service once while nobody waits.

--- a/oriolestage/admission/_fair_order.py
+++ b/oriolestage/admission/_fair_order.py
@@ -3,24 +3,41 @@
 Answers the load pattern in which one account sends many times its usual load,
 or one priority has more requests than the service can take: requests go by
 priority, then in turn among the accounts (start-time fair queueing), then by
-the time left within the latency objective. Every fourth place goes to a lower
-priority, so that none is starved.
+the time left within the latency objective. A priority that is placed much less
+often than all goes first, so that none is starved.
 """
 
 import bisect
+import dataclasses
 import itertools
 import math
 from collections.abc import Collection
 
 from oriolestage.admission._waiting_ranks import Kind, Ticket
 
-#: Places in a row for the highest priority while others wait.
-FIRST_PLACES = 3
+#: Least share of the requests of a priority that are placed, relative to that
+#: of all requests. The bound that accounts need is a quarter.
+LEAST_SHARE = 0.4
+#: Requests after which the older ones count half.
+TALLIED_REQUESTS = 400
 
 #: A waiting request by the time left, with its order among equal ones.
 _Entry = tuple[float, int, Ticket]
 
 
+@dataclasses.dataclass(slots=True)
+class _Tally:
+    """Requests of one priority that had to wait, and those placed."""
+
+    waited: float = 0
+    placed: float = 0
+
+    @property
+    def share(self) -> float:
+        """Share of the requests that were placed; 1 before the first."""
+        return (self.placed + 1) / (self.waited + 1)
+
+
 class _PriorityClass:
     """The waiting requests of one priority."""
 
@@ -28,8 +45,6 @@
         """Start without requests."""
         #: Entries by account and kind, least time left first.
         self.queues: dict[tuple[str, Kind], list[_Entry]] = {}
-        #: Number of the latest place that went to this priority.
-        self.latest_place = 0
         #: Number of waiting requests by account.
         self.waiting: dict[str, int] = {}
         #: Start tag of the next request of each account.
@@ -99,9 +114,9 @@
         self._order = itertools.count()
         self._entries: dict[Ticket, _Entry] = {}
         self._classes: dict[int, _PriorityClass] = {}
-        self._places = 0
-        #: Places in a row for the highest priority while others waited.
-        self._first_places = 0
+        self._tallies: dict[int, _Tally] = {}
+        #: Sum of the tallies of all priorities.
+        self._total = _Tally()
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
@@ -121,9 +136,12 @@
         waiting = self._classes.get(rank.priority)
         if waiting is None:
             waiting = _PriorityClass()
-            waiting.latest_place = self._places
             self._classes[rank.priority] = waiting
         waiting.add(entry)
+        self._tallies.setdefault(rank.priority, _Tally()).waited += 1
+        self._total.waited += 1
+        if self._total.waited > TALLIED_REQUESTS:
+            self._halve_tallies()
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a request without a place."""
@@ -139,47 +157,42 @@
     def record_placed(self, ticket: Ticket) -> None:
         """Remove a request that gets a place, and count the place."""
         priority = ticket.rank.priority
-        waiting = self._classes[priority]
-        waiting.charge(ticket.rank.account)
-        self._places += 1
-        waiting.latest_place = self._places
-        if priority == min(self._classes) and len(self._classes) > 1:
-            self._first_places += 1
-        else:
-            self._first_places = 0
+        self._classes[priority].charge(ticket.rank.account)
+        self._tallies[priority].placed += 1
+        self._total.placed += 1
         self.remove(ticket)
 
     def first(self, skipped: Collection[Kind] = ()) -> Ticket | None:
         """Return the request whose turn it is, of those not skipped."""
-        best = {
-            priority: ticket
-            for priority, waiting in sorted(self._classes.items())
-            if (ticket := waiting.first(skipped)) is not None
-        }
-        if not best:
-            return None
-        highest, *lower = best
-        if lower and self._first_places >= FIRST_PLACES:
-            highest = min(
-                lower,
-                key=lambda priority: self._classes[priority].latest_place,
-            )
-        return best[highest]
+        for priority in sorted(self._classes, key=self._turn):
+            ticket = self._classes[priority].first(skipped)
+            if ticket is not None:
+                return ticket
+        return None
 
     def ahead_of(self, ticket: Ticket) -> int:
         """Return about how many requests are placed before a waiting one."""
         priority = ticket.rank.priority
         ahead = self._classes[priority].ahead_of(self._entries[ticket])
-        counts = {
-            other: len(waiting)
-            for other, waiting in self._classes.items()
-            if other != priority
-        }
-        higher = sum(
-            count for other, count in counts.items() if other < priority
-        )
-        lower = sum(counts.values()) - higher
-        if higher:
-            every = FIRST_PLACES + 1
-            return min(higher + ahead, ahead * every + FIRST_PLACES)
-        return ahead + min(lower, ahead // FIRST_PLACES)
+        turn = self._turn(priority)
+        for other, waiting in self._classes.items():
+            if self._turn(other) < turn:
+                ahead += len(waiting)
+        return ahead
+
+    def _turn(self, priority: int) -> tuple[bool, int]:
+        """Return the place of a priority: first those that lack their share."""
+        least_share = LEAST_SHARE * self._total.share
+        return self._tallies[priority].share >= least_share, priority
+
+    def _halve_tallies(self) -> None:
+        """Have older requests count half; forget priorities without any."""
+        self._total = _Tally()
+        for priority, tally in tuple(self._tallies.items()):
+            tally.waited /= 2
+            tally.placed /= 2
+            if tally.waited < 1 and priority not in self._classes:
+                self._tallies.pop(priority)
+                continue
+            self._total.waited += tally.waited
+            self._total.placed += tally.placed
--- a/oriolestage/admission/_service_line.py
+++ b/oriolestage/admission/_service_line.py
@@ -34,6 +34,8 @@
         """Start without requests; ``rng`` spreads refused callers."""
         self.throughput = Throughput()
         self._service = service
+        #: Number of waiting requests.
+        self.waiting = 0
         self._order = FairOrder()
         self._returns = ReturnTimes(rng)
         self._routes: dict[str, _RouteUse] = {}
@@ -41,19 +43,14 @@
         #: they find none unless an attempt ends.
         self._held: dict[Kind, float] = {}
 
-    @property
-    def waiting(self) -> int:
-        """Number of waiting requests."""
-        return len(self._order)
-
     def may_try(self, ticket: Ticket, now: float) -> bool:
         """Return whether a request may be placed before all others.
 
         If others wait, it becomes one of them.
         """
-        if not len(self._order):
+        if not self.waiting:
             return True
-        self._order.add(ticket)
+        self._add(ticket)
         held = self._held_kinds(now)
         held.discard(ticket.rank.kind)
         return self._order.first(held) is ticket
@@ -73,7 +70,7 @@
 
         Requests of other kinds may find some; the first of them is woken.
         """
-        self._order.add(ticket)
+        self._add(ticket)
         self._held[ticket.rank.kind] = now + wait_s
         self._wake_first(now)
 
@@ -81,6 +78,7 @@
         """Record that a request is placed; the next one may be, too."""
         if ticket in self._order:
             self._order.record_placed(ticket)
+            self.waiting = len(self._order)
             self._wake_first(now)
 
     def remove(self, ticket: Ticket, now: float) -> None:
@@ -88,6 +86,7 @@
         if ticket not in self._order:
             return
         self._order.remove(ticket)
+        self.waiting = len(self._order)
         kind = ticket.rank.kind
         others = {other for other in self._held if other != kind}
         self._wake(self._order.first(others))
@@ -99,7 +98,7 @@
         ``wait_s`` is the time until a target may be free.
         """
         interval_s = self.throughput.interval_s
-        drain_s = max(wait_s, len(self._order) * interval_s)
+        drain_s = max(wait_s, self.waiting * interval_s)
         return self._returns.next_s(drain_s, interval_s, now)
 
     def record_sent(self, route: str, now: float) -> None:
@@ -116,14 +115,16 @@
         """Record that an attempt has ended; wake the first request."""
         self.throughput.in_flight -= 1
         self._routes[route].in_flight -= 1
-        self._held.clear()
-        if len(self._order):
+        if self.waiting:
+            self._held.clear()
             self._wake_first(now)
 
     def shares_room(self, route: str) -> bool:
         """Return whether a route in use has to leave room for others."""
+        if len(self._routes) < 2:
+            return False
         own = self._routes.get(route)
-        return own is not None and own.in_flight > 0 and len(self._routes) > 1
+        return own is not None and own.in_flight > 0
 
     def leaves_reserved(
         self, route: str, free: int, total: int, now: float
@@ -146,6 +147,12 @@
         unused = sum(max(0, each - use.in_flight) for use in active.values())
         return free > min(unused, int(total * LEFT_SHARE))
 
+    def _add(self, ticket: Ticket) -> None:
+        if not self.waiting:
+            self._held.clear()
+        self._order.add(ticket)
+        self.waiting = len(self._order)
+
     def _held_kinds(self, now: float) -> set[Kind]:
         return {kind for kind, until in self._held.items() if until > now}
 
--- a/oriolestage/admission/_waiting_line.py
+++ b/oriolestage/admission/_waiting_line.py
@@ -44,6 +44,8 @@
         self._rng = rng
         self._on_change = on_change
         self._lines: dict[str, ServiceLine] = {}
+        #: Returns the line of a service; None if it was not used yet.
+        self.find: Callable[[str], ServiceLine | None] = self._lines.get
         self._logged_at = float('-inf')
         #: Refusals since the latest log event.
         self._unlogged = 0
@@ -112,19 +114,21 @@
 
     def may_try(self, service: str, now: float) -> bool:
         """Return whether no better request waits for a service."""
-        line = self._line.line(service)
-        if not line.waiting:
+        line = self._line.find(service)
+        if line is None or not line.waiting:
             return True
         self._waits.add(service)
         return line.may_try(self._ticket, now)
 
     def others_wait(self, service: str) -> bool:
         """Return whether requests wait for a service."""
-        return self._line.line(service).waiting > 0
+        line = self._line.find(service)
+        return line is not None and line.waiting > 0
 
     def shares_room(self, service: str) -> bool:
         """Return whether the route has to leave room at a service."""
-        return self._line.line(service).shares_room(self._route)
+        line = self._line.find(service)
+        return line is not None and line.shares_room(self._route)
 
     def leaves_reserved(
         self, service: str, free: int, total: int, now: float
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -168,7 +168,8 @@
         times = self._run_times(rule, request, len(parts))
         waiter: Waiter | None = None
         if self._waiting_line is not None and len(table.accounts):
-            rank = _rank_request(request, rule, times)
+            regions = parts[0].requirements.regions
+            rank = _rank_request(request, rule, regions, times)
             waiter = Waiter(self._waiting_line, rank)
         run = RequestRun(
             rule=rule,
@@ -386,7 +387,10 @@
 
 
 def _rank_request(
-    request: CallerRequest, rule: RouteRule, times: RunTimes
+    request: CallerRequest,
+    rule: RouteRule,
+    regions: frozenset[str],
+    times: RunTimes,
 ) -> Rank:
     """Return the place of a request among those that wait for capacity."""
     account = request.account
@@ -397,5 +401,5 @@
         priority=priority,
         account='' if account is None else account.name,
         objective=times.objective,
-        kind=(rule.name, rule.regions),
+        kind=(rule.name, regions),
     )
--- a/oriolestage/entry/tests/test_crowded_host.py
+++ b/oriolestage/entry/tests/test_crowded_host.py
@@ -5,9 +5,11 @@
 """
 
 import random
-from unittest import TestCase, mock
+import statistics
 from collections.abc import Collection
+from unittest import TestCase, mock
 
+from oriolestage.admission import _fair_order
 from oriolestage.admission._accounts import Account
 from oriolestage.admission._service_line import ServiceLine
 from oriolestage.admission._throughput import UNKNOWN_RETURN_S, ReturnTimes
@@ -75,6 +77,50 @@
                 self.assertLess(_share(_of_small(served)), 0.6)
 
 
+class PriorityTest(TestCase):
+    """The highest priority alone needs twice what the service serves.
+
+    Without a share for the lower one, it is served a tenth as often as all.
+    """
+
+    def test_lower_priority(self) -> None:
+        """The lower priority is served, less often than the higher one."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                served = _replay_priorities(seed)
+                lower = _share(_of_priority(served, 1))
+                self.assertGreaterEqual(lower, _share(served) / 4)
+                self.assertLess(lower, _share(_of_priority(served, 0)))
+
+    def test_without_share(self) -> None:
+        """Without the share, the lower priority is starved."""
+        for seed in SEEDS:
+            with (
+                self.subTest(seed=seed),
+                mock.patch.object(_fair_order, 'LEAST_SHARE', 0),
+            ):
+                served = _replay_priorities(seed)
+                lower = _share(_of_priority(served, 1))
+                self.assertLess(lower, _share(served) / 4)
+
+
+class EarlyRefusalTest(TestCase):
+    """Three times the load that a service takes, from one account."""
+
+    def test_refused_at_once(self) -> None:
+        """Most refusals come at once, and as many requests are answered."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                served = _replay_overload(seed)
+                self.assertLess(_median_refusal_s(served), NETWORK_DELAY_S)
+                with mock.patch.object(
+                    ServiceLine, 'expected_wait_s', return_value=0
+                ):
+                    waiting = _replay_overload(seed)
+                self.assertGreater(_median_refusal_s(waiting), QUARTER_S / 2)
+                self.assertGreater(_share(served), 0.95 * _share(waiting))
+
+
 class RouteBurstTest(TestCase):
     """One route gets a burst of three times what the service takes.
 
@@ -173,6 +219,38 @@
     )
 
 
+def _of_priority(served: Collection[Served], priority: int) -> list[Served]:
+    return [one for one in served if one.arrival.account.priority == priority]
+
+
+def _replay_priorities(seed: int) -> list[Served]:
+    rng = random.Random(seed)
+    rates = {
+        Account(f'{priority}-{number}', priority=priority): rate
+        for number in range(10)
+        for priority, rate in enumerate((0.2 * TARGET_RATE, 0.05 * TARGET_RATE))
+    }
+    arrivals = [
+        Arrival(after_s, account)
+        for account, rate in rates.items()
+        for after_s in poisson(rate, 5, rng)
+    ]
+    return CrowdedHost((RULE,), rates, seed).replay(arrivals)
+
+
+def _replay_overload(seed: int) -> list[Served]:
+    arrivals = [
+        Arrival(after_s, HOT)
+        for after_s in poisson(3 * TARGET_RATE, 3, random.Random(seed))
+    ]
+    return CrowdedHost((RULE,), (HOT,), seed).replay(arrivals)
+
+
+def _median_refusal_s(served: Collection[Served]) -> float:
+    refused = [one.took_s for one in served if not one.answered]
+    return statistics.median(refused)
+
+
 def _replay_burst(seed: int) -> list[Served]:
     """Return the requests on the route without a burst."""
     rng = random.Random(seed)
--- a/oriolestage/routing/_capacity_waits.py
+++ b/oriolestage/routing/_capacity_waits.py
@@ -125,7 +125,7 @@
         if part.may_have_run:
             return times.deadline
         part.no_capacity_since = min(part.no_capacity_since, now)
-        until = part.no_capacity_since + times.wait_s
+        until = min(part.no_capacity_since + times.wait_s, times.deadline)
         if self._progress.single and part.no_capacity_since < times.refuse_by:
             return min(until, times.refuse_by)
         return until
--- a/oriolestage/routing/tests/runs.py
+++ b/oriolestage/routing/tests/runs.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+from oriolestage.admission._waiting_line import Waiter
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._placement_types import TargetRequirements
@@ -45,6 +46,7 @@
     delivery_margin_s: float = DELIVERY_MARGIN_S,
     peers: PeerDirectory | None = None,
     times: RunTimes | None = None,
+    waiter: Waiter | None = None,
 ) -> RequestRun:
     """Return a run that arrives at the monotonic time ``started``."""
     placement = known or make_placement('dc-a', records)[0]
@@ -71,6 +73,7 @@
         placement=placement,
         peers=peers or make_peers(placement.location),
         next_attempt=lambda: next(numbers),
+        waiter=waiter,
     )
 
 
