Learn how late a host decides its refusals

Cause: a refusal was due a fixed time before it had to leave. On a host whose event loop is busy, timers fire late and all refusals at the end of a wait are late.

Change: the time from when a refusal was due until it was written is learned, as for partial answers, apart from them. A request that is placed before the line's poll wakes the next one of its kind, too.

Without accounts, replays of an overload give the same results with the line and without it.

--- a/oriolestage/admission/_service_line.py
+++ b/oriolestage/admission/_service_line.py
@@ -79,6 +79,7 @@
         if ticket in self._order:
             self._order.record_placed(ticket)
             self.waiting = len(self._order)
+            self._held.pop(ticket.rank.kind, None)
             self._wake_first(now)
 
     def remove(self, ticket: Ticket, now: float) -> None:
--- a/oriolestage/admission/tests/test_waiting_line.py
+++ b/oriolestage/admission/tests/test_waiting_line.py
@@ -61,9 +61,8 @@
             else:
                 first.record_placed(SERVICE, 0)
             with self.subTest(leaves=leaves):
-                line.line(SERVICE).throughput.in_flight = 0
-                second_woken = second.take_woken()
-                self.assertTrue(second_woken or second.may_try(SERVICE, WAIT_S))
+                self.assertEqual(second.take_woken(), {SERVICE})
+                self.assertTrue(second.may_try(SERVICE, 0))
                 self.assertEqual(line.waiting, 1)
 
     def test_woken_once(self) -> None:
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -60,6 +60,9 @@
 STOPPING_RETRY_AFTER_S = 0.05
 #: Part of the caller's deadline reserved for sending the answer, in seconds.
 DEADLINE_MARGIN_S = 0.02
+#: Share of the objective that bounds the margin for refusals, relative to that
+#: for partial answers. Half of the time in which a refusal is of use remains.
+REFUSAL_MARGIN_SHARE = 0.5
 #: Lower bound of the timeout sent with an attempt or a batch, in seconds.
 MIN_ATTEMPT_TIMEOUT_S = 0.001
 
@@ -95,6 +98,7 @@
         self._started_at = time.monotonic()
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._delivery_margin = DeliveryMargin()
+        self._refusal_margin = DeliveryMargin()
         self._weighted_services = WeightedRoundRobin()
         self._attempt_numbers = itertools.count(1)
         self._in_flight = 0
@@ -200,17 +204,19 @@
                 waiter.close(time.monotonic())
         self._runs.record_result(request, rule.name, result)
         self._record_completion(request, rule, table, driver, result)
-        due_at = run.partial_answer_due_at
-        if due_at is not None:
+        due_times = (
+            (self._delivery_margin, run.partial_answer_due_at, 1),
+            (self._refusal_margin, run.refusal_due_at, REFUSAL_MARGIN_SHARE),
+        )
+        for margin, due_at, share in due_times:
+            if due_at is None:
+                continue
             # Runs after this task has written the answer.
-            loop = asyncio.get_running_loop()
-            loop.call_soon(self._record_overrun, due_at, rule.objective_s)
+            asyncio.get_running_loop().call_soon(
+                _record_overrun, margin, due_at, rule.objective_s * share
+            )
         return result
 
-    def _record_overrun(self, due_at: float, objective_s: float) -> None:
-        overrun_s = time.monotonic() - due_at
-        self._delivery_margin.record_overrun(overrun_s, objective_s)
-
     def _run_times(
         self, rule: RouteRule, request: CallerRequest, parts: int
     ) -> RunTimes:
@@ -227,6 +233,9 @@
                 parts, rule.objective_s
             ),
             network_delay_s=request.network_delay_s,
+            refusal_margin_s=self._refusal_margin.margin_s(
+                parts, rule.objective_s * REFUSAL_MARGIN_SHARE
+            ),
         )
         return times.ended_by_stop(self._runs.ends_at)
 
@@ -386,6 +395,12 @@
         return result
 
 
+def _record_overrun(
+    margin: DeliveryMargin, due_at: float, objective_s: float
+) -> None:
+    margin.record_overrun(time.monotonic() - due_at, objective_s)
+
+
 def _rank_request(
     request: CallerRequest,
     rule: RouteRule,
--- a/oriolestage/entry/tests/test_crowded_host.py
+++ b/oriolestage/entry/tests/test_crowded_host.py
@@ -193,6 +193,21 @@
         self.assertEqual(host.line.waiting, 0)
 
 
+class NoAccountsTest(TestCase):
+    """Without accounts in the configuration, nothing is ordered."""
+
+    def test_same_results(self) -> None:
+        """Guards against a line for configurations that do not ask for it."""
+        arrivals = [
+            Arrival(after_s, HOT)
+            for after_s in poisson(3 * TARGET_RATE, 1, random.Random(1))
+        ]
+        host = CrowdedHost((RULE,), (), 1)
+        without_line = CrowdedHost((RULE,), (), 1, with_line=False)
+        self.assertEqual(host.replay(arrivals), without_line.replay(arrivals))
+        self.assertFalse(host.line.refusals)
+
+
 def _named(served: Served) -> str:
     return served.arrival.account.name
 
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -79,6 +79,7 @@
         #: Monotonic time since which there are enough answers.
         self._enough_since = float('inf')
         self._partial_answer_due_at: float | None = None
+        self._refusal_due_at: float | None = None
         #: Monotonic time at which the run ends if no attempt was sent.
         self._refuse_by = float('inf')
         self._records = GatheredRecords(
@@ -152,6 +153,14 @@
         """
         return self._partial_answer_due_at
 
+    @property
+    def refusal_due_at(self) -> float | None:
+        """Monotonic time at which a refusal was due.
+
+        None if the run has not ended, or if it ended for another reason.
+        """
+        return self._refusal_due_at
+
     def start(self, now: float) -> list[Action]:
         """Return the first attempts, or the end if too few can be placed."""
         refuse_by = self._progress.times.refuse_by
@@ -373,6 +382,8 @@
         self._finished = True
         if not self._dispatch.sent_count:
             self._waits.refuse_waiting(now)
+            if now >= self._refuse_by:
+                self._refusal_due_at = self._refuse_by
         partial_answer_at = self._progress.partial_answer_at
         if self._progress.has_enough and now >= partial_answer_at:
             self._partial_answer_due_at = max(
--- a/oriolestage/routing/_run_types.py
+++ b/oriolestage/routing/_run_types.py
@@ -35,6 +35,8 @@
     #: Time that the caller loses to the network, in seconds; the objective
     #: has it subtracted.
     network_delay_s: float = 0
+    #: Time from the decision on a refusal until it has left, in seconds.
+    refusal_margin_s: float = 0
 
     @property
     def wait_s(self) -> float:
@@ -50,7 +52,7 @@
         """
         network_delay_s = self.network_delay_s
         objective_s = self.objective + network_delay_s - self.started
-        spent_s = network_delay_s + self.delivery_margin_s
+        spent_s = network_delay_s + self.refusal_margin_s
         return self.started + objective_s * REFUSAL_SHARE - spent_s
 
     def ended_by_stop(self, ends_at: float) -> 'RunTimes':
--- a/oriolestage/routing/tests/test_refusal_times.py
+++ b/oriolestage/routing/tests/test_refusal_times.py
@@ -64,6 +64,7 @@
         START + rule.timeout_s,
         DELIVERY_MARGIN_S,
         network_delay_s=network_delay_s,
+        refusal_margin_s=DELIVERY_MARGIN_S,
     )
     return make_run(rule, RECORDS, START, known=placement, times=times)
 
