--- a/oriolestage/admission/_waiting_line.py
+++ b/oriolestage/admission/_waiting_line.py
@@ -26,6 +26,11 @@
     EXPECTED_WAIT = 'expected_wait'
     #: It has waited as long as it may.
     WAITED = 'waited'
+    #: Targets turned its attempts away.
+    SHED = 'shed'
+    NO_TARGET = 'no_target'
+    #: No further attempt is allowed after one that was turned away.
+    NO_BUDGET = 'no_budget'
 
 
 class WaitingLine:
--- a/oriolestage/routing/_attempt_policy.py
+++ b/oriolestage/routing/_attempt_policy.py
@@ -89,8 +89,7 @@
                 if part.delivered_count and not self._spend_extra_attempt(
                     part, now
                 ):
-                    self._waits.leave(part, now)
-                    part.give_up(GiveUpReason.NO_BUDGET)
+                    self._waits.give_up(part, GiveUpReason.NO_BUDGET, now)
                     return
                 part.shortage = None
                 self._waits.record_placed(part, now)
@@ -99,8 +98,7 @@
                 self._waits.wait(part, placed, now)
                 self._due.add(part)
             case NoTarget():
-                self._waits.leave(part, now)
-                part.give_up(GiveUpReason.NO_TARGET)
+                self._waits.give_up(part, GiveUpReason.NO_TARGET, now)
 
     def retry(self, part: Part, now: float) -> None:
         """Make another attempt after a failed one if the rules allow it.
@@ -117,7 +115,7 @@
         not_repeatable = not self._rule.repeatable and part.may_have_run
         exhausted = part.may_have_run >= self._rule.max_attempts
         if not_repeatable or exhausted or part.shed_count >= MAX_SHED_ATTEMPTS:
-            part.give_up()
+            self._waits.give_up(part, part.reason, now)
             return
         self.place_attempt(part, now)
 
--- a/oriolestage/routing/_capacity_waits.py
+++ b/oriolestage/routing/_capacity_waits.py
@@ -6,6 +6,8 @@
 the waiting requests is that of the host's line, if it has one.
 """
 
+from collections.abc import Mapping
+
 from oriolestage.admission._waiting_line import LineRefusal, Waiter
 from oriolestage.routing._answers import GiveUpReason
 from oriolestage.routing._parts import MIN_RETRY_AFTER_S, Part
@@ -28,6 +30,11 @@
 OPEN_ENDED = frozenset(
     (ShortageCause.OUTSTANDING, ShortageCause.RESERVED, ShortageCause.LINE)
 )
+#: Reasons for which parts that have not run are given up, for the metrics.
+REFUSALS: Mapping[GiveUpReason, LineRefusal] = {  # noqa: WPS407
+    GiveUpReason.NO_BUDGET: LineRefusal.NO_BUDGET,
+    GiveUpReason.NO_TARGET: LineRefusal.NO_TARGET,
+}
 
 
 class CapacityWaits:
@@ -74,11 +81,19 @@
             self._waiting.pop(part.service, None)
             self._waiter.record_placed(part.service, now)
 
-    def leave(self, part: Part, now: float) -> None:
-        """Record that a part is given up."""
+    def give_up(self, part: Part, reason: GiveUpReason, now: float) -> None:
+        """Make no further attempt of a part.
+
+        If it has not run, its caller is told when to return.
+        """
         if self._waiter is not None:
             self._waiting.pop(part.service, None)
             self._waiter.leave(part.service, now)
+            if not part.may_have_run:
+                part.retry_after_s = self._waiter.refuse(
+                    part.service, REFUSALS.get(reason, LineRefusal.SHED), 0, now
+                )
+        part.give_up(reason)
 
     def wait(self, part: Part, shortage: NoCapacity, now: float) -> None:
         """Set when a part is placed again, or give it up."""
--- a/oriolestage/routing/tests/test_capacity_waits.py
+++ b/oriolestage/routing/tests/test_capacity_waits.py
@@ -8,7 +8,13 @@
     make_line,
     make_waiter,
 )
-from oriolestage.routing._answers import AttemptAnswered, Gathered, Refused
+from oriolestage.routing._answers import (
+    AttemptAnswered,
+    AttemptNotRun,
+    Gathered,
+    NotRunReason,
+    Refused,
+)
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._target_capacity import QUEUED_LIMIT
 from oriolestage.routing.tests.builders import (
@@ -85,6 +91,28 @@
         self.assertEqual(sum(line.refusals.values()), 1)
         self.assertEqual(line.waiting, 0)
 
+    def test_shed(self) -> None:
+        """Guards against callers that all return at the same time.
+
+        The targets turn every attempt away.
+        """
+        line = make_line()
+        rule = make_rule()
+        records = RECORDS[:1]
+        shed = AttemptNotRun(NotRunReason.SHED)
+        times: set[float] = set()
+        for _ in range(10):
+            run = make_run(rule, records, 0, waiter=make_waiter(line))
+            actions = run.start(0)
+            while result_in(actions) is None:
+                sent = attempts_in(actions)[0]
+                actions = run.on_outcome(sent.attempt, shed, 0.001)
+            refused = result_in(actions)
+            assert isinstance(refused, Refused)
+            times.add(refused.retry_after_s)
+        self.assertEqual(len(times), 10)
+        self.assertEqual(line.refusals, {'shed': 10})
+
     def test_cost(self) -> None:
         """Guards against a line that costs much while nobody waits."""
         line = make_line()
