Divide what targets take evenly among accounts when they turn requests away

Cause: with many hosts nothing waits at a host; the targets' queues fill and they turn away the requests of all accounts and priorities alike.

Change: with accounts, each host learns from its own results how many requests a service takes from it, and divides them by priority and evenly among accounts and routes. What is above its share is refused at once with 503 and a time to return of its own. Shortages of the host's own limits do not count.

--- a/oriolestage/admission/_waiting_line.py
+++ b/oriolestage/admission/_waiting_line.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from oriolestage.admission._fair_throttle import FairThrottle
 from oriolestage.admission._service_line import ServiceLine
 from oriolestage.admission._waiting_ranks import Rank, Ticket
 from oriolestage.routing._state_changes import StateChange
@@ -29,6 +30,8 @@
     #: Targets turned its attempts away.
     SHED = 'shed'
     NO_TARGET = 'no_target'
+    #: Its account sends more than its fair share of what the service takes.
+    ABOVE_SHARE = 'above_share'
     #: No further attempt is allowed after one that was turned away.
     NO_BUDGET = 'no_budget'
 
@@ -51,6 +54,7 @@
         self._lines: dict[str, ServiceLine] = {}
         #: Returns the line of a service; None if it was not used yet.
         self.find: Callable[[str], ServiceLine | None] = self._lines.get
+        self._throttles: dict[str, FairThrottle] = {}
         self._logged_at = float('-inf')
         #: Refusals since the latest log event.
         self._unlogged = 0
@@ -68,6 +72,14 @@
             self._lines[service] = line
         return line
 
+    def throttle(self, destination: str) -> FairThrottle:
+        """Return the throttle of a service or shard group."""
+        throttle = self._throttles.get(destination)
+        if throttle is None:
+            throttle = FairThrottle(self._rng)
+            self._throttles[destination] = throttle
+        return throttle
+
     def record_refused(
         self,
         service: str,
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -11,12 +11,15 @@
 import time
 from collections.abc import AsyncGenerator
 
-from oriolestage.admission._waiting_line import Waiter, WaitingLine
-from oriolestage.admission._waiting_ranks import Rank
+from oriolestage.admission._waiting_line import WaitingLine
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._crash_tracking import AttemptSender
 from oriolestage.entry._peer_client import PeerClient
 from oriolestage.entry._peer_messages import GatherRequest, RelayRequest
+from oriolestage.entry._request_admission import (
+    AdmittedRequest,
+    admit_request,
+)
 from oriolestage.entry._request_log import RequestLog
 from oriolestage.entry._run_driver import RunDriver
 from oriolestage.entry._runs_in_flight import RunsInFlight
@@ -170,11 +173,15 @@
     ) -> RequestResult:
         parts = self._build_parts(rule, table)
         times = self._run_times(rule, request, len(parts))
-        waiter: Waiter | None = None
+        admitted: AdmittedRequest | Refused | None = None
         if self._waiting_line is not None and len(table.accounts):
-            regions = parts[0].requirements.regions
-            rank = _rank_request(request, rule, regions, times)
-            waiter = Waiter(self._waiting_line, rank)
+            admitted = admit_request(
+                self._waiting_line, request, rule, parts, times
+            )
+        if isinstance(admitted, Refused):
+            return self._refuse(
+                request, admitted.reason, admitted.retry_after_s
+            )
         run = RequestRun(
             rule=rule,
             parts=parts,
@@ -182,15 +189,29 @@
             placement=self._placement,
             peers=self._peers,
             next_attempt=lambda: next(self._attempt_numbers),
-            waiter=waiter,
+            waiter=None if admitted is None else admitted.waiter,
         )
+        result = await self._drive(request, table, rule, run, admitted)
+        if admitted is not None:
+            admitted.record_result(result, run)
+        self._learn_overruns(run, rule)
+        return result
+
+    async def _drive(
+        self,
+        request: CallerRequest,
+        table: RoutingTable,
+        rule: RouteRule,
+        run: RequestRun,
+        admitted: AdmittedRequest | None,
+    ) -> RequestResult:
         driver = RunDriver(
             run,
             lambda action: self._send(request, rule, action),
             lambda action: self._send_batch(request, rule, action),
         )
-        if waiter is not None:
-            waiter.call_when_woken(driver.wake)
+        if admitted is not None:
+            admitted.waiter.call_when_woken(driver.wake)
         try:
             with self._runs.track(driver, rule.name, request.arrived_at):
                 result = await driver.drive()
@@ -200,10 +221,14 @@
             raise
         finally:
             driver.cancel_all()
-            if waiter is not None:
-                waiter.close(time.monotonic())
+            if admitted is not None:
+                admitted.close()
         self._runs.record_result(request, rule.name, result)
         self._record_completion(request, rule, table, driver, result)
+        return result
+
+    def _learn_overruns(self, run: RequestRun, rule: RouteRule) -> None:
+        """Learn how late an answer or a refusal is written that was due."""
         due_times = (
             (self._delivery_margin, run.partial_answer_due_at, 1),
             (self._refusal_margin, run.refusal_due_at, REFUSAL_MARGIN_SHARE),
@@ -215,7 +240,6 @@
             asyncio.get_running_loop().call_soon(
                 _record_overrun, margin, due_at, rule.objective_s * share
             )
-        return result
 
     def _run_times(
         self, rule: RouteRule, request: CallerRequest, parts: int
@@ -399,22 +423,3 @@
     margin: DeliveryMargin, due_at: float, objective_s: float
 ) -> None:
     margin.record_overrun(time.monotonic() - due_at, objective_s)
-
-
-def _rank_request(
-    request: CallerRequest,
-    rule: RouteRule,
-    regions: frozenset[str],
-    times: RunTimes,
-) -> Rank:
-    """Return the place of a request among those that wait for capacity."""
-    account = request.account
-    priority = rule.priority
-    if account is not None and account.priority is not None:
-        priority = account.priority
-    return Rank(
-        priority=priority,
-        account='' if account is None else account.name,
-        objective=times.objective,
-        kind=(rule.name, regions),
-    )
--- a/oriolestage/entry/tests/crowded_host.py
+++ b/oriolestage/entry/tests/crowded_host.py
@@ -13,6 +13,7 @@
 
 from oriolestage.admission._accounts import Account, AccountDirectory
 from oriolestage.admission._waiting_line import WaitingLine
+from oriolestage.entry._crash_tracking import AttemptSender
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._metrics import EntryMetrics
 from oriolestage.entry._peer_client import PeerClient
@@ -52,6 +53,8 @@
 SLOTS = 2
 #: Mean time that a target takes for a request, in seconds.
 WORK_S = 0.02
+#: Time at which the hosts of a replay were registered.
+NEVER = float('-inf')
 #: Network delay of all callers, in seconds.
 NETWORK_DELAY_S = 0.002
 
@@ -108,21 +111,30 @@
         *,
         targets: int = 1,
         with_line: bool = True,
+        sender: AttemptSender | None = None,
+        connections: int = SLOTS,
+        hosts: int = 1,
     ) -> None:
-        """Create the host; ``with_line`` is False to turn the line off."""
+        """Create the host; ``with_line`` is False to turn the line off.
+
+        It is one of ``hosts``, which share the targets behind ``sender`` and
+        the connections that each target accepts.
+        """
         placement, directory = make_placement(
             records=tuple(
                 make_record(f't-{number}', slots=SLOTS)
                 for number in range(targets)
             )
         )
+        names = ['host-1', *(f'other-{number}' for number in range(1, hosts))]
+        placement.replace_hosts(dict.fromkeys(names, 'region-a'), NEVER)
         peers = PeerDirectory(placement.location)
         detector = make_crash_detector()
         state = ClusterState(directory, placement, peers, detector)
         table = build_table(
             1,
             rules,
-            (ServiceRule('shard-0', connection_limit=SLOTS),),
+            (ServiceRule('shard-0', connection_limit=connections),),
             CallerLimits(),
             AccountDirectory({account: () for account in accounts}),
         )
@@ -134,7 +146,7 @@
             state,
             placement,
             peers,
-            SlotTargets(seed),
+            sender or SlotTargets(seed),
             detector,
             PeerClient(lambda _: None),
             BudgetBounds(),
@@ -151,12 +163,13 @@
 
     async def _replay(self, arrivals: Iterable[Arrival]) -> list[Served]:
         callers = [
-            asyncio.create_task(self._call(number, arrival))
+            asyncio.create_task(self.call(number, arrival))
             for number, arrival in enumerate(arrivals)
         ]
         return await asyncio.gather(*callers)
 
-    async def _call(self, number: int, arrival: Arrival) -> Served:
+    async def call(self, number: int, arrival: Arrival) -> Served:
+        """Send a request, and again after each refusal if it returns."""
         await asyncio.sleep(arrival.after_s)
         for refusals in range(arrival.returns + 1):
             started = time.monotonic()
--- a/oriolestage/routing/_capacity_waits.py
+++ b/oriolestage/routing/_capacity_waits.py
@@ -119,6 +119,13 @@
                 woken.append(part)
         return woken
 
+    def is_turned_away(self, part: Part) -> bool:
+        """Return whether the targets of a part have no room for it."""
+        if part.shed_count:
+            return True
+        shortage = part.shortage
+        return shortage is not None and shortage.cause not in OPEN_ENDED
+
     def refuse_waiting(self, now: float) -> None:
         """Give up the parts that still wait when the request is refused."""
         if self._waiter is None:
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -161,6 +161,18 @@
         """
         return self._refusal_due_at
 
+    @property
+    def turned_away(self) -> bool:
+        """Whether targets have no room for a part that was given up.
+
+        They turned its attempts away, or are known to take none. A part that
+        this host's own limits left without a target does not count.
+        """
+        return any(
+            part.given_up and self._waits.is_turned_away(part)
+            for part in self._parts
+        )
+
     def start(self, now: float) -> list[Action]:
         """Return the first attempts, or the end if too few can be placed."""
         refuse_by = self._progress.times.refuse_by
--- a/oriolestage/routing/tests/test_capacity_waits.py
+++ b/oriolestage/routing/tests/test_capacity_waits.py
@@ -113,6 +113,29 @@
         self.assertEqual(len(times), 10)
         self.assertEqual(line.refusals, {'shed': 10})
 
+    def test_turned_away(self) -> None:
+        """A shortage of this host's own does not count against the targets.
+
+        Otherwise accounts are limited beside targets that have room.
+        """
+        full = _full_placement()
+        resting, _ = make_placement(records=RECORDS)
+        for record in RECORDS:
+            resting.record_rest(record.identity, 30, 0)
+        for placement, turned_away in ((full, False), (resting, True)):
+            run = make_run(
+                make_rule(),
+                RECORDS,
+                0,
+                known=placement,
+                waiter=make_waiter(make_line()),
+            )
+            actions = run.start(0)
+            while result_in(actions) is None:
+                actions = run.on_timer(run.wake_at)
+            with self.subTest(turned_away=turned_away):
+                self.assertEqual(run.turned_away, turned_away)
+
     def test_cost(self) -> None:
         """Guards against a line that costs much while nobody waits."""
         line = make_line()
