Clients that do not behave: one memory budget and bounds on connections

Cause: nothing bounded what all connections of a host take together.

Change: if the settings state the memory of the machine, each connection of callers, other hosts, readiness checks and metrics counts what it holds from the first byte, and so do answers of targets. Beyond the budget, the connections are closed that have held most for longest; requests that run are never chosen. If the settings state the descriptors, each address accepts a part of them and closes silent connections first. A body for a path without a route is refused before it is read, few requests are parsed ahead, an answer has to be taken at a minimum pace, and errors of the parser no longer keep the received bytes. A connection no longer keeps its last answer. Without these settings the limits are as before.

--- a/oriolestage/entry/_caller_connection.py
+++ b/oriolestage/entry/_caller_connection.py
@@ -70,6 +70,9 @@
         )
         #: The latest request whose head was read.
         self.latest_request: OpenRequest | None = None
+        #: Whether its request was refused with the promise that it has not
+        #: run.
+        self.refused = False
         self._limits = limits
         #: The transport, also while it writes the rest before it closes.
         self._writing_transport: asyncio.Transport | None = None
@@ -84,6 +87,11 @@
         """Monotonic time at which the connection was opened, in seconds."""
         return self._opened_at
 
+    @property
+    def has_long_head(self) -> bool:
+        """Whether the present request has more fields than usual."""
+        return False
+
     @property
     def has_more_input(self) -> bool:
         """Whether bytes have arrived after the request in progress."""
@@ -159,6 +167,24 @@
         if self._head_bytes:
             self._reject_head(HTTPStatus.SERVICE_UNAVAILABLE, 'stopping')
 
+    def refuse_now(self, status: HTTPStatus) -> None:
+        """Refuse the request that is being read and close the connection.
+
+        It must not have run.
+        """
+        self.refused = True
+        self._stop_head_timer()
+        if self.transport is None:
+            return
+        line = f'HTTP/1.1 {status.value} {status.phrase}\r\n'
+        fields = 'Content-Length: 0\r\nConnection: close\r\n\r\n'
+        self.transport.write(f'{line}{fields}'.encode())
+        self.close()
+        self.transport.close()
+
+    def discard_rest(self) -> None:
+        """Do not hold more of a body that is not read. Nothing by default."""
+
     def abort(self) -> None:
         """Close the connection at once and drop what was not sent yet."""
         if self._writing_transport is not None:
@@ -211,8 +237,7 @@
             {'reason': reason, 'head_bytes': self._head_bytes},
         )
         if self._head_bytes:
-            line = f'HTTP/1.1 {status.value} {status.phrase}\r\n'
-            fields = 'Content-Length: 0\r\nConnection: close\r\n\r\n'
-            self.transport.write(f'{line}{fields}'.encode())
+            self.refuse_now(status)
+            return
         self.close()
         self.transport.close()
--- a/oriolestage/entry/_caller_server.py
+++ b/oriolestage/entry/_caller_server.py
@@ -12,12 +12,21 @@
 from multidict import CIMultiDict
 
 from oriolestage._listeners import accept_waiting
+from oriolestage.entry._caller_bodies import (
+    BodyTooLargeError,
+    expects_body,
+    read_body,
+)
 from oriolestage.entry._caller_connection import (
     CallerConnection,
     OpenRequest,
     RequestPhase,
 )
-from oriolestage.entry._caller_connections import CallerConnections
+from oriolestage.entry._caller_connections import (
+    UNGUARDED,
+    CallerConnections,
+    ConnectionGuard,
+)
 from oriolestage.entry._caller_failures import (
     build_bad_request,
     build_error_response,
@@ -25,7 +34,6 @@
 )
 from oriolestage.entry._caller_framing import (
     check_framing,
-    expects_continue,
     head_bytes,
     is_length,
 )
@@ -37,15 +45,9 @@
 from oriolestage.routing._crash_detector import fingerprint_of
 from oriolestage.routing._rules import CallerLimits
 
-#: Interim response to a request with ``Expect: 100-continue``.
-CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 NO_DESTINATION = ValueError('needs a host and a path')
 
 
-class BodyTooLargeError(Exception):
-    """The body of a request exceeds the configured limit."""
-
-
 class CallerServer:
     """Reads callers' requests, has the router serve them and responds."""
 
@@ -54,8 +56,10 @@
         router: RequestRouter,
         wire_protocol: WireProtocol,
         limits: Callable[[], CallerLimits],
+        guard: ConnectionGuard = UNGUARDED,
     ) -> None:
         """Create a server; ``limits`` returns the configured limits."""
+        self._refuses_early = guard.memory is not None
         self._router = router
         self._wire_protocol = wire_protocol
         self._limits = limits
@@ -65,7 +69,7 @@
         #: Timeouts of the bodies that are being read.
         self._body_timeouts: set[asyncio.Timeout] = set()
         self._connection_ages = ConnectionAgePolicy(time.monotonic())
-        self._connections = CallerConnections(self._handle, limits)
+        self._connections = CallerConnections(self._handle, limits, guard)
         self._server: asyncio.Server | None = None
         self._listener: socket.socket | None = None
         #: Tasks that set up the connections that waited to be accepted.
@@ -154,6 +158,8 @@
         """
         if self._is_to_close(connection) and not connection.has_more_input:
             response.force_close()
+        if connection.has_long_head:
+            response.force_close()
 
     def _is_to_close(self, connection: CallerConnection) -> bool:
         if self._draining:
@@ -194,9 +200,16 @@
             arrived_at=opened.arrived_at,
             network_delay_s=connection.network_delay_s,
         )
+        if self._refuses_early and expects_body(request):
+            refused = build_request(body=b'', fingerprint=0)
+            refusal = self._router.refuse_unrouted(refused)
+            if refusal is not None:
+                connection.discard_rest()
+                return self._refuse_unread(refusal, metadata, request)
         try:
             body = await self._read_in_time(request, body_due_at)
         except BodyTooLargeError:
+            connection.discard_rest()
             status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
             return build_rejection(
                 metadata.request_id, 'body_too_large', status
@@ -208,6 +221,9 @@
                 return self._build_response(refusal, metadata, request)
             status = HTTPStatus.REQUEST_TIMEOUT
             return build_rejection(metadata.request_id, 'body_too_slow', status)
+        if connection.refused:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            return build_rejection(metadata.request_id, 'memory', status)
         opened.phase = RequestPhase.TARGETS
         result = await self._router.serve(
             build_request(
@@ -217,6 +233,17 @@
         )
         return self._build_response(result, metadata, request)
 
+    def _refuse_unread(
+        self,
+        refusal: RequestResult,
+        metadata: RequestMetadata,
+        request: web.BaseRequest,
+    ) -> web.Response:
+        """Answer a request whose body is not read, and close its connection."""
+        response = self._build_response(refusal, metadata, request)
+        response.force_close()
+        return response
+
     def _build_response(
         self,
         result: RequestResult,
@@ -252,27 +279,10 @@
         async with asyncio.timeout(left_s) as timeout:
             self._body_timeouts.add(timeout)
             try:
-                return await self._read_body(request)
+                return await read_body(request, self._limits().body_bytes)
             finally:
                 self._body_timeouts.discard(timeout)
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
-        if not request.can_read_body:
-            return b''
-        limit = self._limits().body_bytes
-        if (request.content_length or 0) > limit:
-            raise BodyTooLargeError
-        if expects_continue(request):
-            await request.writer.write(CONTINUE)
-        chunks: list[bytes] = []
-        size = 0
-        async for chunk in request.content.iter_any():
-            size += len(chunk)
-            if size > limit:
-                raise BodyTooLargeError
-            chunks.append(chunk)
-        return b''.join(chunks)
-
 
 def _is_cancelled() -> bool:
     """Return whether the task that asks is to end."""
--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -11,6 +11,8 @@
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._control_server import ControlServer
 from oriolestage.entry._crash_tracking import CrashReporter, CrashTrackingSender
+from oriolestage.entry._guards import Guards, build_guards
+from oriolestage.entry._held_bytes import HeldBytes
 from oriolestage.entry._host_registration import HostRegistration
 from oriolestage.entry._link_checks import check_links
 from oriolestage.entry._listening import listen_on
@@ -79,7 +81,7 @@
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.set_exception_handler(_log_loop_error)
-    host = _build_host(settings, store, wire_protocol)
+    host = _build_host(settings, store, wire_protocol, build_guards(settings))
     background_work = (
         ('follow_store', host.follower.run),
         ('expire', host.follower.expire),
@@ -144,6 +146,7 @@
     settings: EntrySettings,
     store: Store,
     wire_protocol: WireProtocol,
+    guards: Guards,
 ) -> EntryHost:
     stopping = asyncio.Event()
     metrics = EntryMetrics()
@@ -157,7 +160,7 @@
     peers = PeerDirectory(settings.location)
     crash_detector = CrashDetector(_log_change)
     cluster_state = ClusterState(directory, placement, peers, crash_detector)
-    client = TargetClient(wire_protocol, placement)
+    client = TargetClient(wire_protocol, placement, HeldBytes(guards.memory))
     sender = CrashTrackingSender(client, crash_detector)
     peer_client = PeerClient(placement.record_leaving)
     follower = StoreFollower(
@@ -178,6 +181,7 @@
     )
     metrics.add_gauge('in_flight', lambda: router.in_flight)
     metrics.add_gauge('held_response_bytes', lambda: client.held_bytes)
+    guards.add_metrics(metrics)
     metrics.add_gauge('targets', lambda: len(directory))
     metrics.add_gauge(
         'cut_off', lambda: int(placement.observations.reach.cut_off)
@@ -186,38 +190,21 @@
         'rate_limited_targets', lambda: placement.rates.limited_count
     )
     metrics.add_gauge('hosts', lambda: len(placement.hosts))
-    metrics.add_gauge('store_age_seconds', lambda: follower.age_s)
-    metrics.add_gauge(
-        'store_changes_unapplied', lambda: cluster_state.unapplied_count
-    )
-    metrics.add_gauge(
-        'store_items_unreadable', lambda: cluster_state.unreadable_count
-    )
-    metrics.add_gauge('store_revision', lambda: follower.freshness.revision)
-    metrics.add_gauge('store_stalled', lambda: int(follower.stalled))
-    metrics.add_counts(
-        'store_follow_failures',
-        'Failed attempts to bring the copy of the store up to date.',
-        'step',
-        lambda: follower.failures,
-    )
-    metrics.add_gauge('store_era_rises', lambda: store.eras.rises)
-    metrics.add_gauge(
-        'configuration_version',
-        lambda: (
-            -1 if cluster_state.table is None else cluster_state.table.version
-        ),
-    )
+    _add_store_metrics(metrics, store, follower, cluster_state)
     return EntryHost(
         settings=settings,
         metrics=metrics,
         router=router,
         callers=CallerServer(
-            router, wire_protocol, lambda: cluster_state.limits
+            router,
+            wire_protocol,
+            lambda: cluster_state.limits,
+            guards.callers,
         ),
         control=ControlServer(
             lambda: cluster_state.table is not None and not stopping.is_set(),
             metrics,
+            guards.control,
         ),
         follower=follower,
         registration=_build_registration(settings, store, cluster_state),
@@ -231,11 +218,42 @@
             placement,
             sender,
             lambda: follower.freshness,
+            guards.hosts,
         ),
         stopping=stopping,
     )
 
 
+def _add_store_metrics(
+    metrics: EntryMetrics,
+    store: Store,
+    follower: StoreFollower,
+    cluster_state: ClusterState,
+) -> None:
+    metrics.add_gauge('store_age_seconds', lambda: follower.age_s)
+    metrics.add_gauge(
+        'store_changes_unapplied', lambda: cluster_state.unapplied_count
+    )
+    metrics.add_gauge(
+        'store_items_unreadable', lambda: cluster_state.unreadable_count
+    )
+    metrics.add_gauge('store_revision', lambda: follower.freshness.revision)
+    metrics.add_gauge('store_stalled', lambda: int(follower.stalled))
+    metrics.add_counts(
+        'store_follow_failures',
+        'Failed attempts to bring the copy of the store up to date.',
+        'step',
+        lambda: follower.failures,
+    )
+    metrics.add_gauge('store_era_rises', lambda: store.eras.rises)
+    metrics.add_gauge(
+        'configuration_version',
+        lambda: (
+            -1 if cluster_state.table is None else cluster_state.table.version
+        ),
+    )
+
+
 def _build_registration(
     settings: EntrySettings, store: Store, cluster_state: ClusterState
 ) -> HostRegistration:
--- a/oriolestage/entry/_compressed_frames.py
+++ b/oriolestage/entry/_compressed_frames.py
@@ -6,9 +6,16 @@
 """
 
 import asyncio
+import dataclasses
 import zlib
+from collections.abc import Callable
 
-from oriolestage._frames import MAX_MESSAGE_BYTES, frame, read_frame
+from oriolestage._frames import (
+    MAX_MESSAGE_BYTES,
+    frame,
+    read_frame,
+    read_noted_frame,
+)
 
 #: Raw DEFLATE with a window of 4 KB; with the memory level below it takes
 #: about 32 KB for each direction of a stream. Larger windows save less than
@@ -53,11 +60,24 @@
         self._writer.close()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FrameBounds:
+    """Bounds on the messages that a reader takes from a stream."""
+
+    #: Maximum size of a message, compressed or not.
+    message_bytes: int
+    #: Called with the bytes that are held of an incomplete message.
+    note_held: Callable[[int], None]
+
+
 class FrameReader:
     """Reads messages from one stream and decompresses them."""
 
-    def __init__(self, reader: asyncio.StreamReader) -> None:
+    def __init__(
+        self, reader: asyncio.StreamReader, bounds: FrameBounds | None = None
+    ) -> None:
         """Create a reader for a new stream."""
+        self._bounds = bounds
         self._reader = reader
         self._decompressor = zlib.decompressobj(WINDOW_BITS)
 
@@ -67,11 +87,19 @@
         Raises ``asyncio.IncompleteReadError`` at the end of the stream and
         ``ValueError`` for a message that is too long or corrupt.
         """
-        block = await read_frame(self._reader) + BLOCK_END
+        max_bytes = MAX_MESSAGE_BYTES
+        if self._bounds is None:
+            block = await read_frame(self._reader)
+        else:
+            max_bytes = self._bounds.message_bytes
+            block = await read_noted_frame(
+                self._reader, max_bytes, self._bounds.note_held
+            )
+        block += BLOCK_END
         try:
-            payload = self._decompressor.decompress(block, MAX_MESSAGE_BYTES)
+            payload = self._decompressor.decompress(block, max_bytes)
         except zlib.error as error:
             raise ValueError(f'corrupt message: {error}') from error
         if self._decompressor.unconsumed_tail:
-            raise ValueError(f'message over {MAX_MESSAGE_BYTES} bytes')
+            raise ValueError(f'message over {max_bytes} bytes')
         return payload
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from oriolestage._logging import log_event
+from oriolestage.entry._caller_connections import UNGUARDED, ConnectionGuard
 from oriolestage.entry._compressed_frames import FrameReader, FrameWriter
 from oriolestage.entry._crash_tracking import (
     AttemptSender,
@@ -23,6 +24,7 @@
     encode,
 )
 from oriolestage.entry._peer_requests import PeerRequests
+from oriolestage.entry._peer_streams import PeerStreams
 from oriolestage.entry._relay_serving import RelayServer
 from oriolestage.entry._shard_gathering import (
     ReplyWriter,
@@ -78,8 +80,10 @@
         placement: Placement,
         sender: AttemptSender,
         freshness: Callable[[], Freshness],
+        guard: ConnectionGuard = UNGUARDED,
     ) -> None:
         """Create a server; ``freshness`` is read for each reply."""
+        self._streams = PeerStreams(guard, lambda: cluster_state.limits)
         self._freshness = freshness
         self._cluster_state = cluster_state
         self._placement = placement
@@ -87,7 +91,6 @@
         self._relays = RelayServer(cluster_state, placement, sender)
         self._attempt_numbers = itertools.count(FIRST_ATTEMPT_NUMBER)
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
         self._requests = PeerRequests(freshness)
 
     @property
@@ -111,8 +114,7 @@
         """Stop accepting streams and close the open ones."""
         if self._server is not None:
             self._server.close()
-        for writer in tuple(self._writers):
-            writer.close()
+        self._streams.close()
 
     async def _serve_stream(
         self,
@@ -120,13 +122,16 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Process the messages of one stream until it ends."""
-        self._writers.add(writer)
+        stream = self._streams.add(reader, writer)
+        if stream is None:
+            return
         running = StreamRequests()
-        requests = FrameReader(reader)
+        requests = FrameReader(reader, self._streams.bounds_of(stream))
         replies = FrameWriter(writer)
         try:
             while True:
                 message = decode_to_peer(await requests.read())
+                stream.note_message()
                 self._dispatch(message, replies, running)
         except (asyncio.IncompleteReadError, OSError):
             return
@@ -138,11 +143,7 @@
             log_event('batch_rejected', {'step': 'peer', 'error': repr(error)})
         finally:
             running.cancel_all()
-            self._close_stream(writer)
-
-    def _close_stream(self, writer: asyncio.StreamWriter) -> None:
-        self._writers.discard(writer)
-        writer.close()
+            self._streams.remove(stream)
 
     def _dispatch(
         self,
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -125,7 +125,7 @@
                 GiveUpReason.NO_CONFIGURATION,
                 NO_CONFIGURATION_RETRY_AFTER_S,
             )
-        rule = table.find(request.host, request.path.partition('?')[0])
+        rule = _find_rule(table, request)
         if rule is None:
             return self._refuse(request, GiveUpReason.UNKNOWN_ROUTE, 0)
         refused_for_s = self._crash_detector.refuse_for_s(
@@ -145,6 +145,22 @@
         finally:
             self._in_flight -= 1
 
+    def refuse_unrouted(self, request: CallerRequest) -> RequestResult | None:
+        """Refuse a request without a route; return None if it has one.
+
+        Nothing of its body is needed.
+        """
+        table = self._cluster_state.table
+        if table is None:
+            return self._refuse(
+                request,
+                GiveUpReason.NO_CONFIGURATION,
+                NO_CONFIGURATION_RETRY_AFTER_S,
+            )
+        if _find_rule(table, request) is None:
+            return self._refuse(request, GiveUpReason.UNKNOWN_ROUTE, 0)
+        return None
+
     def refuse_stopping(self, request: CallerRequest) -> RequestResult:
         """Refuse a request because the host is being stopped."""
         return self._refuse(
@@ -365,3 +381,7 @@
         result = Refused(reason, retry_after_s)
         self._log.record_refusal(request, result)
         return result
+
+
+def _find_rule(table: RoutingTable, request: CallerRequest) -> RouteRule | None:
+    return table.find(request.host, request.path.partition('?')[0])
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -88,15 +88,17 @@
         self,
         wire_protocol: WireProtocol,
         observer: TargetObserver,
+        held: HeldBytes | None = None,
     ) -> None:
         """Create a client; connections are opened on demand.
 
-        ``observer`` is told what each response states about its target.
+        ``observer`` is told what each response states about its target;
+        ``held`` bounds what incomplete responses take.
         """
         self._wire_protocol = wire_protocol
         self._observer = observer
         self._pool = ConnectionPool()
-        self._held = HeldBytes()
+        self._held = held or HeldBytes()
 
     @property
     def held_bytes(self) -> int:
--- a/oriolestage/platform/tests/served_callers.py
+++ b/oriolestage/platform/tests/served_callers.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import AsyncIterator, Callable, Sequence
 
+from oriolestage.entry._caller_connections import UNGUARDED, ConnectionGuard
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._caller_server import CallerServer
 from oriolestage.entry._target_client import TargetCall, TargetClient
@@ -124,15 +125,18 @@
     router: object,
     limits: Callable[[], CallerLimits] = CallerLimits,
     wire_protocol: PlatformWireProtocol = WIRE_PROTOCOL,
+    guard: ConnectionGuard = UNGUARDED,
 ) -> AsyncIterator[tuple[str, int]]:
     """Run a server with a router; its address is the value.
 
-    ``limits`` returns those of the next connection.
+    ``limits`` returns those of the next connection; ``guard`` bounds what all
+    of them take.
     """
     server = CallerServer(
         router,  # type: ignore[arg-type]
         wire_protocol,
         limits,
+        guard,
     )
     listener = socket.create_server(('127.0.0.1', 0))
     listener.setblocking(False)
