--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -16,6 +16,8 @@
     CrashReporter,
     CrashTrackingSender,
 )
+from oriolestage.entry._guards import Guards, build_guards
+from oriolestage.entry._held_bytes import HeldBytes
 from oriolestage.entry._host_metrics import (
     add_quota_metrics,
     add_store_gauges,
@@ -99,7 +101,7 @@
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.set_exception_handler(_log_loop_error)
-    host = _build_host(settings, store, wire_protocol)
+    host = _build_host(settings, store, wire_protocol, build_guards(settings))
     background_work: list[tuple[str, _Work]] = [
         ('follow_store', host.follower.run),
         ('expire', host.follower.expire),
@@ -168,12 +170,13 @@
     settings: EntrySettings,
     store: RolloutStore,
     wire_protocol: WireProtocol,
+    guards: Guards,
 ) -> EntryHost:
     stopping = asyncio.Event()
     metrics = EntryMetrics()
     state = build_state(settings, metrics, lambda: follower.age_s)
     placement, cluster_state = state.placement, state.cluster_state
-    client = TargetClient(wire_protocol, placement)
+    client = TargetClient(wire_protocol, placement, HeldBytes(guards.memory))
     sender: AttemptSender = CrashTrackingSender(client, state.crash_detector)
     if state.rollouts is not None:
         sender = state.rollouts.attach(sender, placement, metrics)
@@ -201,6 +204,7 @@
     )
     metrics.add_gauge('in_flight', lambda: router.in_flight)
     metrics.add_gauge('held_response_bytes', lambda: client.held_bytes)
+    guards.add_metrics(metrics)
     add_target_gauges(metrics, placement)
     add_store_gauges(metrics, store, follower, cluster_state)
     add_quota_metrics(metrics, quotas)
@@ -209,7 +213,10 @@
         metrics=metrics,
         router=router,
         callers=CallerServer(
-            router, wire_protocol, lambda: cluster_state.limits
+            router,
+            wire_protocol,
+            lambda: cluster_state.limits,
+            guards.callers,
         ),
         control=ControlServer(
             lambda: cluster_state.table is not None and not stopping.is_set(),
@@ -222,6 +229,7 @@
                 account,
                 time.monotonic(),
             ),
+            guards.control,
         ),
         follower=follower,
         registration=registration,
@@ -241,6 +249,7 @@
             sender,
             lambda: follower.freshness,
             quotas.answer,
+            guards.hosts,
         ),
         quotas=quotas,
         stopping=stopping,
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from oriolestage._logging import log_event
+from oriolestage.entry._caller_connections import UNGUARDED, ConnectionGuard
 from oriolestage.entry._compressed_frames import FrameReader, FrameWriter
 from oriolestage.entry._crash_tracking import (
     AttemptSender,
@@ -23,6 +24,7 @@
     encode,
 )
 from oriolestage.entry._peer_requests import PeerRequests
+from oriolestage.entry._peer_streams import PeerStreams
 from oriolestage.entry._quota_wire import (
     QuotaAnswer,
     QuotaClaims,
@@ -92,6 +94,7 @@
         answer_quotas: Callable[
             [QuotaQuestion], QuotaAnswer | None
         ] = _no_grants,
+        guard: ConnectionGuard = UNGUARDED,
     ) -> None:
         """Create a server; ``freshness`` is read for each reply.
 
@@ -99,6 +102,7 @@
         there is none.
         """
         self._answer_quotas = answer_quotas
+        self._streams = PeerStreams(guard, lambda: cluster_state.limits)
         self._freshness = freshness
         self._cluster_state = cluster_state
         self._placement = placement
@@ -106,7 +110,6 @@
         self._relays = RelayServer(cluster_state, placement, sender)
         self._attempt_numbers = itertools.count(FIRST_ATTEMPT_NUMBER)
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
         self._requests = PeerRequests(freshness)
 
     @property
@@ -130,8 +133,7 @@
         """Stop accepting streams and close the open ones."""
         if self._server is not None:
             self._server.close()
-        for writer in tuple(self._writers):
-            writer.close()
+        self._streams.close()
 
     async def _serve_stream(
         self,
@@ -139,13 +141,16 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Process the messages of one stream until it ends."""
-        self._writers.add(writer)
+        stream = self._streams.add(reader, writer)
+        if stream is None:
+            return
         running = StreamRequests()
-        requests = FrameReader(reader)
+        requests = FrameReader(reader, self._streams.bounds_of(stream))
         replies = FrameWriter(writer)
         try:
             while True:
                 message = decode_to_peer(await requests.read())
+                stream.note_message()
                 self._dispatch(message, replies, running)
         except (asyncio.IncompleteReadError, OSError):
             return
@@ -157,11 +162,7 @@
             log_event('batch_rejected', {'step': 'peer', 'error': repr(error)})
         finally:
             running.cancel_all()
-            self._close_stream(writer)
-
-    def _close_stream(self, writer: asyncio.StreamWriter) -> None:
-        self._writers.discard(writer)
-        writer.close()
+            self._streams.remove(stream)
 
     def _dispatch(
         self,
