Quotas: admit at once and count afterwards

Cause: a host without tokens asked the owner of the account and waited, which is nearly every request with 75 hosts and 80 accounts; callers inside their limit were late or refused. The votes for the owner were also a consensus of our own, which the users do not want.

Change: hosts admit at once and report; the owner keeps the bucket, requests beyond it are a debt, and it closes the account until the next token. The requests that are not counted yet are bounded. Deputies and a fixed part apply without contact.

--- a/oriolestage/admission/_quota_client.py
+++ b/oriolestage/admission/_quota_client.py
@@ -1,124 +1,127 @@
-"""Admits the requests of one host with the tokens that it was granted."""
+"""Admits the requests of accounts with a limit at one host.
+
+A request is admitted at once and reported to the owner of its account, unless
+the owner has said that the limit is used up. So a caller inside its limit
+waits for no message. The number of requests that the owner has not counted
+yet is bounded; a host without contact to the owner turns to the deputies, and
+without any contact it has a fixed part.
+"""
 
 import dataclasses
-from collections.abc import Iterator
+from collections import deque
 
 from oriolestage.admission._accounts import Account
 from oriolestage.admission._quota_bounds import QuotaBounds
-from oriolestage.admission._quota_demand import Demand
 from oriolestage.admission._quota_fallback import FixedPart
 from oriolestage.admission._quota_hosts import QuotaHosts
-from oriolestage.admission._quota_leases import TokenLease
-from oriolestage.admission._quota_messages import TokenGrant, UsageReport
-from oriolestage.admission._quota_plan import LONGEST_WAIT_S, plan_quota
-
-#: Least time between reports of use to one grantor, in seconds.
-REPORT_INTERVAL_S = 0.1
-#: Time after which held tokens are confirmed by a report, in seconds.
-CONFIRM_INTERVAL_S = 0.25
-#: Time without a request after which held tokens are returned, in seconds.
-IDLE_S = 0.25
-#: Least time between questions for tokens, in seconds.
-ASK_INTERVAL_S = 0.01
-#: Time without an answer after which a deputy is asked too, in seconds.
-LATE_S = 0.06
-#: Longest time for which a request waits for a token, in seconds.
+from oriolestage.admission._quota_messages import UsageReport, UsageVerdict
+from oriolestage.admission._quota_plan import plan_quota
+
+#: Least time between reports about one account, in seconds, unless requests
+#: wait for an answer.
+REPORT_INTERVAL_S = 0.05
+#: Time without an answer after which a report is repeated, in seconds.
+REPEAT_S = 0.2
+#: Reports without an answer that are remembered.
+MAX_SENT = 64
+#: Time without an answer after which the next grantor is used, in seconds,
+#: and after which the first one is tried again.
+SILENT_S = 0.25
+RETRY_S = 1.0
+#: Longest time for which a request waits for the answer to a report, in
+#: seconds: a round trip between regions and some work.
 MAX_WAIT_S = 0.06
-#: Time without an answer after which a grantor counts as silent, in seconds.
-SILENT_S = 0.5
-#: Time without requests or reports after which an account or a lease is
-#: forgotten, in seconds. The grantors forget its totals earlier: totals that
-#: begin again at 0 would look like returned tokens.
-FORGET_S = 60.0
-#: Retry-after of a request that is refused without contact to a grantor, in
-#: seconds.
+#: Time for which the allowance of an answer applies, in seconds.
+ALLOWANCE_S = 2.0
+#: Retry-after without contact to any grantor, in seconds.
 NO_CONTACT_RETRY_AFTER_S = 1.0
+#: Time after which an account without requests is forgotten, in seconds.
+FORGET_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admission:
-    """A request that may run, and where its token is from."""
+    """A request that counts against the limit of its account."""
 
     account: str
-    #: Host that granted the token; empty for the fixed part.
+    #: The host that counts it; empty for the fixed part.
     grantor: str
     admitted_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OverQuota:
-    """A request that is refused."""
+    """A request that is refused because the limit is used up."""
 
-    #: Time after which a request can be admitted, in seconds.
     retry_after_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True, eq=False)
-class Wait:
-    """A request that waits for a token."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class AwaitVerdict:
+    """A request that waits until its grantor has counted earlier ones."""
 
-    account: str
-    started_at: float
+    until: float
 
 
-class _State:
-    """What this host knows of one account."""
+@dataclasses.dataclass(slots=True)
+class _Charges:
+    """What is charged to one grantor."""
+
+    admitted: int = 0
+    returned: int = 0
+    #: Requests that were admitted when the latest answered report was sent.
+    counted: int = 0
+    #: Reports that are not answered: their number and what was admitted.
+    sent: deque[tuple[int, int]] = dataclasses.field(
+        default_factory=lambda: deque(maxlen=MAX_SENT)
+    )
+    #: Time of the first report that is not answered.
+    waiting_since: float | None = None
+    reported_at: float = float('-inf')
+    #: True if something is to be reported.
+    changed: bool = False
 
-    def __init__(self, account: Account, window_s: float) -> None:
-        self.account = account
-        self.demand = Demand()
-        self.fixed = FixedPart(window_s)
-        self.leases: dict[str, TokenLease] = {}
-        #: Requests that wait for a token, the earliest first.
-        self.waits: list[Wait] = []
-        self.requested_at = float('-inf')
-        self.asked_at = float('-inf')
-        #: Number of the last question to the owner.
-        self.asked_number = 0
-        #: Whether a request waits that no question has counted.
-        self.unasked = False
-
-    def tidy(self, now: float) -> None:
-        """Forget old leases, and give up tokens that are not needed."""
-        for grantor, lease in tuple(self.leases.items()):
-            if now - lease.last_sent_at > FORGET_S:
-                self.leases.pop(grantor)
-            lease.lapse(now)
-            if now - self.requested_at > IDLE_S:
-                lease.held = 0
-
-    def expected(self, now: float) -> int:
-        """Return the tokens to hold for requests that have not arrived."""
-        if now - self.requested_at > IDLE_S:
-            return 0
-        return self.demand.expected(now)
+    @property
+    def uncounted(self) -> int:
+        """Requests that the grantor may not have counted."""
+        return self.admitted - self.counted
 
 
-@dataclasses.dataclass(slots=True)
-class _Contact:
-    """Whether a grantor answers."""
+class _State:
+    """One account at this host."""
 
-    #: Time from which a report is unanswered; None if all are answered.
-    waiting_since: float | None = None
+    def __init__(self, account: Account, bounds: QuotaBounds) -> None:
+        self.account = account
+        self.charges: dict[str, _Charges] = {}
+        self.number = 0
+        self.closed_until = float('-inf')
+        self.allowance = 0
+        self.allowance_until = float('-inf')
+        self.interval_s = 1 / account.rate
+        #: Requests refused since the last answer.
+        self.refused = 0
+        self.requested_at = float('-inf')
+        self.fixed = FixedPart(bounds.window_s)
+        self.admitted_at: deque[float] = deque()
 
-    def is_late(self, now: float, limit_s: float) -> bool:
-        return (
-            self.waiting_since is not None
-            and now - self.waiting_since >= limit_s
-        )
+    def recent(self, window_s: float, now: float) -> int:
+        """Return the requests admitted in the last window."""
+        while self.admitted_at and self.admitted_at[0] < now - window_s:
+            self.admitted_at.popleft()
+        return len(self.admitted_at)
 
 
 class QuotaClient:
-    """The tokens of this host, and the reports about them."""
+    """The accounts with a limit at one host."""
 
     def __init__(self, name: str, bounds: QuotaBounds) -> None:
-        """Create a client without tokens that knows no hosts."""
+        """Create a client that knows no hosts."""
         self._name = name
         self._bounds = bounds
         self._hosts = QuotaHosts({})
         self._states: dict[str, _State] = {}
-        self._contacts: dict[str, _Contact] = {}
-        self._epochs = 0
+        #: Time at which each grantor was found silent.
+        self._silent_at: dict[str, float] = {}
 
     @property
     def hosts(self) -> QuotaHosts:
@@ -128,223 +131,188 @@
     def replace_hosts(self, hosts: QuotaHosts) -> None:
         """Replace the hosts that share the quotas."""
         self._hosts = hosts
-        for name in tuple(self._contacts):
-            if name not in hosts:
-                self._contacts.pop(name)
-
-    def record_request(self, account: Account, now: float) -> None:
-        """Record that a request has arrived; it is admitted or refused."""
-        state = self._states.get(account.name)
-        if state is None:
-            state = _State(account, self._bounds.window_s)
-            self._states[account.name] = state
-        state.account = account
-        state.requested_at = now
-        state.demand.record_request(now)
 
-    def admit(self, account: str, now: float) -> Admission | None:
-        """Use a token that this host holds.
+    def silent(self, now: float) -> frozenset[str]:
+        """Return the grantors that do not answer."""
+        return frozenset(
+            name
+            for name, since in self._silent_at.items()
+            if now - since < RETRY_S
+        )
 
-        None if there is none, or if earlier requests wait for it.
-        """
-        state = self._states[account]
-        return self._take(state, len(state.waits), now)
-
-    def _take(self, state: _State, before: int, now: float) -> Admission | None:
-        """Use a token unless all are for the ``before`` earlier requests."""
-        for lease in state.leases.values():
-            lease.lapse(now)
-        if sum(lease.held for lease in state.leases.values()) <= before:
-            return None
-        for grantor, lease in state.leases.items():
-            if lease.try_take(now):
-                state.demand.record_admitted(now)
-                return Admission(state.account.name, grantor, now)
-        return None
+    def admit(
+        self, account: Account, now: float
+    ) -> Admission | OverQuota | AwaitVerdict:
+        """Return whether a request that arrives now may run."""
+        state = self._state(account, now)
+        if now < state.closed_until:
+            return self._refuse(state, now)
+        grantor = self._grantor(state, now)
+        if not grantor:
+            return self.admit_without_contact(account, now)
+        charges = state.charges.setdefault(grantor, _Charges())
+        if charges.uncounted < self._allowance(state, now):
+            charges.admitted += 1
+            charges.changed = True
+            state.admitted_at.append(now)
+            return Admission(account.name, grantor, now)
+        return AwaitVerdict(now + MAX_WAIT_S)
 
     def admit_without_contact(
-        self, account: str, now: float
-    ) -> Admission | None:
-        """Use a part of the limit that no other host knows of."""
-        state = self._states[account]
-        if not state.fixed.try_take(self._fixed_share(state), now):
-            return None
-        state.demand.record_admitted(now)
-        return Admission(account, '', now)
+        self, account: Account, now: float
+    ) -> Admission | OverQuota:
+        """Use the part of the limit that no other host knows of."""
+        state = self._state(account, now)
+        plan = plan_quota(account.rate, account.burst, self._bounds)
+        share = self._hosts.fixed_share(
+            account.name, self._name, plan.fixed_total
+        )
+        if state.fixed.try_take(share, now):
+            state.admitted_at.append(now)
+            return Admission(account.name, '', now)
+        return OverQuota(NO_CONTACT_RETRY_AFTER_S)
 
     def put_back(self, admission: Admission, now: float) -> None:
-        """Return the token of a request that has not run."""
+        """Return what a request was charged that has not run."""
         state = self._states.get(admission.account)
         if state is None:
             return
-        state.demand.withdraw_admitted(admission.admitted_at)
         if not admission.grantor:
             state.fixed.put_back(admission.admitted_at)
             return
-        lease = state.leases.get(admission.grantor)
-        if lease is not None:
-            lease.put_back(now)
-
-    def is_exhausted(self, account: str, now: float) -> bool:
-        """Return whether the owner has just said that there is no token."""
-        lease = self._leader_lease(account, now)
-        return (
-            lease is not None
-            and now - lease.confirmed_at < REPORT_INTERVAL_S
-            and now < lease.next_token_at
-        )
-
-    def retry_after_s(self, account: str, now: float) -> float:
-        """Return when to send a request again that is refused now.
+        charges = state.charges.get(admission.grantor)
+        if charges is not None:
+            charges.returned += 1
+            charges.changed = True
 
-        Requests that this host refuses between two answers of the owner get
-        the times of successive tokens.
-        """
-        lease = self._leader_lease(account, now)
-        if lease is None or not lease.is_valid(now):
-            return NO_CONTACT_RETRY_AFTER_S
-        wait_s = max(0, lease.next_token_at - now)
-        wait_s += lease.refused * lease.interval_s
-        lease.refused += 1
-        return min(wait_s, LONGEST_WAIT_S)
-
-    def is_silent(self, grantor: str, now: float) -> bool:
-        """Return whether a grantor has not answered for long."""
-        contact = self._contacts.get(grantor)
-        return contact is not None and contact.is_late(now, SILENT_S)
-
-    def ask(self, account: str, now: float) -> list[tuple[str, UsageReport]]:
-        """Return the questions for tokens to send now, by grantor.
-
-        A deputy is asked too while the hosts before it do not answer.
-        """
-        state = self._states[account]
-        if not state.unasked or now - state.asked_at < ASK_INTERVAL_S:
+    def report_due_at(self, account: str, now: float) -> float:
+        """Return when to report about an account; infinite if not at all."""
+        state = self._states.get(account)
+        if state is None:
+            return float('inf')
+        due = [
+            max(now, charges.reported_at + REPORT_INTERVAL_S)
+            for charges in state.charges.values()
+            if charges.changed
+        ]
+        return min(due, default=float('inf'))
+
+    def take_reports(
+        self, account: str, now: float, *, at_once: bool = False
+    ) -> list[tuple[str, UsageReport]]:
+        """Return the due reports about an account, by grantor."""
+        state = self._states.get(account)
+        if state is None:
             return []
-        state.unasked = False
-        state.asked_at = now
         reports: list[tuple[str, UsageReport]] = []
-        for grantor in self._hosts.grantors(account):
-            reports.append((grantor, self._report(state, grantor, now)))
-            contact = self._contacts[grantor]
-            if not contact.is_late(now, LATE_S):
-                break
-        owner = self._leader_lease(account, now)
-        state.asked_number = 0 if owner is None else owner.number
+        for grantor, charges in state.charges.items():
+            since_s = now - charges.reported_at
+            due = charges.changed and (at_once or since_s >= REPORT_INTERVAL_S)
+            repeated = charges.waiting_since is not None and (
+                since_s >= REPEAT_S
+            )
+            if due or repeated:
+                reports.append((grantor, self._report(state, charges, now)))
         return reports
 
-    def start_wait(self, account: str, now: float) -> Wait:
-        """Return the wait of a request, which :meth:`end_wait` ends."""
-        state = self._states[account]
-        wait = Wait(account, now)
-        state.waits.append(wait)
-        state.unasked = True
-        return wait
+    def receive(self, grantor: str, verdict: UsageVerdict, now: float) -> None:
+        """Process the answer of a grantor."""
+        self._silent_at.pop(grantor, None)
+        state = self._states.get(verdict.account)
+        if state is None:
+            return
+        charges = state.charges.get(grantor)
+        if charges is None:
+            return
+        answered = False
+        while charges.sent and charges.sent[0][0] <= verdict.number:
+            _, admitted = charges.sent.popleft()
+            charges.counted = max(charges.counted, admitted)
+            answered = True
+        charges.waiting_since = now if charges.sent else None
+        if not answered or grantor != self._grantor(state, now):
+            return
+        state.closed_until = now + verdict.closed_s
+        state.allowance = verdict.allowance
+        state.allowance_until = now + ALLOWANCE_S
+        state.interval_s = verdict.interval_s
+        state.refused = 0
+
+    def accounts(self) -> tuple[str, ...]:
+        """Return the names of the accounts in use here."""
+        return tuple(self._states)
+
+    def forget(self, now: float) -> None:
+        """Drop accounts without requests for long."""
+        for name, state in tuple(self._states.items()):
+            if now - state.requested_at >= FORGET_S:
+                self._states.pop(name)
+
+    def _state(self, account: Account, now: float) -> _State:
+        state = self._states.get(account.name)
+        if state is None:
+            state = _State(account, self._bounds)
+            self._states[account.name] = state
+        if (state.account.rate, state.account.burst) != (
+            account.rate,
+            account.burst,
+        ):
+            state.closed_until = float('-inf')
+        state.account = account
+        state.requested_at = now
+        return state
+
+    def _grantor(self, state: _State, now: float) -> str:
+        """Return the first grantor that is not silent; empty without one."""
+        for grantor in self._hosts.grantors(state.account.name):
+            charges = state.charges.get(grantor)
+            since = None if charges is None else charges.waiting_since
+            if since is not None and now - since >= SILENT_S:
+                self._silent_at.setdefault(grantor, now)
+            silent_at = self._silent_at.get(grantor)
+            if silent_at is None:
+                return grantor
+            if now - silent_at >= RETRY_S:
+                self._silent_at.pop(grantor)
+                if charges is not None and charges.waiting_since is not None:
+                    charges.waiting_since = now
+                return grantor
+        return ''
 
-    def end_wait(self, wait: Wait) -> None:
-        """Record that a request no longer waits."""
-        self._states[wait.account].waits.remove(wait)
+    def _allowance(self, state: _State, now: float) -> int:
+        """Return how many requests may be admitted uncounted."""
+        if now < state.allowance_until:
+            return state.allowance
+        account = state.account
+        plan = plan_quota(account.rate, account.burst, self._bounds)
+        return max(1, int(plan.uncounted / max(1, len(self._hosts))))
 
-    def poll(self, wait: Wait, now: float) -> Admission | OverQuota | None:
-        """Return what becomes of a request that waits, None if it goes on.
+    def _refuse(self, state: _State, now: float) -> OverQuota:
+        """Refuse a request until the next token.
 
-        Without any answer in time, the host's part of the limit applies that
-        needs no contact.
+        Requests that are refused between two answers get the times of
+        successive tokens, so that their callers return one by one.
         """
-        state = self._states[wait.account]
-        admission = self._take(state, state.waits.index(wait), now)
-        if admission is not None:
-            return admission
-        lease = self._leader_lease(wait.account, now)
-        # Each question counts all requests that wait: while one is on its
-        # way, its answer may have a token for any of them.
-        counted = state.asked_at >= wait.started_at
-        if counted and lease is not None:
-            if lease.answered >= state.asked_number:
-                return OverQuota(self.retry_after_s(wait.account, now))
-        if now - wait.started_at < MAX_WAIT_S:
-            return None
-        admission = self.admit_without_contact(wait.account, now)
-        if admission is not None:
-            return admission
-        return OverQuota(self.retry_after_s(wait.account, now))
-
-    def receive(self, grantor: str, grant: TokenGrant, now: float) -> None:
-        """Process the answer of a grantor."""
-        contact = self._contacts.get(grantor)
-        if contact is not None:
-            contact.waiting_since = None
-        state = self._states.get(grant.account)
-        lease = None if state is None else state.leases.get(grantor)
-        if lease is not None:
-            lease.receive(grant, now)
-
-    def due_reports(self, now: float) -> Iterator[tuple[str, UsageReport]]:
-        """Yield the reports that are due, by grantor; forget idle accounts."""
-        for account, state in tuple(self._states.items()):
-            if now - state.requested_at > FORGET_S and not state.waits:
-                self._states.pop(account)
-                continue
-            leader = self._leader(account, now)
-            state.tidy(now)
-            for grantor, lease in tuple(state.leases.items()):
-                leads = grantor == leader
-                if self._is_due(state, lease, now, leads=leads):
-                    yield grantor, self._report(state, grantor, now)
-
-    def _is_due(
-        self, state: _State, lease: TokenLease, now: float, *, leads: bool
-    ) -> bool:
-        since_s = now - lease.last_sent_at
-        if since_s < REPORT_INTERVAL_S:
-            return False
-        if lease.reported != lease.totals:
-            return True
-        if lease.held and since_s >= CONFIRM_INTERVAL_S:
-            return True
-        return leads and state.expected(now) > lease.held
-
-    def _report(self, state: _State, grantor: str, now: float) -> UsageReport:
-        lease = state.leases.get(grantor)
-        if lease is None:
-            self._epochs += 1
-            lease = TokenLease(epoch=self._epochs)
-            state.leases[grantor] = lease
-        lease.record_sent(now)
-        contact = self._contacts.setdefault(grantor, _Contact())
-        if contact.waiting_since is None:
-            contact.waiting_since = now
+        wait_s = state.closed_until - now + state.refused * state.interval_s
+        state.refused += 1
+        return OverQuota(wait_s)
+
+    def _report(
+        self, state: _State, charges: _Charges, now: float
+    ) -> UsageReport:
+        state.number += 1
+        charges.reported_at = now
+        charges.changed = False
+        charges.sent.append((state.number, charges.admitted))
+        if charges.waiting_since is None:
+            charges.waiting_since = now
         account = state.account
         return UsageReport(
             account=account.name,
             rate=account.rate,
             burst=account.burst,
-            number=lease.number,
-            epoch=lease.epoch,
-            used=lease.used,
-            held=lease.held,
-            received=lease.received,
-            wanted=len(state.waits),
-            expected=state.expected(now),
-            recent=state.demand.recent(now),
-        )
-
-    def _leader(self, account: str, now: float) -> str:
-        """Return the first grantor that is not silent; empty without one."""
-        for grantor in self._hosts.grantors(account):
-            if not self.is_silent(grantor, now):
-                return grantor
-        return ''
-
-    def _leader_lease(self, account: str, now: float) -> TokenLease | None:
-        state = self._states.get(account)
-        if state is None:
-            return None
-        return state.leases.get(self._leader(account, now))
-
-    def _fixed_share(self, state: _State) -> int:
-        account = state.account
-        plan = plan_quota(account.rate, account.burst, self._bounds)
-        return self._hosts.fixed_share(
-            account.name, self._name, plan.fixed_total
+            number=state.number,
+            admitted=charges.admitted,
+            returned=charges.returned,
+            recent=state.recent(self._bounds.window_s, now),
         )
--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -188,7 +188,7 @@
         settings.propagation_limit_s,
     )
     registration = build_registration(settings, store, cluster_state)
-    quotas = build_quotas(settings, cluster_state, state.peers, registration)
+    quotas = build_quotas(settings, cluster_state)
     router = RequestRouter(
         cluster_state,
         placement,
--- a/oriolestage/entry/_host_metrics.py
+++ b/oriolestage/entry/_host_metrics.py
@@ -60,4 +60,4 @@
         lambda: quotas.counts,
     )
     metrics.add_gauge('quota_links', lambda: quotas.link_count)
-    metrics.add_gauge('quota_accounts_led', lambda: quotas.led_count)
+    metrics.add_gauge('quota_books', lambda: quotas.book_count)
--- a/oriolestage/entry/_host_parts.py
+++ b/oriolestage/entry/_host_parts.py
@@ -1,15 +1,13 @@
 """Creates the state of a host and the components that limit its requests."""
 
 import dataclasses
-import functools
 import random
-import time
 from collections.abc import Callable
 
 from oriolestage._logging import log_event
 from oriolestage.admission._accounts import NO_ACCOUNTS
 from oriolestage.admission._quota_client import QuotaClient
-from oriolestage.admission._quota_owner import QuotaOwner
+from oriolestage.admission._quota_ledger import QuotaLedger
 from oriolestage.admission._waiting_line import WaitingLine
 from oriolestage.entry._host_registration import HostRegistration
 from oriolestage.entry._metrics import EntryMetrics
@@ -28,13 +26,6 @@
 from oriolestage.routing._state_changes import StateChange
 from oriolestage.routing._targets import TargetDirectory
 
-#: Time before the end of its lease at which a host no longer owns accounts, in
-#: seconds, for clocks that differ in speed.
-LEASE_MARGIN_S = 0.3
-#: Age from which a copy of the store counts as lost, in seconds. A watch
-#: without changes takes up to 3.6 s, and the next one begins 1.2 s later.
-STORE_LOST_S = 5.0
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostState:
@@ -116,25 +107,14 @@
 
 
 def build_quotas(
-    settings: EntrySettings,
-    cluster_state: ClusterState,
-    peers: PeerDirectory,
-    registration: HostRegistration,
+    settings: EntrySettings, cluster_state: ClusterState
 ) -> QuotaExchange:
-    """Return what takes the tokens of requests from their accounts."""
+    """Return what limits the requests of accounts over all hosts."""
     name = settings.location.name
-    log = QuotaLog()
-    may_own = functools.partial(_may_own, registration, peers)
     return QuotaExchange(
         name,
         QuotaClient(name, settings.quota),
-        QuotaOwner(
-            name,
-            settings.quota,
-            may_own,
-            log.record_change,
-            time.monotonic(),
-        ),
+        QuotaLedger(settings.quota),
         lambda: (
             NO_ACCOUNTS
             if cluster_state.table is None
@@ -142,20 +122,10 @@
         ),
         cluster_state.hosts.registered,
         settings.location.region_of,
-        log,
+        QuotaLog(),
     )
 
 
-def _may_own(
-    registration: HostRegistration, peers: PeerDirectory, now: float
-) -> bool:
-    """Return whether no other host can have taken the place of this one."""
-    if now < registration.lease_ends_at - LEASE_MARGIN_S:
-        return True
-    # While no host reaches the store, none learns that another one is lost.
-    return peers.all_lack_store(STORE_LOST_S)
-
-
 def log_change(change: StateChange) -> None:
     """Log a change of what the host knows."""
     log_event(change.event, dict(change.fields))
--- a/oriolestage/entry/_host_registration.py
+++ b/oriolestage/entry/_host_registration.py
@@ -68,8 +68,6 @@
         self._record = record
         self._is_listed = is_listed
         self._lease: Lease | None = None
-        #: Monotonic time until which the lease certainly has not ended.
-        self._lease_ends_at = float('-inf')
         #: Monotonic time at which the lease has to be renewed.
         self._renewal_due_at = float('-inf')
         #: Whether the registration was found or written under the lease.
@@ -86,11 +84,6 @@
         self._calls_limit: asyncio.Timeout | None = None
         store.eras.subscribe(self._interrupt)
 
-    @property
-    def lease_ends_at(self) -> float:
-        """Monotonic time before which no other host takes this one for lost."""
-        return self._lease_ends_at
-
     async def run(self) -> None:
         """Keep the host registered until cancelled.
 
@@ -129,7 +122,6 @@
         except LeaseEndedError as error:
             log_event('registration_ended', {'error': error})
             self._lease = None
-            self._lease_ends_at = float('-inf')
             self._registered = False
             return 0 if known else _retry_delay_s()
         except StoreError as error:
@@ -145,10 +137,8 @@
             lease = await self._open_lease()
         elif time.monotonic() >= self._renewal_due_at:
             due_at = _next_renewal_at()
-            ends_at = time.monotonic() + LEASE_TTL_S
             await self._store.renew_lease(lease)
             self._renewal_due_at = due_at
-            self._lease_ends_at = ends_at
         if self._withdrawn:
             return
         if not self._registered or self._check_due():
@@ -156,11 +146,9 @@
 
     async def _open_lease(self) -> Lease:
         due_at = _next_renewal_at()
-        ends_at = time.monotonic() + LEASE_TTL_S
         lease = await self._store.open_lease(LEASE_TTL_S)
         self._lease = lease
         self._renewal_due_at = due_at
-        self._lease_ends_at = ends_at
         if self._withdrawn:
             self._drop_lease()
             await self._end_unwanted()
@@ -205,7 +193,6 @@
         if self._lease is not None:
             self._unwanted.append(self._lease)
         self._lease = None
-        self._lease_ends_at = float('-inf')
         self._registered = False
 
     async def _end_unwanted(self) -> None:
--- a/oriolestage/entry/_peer_link.py
+++ b/oriolestage/entry/_peer_link.py
@@ -22,12 +22,7 @@
     decode_from_peer,
     encode,
 )
-from oriolestage.entry._quota_wire import (
-    QuotaAnswer,
-    QuotaGrants,
-    QuotaQuestion,
-    QuotaVotesGiven,
-)
+from oriolestage.entry._quota_wire import QuotaReports, QuotaVerdicts
 from oriolestage.entry._relay_serving import outcome_of_reply
 from oriolestage.routing._answers import (
     AttemptLost,
@@ -57,7 +52,7 @@
 MS_PER_S = 1000
 
 
-def _ignore(_: QuotaAnswer) -> None:
+def _ignore(_: QuotaVerdicts) -> None:
     """Do nothing."""
 
 
@@ -68,7 +63,7 @@
         self,
         address: str,
         on_leaving: Callable[[str], None],
-        on_quota: Callable[[QuotaAnswer], None] = _ignore,
+        on_quota: Callable[[QuotaVerdicts], None] = _ignore,
     ) -> None:
         """Create a closed link; :meth:`open` connects it.
 
@@ -137,7 +132,7 @@
         """Whether the stream is open, as far as this host knows."""
         return self._frames is not None
 
-    def report(self, reports: QuotaQuestion) -> None:
+    def report(self, reports: QuotaReports) -> None:
         """Send reports of quotas, unless the stream is closed."""
         if self._frames is not None:
             self._frames.write(encode(reports))
@@ -259,7 +254,7 @@
             if relayed is not None and not relayed.done():
                 relayed.set_result(outcome_of_reply(reply))
             return
-        if isinstance(reply, QuotaGrants | QuotaVotesGiven):
+        if isinstance(reply, QuotaVerdicts):
             self._on_quota(reply)
             return
         self._freshness = Freshness(
--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -14,7 +14,7 @@
     map_headers,
     text_to_latin1,
 )
-from oriolestage.entry._quota_wire import QuotaAnswer, QuotaQuestion
+from oriolestage.entry._quota_wire import QuotaReports, QuotaVerdicts
 from oriolestage.routing._answers import TargetAnswer
 
 
@@ -225,8 +225,8 @@
     era: int | None = None
 
 
-ToPeer = GatherRequest | GatherCancel | RelayRequest | Ping | QuotaQuestion
-FromPeer = GatherReply | GatherDeclined | RelayReply | Pong | QuotaAnswer
+ToPeer = GatherRequest | GatherCancel | RelayRequest | Ping | QuotaReports
+FromPeer = GatherReply | GatherDeclined | RelayReply | Pong | QuotaVerdicts
 
 _Message = TypeVar('_Message', bound=ToPeer | FromPeer)
 
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -25,12 +25,7 @@
 )
 from oriolestage.entry._peer_requests import PeerRequests
 from oriolestage.entry._peer_streams import PeerStreams
-from oriolestage.entry._quota_wire import (
-    QuotaAnswer,
-    QuotaClaims,
-    QuotaQuestion,
-    QuotaReports,
-)
+from oriolestage.entry._quota_wire import QuotaReports, QuotaVerdicts
 from oriolestage.entry._relay_serving import RelayServer
 from oriolestage.entry._shard_gathering import (
     ReplyWriter,
@@ -78,8 +73,8 @@
 CRASH_STEP = 'batch.crash'
 
 
-def _no_grants(_: QuotaQuestion) -> QuotaAnswer | None:
-    """Grant nothing."""
+def _no_verdicts(_: QuotaReports) -> QuotaVerdicts | None:
+    """Count nothing."""
 
 
 class PeerServer:
@@ -92,8 +87,8 @@
         sender: AttemptSender,
         freshness: Callable[[], Freshness],
         answer_quotas: Callable[
-            [QuotaQuestion], QuotaAnswer | None
-        ] = _no_grants,
+            [QuotaReports], QuotaVerdicts | None
+        ] = _no_verdicts,
         guard: ConnectionGuard = UNGUARDED,
     ) -> None:
         """Create a server; ``freshness`` is read for each reply.
@@ -193,10 +188,10 @@
                 frames.write(encode(self._make_pong()))
             case GatherCancel(number=number):
                 running.cancel(number)
-            case QuotaReports() | QuotaClaims():
-                grants = self._answer_quotas(message)
-                if grants is not None:
-                    frames.write(encode(grants))
+            case QuotaReports():
+                verdicts = self._answer_quotas(message)
+                if verdicts is not None:
+                    frames.write(encode(verdicts))
 
     def _make_pong(self) -> Pong:
         freshness = self._freshness()
--- a/oriolestage/entry/_quota_log.py
+++ b/oriolestage/entry/_quota_log.py
@@ -62,11 +62,6 @@
             self._log('quota_grantor_heard', {'peer': name})
         self._silent = silent
 
-    def record_change(self, event: str, fields: Mapping[str, object]) -> None:
-        """Log a decision of a grantor."""
-        self._counts[event] += 1
-        self._log(event, fields)
-
     def forget(self, now: float) -> None:
         """Forget accounts without refusals, and report the last ones."""
         for account, reported_at in tuple(self._reported_at.items()):
--- a/oriolestage/entry/_quota_wire.py
+++ b/oriolestage/entry/_quota_wire.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from oriolestage.admission._quota_messages import TokenGrant, UsageReport
+from oriolestage.admission._quota_messages import UsageReport, UsageVerdict
 
 
 class QuotaReports(
@@ -22,49 +22,14 @@
     reports: tuple[UsageReport, ...]
 
 
-class QuotaGrants(
+class QuotaVerdicts(
     msgspec.Struct,
     frozen=True,
     array_like=True,
-    tag='quota_grants',
+    tag='quota_verdicts',
 ):
-    """Answers to some of the reports in a :class:`QuotaReports`."""
+    """Answers to the reports in a :class:`QuotaReports`."""
 
-    #: Name of the granting host.
+    #: Name of the answering host.
     host: str
-    grants: tuple[TokenGrant, ...]
-
-
-class QuotaClaims(
-    msgspec.Struct,
-    frozen=True,
-    array_like=True,
-    tag='quota_claims',
-):
-    """Asks for votes in some accounts."""
-
-    host: str
-    #: Number that identifies the claims at the host.
-    number: int
-    accounts: tuple[str, ...]
-
-
-class QuotaVotesGiven(
-    msgspec.Struct,
-    frozen=True,
-    array_like=True,
-    tag='quota_votes',
-):
-    """Answers :class:`QuotaClaims`."""
-
-    #: Name of the voting host.
-    host: str
-    number: int
-    #: Accounts in which the claimant gets the vote.
-    granted: tuple[str, ...]
-    #: Those of them in which no other host has led in the last window.
-    settled: tuple[str, ...]
-
-
-QuotaQuestion = QuotaReports | QuotaClaims
-QuotaAnswer = QuotaGrants | QuotaVotesGiven
+    verdicts: tuple[UsageVerdict, ...]
--- a/oriolestage/routing/_peers.py
+++ b/oriolestage/routing/_peers.py
@@ -102,9 +102,6 @@
         default_factory=dict
     )
 
-    #: Age of the host's copy of the store when it last told.
-    store_age_s: float = 0
-
     @property
     def state(self) -> PeerState:
         """Whether the host can gather shards."""
@@ -177,17 +174,6 @@
             for peer in self._connected(self._location.region)
         }
 
-    def all_lack_store(self, age_s: float) -> bool:
-        """Return whether no host has read the store for a time.
-
-        At least one host of each region has to be heard; true without others.
-        """
-        for region in self._ranked:
-            heard = [peer for peer in self._connected(region) if peer.heard]
-            if not heard or any(peer.store_age_s < age_s for peer in heard):
-                return False
-        return True
-
     def choose_relay(
         self,
         target_region: str,
@@ -311,8 +297,6 @@
             peer.heard = fresh and link.heard_at > peer.silent_at
             peer.behind = _is_behind(link.freshness, own)
             peer.cut_off = link.cut_off
-            if link.freshness is not None:
-                peer.store_age_s = link.freshness.age_s
             return None if peer.state == before else peer.state
         return None
 
