--- a/oriolestage/admission/_quota_client.py
+++ b/oriolestage/admission/_quota_client.py
@@ -25,7 +25,7 @@
 #: Reports without an answer that are remembered.
 MAX_SENT = 64
 #: Time without an answer after which the next grantor is used, in seconds,
-#: and after which the first one is tried again.
+#: and after which other accounts may try the first one again.
 SILENT_S = 0.25
 RETRY_S = 1.0
 #: Longest time for which a request waits for the answer to a report, in
@@ -132,13 +132,10 @@
         """Replace the hosts that share the quotas."""
         self._hosts = hosts
 
-    def silent(self, now: float) -> frozenset[str]:
-        """Return the grantors that do not answer."""
-        return frozenset(
-            name
-            for name, since in self._silent_at.items()
-            if now - since < RETRY_S
-        )
+    @property
+    def silent(self) -> frozenset[str]:
+        """The grantors that do not answer."""
+        return frozenset(self._silent_at)
 
     def admit(
         self, account: Account, now: float
@@ -272,10 +269,9 @@
             silent_at = self._silent_at.get(grantor)
             if silent_at is None:
                 return grantor
-            if now - silent_at >= RETRY_S:
+            # Repeated reports find out whether it answers again.
+            if since is None and now - silent_at >= RETRY_S:
                 self._silent_at.pop(grantor)
-                if charges is not None and charges.waiting_since is not None:
-                    charges.waiting_since = now
                 return grantor
         return ''
 
--- a/oriolestage/entry/_quota_exchange.py
+++ b/oriolestage/entry/_quota_exchange.py
@@ -156,7 +156,7 @@
             self._follow_hosts(now)
             self._ledger.sweep(now)
             self._client.forget(now)
-            self._log.record_silent(self._client.silent(now))
+            self._log.record_silent(self._client.silent)
             self._log.forget(now)
             for account in self._client.accounts():
                 self._send(self._client.take_reports(account, now))
