Roll-outs: compare with the old version in the same time only

Cause: in a trial with two processes, failures of the old targets before the order (43 of 247) excused a version that failed 0.3 of its responses until 10.7 s. In replays with 75 hosts and 2 requests a second, of which each ended after its write, 3 of 4 good versions missed the deadline. Change: responses from before the order only show the typical time; the end is decided 2 s before the deadline at the latest; at the end of a phase the likelier explanation decides.

--- a/oriolestage/entry/tests/test_rollout_controller.py
+++ b/oriolestage/entry/tests/test_rollout_controller.py
@@ -84,6 +84,7 @@
     def setUp(self) -> None:
         """Create a host that decides alone, with one order."""
         self._loop = VirtualTimeLoop()
+        self.addCleanup(self._loop.close)
         self._store = RecordingStore()
         self._host = Host(hosts=('host-0',))
         self._host.book.replace_all(targets_of(OLD), 0)
--- a/oriolestage/platform/_rollout_documents.py
+++ b/oriolestage/platform/_rollout_documents.py
@@ -87,6 +87,7 @@
     old: dict[str, _Counts]
     new: dict[str, _Counts]
     ramp: dict[str, _Counts] = {}
+    base: dict[str, _Counts] = {}
 
 
 def decode_rollout_item(key: str, content: bytes, revision: int) -> StoredFact:
@@ -176,6 +177,7 @@
             old=_encode_counts(evidence.old),
             new=_encode_counts(evidence.new),
             ramp=_encode_counts(evidence.ramp),
+            base=_encode_counts(evidence.base),
         )
     )
 
@@ -197,6 +199,7 @@
         old=_decode_counts(entry.old),
         new=_decode_counts(entry.new),
         ramp=_decode_counts(entry.ramp),
+        base=_decode_counts(entry.base),
     )
 
 
--- a/oriolestage/rollouts/_evidence.py
+++ b/oriolestage/rollouts/_evidence.py
@@ -72,7 +72,9 @@
     """Counts since the order for one service."""
 
     order: RolloutOrder
-    old: _ByRoute
+    #: Responses from before the order.
+    base: _ByRoute
+    old: _ByRoute = dataclasses.field(default_factory=dict)
     new: _ByRoute = dataclasses.field(default_factory=dict)
     ramp: _ByRoute = dataclasses.field(default_factory=dict)
     #: True from the time at which this host learned of the ramp.
@@ -98,10 +100,10 @@
     def start(self, order: RolloutOrder) -> None:
         """Count for an order from now on."""
         window = self._windows.get(order.service)
-        old: _ByRoute = {}
+        base: _ByRoute = {}
         if window is not None:
-            old = window.totals()
-        self._counts[order.service] = _OrderCounts(order, old)
+            base = window.totals()
+        self._counts[order.service] = _OrderCounts(order, base)
 
     def start_ramp(self, service: str) -> None:
         """Count the responses of the new version as those of its ramp."""
@@ -157,6 +159,7 @@
             old=copy_by_route(counts.old),
             new=copy_by_route(counts.new),
             ramp=copy_by_route(counts.ramp),
+            base=counts.base,
         )
         return counts.taken
 
--- a/oriolestage/rollouts/_fleet_evidence.py
+++ b/oriolestage/rollouts/_fleet_evidence.py
@@ -28,13 +28,14 @@
         self._old: dict[str, RouteCounts] = {}
         self._new: dict[str, RouteCounts] = {}
         self._ramp: dict[str, RouteCounts] = {}
+        self._base: dict[str, RouteCounts] = {}
         self._verdict: Verdict | None = None
 
     @property
     def verdict(self) -> Verdict:
         """What the counters say about the new version."""
         if self._verdict is None:
-            self._verdict = judge(self._old, self._new, self._ramp)
+            self._verdict = judge(self._old, self._new, self._ramp, self._base)
         return self._verdict
 
     def rate(self, elapsed_s: float) -> float:
@@ -55,10 +56,12 @@
             subtract_by_route(self._old, known.old)
             subtract_by_route(self._new, known.new)
             subtract_by_route(self._ramp, known.ramp)
+            subtract_by_route(self._base, known.base)
         self._reports[report.process] = report
         self.requests += report.requests
         self.exposed += report.exposed
         add_by_route(self._old, report.old)
         add_by_route(self._new, report.new)
         add_by_route(self._ramp, report.ramp)
+        add_by_route(self._base, report.base)
         self._verdict = None
--- a/oriolestage/rollouts/_orders.py
+++ b/oriolestage/rollouts/_orders.py
@@ -96,12 +96,14 @@
     requests: int
     #: Those of them that the new version got.
     exposed: int
-    #: Responses by route, some of them from before the order.
+    #: Responses of other versions since the order by route.
     old: Mapping[str, RouteCounts]
     #: Responses of the new version by route.
     new: Mapping[str, RouteCounts]
     #: Those of them that came during the ramp.
     ramp: Mapping[str, RouteCounts]
+    #: Responses from before the order by route, which show what is typical.
+    base: Mapping[str, RouteCounts]
 
     @property
     def new_volume(self) -> tuple[int, int]:
--- a/oriolestage/rollouts/_schedule.py
+++ b/oriolestage/rollouts/_schedule.py
@@ -20,9 +20,9 @@
 #: Planned end and earliest start of the ramp, as shares of the duration.
 PLANNED_END_SHARE = 0.75
 RAMP_SHARE = 0.6
-#: Time before the deadline at which the end is written at the latest, in
-#: seconds, so that it can be repeated.
-LATEST_END_S = 1.5
+#: Time before the deadline at which the end is decided at the latest, in
+#: seconds. Hosts of the last rank write it 1.5 s later, if no other one does.
+LATEST_END_S = 2.0
 #: Part of the remaining exposure budget that the ramp may use.
 BUDGET_SHARE = 0.6
 #: Part of the exposure budget from which a host sends nothing more to the new
--- a/oriolestage/rollouts/_verdict.py
+++ b/oriolestage/rollouts/_verdict.py
@@ -24,10 +24,8 @@
 FAILING_GOOD_RATE = 0.005
 SLOW_RATE = 0.6
 SLOW_GOOD_RATE = 0.03
-#: How much better the first of them has to explain the responses.
-BAD_ODDS = 3.0
-#: The same odds up to which a good version is taken to be shown, and the share
-#: of the old version's responses from which a route needs that.
+#: Odds of a bad version up to which a good one is taken to be shown, and the
+#: share of the old version's responses from which a route needs that.
 GOOD_ODDS = 0.05
 MIN_ROUTE_SHARE = 0.1
 #: Part of a probability below which further terms of it are left out.
@@ -119,7 +117,7 @@
 
         This decides when there are too few of them for a threshold.
         """
-        return max(self._log_odds()) > math.log(BAD_ODDS)
+        return max(self._log_odds()) > 0
 
     def convinces(self, old_responses: int) -> bool:
         """Return whether a good version explains the responses far better.
@@ -164,17 +162,21 @@
     old: Mapping[str, RouteCounts],
     new: Mapping[str, RouteCounts],
     ramp: Mapping[str, RouteCounts],
+    base: Mapping[str, RouteCounts],
 ) -> Verdict:
     """Return the verdict on the responses by route of a new version.
 
+    ``old`` has the responses of the old version in the same time, and ``base``
+    those from before, which only show what is typical: a fault before the
+    order would excuse a bad version.
     ``ramp`` has those of its responses that came during the ramp. They are
     judged by themselves too: a version that fails under load has many good
     responses from before.
     """
-    total, *by_route = _samples('', old, new)
+    total, *by_route = _samples('', old, new, base)
     bad_because = ''
     doubtful_because = ''
-    ramp_total, *ramp_by_route = _samples('ramp_', old, ramp)
+    ramp_total, *ramp_by_route = _samples('ramp_', old, ramp, base)
     for judged in (total, *by_route, ramp_total, *ramp_by_route):
         if judged.exceeds(BAD):
             bad_because = bad_because or judged.describe()
@@ -228,10 +230,16 @@
     prefix: str,
     old: Mapping[str, RouteCounts],
     new: Mapping[str, RouteCounts],
+    base: Mapping[str, RouteCounts],
 ) -> list[_Sample]:
     """Return the sample of all routes, followed by that of each route."""
     by_route = [
-        _sample(f'{prefix}{route}', old.get(route, RouteCounts()), counts)
+        _sample(
+            f'{prefix}{route}',
+            old.get(route, RouteCounts()),
+            counts,
+            base.get(route, RouteCounts()),
+        )
         for route, counts in sorted(new.items())
     ]
     old_total = _Tally()
@@ -252,10 +260,14 @@
     )
 
 
-def _sample(name: str, old: RouteCounts, new: RouteCounts) -> _Sample:
+def _sample(
+    name: str, old: RouteCounts, new: RouteCounts, base: RouteCounts
+) -> _Sample:
     slow_bucket = math.inf
-    typical = old.median_bucket()
-    if typical is not None and old.responses >= MIN_TYPICAL_RESPONSES:
+    before = base.copy()
+    before.add(old)
+    typical = before.median_bucket()
+    if typical is not None and before.responses >= MIN_TYPICAL_RESPONSES:
         slow_bucket = typical + math.log(SLOW_FACTOR) / math.log(BUCKET_RATIO)
     return _Sample(name, _count(old, slow_bucket), _count(new, slow_bucket))
 
--- a/oriolestage/rollouts/tests/builders.py
+++ b/oriolestage/rollouts/tests/builders.py
@@ -75,6 +75,7 @@
         old=make_counts(good=90),
         new=make_counts(good=10),
         ramp={},
+        base={},
     )
     return dataclasses.replace(evidence, **changes)  # type: ignore[arg-type]
 
--- a/oriolestage/rollouts/tests/test_replay.py
+++ b/oriolestage/rollouts/tests/test_replay.py
@@ -71,7 +71,7 @@
 
     def test_on_one_route(self) -> None:
         """Guards against a version that fails on one route."""
-        for rate in (10, 20):
+        for rate in (10, 20, 100):
             self._check(Load(6, rate, badness=_on_one_route))
 
     def test_many_hosts(self) -> None:
@@ -124,7 +124,9 @@
 
     def test_writers_killed(self) -> None:
         """Guards against a roll-out that stops with the deciding host."""
-        self._check(Load(6, 10, badness=_perfect, writers_end=True))
+        for hosts, rate in ((6, 10), (75, 2)):
+            load = Load(hosts, rate, badness=_perfect, writers_end=True)
+            self._check(load)
 
     def test_cut_off(self) -> None:
         """Guards against a host without the store that stops the others."""
--- a/oriolestage/rollouts/tests/test_verdict.py
+++ b/oriolestage/rollouts/tests/test_verdict.py
@@ -31,14 +31,16 @@
 
     def test_good(self) -> None:
         """A version like the old one is neither bad nor doubtful."""
-        verdict = judge(OLD_COUNTS, make_counts(good=30), make_counts(good=20))
+        verdict = judge(
+            OLD_COUNTS, make_counts(good=30), make_counts(good=20), {}
+        )
         self.assertEqual(verdict.bad_because, '')
         self.assertEqual(verdict.doubtful_because, '')
         self.assertTrue(verdict.convincing)
 
     def test_few_bad(self) -> None:
         """Two bad responses are too few to be sure at once."""
-        verdict = judge(OLD_COUNTS, make_counts(failed=2), {})
+        verdict = judge(OLD_COUNTS, make_counts(failed=2), {}, {})
         self.assertEqual(verdict.bad_because, '')
         self.assertNotEqual(verdict.doubtful_because, '')
 
@@ -51,23 +53,34 @@
             make_counts(good=2, slow=5),
             {ROUTE: silent},
         ):
-            verdict = judge(OLD_COUNTS, new, {})
+            verdict = judge(OLD_COUNTS, new, {}, {})
             self.assertNotEqual(verdict.bad_because, '', new)
 
     def test_abandoned_early(self) -> None:
         """An attempt that had little time says nothing about its version."""
         early = RouteCounts()
         early.abandoned[bucket_of(2 * WORK_S)] = 40
-        verdict = judge(OLD_COUNTS, {ROUTE: early}, {})
+        verdict = judge(OLD_COUNTS, {ROUTE: early}, {}, {})
         self.assertEqual(verdict.bad_because, '')
         self.assertEqual(verdict.responses, 0)
 
     def test_bad_old_version(self) -> None:
         """What the old version does as well is not held against the new."""
         old = make_counts(good=70, failed=30)
-        verdict = judge(old, make_counts(good=7, failed=4), {})
+        verdict = judge(old, make_counts(good=7, failed=4), {}, {})
         self.assertEqual(verdict.bad_because, '')
 
+    def test_fault_before_the_order(self) -> None:
+        """Guards against a fault before the order that excuses failures."""
+        base = make_counts(good=70, failed=30)
+        verdict = judge(OLD_COUNTS, make_counts(good=5, failed=5), {}, base)
+        self.assertNotEqual(verdict.bad_because, '')
+
+    def test_typical_time_from_before(self) -> None:
+        """Slowness shows also if the old version has no more responses."""
+        verdict = judge({}, make_counts(slow=5), {}, OLD_COUNTS)
+        self.assertNotEqual(verdict.bad_because, '')
+
     def test_one_route(self) -> None:
         """Guards against a bad route that is hidden by the other ones."""
         old = {'a': OLD_COUNTS[ROUTE], 'b': OLD_COUNTS[ROUTE]}
@@ -75,16 +88,18 @@
             'a': make_counts(good=200)[ROUTE],
             'b': make_counts(good=5, failed=5)[ROUTE],
         }
-        self.assertIn('b:5_failed', judge(old, new, {}).bad_because)
+        self.assertIn('b:5_failed', judge(old, new, {}, {}).bad_because)
 
     def test_under_load(self) -> None:
         """Guards against a bad ramp that is hidden by the time before it."""
         new = make_counts(good=200, failed=5)
         ramp = make_counts(good=5, failed=5)
-        self.assertIn('ramp_', judge(OLD_COUNTS, new, ramp).bad_because)
+        self.assertIn('ramp_', judge(OLD_COUNTS, new, ramp, {}).bad_because)
 
     def test_few_responses(self) -> None:
         """A few good responses do not show that a version is good."""
-        verdict = judge(OLD_COUNTS, make_counts(good=4), make_counts(good=4))
+        verdict = judge(
+            OLD_COUNTS, make_counts(good=4), make_counts(good=4), {}
+        )
         self.assertFalse(verdict.convincing)
         self.assertEqual(verdict.doubtful_because, '')
