--- a/oriolestage/rollouts/tests/test_shares.py
+++ b/oriolestage/rollouts/tests/test_shares.py
@@ -251,16 +251,16 @@
             state=RolloutState.COMPLETED, known_versions=(NEW,), elapsed_s=9
         )
         host.book.apply(StatusStored(done), 9)
-        host.book.start_restoration(10)
+        host.book.start_restoration(9.5)
         host.book.replace_all(
             [
                 OrderStored(make_order()),
                 StatusStored(make_status(elapsed_s=3, revision=14)),
                 TargetStored(make_record('t-1', SERVICE, version=OLD)),
             ],
-            10,
+            9.5,
         )
-        self.assertEqual(host.known(10), {NEW})
-        again = host.decider.due_statuses(10)[0]
+        self.assertEqual(host.known(9.5), {NEW})
+        again = host.decider.due_statuses(9.5)[0]
         self.assertEqual(again.state, RolloutState.COMPLETED)
         self.assertEqual((again.revision, again.order), (14, ORDER_REVISION))
