Roll-outs: decide anew after a write that failed

Cause: several statuses are written one after the other; a call that fails takes up to 2 s, and the next ones were decided before it. Change: after a failed write the other statuses are decided again.

--- a/oriolestage/entry/_rollout_controller.py
+++ b/oriolestage/entry/_rollout_controller.py
@@ -79,7 +79,10 @@
             for change in changes:
                 log_event(change.event, dict(change.fields))
             for status in self._decider.due_statuses(now):
-                await self._write_status(status)
+                if not await self._write_status(status):
+                    # The others were decided before this call had failed,
+                    # which may have taken seconds.
+                    break
 
     async def _report(self) -> None:
         now = self._clock()
@@ -112,7 +115,8 @@
         self._renew_at = now + RENEWAL_INTERVAL_S
         return lease
 
-    async def _write_status(self, status: RolloutStatus) -> None:
+    async def _write_status(self, status: RolloutStatus) -> bool:
+        """Write a status; return whether that was done."""
         named = {
             'service': status.service,
             'version': status.target_version,
@@ -122,6 +126,7 @@
             'elapsed_s': status.elapsed_s,
             'reason': status.reason,
         }
+        written = False
         try:
             await self._store.write_status(status)
         except StoreError as error:
@@ -131,7 +136,9 @@
         else:
             quiet_s = AWAIT_CHANGE_S
             log_event('rollout_status_written', named)
+            written = True
         self._decider.record_write(status.service, self._clock() + quiet_s)
+        return written
 
 
 def report_interval_s(hosts: int) -> float:
--- a/oriolestage/entry/tests/test_rollout_controller.py
+++ b/oriolestage/entry/tests/test_rollout_controller.py
@@ -1,6 +1,7 @@
 """Tests of the writes of one host about roll-outs."""
 
 import asyncio
+import dataclasses
 import unittest
 from collections.abc import Sequence
 from typing import cast
@@ -12,6 +13,7 @@
     StoreError,
 )
 from oriolestage.entry._rollout_controller import (
+    DECISION_INTERVAL_S,
     LEASE_TTL_S,
     RENEWAL_INTERVAL_S,
     REPORT_INTERVAL_S,
@@ -131,6 +133,15 @@
         self._run(RETRY_INTERVAL_S * 2 + 0.1)
         self.assertEqual(len(self._store.statuses), 1)
 
+    def test_other_statuses(self) -> None:
+        """Guards against a decision that is written after a long call."""
+        now = self._loop.time()
+        order = dataclasses.replace(make_order(), service='other')
+        self._host.book.apply(OrderStored(order), now)
+        self._store.errors = [REFUSED]
+        self._run(DECISION_INTERVAL_S * 1.5)
+        self.assertEqual(self._store.statuses, [])
+
     def test_counters(self) -> None:
         """Counters that change all the time are written at the interval."""
         self._start_canary()
