--- a/oriolestage/pacing/_target_pace.py
+++ b/oriolestage/pacing/_target_pace.py
@@ -14,7 +14,7 @@
 #: Fraction of the target's rate at which all hosts together start. It is above
 #: 1 because hosts use only some of their turns: a request arrives at a host at
 #: a random moment after its turn has come.
-START_FRACTION = 2.0
+START_FRACTION = 1.75
 #: Lowest fraction, at which all hosts together still try the target several
 #: times a second.
 MIN_FRACTION = 0.25
@@ -37,9 +37,8 @@
 #: multiple of one reply.
 RATIO_WEIGHT = 0.5
 RATIO_LIMIT = 4.0
-#: Fraction that is used while no sibling has capacity, as a multiple of the
-#: present one; at most all of the target's rate on this account.
-YIELD_FACTOR = 2.0
+#: Lowest fraction while no sibling has capacity: all slots of the target.
+YIELD_FRACTION = 1.0
 #: Time after which a pace ends without further replies, in seconds. By then
 #: the target is as warm as its siblings.
 LIMIT_S = 10.0
@@ -162,7 +161,7 @@
 
     @property
     def _yielded_fraction(self) -> float:
-        return max(self._fraction, min(1, YIELD_FACTOR * self._fraction))
+        return max(self._fraction, YIELD_FRACTION)
 
     def _change(self, factor: float) -> Step:
         before = self._fraction
--- a/oriolestage/routing/_targets.py
+++ b/oriolestage/routing/_targets.py
@@ -61,8 +61,8 @@
     #: Monotonic time until which it is not used, since a restored store lists
     #: it although it was removed; None while it may be used.
     held_until: float | None = None
-    #: Monotonic time at which its process became known to this host, which
-    #: ran already, or which learned that it is cold; None for another one.
+    #: Monotonic time at which its process became known, if this host had read
+    #: the store before or the process is cold; None otherwise.
     new_at: float | None = None
     #: True once another target has answered at its address.
     replaced: bool = False
