--- a/oriolestage/admission/_memory_budget.py
+++ b/oriolestage/admission/_memory_budget.py
@@ -14,7 +14,6 @@
 
 import dataclasses
 import enum
-from collections import Counter
 from collections.abc import Iterable
 
 #: Memory that a process takes without any connection, in bytes. It is 47 MiB
@@ -36,19 +35,19 @@
 MIN_AGE_S = 0.05
 
 
-class Cause(enum.Enum):
-    """Why a process holds bytes."""
+class Cause(enum.IntEnum):
+    """Why a process holds bytes; an index into sums by cause."""
 
     #: A connection itself, and the head of the latest answered request.
-    CONNECTION = 'connection'
+    CONNECTION = 0
     #: Heads and bodies of requests that have not been answered.
-    REQUEST = 'request'
+    REQUEST = 1
     #: Answers that a client has not taken yet.
-    ANSWER = 'answer'
+    ANSWER = 2
     #: Answers of targets that are not complete.
-    TARGET_ANSWER = 'target_answer'
+    TARGET_ANSWER = 3
     #: Messages of other hosts that are not complete.
-    HOST_MESSAGE = 'host_message'
+    HOST_MESSAGE = 4
 
 
 class Claim(enum.IntEnum):
@@ -84,7 +83,7 @@
         self._limit_bytes = limit_bytes
         self._total = 0
         self._given_up = 0
-        self._by_cause: Counter[Cause] = Counter()
+        self._by_cause = [0 for _ in Cause]
 
     @property
     def limit_bytes(self) -> int:
@@ -104,6 +103,10 @@
         """
         return self._total - self._given_up > self._limit_bytes
 
+    def has_room(self, added_bytes: int) -> bool:
+        """Return whether so many bytes more are within the budget."""
+        return self._total + added_bytes <= self._limit_bytes
+
     @property
     def full(self) -> bool:
         """Whether nothing more may be taken in."""
--- a/oriolestage/entry/_counted_connection.py
+++ b/oriolestage/entry/_counted_connection.py
@@ -19,7 +19,6 @@
     MAX_FIELDS,
     MIN_FIELD_BYTES,
     RequestBytes,
-    drop_tracebacks,
 )
 from oriolestage.routing._rules import CallerLimits
 
@@ -136,17 +135,14 @@
             self._bytes.reset()
             self._waiting_since = time.monotonic()
             share.since = self._waiting_since
-        share.set(Cause.REQUEST, self._bytes.expect(data))
-        if not self._memory.admit() and share.given_up is None:
-            self._memory.record_refusal('memory_full')
-            share.give_up()
-            self.close_early('memory_full', has_input=True)
-        if share.given_up is not None:
-            return
+        expected = self._bytes.expect(data)
+        if not self._memory.budget.has_room(expected - self._bytes.held):
+            share.set(Cause.REQUEST, expected)
+            if not self._is_admitted():
+                return
         known = len(self._messages)
         in_body = self._bytes.in_body
         super().data_received(data)
-        drop_tracebacks(self._messages, known)
         self._bytes.receive(data, self._messages, known, in_body=in_body)
         share.set(Cause.REQUEST, self._bytes.held)
 
@@ -219,6 +215,14 @@
             return
         self.refuse_now(HTTPStatus.SERVICE_UNAVAILABLE)
 
+    def _is_admitted(self) -> bool:
+        """Return whether more bytes may be parsed, or close the connection."""
+        if not self._memory.admit() and self._share.given_up is None:
+            self._memory.record_refusal('memory_full')
+            self._share.give_up()
+            self.close_early('memory_full', has_input=True)
+        return self._share.given_up is None
+
     def _is_idle(self) -> bool:
         """Return whether no byte of a request is held."""
         waiter = self._waiter
--- a/oriolestage/entry/_guards.py
+++ b/oriolestage/entry/_guards.py
@@ -36,7 +36,7 @@
         )
         for cause in Cause:
             metrics.add_gauge(
-                f'memory_{cause.value}_bytes',
+                f'memory_{cause.name.lower()}_bytes',
                 functools.partial(memory.budget.held_bytes, cause),
             )
         metrics.add_counts(
--- a/oriolestage/entry/_held_memory.py
+++ b/oriolestage/entry/_held_memory.py
@@ -43,7 +43,9 @@
     #: None if the share cannot be given up.
     holder: MemoryHolder | None
     #: Bytes by cause.
-    sizes: dict[Cause, int] = dataclasses.field(default_factory=dict)
+    sizes: list[int] = dataclasses.field(
+        default_factory=lambda: [0 for _ in Cause]
+    )
     #: Monotonic time since which bytes are held, in seconds.
     since: float = 0
     is_open: bool = True
@@ -53,7 +55,7 @@
 
     def set(self, cause: Cause, size_bytes: int) -> None:
         """Set the bytes that are held for a cause."""
-        before = self.sizes.get(cause, 0)
+        before = self.sizes[cause]
         if size_bytes == before or not self.is_open:
             return
         if self.given_up is not None:
@@ -63,7 +65,7 @@
 
     def give_up(self) -> None:
         """Note that the connection is about to be closed."""
-        self.given_up = sum(self.sizes.values())
+        self.given_up = sum(self.sizes)
         self.memory.budget.give_up(self.given_up)
 
     def close(self) -> None:
@@ -71,8 +73,8 @@
         if not self.is_open:
             return
         self.is_open = False
-        for cause, size_bytes in self.sizes.items():
-            self.memory.budget.add(cause, -size_bytes)
+        for cause in Cause:
+            self.memory.budget.add(cause, -self.sizes[cause])
         if self.given_up is not None:
             self.memory.budget.give_up(-self.given_up)
         self.memory.forget(self)
@@ -84,8 +86,8 @@
         if self.holder is None or self.given_up is not None:
             return None
         claim = self.holder.refresh_share()
-        size_bytes = sum(self.sizes.values())
-        return Holding(self.number, claim, size_bytes, now - self.since)
+        age_s = now - self.since
+        return Holding(self.number, claim, sum(self.sizes), age_s)
 
 
 class HeldMemory:
--- a/oriolestage/entry/_request_bytes.py
+++ b/oriolestage/entry/_request_bytes.py
@@ -20,6 +20,9 @@
 MAX_EXPECTED_FIELDS = 4096
 #: Bytes that the parser keeps for the ends of chunks.
 CHUNKS_BYTES = 262_144
+#: Most bytes that are counted for a head after its request. One with more than
+#: `MAX_FIELDS` fields is not kept.
+MAX_KEPT_BYTES = 131_072
 LINE_END = b'\n'
 
 
@@ -29,8 +32,6 @@
     def __init__(self) -> None:
         """Start with nothing."""
         self._held = 0
-        #: What the latest bytes have added.
-        self._latest = 0
         #: Body of the latest request whose head is complete.
         self._body: StreamReader | None = None
         self._chunked = False
@@ -80,40 +81,40 @@
         before. ``in_body`` tells whether the bytes begin within a body.
         """
         fields = 0
-        for message, body in islice(queued, known, None):
-            self._body = body
-            if isinstance(message, RawRequestMessage):
-                fields += len(message.raw_headers)
-                self._chunked = message.chunked
+        if len(queued) > known:
+            for message, body in islice(queued, known, None):
+                self._body = body
+                if isinstance(message, RawRequestMessage):
+                    fields += len(message.raw_headers)
+                    self._chunked = message.chunked
+                else:
+                    _drop_traceback(message)
         if not fields and not in_body:
             fields = min(received.count(LINE_END), MAX_EXPECTED_FIELDS)
-        self._latest = len(received) + fields * FIELD_BYTES
-        self._held += self._latest
+        self._held += len(received) + fields * FIELD_BYTES
 
     def end_request(self, request: web.BaseRequest, *, more: bool) -> int:
         """Subtract a request that was answered; return the size of its head.
 
-        Unless ``more`` requests wait, no more can be left than the latest
-        bytes have added.
+        ``more`` tells whether other requests wait.
         """
-        head = head_bytes(request) + len(request.raw_headers) * FIELD_BYTES
-        released = head + request.content.total_bytes
-        self._held = max(0, self._held - released)
+        body_bytes = request.content.total_bytes
         if not more:
-            self._held = min(self._held, self._latest)
+            kept = self._held - body_bytes
+            self._held = 0
             self._chunked = False
+            return max(0, min(kept, MAX_KEPT_BYTES))
+        head = head_bytes(request) + len(request.raw_headers) * FIELD_BYTES
+        self._held = max(0, self._held - head - body_bytes)
         return head
 
 
-def drop_tracebacks(
-    queued: Collection[tuple[object, StreamReader]], known: int
-) -> None:
-    """Release what the errors of malformed heads refer to.
+def _drop_traceback(message: object) -> None:
+    """Release what the error of a malformed head refers to.
 
     The traceback of such an error holds the received bytes, and the error is
     part of a reference cycle.
     """
-    for message, _ in islice(queued, known, None):
-        error = getattr(message, 'exc', None)
-        if isinstance(error, Exception):
-            error.with_traceback(None)
+    error = getattr(message, 'exc', None)
+    if isinstance(error, Exception):
+        error.with_traceback(None)
