Clients that do not behave: count a body until its task has ended

Cause: a connection was released from the budget when it was closed.

Change: the connection counts until its task has ended.

--- a/oriolestage/entry/_counted_connection.py
+++ b/oriolestage/entry/_counted_connection.py
@@ -120,11 +120,19 @@
             self.transport.set_write_buffer_limits(high=0)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Release everything."""
+        """Release everything once the task of the connection has ended.
+
+        It holds a body until then.
+        """
         self._stop_write_timer()
-        self._share.close()
+        task = self._task_handler
         super().connection_lost(exc)
         self._bytes.forget_body()
+        if task is None or task.done():
+            self._share.close()
+            return
+        share = self._share
+        task.add_done_callback(lambda _: share.close())
 
     def data_received(self, data: bytes) -> None:
         """Pass on bytes, and count what is held for them."""
