Tests of the wiring of roll-outs: pass the bounds on connections

Cause: the two parts were merged; _build_host takes the bounds as well. Change: the test builds them from its settings. Measured: it passes.

--- a/oriolestage/platform/tests/test_rollout_wiring.py
+++ b/oriolestage/platform/tests/test_rollout_wiring.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from oriolestage.entry._composition import EntryHost, _build_host
+from oriolestage.entry._guards import build_guards
 from oriolestage.platform._settings import load_settings
 from oriolestage.platform._store import StoreClient
 from oriolestage.platform._wire_protocol import PlatformWireProtocol
@@ -31,6 +32,7 @@
         settings,
         StoreClient(settings.store_address),
         PlatformWireProtocol(),
+        build_guards(settings),
     )
 
 
