Quotas: keep the owner while its registration has only just ended

Change: the owner is chosen among the hosts that are registered or were in the last 12 s. A killed owner is stood in for by its deputies longer.

--- a/oriolestage/entry/_host_parts.py
+++ b/oriolestage/entry/_host_parts.py
@@ -120,7 +120,7 @@
             if cluster_state.table is None
             else cluster_state.table.accounts
         ),
-        cluster_state.hosts.registered,
+        lambda: cluster_state.hosts.records,
         settings.location.region_of,
         QuotaLog(),
     )
--- a/oriolestage/entry/_quota_exchange.py
+++ b/oriolestage/entry/_quota_exchange.py
@@ -44,14 +44,16 @@
         client: QuotaClient,
         ledger: QuotaLedger,
         accounts: Callable[[], AccountDirectory],
-        records: Callable[[float], Mapping[str, HostRecord]],
+        records: Callable[[], Mapping[str, HostRecord]],
         region_of: Callable[[str], str],
         log: QuotaLog,
     ) -> None:
         """Create an exchange without streams.
 
-        ``accounts`` returns the accounts in force, ``records`` the registered
-        hosts at a time by name, and ``region_of`` the region of a data centre.
+        ``accounts`` returns the accounts in force, ``records`` the known hosts
+        by name, and ``region_of`` the region of a data centre. A host stays
+        known for a while after its registration has ended: it may only be cut
+        off from the store, and hosts that are would see another owner.
         """
         self._name = name
         self._process = secrets.randbits(PROCESS_BITS)
@@ -197,7 +199,7 @@
 
     def _follow_hosts(self, now: float) -> None:
         """Tell the decisions of changed hosts."""
-        records = self._records(now)
+        records = self._records()
         self._addresses = {
             name: record.peer_address for name, record in records.items()
         }
--- a/oriolestage/entry/tests/quota_hosts.py
+++ b/oriolestage/entry/tests/quota_hosts.py
@@ -43,7 +43,7 @@
         client,
         QuotaLedger(bounds),
         accounts,
-        lambda now: records,
+        lambda: records,
         lambda data_centre: 'region-a',
         log,
     )
--- a/oriolestage/routing/_known_hosts.py
+++ b/oriolestage/routing/_known_hosts.py
@@ -1,6 +1,6 @@
 """The entry hosts that share the limits of targets."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from oriolestage.routing._facts import HostRecord
 from oriolestage.routing._peers import PeerDirectory
@@ -11,9 +11,6 @@
 #: removed, in seconds. The retries that it sent count in a window of 10 s,
 #: and its lease may expire while it runs and the store is unavailable.
 HOST_RETENTION_S = 12.0
-#: Time for which a host counts as registered after its registration was
-#: removed, in seconds. A host that has to register again does so within it.
-GRACE_S = 1.5
 
 
 class KnownHosts:
@@ -36,17 +33,10 @@
         """Return the number of hosts that share the limits."""
         return len(self._hosts)
 
-    def registered(self, now: float) -> dict[str, HostRecord]:
-        """Return the hosts that are registered, by name.
-
-        Also those whose registration was removed a moment ago: after a
-        restoration of the store, all hosts register again.
-        """
-        return {
-            name: record
-            for name, record in self._hosts.items()
-            if now - self._unregistered_at.get(name, now) < GRACE_S
-        }
+    @property
+    def records(self) -> Mapping[str, HostRecord]:
+        """The hosts by name, also those that were registered recently."""
+        return self._hosts
 
     def lists(self, record: HostRecord) -> bool:
         """Return whether a host is registered with this record."""
