--- a/oriolestage/platform/tests/test_held_memory.py
+++ b/oriolestage/platform/tests/test_held_memory.py
@@ -13,6 +13,7 @@
 )
 from oriolestage.entry._caller_connections import ConnectionGuard
 from oriolestage.entry._caller_request import CallerRequest
+from oriolestage.entry._counted_connection import CountedConnection
 from oriolestage.entry._held_memory import HeldMemory
 from oriolestage.platform.tests.served_callers import (
     FIELDS,
@@ -194,6 +195,28 @@
         self.assertEqual(self._memory.refusals['memory'], 6 - 3)
         await self._wait_for_release()
 
+    async def test_closed_as_body_completes(self) -> None:
+        """Guards against a promise of 503 for a request that then runs.
+
+        The last byte of its body arrives in the step that closes it.
+        """
+        receive = CountedConnection.data_received
+
+        def receive_and_close(
+            connection: CountedConnection, data: bytes
+        ) -> None:
+            receive(connection, data)
+            if data.endswith(b'!'):
+                connection.close_early('memory')
+
+        with mock.patch.object(
+            CountedConnection, 'data_received', receive_and_close
+        ):
+            head = WITH_LENGTH % 3
+            received = await ask(self._address, (head + b'ab', b'!'))
+        self.assertEqual(status_of(received), 503)
+        self.assertEqual(self._router.requests, [])
+
     async def test_silent_connections(self) -> None:
         """Guards against connections that keep out all others."""
         silent = [
