--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -26,6 +26,7 @@
 from oriolestage.entry._request_router import RequestRouter
 from oriolestage.entry._settings import EntrySettings
 from oriolestage.entry._store_follower import StoreFollower
+from oriolestage.entry._store_metrics import add_store_metrics
 from oriolestage.entry._supervision import keep_running
 from oriolestage.entry._target_client import TargetClient
 from oriolestage.routing._cluster_state import ClusterState
@@ -190,7 +191,7 @@
         'rate_limited_targets', lambda: placement.rates.limited_count
     )
     metrics.add_gauge('hosts', lambda: len(placement.hosts))
-    _add_store_metrics(metrics, store, follower, cluster_state)
+    add_store_metrics(metrics, store, follower, cluster_state)
     return EntryHost(
         settings=settings,
         metrics=metrics,
@@ -224,36 +225,6 @@
     )
 
 
-def _add_store_metrics(
-    metrics: EntryMetrics,
-    store: Store,
-    follower: StoreFollower,
-    cluster_state: ClusterState,
-) -> None:
-    metrics.add_gauge('store_age_seconds', lambda: follower.age_s)
-    metrics.add_gauge(
-        'store_changes_unapplied', lambda: cluster_state.unapplied_count
-    )
-    metrics.add_gauge(
-        'store_items_unreadable', lambda: cluster_state.unreadable_count
-    )
-    metrics.add_gauge('store_revision', lambda: follower.freshness.revision)
-    metrics.add_gauge('store_stalled', lambda: int(follower.stalled))
-    metrics.add_counts(
-        'store_follow_failures',
-        'Failed attempts to bring the copy of the store up to date.',
-        'step',
-        lambda: follower.failures,
-    )
-    metrics.add_gauge('store_era_rises', lambda: store.eras.rises)
-    metrics.add_gauge(
-        'configuration_version',
-        lambda: (
-            -1 if cluster_state.table is None else cluster_state.table.version
-        ),
-    )
-
-
 def _build_registration(
     settings: EntrySettings, store: Store, cluster_state: ClusterState
 ) -> HostRegistration:
