--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -256,47 +256,6 @@
     )
 
 
-def _add_target_gauges(metrics: EntryMetrics, placement: Placement) -> None:
-    metrics.add_gauge('targets', lambda: len(placement.directory))
-    metrics.add_gauge(
-        'cut_off', lambda: int(placement.observations.reach.cut_off)
-    )
-    metrics.add_gauge(
-        'rate_limited_targets', lambda: placement.rates.limited_count
-    )
-    metrics.add_gauge('hosts', lambda: len(placement.hosts))
-
-
-def _add_store_gauges(
-    metrics: EntryMetrics,
-    store: Store,
-    follower: StoreFollower,
-    cluster_state: ClusterState,
-) -> None:
-    metrics.add_gauge('store_age_seconds', lambda: follower.age_s)
-    metrics.add_gauge(
-        'store_changes_unapplied', lambda: cluster_state.unapplied_count
-    )
-    metrics.add_gauge(
-        'store_items_unreadable', lambda: cluster_state.unreadable_count
-    )
-    metrics.add_gauge('store_revision', lambda: follower.freshness.revision)
-    metrics.add_gauge('store_stalled', lambda: int(follower.stalled))
-    metrics.add_counts(
-        'store_follow_failures',
-        'Failed attempts to bring the copy of the store up to date.',
-        'step',
-        lambda: follower.failures,
-    )
-    metrics.add_gauge('store_era_rises', lambda: store.eras.rises)
-    metrics.add_gauge(
-        'configuration_version',
-        lambda: (
-            -1 if cluster_state.table is None else cluster_state.table.version
-        ),
-    )
-
-
 async def _listen(host: EntryHost, caller_listener: socket.socket) -> None:
     """Start all servers, the one for callers last.
 
