--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -46,10 +46,8 @@
 from oriolestage.entry._store_follower import StoreFollower
 from oriolestage.entry._supervision import keep_running
 from oriolestage.entry._target_client import TargetClient
-from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._explanations import explain_request
 from oriolestage.routing._peers import PeerDirectory
-from oriolestage.routing._placement import Placement
 from oriolestage.routing._stop_plan import BALANCER_NOTICE_S, StopTimes
 
 #: Timeout for the first read of the store, in seconds. Callers that connect
