Quotas: charge only the last window to a restarted owner

Cause: the first report of a process to an owner without its book has the totals since the start of the process, and all of them became a debt. After a restart of the owner, an account inside its limit was refused until the rate had paid for them. Change: the first report costs at most the requests of the last window. Measured: after 100 s at 8 requests/s with a limit of 10/s, a restarted owner refused 79 of the next 80 requests; now none (test_quota_reports).

--- a/oriolestage/admission/_quota_ledger.py
+++ b/oriolestage/admission/_quota_ledger.py
@@ -84,7 +84,7 @@
         tab = self._tabs.get(process)
         if tab is None:
             self._tabs[process] = _Tab(report.number, used, now)
-            self._charge(self._unpaid(report, used, now))
+            self._charge(self._unpaid(report, min(used, report.recent), now))
             return
         tab.heard_at = now
         if report.number <= tab.number:
@@ -121,12 +121,14 @@
     def _unpaid(self, report: UsageReport, used: int, now: float) -> float:
         """Return what the first report of a process costs.
 
-        While the book is new, another owner may have counted the recent
-        requests; the tokens of that time have paid for some of them.
+        ``used`` is what of the last window was charged to this host. While
+        the book is new, another owner may have counted the recent requests;
+        the tokens of that time have paid for some of them. Earlier requests
+        are left out: a book that this host no longer has counted them.
         """
         if now >= self._new_until:
             return used
-        recent = max(used, report.recent)
+        recent = report.recent
         paid = min(self._past_tokens, recent)
         self._past_tokens -= paid
         return recent - paid
