Quotas: keep the totals of an account until owners have dropped them

Cause: a host forgot an account after 30 s without requests and started its totals anew, while the owner kept the earlier ones for 60 s and ignored the reports with lower numbers. The requests of such a host did not count. Change: a host forgets after 120 s and repeats reports for at most 15 s after the last request, so that the owner has dropped the totals by then.

--- a/oriolestage/admission/_quota_client.py
+++ b/oriolestage/admission/_quota_client.py
@@ -35,8 +35,13 @@
 ALLOWANCE_S = 2.0
 #: Retry-after without contact to any grantor, in seconds.
 NO_CONTACT_RETRY_AFTER_S = 1.0
-#: Time after which an account without requests is forgotten, in seconds.
-FORGET_S = 30.0
+#: Time after the last request of an account for which reports are repeated, in
+#: seconds.
+REPEAT_FOR_S = 15.0
+#: Time after which an account without requests is forgotten, in seconds. Its
+#: totals start anew then, so that grantors must have dropped the earlier ones:
+#: they do that after `IDLE_S` of the ledger without a report.
+FORGET_S = 120.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,6 +115,13 @@
             self.admitted_at.popleft()
         return len(self.admitted_at)
 
+    def report_again(self) -> None:
+        """Report what has not been answered, after a time without reports."""
+        for charges in self.charges.values():
+            if charges.waiting_since is not None:
+                charges.waiting_since = None
+                charges.changed = True
+
 
 class QuotaClient:
     """The accounts with a limit at one host."""
@@ -174,6 +186,7 @@
         state = self._states.get(admission.account)
         if state is None:
             return
+        state.requested_at = max(state.requested_at, now)
         if not admission.grantor:
             state.fixed.put_back(admission.admitted_at)
             return
@@ -206,7 +219,7 @@
             since_s = now - charges.reported_at
             due = charges.changed and (at_once or since_s >= REPORT_INTERVAL_S)
             repeated = charges.waiting_since is not None and (
-                since_s >= REPEAT_S
+                since_s >= REPEAT_S and now - state.requested_at < REPEAT_FOR_S
             )
             if due or repeated:
                 reports.append((grantor, self._report(state, charges, now)))
@@ -256,6 +269,8 @@
         ):
             state.closed_until = float('-inf')
         state.account = account
+        if now - state.requested_at >= REPEAT_FOR_S:
+            state.report_again()
         state.requested_at = now
         return state
 
