Roll-outs: end the sum of terms that are all zero

Cause: the sum ended at a term that is small against the sum so far; if the first term was below the smallest number, all others were computed as well, in the decision of an attempt. Change: the sum ends at terms of zero, too.

--- a/oriolestage/rollouts/_verdict.py
+++ b/oriolestage/rollouts/_verdict.py
@@ -206,7 +206,8 @@
     for count in range(bad, responses + 1):
         term = _term(count, responses, rate)
         probability += term
-        if term < probability * NEGLIGIBLE:
+        # Equal if the first term is below the smallest number: so are all.
+        if term <= probability * NEGLIGIBLE:
             break
     return probability
 
--- a/oriolestage/rollouts/tests/test_verdict.py
+++ b/oriolestage/rollouts/tests/test_verdict.py
@@ -1,6 +1,7 @@
 """Tests of the judgement of a new version."""
 
 import unittest
+from unittest.mock import patch
 
 from oriolestage.rollouts._counts import RouteCounts, bucket_of
 from oriolestage.rollouts._verdict import judge, tail_probability
@@ -25,6 +26,18 @@
         """Guards against an overflow with many responses."""
         self.assertLess(tail_probability(900, 10_000, 0.05), 1e-9)
 
+    def test_underflow(self) -> None:
+        """Guards against a sum of millions of terms that are all 0.
+
+        The verdict is needed before the next attempt is sent.
+        """
+        with patch(
+            'oriolestage.rollouts._verdict._term', return_value=0
+        ) as term:
+            probability = tail_probability(2_000_000, 4_000_000, 0.05)
+        self.assertEqual(probability, 0)
+        self.assertEqual(term.call_count, 1)
+
 
 class VerdictTest(unittest.TestCase):
     """A version is bad if chance does not explain its responses."""
