Quotas: answer reports about an account whose limit was removed

Cause: the owner, once it had a configuration without the limit, answered no report about the account. Hosts that learn of the configuration later took the owner for silent, for all of its accounts, and refused requests. Change: the owner then counts by the limit that the report states. Measured: no answer before, an answer now (test_answer_without_limit).

--- a/oriolestage/entry/_quota_exchange.py
+++ b/oriolestage/entry/_quota_exchange.py
@@ -123,7 +123,8 @@
         for report in message.reports:
             known = self._accounts().named(report.account)
             limit = (report.rate, report.burst)
-            if known is not None:
+            # The reporting host learns of a limit's removal later.
+            if known is not None and known.rate > 0:
                 limit = (known.rate, known.burst)
             grantors = self._client.hosts.grantors(report.account)
             verdict = self._ledger.answer(
--- a/oriolestage/entry/tests/test_quota_exchange.py
+++ b/oriolestage/entry/tests/test_quota_exchange.py
@@ -3,13 +3,20 @@
 import asyncio
 import unittest
 
-from oriolestage.admission._accounts import Account
+from oriolestage.admission._accounts import Account, AccountDirectory
 from oriolestage.admission._quota_bounds import QuotaBounds
 from oriolestage.admission._quota_client import Admission, OverQuota
+from oriolestage.admission._quota_messages import UsageReport
 from oriolestage.admission._quota_plan import START_FRACTION, plan_quota
 from oriolestage.entry._quota_exchange import QuotaExchange
+from oriolestage.entry._quota_log import QuotaLog
+from oriolestage.entry._quota_wire import QuotaReports
 from oriolestage.entry.tests.peer_requests import link_patiently
-from oriolestage.entry.tests.quota_hosts import running_exchanges
+from oriolestage.entry.tests.quota_hosts import (
+    make_exchange,
+    running_exchanges,
+)
+from oriolestage.routing._facts import HostRecord
 
 NAMES = ('host-1', 'host-2', 'host-3')
 #: An account whose bucket does not fill noticeably during a test.
@@ -72,3 +79,27 @@
                     admission = await exchange.admit(ACCOUNT)
                     assert isinstance(admission, Admission), number
                     exchange.put_back(admission)
+
+
+class RemovedLimitTest(unittest.TestCase):
+    """Hosts learn of a configuration at different times."""
+
+    def test_answer_without_limit(self) -> None:
+        """The owner answers hosts that still know a limit.
+
+        Without answers they would take it for silent, and refuse requests.
+        """
+        unlimited = Account(ACCOUNT.name)
+        directory = AccountDirectory({unlimited: ('key',)})
+        exchange = make_exchange(
+            NAMES[0],
+            lambda: directory,
+            {NAMES[0]: HostRecord(NAMES[0], 'dc-a', '')},
+            QuotaLog(),
+        )
+        report = UsageReport(
+            ACCOUNT.name, ACCOUNT.rate, ACCOUNT.burst, 1, 1, 0, 1
+        )
+        answer = exchange.answer(QuotaReports(NAMES[1], 1, (report,)))
+        assert answer is not None
+        self.assertEqual(answer.verdicts[0].number, 1)
