Roll-outs: count an outage for all orders that it delayed, and only those

Cause: the time of an outage was added to the next order that was read: only to the first of several, and to one that was written long after the outage. Change: it is added to all orders that are read within 3 s after the outage. Measured: the second of two orders began at 0 s instead of 3 s, and one read 90 s later at 3 s instead of 0 s; both are right now (test_decisions).

--- a/oriolestage/entry/_store_follower.py
+++ b/oriolestage/entry/_store_follower.py
@@ -236,7 +236,7 @@
                 'store_regained',
                 {'step': 'store', 'away_s': outage_s, **self._log_position()},
             )
-            self._cluster_state.record_outage(outage_s)
+            self._cluster_state.record_outage(outage_s, now)
             if outage_s >= LONG_OUTAGE_S:
                 self._directory.start_lapse_grace_period(now)
         self._answered_at = now
--- a/oriolestage/rollouts/_book.py
+++ b/oriolestage/rollouts/_book.py
@@ -33,6 +33,10 @@
 
 #: Time for which what a restored store lacks is kept, in seconds.
 RESTORED_S = 6.0
+#: Time after an outage within which the orders of that time are read, in
+#: seconds: they come with the first answer of the store, or with a full read
+#: soon after it.
+OUTAGE_READ_S = 3.0
 
 
 class RolloutBook:
@@ -57,6 +61,8 @@
         self._services: dict[str, ServiceRollout] = {}
         self._restored_until = float('-inf')
         self._outage_s: float = 0
+        #: Monotonic time until which orders are read that it has delayed.
+        self._outage_until = float('-inf')
         #: True once the store was read.
         self._read = False
 
@@ -97,12 +103,13 @@
             return None
         return rollout.split(now, self._copy_age_s())
 
-    def record_outage(self, outage_s: float) -> None:
-        """Record for how long the store was not read, in seconds.
+    def record_outage(self, outage_s: float, now: float) -> None:
+        """Record for how long the store was not read until ``now``.
 
-        An order that is read next may be older by that.
+        The orders that are read next may be older by that.
         """
         self._outage_s = outage_s
+        self._outage_until = now + OUTAGE_READ_S
 
     def start_restoration(self, now: float) -> None:
         """Keep what a restored store lacks until it is written again."""
@@ -177,8 +184,7 @@
             if rollout.active or now < self._restored_until:
                 rollout.confirm(order)
                 return [rollout.describe('rollout_order_repeated')]
-        late_s = self._outage_s
-        self._outage_s = 0
+        late_s = self._outage_s if now < self._outage_until else 0
         rollout.start(order, now, late_s)
         self.own.start(order)
         changes = [
--- a/oriolestage/rollouts/tests/test_decisions.py
+++ b/oriolestage/rollouts/tests/test_decisions.py
@@ -192,11 +192,29 @@
         """Guards against a deadline that is missed by the time of an outage."""
         host = Host(hosts=('host-0',))
         host.book.replace_all(targets_of(OLD), 0)
-        host.book.record_outage(3)
+        host.book.record_outage(3, 10)
         host.book.apply(OrderStored(make_order()), 10)
         status = host.decider.due_statuses(10)[0]
         self.assertAlmostEqual(status.elapsed_s, 3)
 
+    def test_several_orders_after_an_outage(self) -> None:
+        """Guards against an outage that counts for one order only."""
+        host = Host(hosts=('host-0',))
+        host.book.record_outage(3, 10)
+        for service in ('a', 'b'):
+            order = dataclasses.replace(make_order(), service=service)
+            host.book.apply(OrderStored(order), 10)
+        for status in host.decider.due_statuses(10):
+            self.assertAlmostEqual(status.elapsed_s, 3)
+
+    def test_order_long_after_an_outage(self) -> None:
+        """An order that was read at once did not wait for the store."""
+        host = Host(hosts=('host-0',))
+        host.book.record_outage(3, 10)
+        host.book.apply(OrderStored(make_order()), 100)
+        status = host.decider.due_statuses(100)[0]
+        self.assertAlmostEqual(status.elapsed_s, 0)
+
 
 class EvidenceTest(unittest.TestCase):
     """The counters of all processes are summed."""
--- a/oriolestage/routing/_cluster_state.py
+++ b/oriolestage/routing/_cluster_state.py
@@ -141,9 +141,9 @@
         self._directory.start_lapse_grace_period(now)
         self._rollouts.start_restoration(now)
 
-    def record_outage(self, outage_s: float) -> None:
-        """Record that the store was not read for a time, in seconds."""
-        self._rollouts.record_outage(outage_s)
+    def record_outage(self, outage_s: float, now: float) -> None:
+        """Record that the store was not read until ``now``, in seconds."""
+        self._rollouts.record_outage(outage_s, now)
 
     def apply(self, fact: StoredFact, now: float) -> list[StateChange]:
         """Apply one fact; return the changes to log.
--- a/oriolestage/routing/_rollout_facts.py
+++ b/oriolestage/routing/_rollout_facts.py
@@ -36,8 +36,8 @@
     def start_restoration(self, now: float) -> None:
         """Keep what a restored store lacks for a while."""
 
-    def record_outage(self, outage_s: float) -> None:
-        """Record for how long the store has not been read, in seconds."""
+    def record_outage(self, outage_s: float, now: float) -> None:
+        """Record for how long the store was not read until ``now``."""
 
 
 class NoRollouts:
@@ -60,5 +60,5 @@
     def start_restoration(self, now: float) -> None:
         """Do nothing."""
 
-    def record_outage(self, outage_s: float) -> None:
+    def record_outage(self, outage_s: float, now: float) -> None:
         """Do nothing."""
