Roll-outs: name the new revision of an order that was written again

Cause: after an operator had written an active order again, the counters still named its first revision. A host that started then ignored them. Change: the counters name the latest revision of the order. Measured: such a host knew 0 exposed requests, now 1 of 1 (test_decisions).

--- a/oriolestage/rollouts/_book.py
+++ b/oriolestage/rollouts/_book.py
@@ -183,6 +183,7 @@
                 return []
             if rollout.active or now < self._restored_until:
                 rollout.confirm(order)
+                self.own.confirm(order)
                 return [rollout.describe('rollout_order_repeated')]
         late_s = self._outage_s if now < self._outage_until else 0
         rollout.start(order, now, late_s)
--- a/oriolestage/rollouts/_evidence.py
+++ b/oriolestage/rollouts/_evidence.py
@@ -105,6 +105,16 @@
             base = window.totals()
         self._counts[order.service] = _OrderCounts(order, base)
 
+    def confirm(self, order: RolloutOrder) -> None:
+        """Count on for an order that was written again.
+
+        Hosts that start later know only its new revision.
+        """
+        counts = self._counts.get(order.service)
+        if counts is not None:
+            counts.order = order
+            counts.changed = True
+
     def start_ramp(self, service: str) -> None:
         """Count the responses of the new version as those of its ramp."""
         counts = self._counts.get(service)
--- a/oriolestage/rollouts/tests/test_decisions.py
+++ b/oriolestage/rollouts/tests/test_decisions.py
@@ -219,6 +219,26 @@
 class EvidenceTest(unittest.TestCase):
     """The counters of all processes are summed."""
 
+    def test_order_written_again(self) -> None:
+        """Hosts that know only its new revision use the counters."""
+        host = _ordered_host()
+        host.book.apply(StatusStored(make_status()), 0)
+        host.book.own.record_sent(SERVICE, NEW)
+        rollout = host.book.find(SERVICE)
+        assert rollout is not None
+        host.book.count_own(rollout, 1)
+        order = make_order(revision=50)
+        host.book.apply(OrderStored(order), 1)
+        host.book.count_own(rollout, 2)
+        report = host.book.own.unwritten(SERVICE, new_only=False)
+        assert report is not None
+        started = Host()
+        started.book.apply(OrderStored(order), 2)
+        started.book.apply(EvidenceStored(report), 2)
+        known = started.book.find(SERVICE)
+        assert known is not None
+        self.assertEqual(known.evidence.exposed, 1)
+
     def test_process_that_is_gone(self) -> None:
         """Counters go up only, also if an entry is older or another's."""
         host = _ordered_host()
