--- a/oriolestage/platform/_rollout_documents.py
+++ b/oriolestage/platform/_rollout_documents.py
@@ -148,13 +148,13 @@
             order=status.order,
             phase=status.phase,
             share=status.share,
-            phase_since_s=status.phase_since_s,
+            phase_since_s=_limited_s(status.phase_since_s),
             full_until_s=(
-                status.full_until_s
+                _limited_s(status.full_until_s)
                 if math.isfinite(status.full_until_s)
                 else None
             ),
-            elapsed_s=status.elapsed_s,
+            elapsed_s=_limited_s(status.elapsed_s),
             reason=status.reason,
             requests=status.requests,
             exposed=status.exposed,
@@ -227,6 +227,14 @@
     }
 
 
+def _limited_s(time_s: float) -> float:
+    """Return a time that can be read again.
+
+    The end of an order may be written again days later, if the store lost it.
+    """
+    return min(time_s, MAX_DURATION_S)
+
+
 def _check_service(named: str, in_key: str) -> None:
     """Raise an error if an item names another service than its key."""
     if named != in_key:
--- a/oriolestage/platform/tests/test_rollout_documents.py
+++ b/oriolestage/platform/tests/test_rollout_documents.py
@@ -50,6 +50,16 @@
         self.assertEqual((order.service, order.revision), ('search', 7))
         self.assertEqual((order.target_version, order.duration_s), (NEW, 12))
 
+    def test_old_status(self) -> None:
+        """Guards against the end of an order that is unreadable after days."""
+        status = make_status(
+            elapsed_s=1e6, phase_since_s=9e5, full_until_s=1e6, revision=9
+        )
+        decoded = decode_item(
+            status_key(status.service), encode_status(status), 9
+        )
+        self.assertIsInstance(decoded, StatusStored)
+
     def test_status(self) -> None:
         """A status is read as it was written."""
         for full_until_s in (float('inf'), 7.5):
