Roll-outs: keep the versions after an end if the store returns to earlier ones

Cause: if the store was restored from a copy that has the status of an earlier order, hosts took the versions from that status, and kept them after the end of the later order had been written again. Change: a host that knows the end of an order, or waits for the order to be written again, takes no versions from another order's status. Measured: after such a restoration the old version was in use again; now the completed one is (test_lost_order_and_earlier_status).

--- a/oriolestage/rollouts/_service_rollout.py
+++ b/oriolestage/rollouts/_service_rollout.py
@@ -174,7 +174,9 @@
         self.rejected.update(status.rejected_versions)
         current = self.stored_status
         if current is None:
-            self._apply_other(status)
+            # A restored store may have that of an order before this one.
+            if self.final is None and not self.unconfirmed:
+                self._apply_other(status)
             return before != status
         self._late_s = 0
         self._started_at = min(self._started_at, now - status.elapsed_s)
--- a/oriolestage/rollouts/tests/test_shares.py
+++ b/oriolestage/rollouts/tests/test_shares.py
@@ -216,6 +216,15 @@
 class RestorationTest(unittest.TestCase):
     """A store that returns to an older copy does not undo a roll-out."""
 
+    def _complete(self, host: Host) -> None:
+        """Let a host read an order and its end."""
+        host.book.replace_all(targets_of(OLD), 0)
+        host.book.apply(OrderStored(make_order()), 0)
+        done = make_status(
+            state=RolloutState.COMPLETED, known_versions=(NEW,), elapsed_s=9
+        )
+        host.book.apply(StatusStored(done), 9)
+
     def test_lost_order(self) -> None:
         """An order that is written again continues where it was."""
         host = Host()
@@ -242,15 +251,29 @@
         events = [change.event for change in host.book.remove_unconfirmed(20)]
         self.assertEqual(events, ['rollout_order_removed'])
 
+    def test_lost_order_and_earlier_status(self) -> None:
+        """The versions after an end stay if its order and status are lost."""
+        host = Host(hosts=('host-0',))
+        self._complete(host)
+        host.book.start_restoration(20)
+        earlier = make_status(
+            order=3,
+            target_version=OLD,
+            state=RolloutState.COMPLETED,
+            revision=5,
+        )
+        host.book.replace_all([StatusStored(earlier)], 20)
+        self.assertEqual(host.known(20), {NEW})
+        host.book.apply(OrderStored(make_order(revision=8)), 21)
+        again = host.decider.due_statuses(21)[0]
+        self.assertEqual(again.state, RolloutState.COMPLETED)
+        host.book.apply(StatusStored(again), 22)
+        self.assertEqual(host.known(22), {NEW})
+
     def test_lost_end(self) -> None:
         """Guards against old targets that have stopped and are used again."""
         host = Host(hosts=('host-0',))
-        host.book.replace_all(targets_of(OLD), 0)
-        host.book.apply(OrderStored(make_order()), 0)
-        done = make_status(
-            state=RolloutState.COMPLETED, known_versions=(NEW,), elapsed_s=9
-        )
-        host.book.apply(StatusStored(done), 9)
+        self._complete(host)
         host.book.start_restoration(9.5)
         host.book.replace_all(
             [
