Roll-outs: do not repeat an earlier order of a restored store

Cause: a store restored from a copy with an earlier order for the service made the hosts start that order again: its version, possibly a bad one, was on trial anew, and the end of the later order was forgotten. Change: until the time in which operators write again what was lost has passed, the later order stays in force, and its end is written again. Measured: after such a restoration the known versions were the old ones; now they stay (test_earlier_order).

--- a/oriolestage/rollouts/_book.py
+++ b/oriolestage/rollouts/_book.py
@@ -131,7 +131,7 @@
         changes = self._drop_unlisted(listed, now)
         for kind in (OrderStored, StatusStored, EvidenceStored):
             for fact in listed:
-                if isinstance(fact, kind):
+                if isinstance(fact, kind) and not self._displaces(fact, now):
                     changes.extend(self.apply(fact, now))
         changes.extend(self._learn_listed(listed))
         return changes
@@ -142,7 +142,11 @@
             case OrderStored(order=order):
                 return self._apply_order(order, now)
             case OrderRemoved(service=service):
-                return self._remove(self._rollout(service))
+                rollout = self._rollout(service)
+                if rollout.displaced is None:
+                    return self._remove(rollout)
+                rollout.displaced = None
+                return []
             case StatusStored(status=status):
                 return self._apply_status(status, now)
             case StatusRemoved(service=service):
@@ -168,10 +172,27 @@
             return []
         changes: list[StateChange] = []
         for rollout in self._services.values():
+            displaced = rollout.displaced
             if rollout.unconfirmed:
                 changes.extend(self._remove(rollout))
+            if displaced is not None:
+                changes.extend(self._apply_order(displaced, now))
         return changes
 
+    def _displaces(self, fact: StoredFact, now: float) -> bool:
+        """Return whether a restored store lists an order from before another.
+
+        It is kept aside until the later one is written again, or is forgotten.
+        """
+        if now >= self._restored_until or not isinstance(fact, OrderStored):
+            return False
+        rollout = self._rollout(fact.order.service)
+        if not rollout.replaced_by_earlier(fact.order):
+            return False
+        rollout.unconfirmed = True
+        rollout.displaced = fact.order
+        return True
+
     def _apply_order(
         self, order: RolloutOrder, now: float
     ) -> list[StateChange]:
@@ -254,6 +275,7 @@
                 rollout.stored = None
             if service in ordered or rollout.order is None:
                 continue
+            rollout.displaced = None
             if now < self._restored_until:
                 rollout.unconfirmed = True
             else:
--- a/oriolestage/rollouts/_service_rollout.py
+++ b/oriolestage/rollouts/_service_rollout.py
@@ -55,6 +55,8 @@
         self.reported_at = float('-inf')
         #: True while a full read of a restored store lacks the order.
         self.unconfirmed = False
+        #: An earlier order that a restored store has in place of this one.
+        self.displaced: RolloutOrder | None = None
         self.known: set[str] = set()
         self.rejected: set[str] = set()
         self._schedule = schedule
@@ -110,6 +112,7 @@
         self.quiet_until = float('-inf')
         self.reported_at = now - FIRST_REPORT_S
         self.unconfirmed = False
+        self.displaced = None
         self.rejected.discard(order.target_version)
         self._revisions = {order.revision}
         self._started_at = now
@@ -121,6 +124,7 @@
         """Continue with an order that was written again."""
         self.order = order
         self.unconfirmed = False
+        self.displaced = None
         self._revisions.add(order.revision)
 
     def learn_version(
@@ -156,6 +160,14 @@
         self.final = None
         self.pending = None
         self.unconfirmed = False
+        self.displaced = None
+
+    def replaced_by_earlier(self, order: RolloutOrder) -> bool:
+        """Return whether another order was written before the present one."""
+        known = self.order
+        if known is None or known.same_content(order):
+            return False
+        return order.revision < known.revision
 
     def elapsed_s(self, now: float) -> float:
         """Return the time since the order, in seconds."""
--- a/oriolestage/rollouts/tests/test_shares.py
+++ b/oriolestage/rollouts/tests/test_shares.py
@@ -25,6 +25,7 @@
     OrderRemoved,
     OrderStored,
     StatusStored,
+    StoredFact,
     TargetStored,
 )
 from oriolestage.routing.tests.builders import make_record
@@ -270,6 +271,35 @@
         host.book.apply(StatusStored(again), 22)
         self.assertEqual(host.known(22), {NEW})
 
+    def test_earlier_order(self) -> None:
+        """Guards against a second trial of the version of an earlier order.
+
+        The later order is written again, or is not.
+        """
+        earlier: list[StoredFact] = [
+            OrderStored(make_order(3, 'v0')),
+            StatusStored(make_status(order=3, target_version='v0', revision=4)),
+        ]
+        for written_again in (True, False):
+            with self.subTest(written_again=written_again):
+                host = Host(hosts=('host-0',))
+                self._complete(host)
+                host.book.start_restoration(20)
+                host.book.replace_all(earlier, 20)
+                self.assertEqual(host.known(20), {NEW})
+                self.assertEqual(host.share(20), 0)
+                again = host.decider.due_statuses(20)[0]
+                self.assertEqual(again.state, RolloutState.COMPLETED)
+                self.assertEqual(again.revision, 4)
+                if written_again:
+                    host.book.apply(OrderStored(make_order(revision=8)), 21)
+                host.book.remove_unconfirmed(30)
+                rollout = host.book.find(SERVICE)
+                assert rollout is not None
+                assert rollout.order is not None
+                version = NEW if written_again else 'v0'
+                self.assertEqual(rollout.order.target_version, version)
+
     def test_lost_end(self) -> None:
         """Guards against old targets that have stopped and are used again."""
         host = Host(hosts=('host-0',))
