Quotas: show that an account at all hosts exceeds its bound

Cause: each host admits at least one request that the owner has not counted, so that the excess grows with the number of hosts. The replays sent requests to 12 hosts at most.

--- a/oriolestage/admission/tests/test_quota_replay.py
+++ b/oriolestage/admission/tests/test_quota_replay.py
@@ -64,6 +64,22 @@
                                 outcome.most_in_window(), _bound(account)
                             )
 
+    def test_bound_at_all_hosts(self) -> None:
+        """Guards against one request at each host that nobody has counted.
+
+        The account sends eight times its limit, evenly to all hosts.
+        """
+        for hosts in FLEETS[2:]:
+            for account in (LARGE, SMALL):
+                arrivals = make_arrivals(
+                    8 * account.rate, range(hosts), UNTIL, 1
+                )
+                outcome = QuotaReplay(hosts, account).run(arrivals, UNTIL)
+                with self.subTest(hosts=hosts, account=account.name):
+                    self.assertLessEqual(
+                        outcome.most_in_window(), _bound(account)
+                    )
+
     def test_red_without_count(self) -> None:
         """The replay fails if the owner counts nothing."""
         arrivals = make_arrivals(8 * LARGE.rate, range(PLACES), UNTIL, 1)
