Accounts: keep keys out of the log of invalid requests

Cause: the parser of requests quotes an invalid header line in its error, which was logged; the line may be that with the key of an account. Change: lines of libraries leave out the bytes that an error quotes. Measured: the key was in the log of three kinds of invalid lines, now in none (test_invalid_header).

--- a/oriolestage/_logging.py
+++ b/oriolestage/_logging.py
@@ -7,6 +7,7 @@
 import json
 import logging as python_logging
 import os
+import re
 import sys
 import time
 import traceback
@@ -30,6 +31,9 @@
 EVENT_RATE_PER_S = 60.0
 #: Event of the lines of libraries.
 LIBRARY_EVENT = 'library_log'
+#: Bytes in the text of an error, up to its end. The parser of requests quotes
+#: invalid header lines, which may have the key of an account.
+QUOTED_BYTES = re.compile(r'b\\?[\'"].*', re.DOTALL)
 
 
 class EventLimiter:
@@ -134,7 +138,8 @@
                 'message': message,
             }
             if record.exc_info:
-                fields['error'] = repr(record.exc_info[1])
+                error = repr(record.exc_info[1])
+                fields['error'] = QUOTED_BYTES.sub('(bytes)', error)
                 fields['at'] = _innermost_location(record.exc_info[2])
             suppressed = getattr(record, 'suppressed', 0)
             if suppressed:
--- a/oriolestage/platform/tests/test_account_keys.py
+++ b/oriolestage/platform/tests/test_account_keys.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import logging
 import unittest
 from unittest.mock import patch
 
+from oriolestage._logging import LineFormatter
 from oriolestage.platform.tests.account_hosts import (
     ACCOUNT,
     HOST,
@@ -64,6 +66,26 @@
         self.assertIn('request_done', logged)
         self.assertNotIn(KEY, logged)
 
+    async def test_invalid_header(self) -> None:
+        """Guards against keys in the log of the parser of requests."""
+        host = AccountHost()
+        lines = (
+            f'Authorization: Bearer {KEY}\x01',
+            f'Authorization: Bearer \'{KEY}\x01"',
+            f'Authorization : Bearer {KEY}',
+        )
+        with self.assertLogs('aiohttp.server', logging.ERROR) as logs:
+            async with host.running(relayed=False):
+                host.configure()
+                for line in lines:
+                    status = await self._ask(host, SINGLE_PATH, line)
+                    self.assertEqual(status, 400)
+        self.assertEqual(len(logs.records), len(lines))
+        for record in logs.records:
+            logged = LineFormatter().format(record)
+            self.assertIn('Invalid header', logged)
+            self.assertNotIn(KEY, logged)
+
     async def test_forged_account(self) -> None:
         """Guards against accounts that callers state themselves.
 
