Roll-outs: write counters again that the store has lost

Cause: counters that had not changed were not written again after their lease had ended or the store had returned to an earlier copy. A host that started then summed less than the others. Change: all counters count as unwritten after either event. Measured: unchanged counters were written once, now twice (test_lost_counters, test_counters_of_an_ended_lease).

--- a/oriolestage/entry/_rollout_controller.py
+++ b/oriolestage/entry/_rollout_controller.py
@@ -95,6 +95,7 @@
         except StoreError as error:
             if isinstance(error, LeaseEndedError):
                 self._lease = None
+                self._book.own.forget_written()
             self._report_at = self._clock() + RETRY_INTERVAL_S
             log_event(
                 'rollout_reports_delayed',
--- a/oriolestage/entry/tests/test_rollout_controller.py
+++ b/oriolestage/entry/tests/test_rollout_controller.py
@@ -165,6 +165,30 @@
         self.assertEqual(self._store.leases, 2)
         self.assertEqual(len(self._store.reports), 1)
 
+    def test_lost_counters(self) -> None:
+        """Counters that the store has lost are written again unchanged."""
+        self._start_canary()
+        self._host.book.own.record_sent(SERVICE, NEW)
+        self._loop.call_later(2, self._host.book.start_restoration, 0)
+        self._run(5)
+        self.assertEqual(len(self._store.reports), 2)
+
+    def test_counters_of_an_ended_lease(self) -> None:
+        """All counters of an ended lease are written under the next one."""
+        self._start_canary()
+        now = self._loop.time()
+        order = dataclasses.replace(make_order(), service='other')
+        self._host.book.apply(OrderStored(order), now)
+        status = make_status(service='other')
+        self._host.book.apply(StatusStored(status), now)
+        for service in (SERVICE, 'other'):
+            self._host.book.own.record_sent(service, NEW)
+        self._loop.call_later(2, self._store.errors.append, ENDED)
+        self._loop.call_later(2, self._host.book.own.record_sent, 'other', NEW)
+        self._run(7)
+        written = [report.service for report in self._store.reports]
+        self.assertEqual(written.count(SERVICE), 2)
+
     def test_renewal(self) -> None:
         """Guards against counters that vanish while they are needed."""
         self._start_canary()
--- a/oriolestage/rollouts/_book.py
+++ b/oriolestage/rollouts/_book.py
@@ -114,6 +114,7 @@
     def start_restoration(self, now: float) -> None:
         """Keep what a restored store lacks until it is written again."""
         self._restored_until = now + RESTORED_S
+        self.own.forget_written()
 
     def record_target(self, record: TargetRecord) -> list[StateChange]:
         """Record the version of a target that has registered.
--- a/oriolestage/rollouts/_evidence.py
+++ b/oriolestage/rollouts/_evidence.py
@@ -189,6 +189,11 @@
             return None
         return taken
 
+    def forget_written(self) -> None:
+        """Record that the store has lost the counters of this process."""
+        for counts in self._counts.values():
+            counts.written = None
+
     def record_written(self, evidence: HostEvidence) -> None:
         """Record that counters were written to the store."""
         counts = self._counts.get(evidence.service)
