--- a/oriolestage/rollouts/_book.py
+++ b/oriolestage/rollouts/_book.py
@@ -33,6 +33,10 @@
 
 #: Time for which what a restored store lacks is kept, in seconds.
 RESTORED_S = 6.0
+#: Time after an outage within which the orders of that time are read, in
+#: seconds: they come with the first answer of the store, or with a full read
+#: soon after it.
+OUTAGE_READ_S = 3.0
 
 
 class RolloutBook:
@@ -57,6 +61,8 @@
         self._services: dict[str, ServiceRollout] = {}
         self._restored_until = float('-inf')
         self._outage_s: float = 0
+        #: Monotonic time until which orders are read that it has delayed.
+        self._outage_until = float('-inf')
         #: True once the store was read.
         self._read = False
 
@@ -97,16 +103,18 @@
             return None
         return rollout.split(now, self._copy_age_s())
 
-    def record_outage(self, outage_s: float) -> None:
-        """Record for how long the store was not read, in seconds.
+    def record_outage(self, outage_s: float, now: float) -> None:
+        """Record for how long the store was not read until ``now``.
 
-        An order that is read next may be older by that.
+        The orders that are read next may be older by that.
         """
         self._outage_s = outage_s
+        self._outage_until = now + OUTAGE_READ_S
 
     def start_restoration(self, now: float) -> None:
         """Keep what a restored store lacks until it is written again."""
         self._restored_until = now + RESTORED_S
+        self.own.forget_written()
 
     def record_target(self, record: TargetRecord) -> list[StateChange]:
         """Record the version of a target that has registered.
@@ -124,7 +132,7 @@
         changes = self._drop_unlisted(listed, now)
         for kind in (OrderStored, StatusStored, EvidenceStored):
             for fact in listed:
-                if isinstance(fact, kind):
+                if isinstance(fact, kind) and not self._displaces(fact, now):
                     changes.extend(self.apply(fact, now))
         changes.extend(self._learn_listed(listed))
         return changes
@@ -135,7 +143,11 @@
             case OrderStored(order=order):
                 return self._apply_order(order, now)
             case OrderRemoved(service=service):
-                return self._remove(self._rollout(service))
+                rollout = self._rollout(service)
+                if rollout.displaced is None:
+                    return self._remove(rollout)
+                rollout.displaced = None
+                return []
             case StatusStored(status=status):
                 return self._apply_status(status, now)
             case StatusRemoved(service=service):
@@ -161,10 +173,27 @@
             return []
         changes: list[StateChange] = []
         for rollout in self._services.values():
+            displaced = rollout.displaced
             if rollout.unconfirmed:
                 changes.extend(self._remove(rollout))
+            if displaced is not None:
+                changes.extend(self._apply_order(displaced, now))
         return changes
 
+    def _displaces(self, fact: StoredFact, now: float) -> bool:
+        """Return whether a restored store lists an order from before another.
+
+        It is kept aside until the later one is written again, or is forgotten.
+        """
+        if now >= self._restored_until or not isinstance(fact, OrderStored):
+            return False
+        rollout = self._rollout(fact.order.service)
+        if not rollout.replaced_by_earlier(fact.order):
+            return False
+        rollout.unconfirmed = True
+        rollout.displaced = fact.order
+        return True
+
     def _apply_order(
         self, order: RolloutOrder, now: float
     ) -> list[StateChange]:
@@ -176,9 +205,9 @@
                 return []
             if rollout.active or now < self._restored_until:
                 rollout.confirm(order)
+                self.own.confirm(order)
                 return [rollout.describe('rollout_order_repeated')]
-        late_s = self._outage_s
-        self._outage_s = 0
+        late_s = self._outage_s if now < self._outage_until else 0
         rollout.start(order, now, late_s)
         self.own.start(order)
         changes = [
@@ -247,6 +276,7 @@
                 rollout.stored = None
             if service in ordered or rollout.order is None:
                 continue
+            rollout.displaced = None
             if now < self._restored_until:
                 rollout.unconfirmed = True
             else:
--- a/oriolestage/rollouts/tests/test_decisions.py
+++ b/oriolestage/rollouts/tests/test_decisions.py
@@ -192,15 +192,53 @@
         """Guards against a deadline that is missed by the time of an outage."""
         host = Host(hosts=('host-0',))
         host.book.replace_all(targets_of(OLD), 0)
-        host.book.record_outage(3)
+        host.book.record_outage(3, 10)
         host.book.apply(OrderStored(make_order()), 10)
         status = host.decider.due_statuses(10)[0]
         self.assertAlmostEqual(status.elapsed_s, 3)
 
+    def test_several_orders_after_an_outage(self) -> None:
+        """Guards against an outage that counts for one order only."""
+        host = Host(hosts=('host-0',))
+        host.book.record_outage(3, 10)
+        for service in ('a', 'b'):
+            order = dataclasses.replace(make_order(), service=service)
+            host.book.apply(OrderStored(order), 10)
+        for status in host.decider.due_statuses(10):
+            self.assertAlmostEqual(status.elapsed_s, 3)
+
+    def test_order_long_after_an_outage(self) -> None:
+        """An order that was read at once did not wait for the store."""
+        host = Host(hosts=('host-0',))
+        host.book.record_outage(3, 10)
+        host.book.apply(OrderStored(make_order()), 100)
+        status = host.decider.due_statuses(100)[0]
+        self.assertAlmostEqual(status.elapsed_s, 0)
+
 
 class EvidenceTest(unittest.TestCase):
     """The counters of all processes are summed."""
 
+    def test_order_written_again(self) -> None:
+        """Hosts that know only its new revision use the counters."""
+        host = _ordered_host()
+        host.book.apply(StatusStored(make_status()), 0)
+        host.book.own.record_sent(SERVICE, NEW)
+        rollout = host.book.find(SERVICE)
+        assert rollout is not None
+        host.book.count_own(rollout, 1)
+        order = make_order(revision=50)
+        host.book.apply(OrderStored(order), 1)
+        host.book.count_own(rollout, 2)
+        report = host.book.own.unwritten(SERVICE, new_only=False)
+        assert report is not None
+        started = Host()
+        started.book.apply(OrderStored(order), 2)
+        started.book.apply(EvidenceStored(report), 2)
+        known = started.book.find(SERVICE)
+        assert known is not None
+        self.assertEqual(known.evidence.exposed, 1)
+
     def test_process_that_is_gone(self) -> None:
         """Counters go up only, also if an entry is older or another's."""
         host = _ordered_host()
--- a/oriolestage/rollouts/tests/test_shares.py
+++ b/oriolestage/rollouts/tests/test_shares.py
@@ -25,6 +25,7 @@
     OrderRemoved,
     OrderStored,
     StatusStored,
+    StoredFact,
     TargetStored,
 )
 from oriolestage.routing.tests.builders import make_record
@@ -216,6 +217,15 @@
 class RestorationTest(unittest.TestCase):
     """A store that returns to an older copy does not undo a roll-out."""
 
+    def _complete(self, host: Host) -> None:
+        """Let a host read an order and its end."""
+        host.book.replace_all(targets_of(OLD), 0)
+        host.book.apply(OrderStored(make_order()), 0)
+        done = make_status(
+            state=RolloutState.COMPLETED, known_versions=(NEW,), elapsed_s=9
+        )
+        host.book.apply(StatusStored(done), 9)
+
     def test_lost_order(self) -> None:
         """An order that is written again continues where it was."""
         host = Host()
@@ -242,15 +252,58 @@
         events = [change.event for change in host.book.remove_unconfirmed(20)]
         self.assertEqual(events, ['rollout_order_removed'])
 
+    def test_lost_order_and_earlier_status(self) -> None:
+        """The versions after an end stay if its order and status are lost."""
+        host = Host(hosts=('host-0',))
+        self._complete(host)
+        host.book.start_restoration(20)
+        earlier = make_status(
+            order=3,
+            target_version=OLD,
+            state=RolloutState.COMPLETED,
+            revision=5,
+        )
+        host.book.replace_all([StatusStored(earlier)], 20)
+        self.assertEqual(host.known(20), {NEW})
+        host.book.apply(OrderStored(make_order(revision=8)), 21)
+        again = host.decider.due_statuses(21)[0]
+        self.assertEqual(again.state, RolloutState.COMPLETED)
+        host.book.apply(StatusStored(again), 22)
+        self.assertEqual(host.known(22), {NEW})
+
+    def test_earlier_order(self) -> None:
+        """Guards against a second trial of the version of an earlier order.
+
+        The later order is written again, or is not.
+        """
+        earlier: list[StoredFact] = [
+            OrderStored(make_order(3, 'v0')),
+            StatusStored(make_status(order=3, target_version='v0', revision=4)),
+        ]
+        for written_again in (True, False):
+            with self.subTest(written_again=written_again):
+                host = Host(hosts=('host-0',))
+                self._complete(host)
+                host.book.start_restoration(20)
+                host.book.replace_all(earlier, 20)
+                self.assertEqual(host.known(20), {NEW})
+                self.assertEqual(host.share(20), 0)
+                again = host.decider.due_statuses(20)[0]
+                self.assertEqual(again.state, RolloutState.COMPLETED)
+                self.assertEqual(again.revision, 4)
+                if written_again:
+                    host.book.apply(OrderStored(make_order(revision=8)), 21)
+                host.book.remove_unconfirmed(30)
+                rollout = host.book.find(SERVICE)
+                assert rollout is not None
+                assert rollout.order is not None
+                version = NEW if written_again else 'v0'
+                self.assertEqual(rollout.order.target_version, version)
+
     def test_lost_end(self) -> None:
         """Guards against old targets that have stopped and are used again."""
         host = Host(hosts=('host-0',))
-        host.book.replace_all(targets_of(OLD), 0)
-        host.book.apply(OrderStored(make_order()), 0)
-        done = make_status(
-            state=RolloutState.COMPLETED, known_versions=(NEW,), elapsed_s=9
-        )
-        host.book.apply(StatusStored(done), 9)
+        self._complete(host)
         host.book.start_restoration(9.5)
         host.book.replace_all(
             [
