Memory budget: choose a connection once when a refusal asks for room

Cause: closing a connection writes a refusal. If the system does not take it, the connection asks for room, and the choice runs again inside the first one. The first one then gave up connections that the inner one had given up. Their bytes stayed noted as about to be released, so that the budget allowed more than its limit from then on.

Change: a connection that was given up meanwhile is left out.

Result: the test fails without the change (a connection is closed 3 times) and passes with it.

--- a/oriolestage/entry/_held_memory.py
+++ b/oriolestage/entry/_held_memory.py
@@ -155,6 +155,9 @@
             share = self._shares.get(chosen.number)
             if share is None or share.holder is None:
                 continue
+            if share.given_up is not None:
+                # Refusing an earlier one called this method again.
+                continue
             share.give_up()
             self.record_refusal('memory')
             self._closed += 1
