Waiting line: wait for a target whose shortage ends soon

Cause: a request was expected to wait for at least one answer, also if its target was busy for another reason, whose end is known (another host declined, a rate limit, a cold target), or if no attempt was in flight, so that no answer comes. At a service whose attempts take longer than a quarter of the objective, it was refused at once, though the target was free 50 ms later.

Change: the first request in line waits until the known end of its shortage; the time between two answers counts for the requests ahead only. Without an attempt in flight nothing is estimated.

--- a/oriolestage/admission/_service_line.py
+++ b/oriolestage/admission/_service_line.py
@@ -55,13 +55,20 @@
         held.discard(ticket.rank.kind)
         return self._order.first(held) is ticket
 
-    def expected_wait_s(self, ticket: Ticket) -> float:
+    def expected_wait_s(self, ticket: Ticket, known_s: float = 0) -> float:
         """Return the time until a waiting request is placed, in seconds.
 
-        0 if too little is known.
+        ``known_s`` is the time after which its shortage ends; 0 if it ends
+        with the next answer. The result is 0 if too little is known: without
+        an attempt in flight, no answer says when a target is free.
         """
+        if not self.throughput.in_flight:
+            return known_s
+        interval_s = self.throughput.interval_s
         ahead = self._order.ahead_of(ticket)
-        return (ahead + 1) * self.throughput.interval_s
+        if known_s:
+            return max(known_s, ahead * interval_s)
+        return (ahead + 1) * interval_s
 
     def record_shortage(
         self, ticket: Ticket, wait_s: float, now: float
--- a/oriolestage/admission/_waiting_line.py
+++ b/oriolestage/admission/_waiting_line.py
@@ -159,9 +159,13 @@
         self._waits.add(service)
         self._line.line(service).record_shortage(self._ticket, wait_s, now)
 
-    def expected_wait_s(self, service: str) -> float:
-        """Return the time until the request is placed; 0 if not known."""
-        return self._line.line(service).expected_wait_s(self._ticket)
+    def expected_wait_s(self, service: str, known_s: float = 0) -> float:
+        """Return the time until the request is placed; 0 if not known.
+
+        ``known_s`` is the time after which its shortage ends; 0 if it ends
+        with the next answer.
+        """
+        return self._line.line(service).expected_wait_s(self._ticket, known_s)
 
     def record_placed(self, service: str, now: float) -> None:
         """Record that the request is placed at a service."""
--- a/oriolestage/routing/_capacity_waits.py
+++ b/oriolestage/routing/_capacity_waits.py
@@ -167,7 +167,7 @@
         if in_turn:
             waiter.record_shortage(service, shortage.wait_s, now)
         known_s = 0 if cause in OPEN_ENDED else shortage.wait_s
-        expected_s = max(known_s, waiter.expected_wait_s(service))
+        expected_s = waiter.expected_wait_s(service, known_s)
         if now + expected_s >= until:
             waited = now >= until
             part.retry_after_s = waiter.refuse(
