Streams of other hosts: close silent ones in favour of new ones

Cause: a host that loses power, or whose link drops its messages, does not close its streams. Once a message had come, such a stream was never closed by the bound on streams. Lost streams took all room after a while, and then this host refused the streams of all others until it was started again.

Change: a stream without a message for 10 s may be closed for a new one, after those that have had none at all. Streams in use are pinged after 0.4 s.

--- a/oriolestage/entry/_peer_streams.py
+++ b/oriolestage/entry/_peer_streams.py
@@ -22,6 +22,10 @@
 #: Bytes of a message for each byte of a caller's request: texts of headers may
 #: take two bytes for each of theirs.
 MESSAGE_FACTOR = 2
+#: Time without a message after which a stream may be closed in favour of a new
+#: one, in seconds. A host pings a stream that it uses after 0.4 s and gives it
+#: up after 0.9 s more; this host may have been paused for some seconds.
+SILENT_S = 10.0
 
 
 class PeerStream:
@@ -32,7 +36,8 @@
     ) -> None:
         """Count what is held for a new stream towards a budget, if any."""
         self._writer = writer
-        self._opened_at = time.monotonic()
+        #: Monotonic time of the latest message, or of the start.
+        self._received_at = time.monotonic()
         self._received = False
         self._held_bytes = 0
         self._share: MemoryShare | None = None
@@ -42,11 +47,15 @@
 
     @property
     def waiting(self) -> WaitingConnection | None:
-        """For how long no message has come; None after the first one."""
-        if self._received:
+        """For how long no message has come.
+
+        None if one has come within `SILENT_S`. A host that was lost, or that
+        has given the stream up while its link was cut, does not close it.
+        """
+        waited_s = time.monotonic() - self._received_at
+        if self._received and waited_s < SILENT_S:
             return None
-        waited_s = time.monotonic() - self._opened_at
-        return WaitingConnection(id(self), served=False, waited_s=waited_s)
+        return WaitingConnection(id(self), self._received, waited_s)
 
     def frame_bounds(self, limits: CallerLimits) -> FrameBounds | None:
         """Return the bounds on messages; None without a budget."""
@@ -61,6 +70,7 @@
     def note_message(self) -> None:
         """Note that a message is complete."""
         self._received = True
+        self._received_at = time.monotonic()
 
     def refresh_share(self) -> Claim:
         """Bring the share up to date; return what the stream waits for."""
