Connections of callers: let the idle timeout end with a head's first byte

Cause: the HTTP library closes a connection that has had no complete head until the idle timeout, also if a part of one has arrived. A client that used its connection again shortly before the timeout, and sent the head in several pieces, was cut off without a status although it was inside all limits.

Change: while a head is being read, its own timeout applies. Only connections with a memory budget behave like that; others are closed as before.

Result: the test fails without the change (the connection is closed) and passes with it; a connection without a next request is still closed when idle.

--- a/oriolestage/entry/_counted_connection.py
+++ b/oriolestage/entry/_counted_connection.py
@@ -223,6 +223,16 @@
             return
         self.refuse_now(HTTPStatus.SERVICE_UNAVAILABLE)
 
+    def _process_keepalive(self) -> None:
+        """Close an idle connection, but not one whose head is being read.
+
+        The time for a head has a limit of its own.
+        """
+        if self._head_bytes:
+            self._keepalive_handle = None
+            return
+        super()._process_keepalive()
+
     def _is_admitted(self) -> bool:
         """Return whether more bytes may be parsed, or close the connection."""
         if not self._memory.admit() and self._share.given_up is None:
--- /dev/null
+++ b/oriolestage/entry/tests/test_counted_connection.py
@@ -0,0 +1,72 @@
+"""Tests of connections that count what they hold, over loopback."""
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from aiohttp import web
+
+from oriolestage.admission._memory_budget import MemoryBudget
+from oriolestage.entry._caller_connections import (
+    CallerConnections,
+    ConnectionGuard,
+)
+from oriolestage.entry._held_memory import HeldMemory
+from oriolestage.routing._rules import CallerLimits
+
+LOOPBACK = '127.0.0.1'
+LIMIT_BYTES = 50_000_000
+IDLE_TIMEOUT_S = 0.5
+#: Longer than the idle timeout, so that both are told apart.
+HEADER_TIMEOUT_S = 30.0
+ANSWER_TIMEOUT_S = 10.0
+FIRST_PIECE = b'GET / HTTP/1.1\r\n'
+SECOND_PIECE = b'Host: search.example\r\n\r\n'
+
+
+async def _answer(_: web.BaseRequest) -> web.StreamResponse:
+    return web.Response()
+
+
+class IdleTimeoutTest(IsolatedAsyncioTestCase):
+    """The idle timeout ends with the first byte of the next request."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a server with a short idle timeout, and connect to it."""
+        limits = CallerLimits(
+            idle_timeout_s=IDLE_TIMEOUT_S, header_timeout_s=HEADER_TIMEOUT_S
+        )
+        guard = ConnectionGuard(HeldMemory(MemoryBudget(LIMIT_BYTES)))
+        connections = CallerConnections(_answer, lambda: limits, guard)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(connections.accept, LOOPBACK, 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self._reader, self._writer = await asyncio.open_connection(
+            LOOPBACK, port
+        )
+        self.addCleanup(self._writer.close)
+
+    async def test_head_in_pieces(self) -> None:
+        """Guards against a head that is cut off by the idle timeout.
+
+        A connection that was used again shortly before the timeout was closed
+        without a status while its client sent the head within the time.
+        """
+        self._writer.write(FIRST_PIECE + SECOND_PIECE)
+        await self._read_status()
+        self._writer.write(FIRST_PIECE)
+        await asyncio.sleep(IDLE_TIMEOUT_S * 2)
+        self._writer.write(SECOND_PIECE)
+        self.assertEqual(await self._read_status(), b'200')
+
+    async def test_idle(self) -> None:
+        """A connection without a next request is closed."""
+        self._writer.write(FIRST_PIECE + SECOND_PIECE)
+        await self._read_status()
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            self.assertEqual(await self._reader.read(), b'')
+
+    async def _read_status(self) -> bytes:
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            head = await self._reader.readuntil(b'\r\n\r\n')
+        return head.split()[1]
