Quotas: tell all hosts that an account is in debt

Cause: with eight times the limit spread evenly over all hosts, each host admitted one request that nobody had counted: 147 in 5 s at 75 hosts and 300 at 300 hosts, where 105.8 are allowed. A host that turned to a deputy also admitted one more there before it was heard.

Change: the owner of an account sends a notice to all hosts while the account is in debt by more than a quarter of what may be uncounted; a deputy has to answer before a host admits requests at it.

--- a/oriolestage/admission/_quota_client.py
+++ b/oriolestage/admission/_quota_client.py
@@ -14,7 +14,11 @@
 from oriolestage.admission._quota_bounds import QuotaBounds
 from oriolestage.admission._quota_fallback import FixedPart
 from oriolestage.admission._quota_hosts import QuotaHosts
-from oriolestage.admission._quota_messages import UsageReport, UsageVerdict
+from oriolestage.admission._quota_messages import (
+    ClosedAccount,
+    UsageReport,
+    UsageVerdict,
+)
 from oriolestage.admission._quota_plan import plan_quota
 
 #: Least time between reports about one account, in seconds, unless requests
@@ -85,6 +89,8 @@
     reported_at: float = float('-inf')
     #: True if something is to be reported.
     changed: bool = False
+    #: Whether the grantor has answered.
+    heard: bool = False
 
     @property
     def uncounted(self) -> int:
@@ -134,6 +140,8 @@
         self._states: dict[str, _State] = {}
         #: Time at which each grantor was found silent.
         self._silent_at: dict[str, float] = {}
+        #: Time until which accounts that are not in use here are closed.
+        self._closed: dict[str, float] = {}
 
     @property
     def hosts(self) -> QuotaHosts:
@@ -160,6 +168,10 @@
         if not grantor:
             return self.admit_without_contact(account, now)
         charges = state.charges.setdefault(grantor, _Charges())
+        if not charges.heard and self._is_deputy(account.name, grantor):
+            # Each host would admit one more at each deputy in turn.
+            charges.changed = True
+            return AwaitVerdict(now + MAX_WAIT_S)
         if charges.uncounted < self._allowance(state, now):
             charges.admitted += 1
             charges.changed = True
@@ -234,6 +246,7 @@
         charges = state.charges.get(grantor)
         if charges is None:
             return
+        charges.heard = True
         answered = False
         while charges.sent and charges.sent[0][0] <= verdict.number:
             _, admitted = charges.sent.popleft()
@@ -248,12 +261,24 @@
         state.interval_s = verdict.interval_s
         state.refused = 0
 
+    def close_account(self, notice: ClosedAccount, now: float) -> None:
+        """Refuse the requests of an account for the time of a notice."""
+        until = now + notice.closed_s
+        state = self._states.get(notice.account)
+        if state is None:
+            self._closed[notice.account] = until
+        else:
+            state.closed_until = max(state.closed_until, until)
+
     def accounts(self) -> tuple[str, ...]:
         """Return the names of the accounts in use here."""
         return tuple(self._states)
 
     def forget(self, now: float) -> None:
-        """Drop accounts without requests for long."""
+        """Drop accounts without requests for long, and old notices."""
+        for name, until in tuple(self._closed.items()):
+            if until <= now:
+                self._closed.pop(name)
         for name, state in tuple(self._states.items()):
             if now - state.requested_at >= FORGET_S:
                 self._states.pop(name)
@@ -262,6 +287,7 @@
         state = self._states.get(account.name)
         if state is None:
             state = _State(account, self._bounds)
+            state.closed_until = self._closed.pop(account.name, 0)
             self._states[account.name] = state
         if (state.account.rate, state.account.burst) != (
             account.rate,
@@ -290,6 +316,9 @@
                 return grantor
         return ''
 
+    def _is_deputy(self, account: str, grantor: str) -> bool:
+        return self._hosts.grantors(account)[:1] != (grantor,)
+
     def _allowance(self, state: _State, now: float) -> int:
         """Return how many requests may be admitted uncounted."""
         if now < state.allowance_until:
--- a/oriolestage/admission/_quota_ledger.py
+++ b/oriolestage/admission/_quota_ledger.py
@@ -9,7 +9,11 @@
 import dataclasses
 
 from oriolestage.admission._quota_bounds import QuotaBounds
-from oriolestage.admission._quota_messages import UsageReport, UsageVerdict
+from oriolestage.admission._quota_messages import (
+    ClosedAccount,
+    UsageReport,
+    UsageVerdict,
+)
 from oriolestage.admission._quota_plan import (
     START_FRACTION,
     BucketPlan,
@@ -27,6 +31,13 @@
 #: Longest time for which hosts are told to refuse, in seconds.
 LONGEST_CLOSED_S = 60.0
 
+#: Debt of an account from which all hosts are told to refuse its requests, as
+#: a fraction of the requests that they may admit uncounted. Hosts that have
+#: admitted none yet would each admit one.
+NOTICE_FRACTION = 0.25
+#: Least time between two such notices about an account, in seconds.
+NOTICE_INTERVAL_S = 0.25
+
 #: A process of a host: its name and a number that differs for each start.
 Process = tuple[str, int]
 
@@ -50,6 +61,7 @@
         the first reports state the requests; 0 if none has.
         """
         self.heard_at = now
+        self._noticed_at = float('-inf')
         self._plan = plan
         self._tabs: dict[Process, _Tab] = {}
         self._level = plan.capacity
@@ -93,6 +105,17 @@
         self._charge(used - tab.used)
         tab.used = used
 
+    def notice(
+        self, account: str, uncounted: float, now: float
+    ) -> ClosedAccount | None:
+        """Return what all hosts have to be told now; None if nothing."""
+        if self._level > -NOTICE_FRACTION * uncounted:
+            return None
+        if now - self._noticed_at < NOTICE_INTERVAL_S:
+            return None
+        self._noticed_at = now
+        return ClosedAccount(account, self.closed_s())
+
     def closed_s(self) -> float:
         """Return the time until the next token, 0 if there is one."""
         if self._level >= 1:
@@ -141,6 +164,7 @@
         """Start without books."""
         self._bounds = bounds
         self._books: dict[str, _Book] = {}
+        self._notices: list[ClosedAccount] = []
 
     def __len__(self) -> int:
         """Return the number of books."""
@@ -173,6 +197,10 @@
         book.refill(now)
         book.record(process, report, now)
         uncounted = plan.uncounted if owns else 0
+        if owns:
+            notice = book.notice(report.account, uncounted, now)
+            if notice is not None:
+                self._notices.append(notice)
         return UsageVerdict(
             account=report.account,
             number=report.number,
@@ -181,6 +209,12 @@
             interval_s=1 / rate,
         )
 
+    def take_notices(self) -> tuple[ClosedAccount, ...]:
+        """Return what all hosts have to be told since the last call."""
+        notices = tuple(self._notices)
+        self._notices.clear()
+        return notices
+
     def sweep(self, now: float) -> None:
         """Drop the books that nobody uses."""
         for account, book in tuple(self._books.items()):
--- a/oriolestage/admission/_quota_messages.py
+++ b/oriolestage/admission/_quota_messages.py
@@ -37,6 +37,14 @@
     recent: _Total
 
 
+class ClosedAccount(msgspec.Struct, frozen=True, array_like=True):
+    """Tells every host that an account has used far more than its limit."""
+
+    account: str
+    #: Time for which its requests are refused, in seconds.
+    closed_s: _Amount
+
+
 class UsageVerdict(msgspec.Struct, frozen=True, array_like=True):
     """The answer to a report."""
 
--- a/oriolestage/admission/tests/quota_replay.py
+++ b/oriolestage/admission/tests/quota_replay.py
@@ -180,6 +180,10 @@
             owns=self.owner == grantor,
             settled=now >= self._settled_at,
         )
+        for notice in self._ledgers[grantor].take_notices():
+            for other, client in self._clients.items():
+                close = functools.partial(client.close_account, notice)
+                self._deliver(grantor, other, now, close)
         if verdict is not None:
             answer: UsageVerdict = verdict
             self._deliver(
--- a/oriolestage/entry/_peer_link.py
+++ b/oriolestage/entry/_peer_link.py
@@ -22,7 +22,7 @@
     decode_from_peer,
     encode,
 )
-from oriolestage.entry._quota_wire import QuotaReports, QuotaVerdicts
+from oriolestage.entry._quota_wire import QuotaMessage, QuotaVerdicts
 from oriolestage.entry._relay_serving import outcome_of_reply
 from oriolestage.routing._answers import (
     AttemptLost,
@@ -132,10 +132,10 @@
         """Whether the stream is open, as far as this host knows."""
         return self._frames is not None
 
-    def report(self, reports: QuotaReports) -> None:
-        """Send reports of quotas, unless the stream is closed."""
+    def report(self, message: QuotaMessage) -> None:
+        """Send a message about quotas, unless the stream is closed."""
         if self._frames is not None:
-            self._frames.write(encode(reports))
+            self._frames.write(encode(message))
 
     async def gather(
         self,
--- a/oriolestage/entry/_peer_messages.py
+++ b/oriolestage/entry/_peer_messages.py
@@ -14,7 +14,7 @@
     map_headers,
     text_to_latin1,
 )
-from oriolestage.entry._quota_wire import QuotaReports, QuotaVerdicts
+from oriolestage.entry._quota_wire import QuotaMessage, QuotaVerdicts
 from oriolestage.routing._answers import TargetAnswer
 
 
@@ -225,7 +225,7 @@
     era: int | None = None
 
 
-ToPeer = GatherRequest | GatherCancel | RelayRequest | Ping | QuotaReports
+ToPeer = GatherRequest | GatherCancel | RelayRequest | Ping | QuotaMessage
 FromPeer = GatherReply | GatherDeclined | RelayReply | Pong | QuotaVerdicts
 
 _Message = TypeVar('_Message', bound=ToPeer | FromPeer)
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -25,7 +25,12 @@
 )
 from oriolestage.entry._peer_requests import PeerRequests
 from oriolestage.entry._peer_streams import PeerStreams
-from oriolestage.entry._quota_wire import QuotaReports, QuotaVerdicts
+from oriolestage.entry._quota_wire import (
+    QuotaMessage,
+    QuotaNotices,
+    QuotaReports,
+    QuotaVerdicts,
+)
 from oriolestage.entry._relay_serving import RelayServer
 from oriolestage.entry._shard_gathering import (
     ReplyWriter,
@@ -73,7 +78,7 @@
 CRASH_STEP = 'batch.crash'
 
 
-def _no_verdicts(_: QuotaReports) -> QuotaVerdicts | None:
+def _no_verdicts(_: QuotaMessage) -> QuotaVerdicts | None:
     """Count nothing."""
 
 
@@ -87,7 +92,7 @@
         sender: AttemptSender,
         freshness: Callable[[], Freshness],
         answer_quotas: Callable[
-            [QuotaReports], QuotaVerdicts | None
+            [QuotaMessage], QuotaVerdicts | None
         ] = _no_verdicts,
         guard: ConnectionGuard = UNGUARDED,
     ) -> None:
@@ -188,7 +193,7 @@
                 frames.write(encode(self._make_pong()))
             case GatherCancel(number=number):
                 running.cancel(number)
-            case QuotaReports():
+            case QuotaReports() | QuotaNotices():
                 verdicts = self._answer_quotas(message)
                 if verdicts is not None:
                     frames.write(encode(verdicts))
--- a/oriolestage/entry/_quota_exchange.py
+++ b/oriolestage/entry/_quota_exchange.py
@@ -22,7 +22,12 @@
 from oriolestage.admission._quota_messages import UsageReport
 from oriolestage.entry._quota_links import QuotaLinks
 from oriolestage.entry._quota_log import QuotaLog
-from oriolestage.entry._quota_wire import QuotaReports, QuotaVerdicts
+from oriolestage.entry._quota_wire import (
+    QuotaMessage,
+    QuotaNotices,
+    QuotaReports,
+    QuotaVerdicts,
+)
 from oriolestage.routing._facts import HostRecord
 
 #: Interval of looking for reports that are due, in seconds.
@@ -117,8 +122,20 @@
         account = admission.account
         self._send(self._client.take_reports(account, now, at_once=True))
 
-    def answer(self, message: QuotaReports) -> QuotaVerdicts | None:
-        """Count the reports of a host; return the answer, None for none."""
+    def answer(self, message: QuotaMessage) -> QuotaVerdicts | None:
+        """Take a message of a host; return the answer, None for none."""
+        match message:
+            case QuotaNotices(notices=notices):
+                for notice in notices:
+                    self._client.close_account(notice, time.monotonic())
+                return None
+            case QuotaReports():
+                verdicts = self._count(message)
+                self._send_notices()
+                return verdicts
+
+    def _count(self, message: QuotaReports) -> QuotaVerdicts | None:
+        """Count the reports of a host."""
         now = time.monotonic()
         settled = now - self._hosts_since >= SETTLED_S
         verdicts = []
@@ -188,6 +205,19 @@
                 async with asyncio.timeout(until - now):
                     await self._answered.wait()
 
+    def _send_notices(self) -> None:
+        """Tell all hosts which accounts are closed."""
+        notices = self._ledger.take_notices()
+        if not notices:
+            return
+        message = QuotaNotices(notices)
+        for name, address in self._addresses.items():
+            if name == self._name:
+                self.answer(message)
+                continue
+            self._log.count('messages')
+            self._links.send(address, message)
+
     def _report(self, account: str) -> None:
         """Report about an account now, or as soon as a report is due."""
         now = time.monotonic()
--- a/oriolestage/entry/_quota_links.py
+++ b/oriolestage/entry/_quota_links.py
@@ -11,7 +11,7 @@
 
 from oriolestage._logging import log_event
 from oriolestage.entry._peer_link import PeerLink
-from oriolestage.entry._quota_wire import QuotaReports, QuotaVerdicts
+from oriolestage.entry._quota_wire import QuotaMessage, QuotaVerdicts
 
 #: Time without an attempt to open a stream after one has failed, in seconds.
 RETRY_S = 0.5
@@ -36,7 +36,7 @@
         """Return the number of open streams."""
         return sum(1 for link in self._links.values() if link.is_open)
 
-    def send(self, address: str, question: QuotaReports) -> None:
+    def send(self, address: str, question: QuotaMessage) -> None:
         """Send a question, once the stream is open; it may be lost."""
         self._used_at[address] = time.monotonic()
         link = self._links.get(address)
@@ -69,7 +69,7 @@
             link.close('link.stop')
 
     def _start_opening(
-        self, address: str, question: QuotaReports | None
+        self, address: str, question: QuotaMessage | None
     ) -> None:
         failed_s = time.monotonic() - self._failed_at.get(address, 0)
         if address in self._opening or failed_s < RETRY_S:
@@ -78,7 +78,7 @@
         self._opening[address] = task
         task.add_done_callback(lambda _: self._opening.pop(address, None))
 
-    async def _open(self, address: str, question: QuotaReports | None) -> None:
+    async def _open(self, address: str, question: QuotaMessage | None) -> None:
         link = self._links.get(address)
         if link is None:
             link = PeerLink(address, _ignore, self._on_answer)
--- a/oriolestage/entry/_quota_wire.py
+++ b/oriolestage/entry/_quota_wire.py
@@ -5,7 +5,11 @@
 
 import msgspec
 
-from oriolestage.admission._quota_messages import UsageReport, UsageVerdict
+from oriolestage.admission._quota_messages import (
+    ClosedAccount,
+    UsageReport,
+    UsageVerdict,
+)
 
 
 class QuotaReports(
@@ -22,6 +26,17 @@
     reports: tuple[UsageReport, ...]
 
 
+class QuotaNotices(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='quota_notices',
+):
+    """Accounts that every host has to refuse for a time; has no answer."""
+
+    notices: tuple[ClosedAccount, ...]
+
+
 class QuotaVerdicts(
     msgspec.Struct,
     frozen=True,
@@ -33,3 +48,6 @@
     #: Name of the answering host.
     host: str
     verdicts: tuple[UsageVerdict, ...]
+
+
+QuotaMessage = QuotaReports | QuotaNotices
--- a/oriolestage/entry/tests/peer_requests.py
+++ b/oriolestage/entry/tests/peer_requests.py
@@ -9,7 +9,7 @@
 from oriolestage.entry._crash_tracking import AttemptSender
 from oriolestage.entry._peer_messages import GatherRequest, RelayRequest
 from oriolestage.entry._peer_server import PeerServer
-from oriolestage.entry._quota_wire import QuotaReports, QuotaVerdicts
+from oriolestage.entry._quota_wire import QuotaMessage, QuotaVerdicts
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._placement import Placement
@@ -72,7 +72,7 @@
     return patch.object(_peer_link, 'CONNECT_TIMEOUT_S', CONNECT_TIMEOUT_S)
 
 
-def _no_verdicts(_: QuotaReports) -> QuotaVerdicts | None:
+def _no_verdicts(_: QuotaMessage) -> QuotaVerdicts | None:
     """Count nothing."""
 
 
@@ -80,7 +80,7 @@
     placement: Placement,
     sender: AttemptSender,
     answer_quotas: Callable[
-        [QuotaReports], QuotaVerdicts | None
+        [QuotaMessage], QuotaVerdicts | None
     ] = _no_verdicts,
 ) -> tuple[PeerServer, str]:
     """Start a server on loopback; return it and its address."""
--- a/oriolestage/entry/tests/quota_hosts.py
+++ b/oriolestage/entry/tests/quota_hosts.py
@@ -12,7 +12,7 @@
 from oriolestage.admission._quota_ledger import QuotaLedger
 from oriolestage.entry._quota_exchange import QuotaExchange
 from oriolestage.entry._quota_log import QuotaLog
-from oriolestage.entry._quota_wire import QuotaReports, QuotaVerdicts
+from oriolestage.entry._quota_wire import QuotaMessage, QuotaVerdicts
 from oriolestage.entry._target_client import TargetCall
 from oriolestage.entry.tests.peer_requests import start_peer_server
 from oriolestage.routing._answers import AttemptLost, AttemptOutcome
@@ -80,6 +80,6 @@
 
 
 def _answer(
-    exchanges: Mapping[str, QuotaExchange], name: str, message: QuotaReports
+    exchanges: Mapping[str, QuotaExchange], name: str, message: QuotaMessage
 ) -> QuotaVerdicts | None:
     return exchanges[name].answer(message)
