Connections of callers: answer all pipelined requests after a late body

Cause: the parser counts a request when its body is complete, and the connection takes it off the count when it takes it up. After a body that came later than its head, the parser therefore counts one too many, and stopped at three waiting requests, while the connection waited for four before it paused and resumed the parser. With a queue of four, a connection with such a body left the fourth and all later pipelined requests unanswered until the idle timeout.

Change: the connection pauses, and later resumes the parser, from three waiting requests on.

--- a/oriolestage/entry/_counted_connection.py
+++ b/oriolestage/entry/_counted_connection.py
@@ -24,6 +24,9 @@
 
 #: Requests of one connection that are parsed ahead of their turn.
 QUEUED_REQUESTS = 4
+#: Requests that wait from which on the parser may have stopped. It counts one
+#: too many after a body that came later than its head.
+STOPPED_REQUESTS = QUEUED_REQUESTS - 1
 #: Bytes of a body at which the parser stops until some are read; half of what
 #: it keeps at most.
 PARSER_BUFFER_BYTES = 65_536
@@ -65,7 +68,7 @@
         #: Bytes of the body of the latest answer. They are held until all of
         #: them are sent.
         self._answer_bytes = 0
-        self._max_msg_queue_size = QUEUED_REQUESTS
+        self._max_msg_queue_size = STOPPED_REQUESTS
         self._msg_queue_resume_size = QUEUED_REQUESTS // 2
         # The number of fields is limited by the size of the head alone.
         self.max_headers = max(
--- a/oriolestage/entry/tests/test_counted_connection.py
+++ b/oriolestage/entry/tests/test_counted_connection.py
@@ -21,22 +21,26 @@
 ANSWER_TIMEOUT_S = 10.0
 FIRST_PIECE = b'GET / HTTP/1.1\r\n'
 SECOND_PIECE = b'Host: search.example\r\n\r\n'
+BODY = b'body'
+BODY_HEAD = (
+    b'POST / HTTP/1.1\r\nHost: search.example\r\nContent-Length: 4\r\n\r\n'
+)
+#: More than are parsed ahead of their turn.
+PIPELINED = 20
 
 
-async def _answer(_: web.BaseRequest) -> web.StreamResponse:
-    return web.Response()
-
-
-class IdleTimeoutTest(IsolatedAsyncioTestCase):
-    """The idle timeout ends with the first byte of the next request."""
+class _ConnectedTest(IsolatedAsyncioTestCase):
+    """Has a connection to a server with a short idle timeout."""
 
     async def asyncSetUp(self) -> None:
-        """Start a server with a short idle timeout, and connect to it."""
+        """Start the server, and connect to it."""
+        #: Set once the head of a request was read.
+        self._begun = asyncio.Event()
         limits = CallerLimits(
             idle_timeout_s=IDLE_TIMEOUT_S, header_timeout_s=HEADER_TIMEOUT_S
         )
         guard = ConnectionGuard(HeldMemory(MemoryBudget(LIMIT_BYTES)))
-        connections = CallerConnections(_answer, lambda: limits, guard)
+        connections = CallerConnections(self._answer, lambda: limits, guard)
         loop = asyncio.get_running_loop()
         server = await loop.create_server(connections.accept, LOOPBACK, 0)
         self.addCleanup(server.close)
@@ -46,6 +50,20 @@
         )
         self.addCleanup(self._writer.close)
 
+    async def _read_status(self) -> bytes:
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            head = await self._reader.readuntil(b'\r\n\r\n')
+        return head.split()[1]
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._begun.set()
+        await request.read()
+        return web.Response()
+
+
+class IdleTimeoutTest(_ConnectedTest):
+    """The idle timeout ends with the first byte of the next request."""
+
     async def test_head_in_pieces(self) -> None:
         """Guards against a head that is cut off by the idle timeout.
 
@@ -66,7 +84,20 @@
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
             self.assertEqual(await self._reader.read(), b'')
 
-    async def _read_status(self) -> bytes:
-        async with asyncio.timeout(ANSWER_TIMEOUT_S):
-            head = await self._reader.readuntil(b'\r\n\r\n')
-        return head.split()[1]
+
+class PipelinedRequestsTest(_ConnectedTest):
+    """Requests that were sent ahead are all answered in the end."""
+
+    async def test_after_late_body(self) -> None:
+        """Guards against requests that stay in the parser for ever.
+
+        After a body that came later than its head, the parser stopped at one
+        request less than the connection waited for, and was not resumed.
+        """
+        self._writer.write(BODY_HEAD)
+        await self._begun.wait()
+        self._writer.write(BODY)
+        self.assertEqual(await self._read_status(), b'200')
+        self._writer.write((FIRST_PIECE + SECOND_PIECE) * PIPELINED)
+        for _ in range(PIPELINED):
+            self.assertEqual(await self._read_status(), b'200')
