Roll-outs: use no unknown version once all known targets were tried

Cause: a version that no order has named was used if no target of a known one was left, also if these were left out because the request had tried them. Change: targets that are left out still count as usable targets of a known version, for attempts of this host and those sent on for others. Measured: the next attempt went to the unknown version, now to none (test_unknown_after_attempts).

--- a/oriolestage/routing/_placement.py
+++ b/oriolestage/routing/_placement.py
@@ -136,7 +136,8 @@
         targets = self._candidates(requirements, excluded)
         if split is None:
             return self._choose_among(requirements, targets, now)
-        usual = self._choose_among(requirements, split.settled(targets), now)
+        settled = self._settled(split, requirements, excluded)
+        usual = self._choose_among(requirements, settled, now)
         if split.spare and not isinstance(usual, ChosenTarget):
             draw = 0
         if not split.exposes(draw):
@@ -359,7 +360,27 @@
         split = self._versions.split(requirements.service, now)
         if split is None:
             return targets
-        return _all_usable(split, targets)
+        usable = self._settled(split, requirements, excluded)
+        if split.exposes(LAST_EXPOSED):
+            usable += split.on_trial(targets)
+        return usable
+
+    def _settled(
+        self,
+        split: VersionSplit,
+        requirements: TargetRequirements,
+        excluded: Collection[str],
+    ) -> list[KnownTarget]:
+        """Return the candidates that any attempt may use.
+
+        A version that no order has named stays unused also if all targets of
+        the known ones are excluded.
+        """
+        return [
+            target
+            for target in split.settled(self._candidates(requirements, ()))
+            if target.record.identity not in excluded
+        ]
 
     def _choose_among(
         self,
@@ -375,12 +396,3 @@
         if not isinstance(placed, ChosenTarget):
             return True
         return self.region_of(placed.target) == self.location.region
-
-
-def _all_usable(
-    split: VersionSplit, targets: Iterable[KnownTarget]
-) -> list[KnownTarget]:
-    usable = split.settled(targets)
-    if split.exposes(LAST_EXPOSED):
-        usable += split.on_trial(targets)
-    return usable
--- a/oriolestage/routing/tests/test_versions.py
+++ b/oriolestage/routing/tests/test_versions.py
@@ -49,6 +49,13 @@
     )
 
 
+def _chosen_after(placement: Placement, *excluded: str) -> str:
+    placed = placement.choose(REQUIREMENTS, excluded, 1)
+    if isinstance(placed, ChosenTarget):
+        return placed.target.record.version
+    return 'none'
+
+
 def _chosen(placement: Placement, draw: float | None = None) -> str:
     if draw is None:
         placed = placement.choose(REQUIREMENTS, (), 1)
@@ -104,6 +111,19 @@
         alone, _ = make_ruled_placement(_records('v9'), split)
         self.assertEqual(_chosen(alone), 'v9')
 
+    def test_unknown_after_attempts(self) -> None:
+        """Guards against an unknown version for a repeated attempt.
+
+        The targets of the known one were tried, but are usable.
+        """
+        split = VersionSplit(frozenset(('v1',)))
+        placement, _ = make_ruled_placement(_records('v9', 'v1'), split)
+        self.assertEqual(_chosen_after(placement, 'v1-1'), 'none')
+        self.assertEqual(_chosen_after(placement), 'v1')
+        unknown = placement.directory.find('v9-0')
+        assert unknown is not None
+        self.assertFalse(placement.permits(REQUIREMENTS, unknown, 1))
+
     def test_rejected(self) -> None:
         """A version that was rolled back is never used."""
         split = VersionSplit(frozenset(('v1',)), frozenset(('v2',)))
