Bound on connections: close those that were never served first

Cause: a connection counted as served once the head of its first request was read. A crowd whose first bodies stop short counted as served, and idle connections of ordinary callers that had waited for longer were closed for it.

Change: it counts as served once a request other than the one in progress has been read.

Result: the test fails without the change (the connection that stopped short stays open) and passes with it.

--- a/oriolestage/entry/_counted_connection.py
+++ b/oriolestage/entry/_counted_connection.py
@@ -110,7 +110,7 @@
             return None
         return WaitingConnection(
             id(self),
-            self._request_count > 0,
+            self._request_count > int(self._request_in_progress),
             time.monotonic() - self._waiting_since,
         )
 
--- a/oriolestage/entry/tests/test_counted_connection.py
+++ b/oriolestage/entry/tests/test_counted_connection.py
@@ -15,7 +15,8 @@
 
 LOOPBACK = '127.0.0.1'
 LIMIT_BYTES = 50_000_000
-IDLE_TIMEOUT_S = 0.5
+MAX_CONNECTIONS = 2
+IDLE_TIMEOUT_S = 1.0
 #: Longer than the idle timeout, so that both are told apart.
 HEADER_TIMEOUT_S = 30.0
 ANSWER_TIMEOUT_S = 10.0
@@ -39,16 +40,21 @@
         limits = CallerLimits(
             idle_timeout_s=IDLE_TIMEOUT_S, header_timeout_s=HEADER_TIMEOUT_S
         )
-        guard = ConnectionGuard(HeldMemory(MemoryBudget(LIMIT_BYTES)))
+        memory = HeldMemory(MemoryBudget(LIMIT_BYTES))
+        guard = ConnectionGuard(memory, MAX_CONNECTIONS)
         connections = CallerConnections(self._answer, lambda: limits, guard)
         loop = asyncio.get_running_loop()
         server = await loop.create_server(connections.accept, LOOPBACK, 0)
         self.addCleanup(server.close)
-        port = server.sockets[0].getsockname()[1]
-        self._reader, self._writer = await asyncio.open_connection(
-            LOOPBACK, port
-        )
-        self.addCleanup(self._writer.close)
+        self._port = server.sockets[0].getsockname()[1]
+        self._reader, self._writer = await self._connect()
+
+    async def _connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection(LOOPBACK, self._port)
+        self.addCleanup(writer.close)
+        return reader, writer
 
     async def _read_status(self) -> bytes:
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -101,3 +107,25 @@
         self._writer.write((FIRST_PIECE + SECOND_PIECE) * PIPELINED)
         for _ in range(PIPELINED):
             self.assertEqual(await self._read_status(), b'200')
+
+
+class RoomTest(_ConnectedTest):
+    """A new connection closes those that were never served first."""
+
+    async def test_stopped_body(self) -> None:
+        """Guards against ordinary callers that make room for a crowd.
+
+        A connection whose first body stops short counted as served, and one
+        that had been served, and had waited for longer, was closed for it.
+        """
+        self._writer.write(FIRST_PIECE + SECOND_PIECE)
+        await self._read_status()
+        self._begun.clear()
+        stopped, stopped_writer = await self._connect()
+        stopped_writer.write(BODY_HEAD)
+        await self._begun.wait()
+        await self._connect()
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            self.assertEqual(await stopped.read(), b'')
+        self._writer.write(FIRST_PIECE + SECOND_PIECE)
+        self.assertEqual(await self._read_status(), b'200')
