--- a/oriolestage/entry/_counted_connection.py
+++ b/oriolestage/entry/_counted_connection.py
@@ -5,7 +5,6 @@
 from http import HTTPStatus
 
 from aiohttp import web
-from aiohttp.http import HttpRequestParser
 
 from oriolestage._logging import log_event
 from oriolestage.admission._connection_bounds import WaitingConnection
@@ -14,22 +13,16 @@
     CallerConnection,
     RequestPhase,
 )
-from oriolestage.entry._held_memory import HeldMemory
-from oriolestage.entry._request_bytes import (
-    MAX_FIELDS,
-    MIN_FIELD_BYTES,
-    RequestBytes,
+from oriolestage.entry._counted_parser import (
+    QUEUED_REQUESTS,
+    STOPPED_REQUESTS,
+    build_parser,
+    max_fields,
 )
+from oriolestage.entry._held_memory import HeldMemory
+from oriolestage.entry._request_bytes import MAX_FIELDS, RequestBytes
 from oriolestage.routing._rules import CallerLimits
 
-#: Requests of one connection that are parsed ahead of their turn.
-QUEUED_REQUESTS = 4
-#: Requests that wait from which on the parser may have stopped. It counts one
-#: too many after a body that came later than its head.
-STOPPED_REQUESTS = QUEUED_REQUESTS - 1
-#: Bytes of a body at which the parser stops until some are read; half of what
-#: it keeps at most.
-PARSER_BUFFER_BYTES = 65_536
 #: Bytes that a connection takes by itself.
 CONNECTION_BYTES = 8192
 #: Times that an answer is held until it is sent: by itself, and with its head.
@@ -71,20 +64,8 @@
         self._max_msg_queue_size = STOPPED_REQUESTS
         self._msg_queue_resume_size = QUEUED_REQUESTS // 2
         # The number of fields is limited by the size of the head alone.
-        self.max_headers = max(
-            MAX_FIELDS, limits.header_bytes // MIN_FIELD_BYTES
-        )
-        self._parser = HttpRequestParser(
-            self,
-            loop,
-            PARSER_BUFFER_BYTES,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            max_headers=self.max_headers,
-            payload_exception=web.RequestPayloadError,
-            auto_decompress=False,
-            max_msg_queue_size=QUEUED_REQUESTS,
-        )
+        self.max_headers = max_fields(limits)
+        self._parser = build_parser(self, loop, limits)
 
     @property
     def has_long_head(self) -> bool:
