Fair throttle: end the limits when the targets have room again

Cause: requests that were turned away counted until they had faded (5 s to 1/e), whatever the targets answered meanwhile. After 10 s in which all were turned away, the only account of a service was still refused up to 15 s after the service had room for all of its requests.

Change: after 20 requests in a row that found room, those turned away before no longer count.

--- a/oriolestage/admission/_fair_throttle.py
+++ b/oriolestage/admission/_fair_throttle.py
@@ -27,6 +27,9 @@
 #: Requests turned away, and their share, from which on requests are limited.
 MIN_TURNED_AWAY = 2.0
 MIN_TURNED_AWAY_SHARE = 0.05
+#: Requests in a row that found room after which nothing is limited. Their share
+#: turned away is then likely below `MIN_TURNED_AWAY_SHARE`.
+ANSWERED_IN_ROW = 20
 #: Least share of the requests of a priority that are admitted, relative to
 #: that of all.
 LEAST_SHARE = 0.4
@@ -56,6 +59,8 @@
         self._uses: dict[int, dict[_Sender, _Use]] = {}
         self._answered: float = 0
         self._turned_away: float = 0
+        #: Requests that found room since the last one that did not.
+        self._in_row = 0
         self._divided_at = float('-inf')
         #: Recent requests up to which a sender is not limited, by priority;
         #: empty without limits.
@@ -81,8 +86,12 @@
         """Record whether an admitted request found room."""
         if turned_away:
             self._turned_away += 1
-        else:
-            self._answered += 1
+            self._in_row = 0
+            return
+        self._answered += 1
+        self._in_row += 1
+        if self._in_row >= ANSWERED_IN_ROW:
+            self._turned_away = 0
 
     def return_after_s(self, now: float) -> float:
         """Return after which time a refused caller should return, in seconds."""
