Soak: accounts, keys and quotas

The soak checked no promise about accounts: its configurations had none and its callers sent no keys.

Plans with `accounts` have three accounts: one whose key each version holds, one with a limit whose callers send several times as much, and one whose keys change with each version. Stand-ins for targets record the account header and whether a key reached them. New rules: ACCOUNT (a target got another account than that of the caller's key, or a key), KEY (a request ran though no version that may be in force holds its key, or got 401 though each of them holds it) and QUOTA (an account ran more in a window than its limit allows).

--- a/platform_soak/callers.py
+++ b/platform_soak/callers.py
@@ -111,6 +111,7 @@
             repeatable=shape.repeatable,
             kept=connection is not None,
             started_at=self._record.now,
+            key=shape.key,
         )
         self._calls.append(call)
         try:
@@ -136,11 +137,7 @@
         if connection is None:
             connection = await _connect(call.host)
             self._connection = connection
-        headers = {
-            'Host': shape.host,
-            'Attempt-Id': call.attempt,
-            'Deadline-Ms': str(shape.deadline_ms),
-        }
+        headers = shape.headers(call.attempt)
         start = f'{shape.method} {shape.path} HTTP/1.1'
         connection.writer.write(encode(start, headers, shape.body))
         await connection.writer.drain()
--- a/platform_soak/checks.py
+++ b/platform_soak/checks.py
@@ -5,6 +5,7 @@
 """
 
 from platform_soak import (
+    account_checks,
     answer_checks,
     cut_checks,
     host_checks,
@@ -30,6 +31,9 @@
     load_checks.check_left_callers,
     version_checks.check_downgrades,
     version_checks.check_denied,
+    account_checks.check_accounts,
+    account_checks.check_keys,
+    account_checks.check_quotas,
     cut_checks.check_planned_work,
     cut_checks.check_reconfigurations,
     cut_checks.check_kept_connections,
--- a/platform_soak/clients.py
+++ b/platform_soak/clients.py
@@ -4,6 +4,7 @@
 import dataclasses
 import uuid
 
+from platform_soak.accounts import key_headers
 from platform_soak.balancer import Balancer
 from platform_soak.hosts import EntryHost
 from platform_soak.messages import (
@@ -45,6 +46,8 @@
     kept: bool = False
     #: Time at which the caller began, before it connected.
     started_at: float = 0
+    #: Key of its account; empty if the run has no accounts.
+    key: str = ''
 
     def names(self, server: str) -> bool:
         """Return whether its answer has the signature of a target."""
@@ -74,6 +77,17 @@
     body: bytes = b''
     #: Whether it may run more than once.
     repeatable: bool = False
+    #: Key of its account; empty if the run has no accounts.
+    key: str = ''
+
+    def headers(self, attempt: str) -> dict[str, str]:
+        """Return the headers of an attempt."""
+        return {
+            'Host': self.host,
+            'Attempt-Id': attempt,
+            'Deadline-Ms': str(self.deadline_ms),
+            **key_headers(self.key),
+        }
 
 
 def record_end(record: Record, call: Call) -> None:
@@ -83,6 +97,7 @@
         attempt=call.attempt,
         host=call.host.name,
         path=call.path,
+        key=call.key,
         sent_at=call.sent_at,
         status=call.answer.status if call.answer else 0,
         problem=call.problem,
@@ -110,6 +125,7 @@
             shape.path,
             repeatable=shape.repeatable,
             started_at=self._record.now,
+            key=shape.key,
         )
         self.calls.append(call)
         try:
@@ -148,11 +164,7 @@
             writer.write(
                 encode(
                     f'{shape.method} {shape.path} HTTP/1.1',
-                    {
-                        'Host': shape.host,
-                        'Attempt-Id': call.attempt,
-                        'Deadline-Ms': str(shape.deadline_ms),
-                    },
+                    shape.headers(call.attempt),
                     shape.body,
                 )
             )
--- a/platform_soak/configurations.py
+++ b/platform_soak/configurations.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from platform_soak.accounts import Account, accounts_of, build_tenant
 from platform_soak.answers import SEARCH_PREFIX
 from platform_soak.configs import build_config, build_route
 from platform_soak.record import Record
@@ -29,6 +30,14 @@
     acknowledged_at: float
     #: Service by the prefix of a route to one service.
     services: dict[str, str]
+    #: Without any, keys do not matter.
+    accounts: tuple[Account, ...] = ()
+
+    def allows_key(self, key: str) -> bool:
+        """Return whether requests with a key may run."""
+        if not self.accounts:
+            return True
+        return any(key in account.keys for account in self.accounts)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,8 +60,11 @@
 class Configurations:
     """Writes configurations and evacuations, and remembers when."""
 
-    def __init__(self, store: Store, record: Record) -> None:
+    def __init__(
+        self, store: Store, record: Record, *, has_accounts: bool = False
+    ) -> None:
         """Start before the first version."""
+        self._has_accounts = has_accounts
         self.versions: list[Version] = []
         self.evacuations: list[Evacuation] = []
         self._store = store
@@ -105,5 +117,11 @@
         search['minCoverage'] = MIN_COVERAGE
         search['topK'] = TOP_RECORDS
         names = (LOOKUP_SERVICE, BOOKING_SERVICE, *SHARDS)
-        self.versions.append(Version(number, self._record.now, services))
-        return build_config([*routes, search], names, number)
+        accounts = accounts_of(number) if self._has_accounts else ()
+        self.versions.append(
+            Version(number, self._record.now, services, accounts)
+        )
+        document = build_config([*routes, search], names, number)
+        if accounts:
+            document['tenants'] = [build_tenant(known) for known in accounts]
+        return document
--- a/platform_soak/drawing.py
+++ b/platform_soak/drawing.py
@@ -50,6 +50,8 @@
 MANY_ENTRIES = 24
 #: Time until a host that was stopped is replaced, in seconds.
 MAX_DOWN_S = 4.0
+#: Share of the runs that have accounts.
+ACCOUNT_SHARE = 0.5
 
 _Maker = Callable[[random.Random, float, int], Fault]
 
@@ -63,7 +65,10 @@
     while True:
         at_s += draw.expovariate(1 / FAULT_INTERVAL_S)
         if at_s > length_s - CALM_END_S:
-            return Plan(seed, length_s, tuple(faults))
+            accounts = (
+                random.Random(f'{seed}/accounts').random() < ACCOUNT_SHARE
+            )
+            return Plan(seed, length_s, tuple(faults), accounts=accounts)
         make = draw.choice(makers)
         faults.append(make(draw, round(at_s, 2), target_count))
 
--- a/platform_soak/host_checks.py
+++ b/platform_soak/host_checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from http import HTTPStatus
 
+from platform_soak.accounts import STEADY_KEY
 from platform_soak.breaches import Breach
 from platform_soak.clients import LEFT, Call
 from platform_soak.history import History
@@ -10,6 +11,9 @@
 
 #: Share of the requests in the calm at the end that have to be answered.
 SERVED_SHARE = 0.98
+#: Keys whose requests are to be served: that of each version, or none if the
+#: run has no accounts.
+SERVED_KEYS = frozenset(('', STEADY_KEY))
 #: Memory of a host, in MB, and the most that it may log, in bytes a second.
 MEMORY_MB = 300
 LOG_BYTES_PER_S = 200_000
@@ -42,6 +46,7 @@
         and not call.path.startswith('/added-')
         and not _is_refused_long(call)
         and call.problem != LEFT
+        and call.key in SERVED_KEYS
     ]
     served = sum(
         1
--- a/platform_soak/load_checks.py
+++ b/platform_soak/load_checks.py
@@ -1,7 +1,7 @@
 """Checks of how much reaches targets, and for how long."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from platform_soak.breaches import Breach, breach_of
 from platform_soak.clients import LEFT, Call
@@ -114,14 +114,14 @@
     for server, events in said.items():
         first_at = events[0]['at']
         counted = [
-            arrival
+            arrival.at
             for arrival in arrivals.get(server, ())
             if first_at + CONTACT_S <= arrival.at <= events[-1]['at']
             and _knew(history, arrival, passed_on)
         ]
         per_s = max(event['per_s'] for event in events)
         allowed = LIMIT_TIMES * per_s * LIMIT_WINDOW_S + LIMIT_EXTRA
-        most = _most_in_window(counted)
+        most = most_in_window(counted, LIMIT_WINDOW_S)
         if most > allowed:
             text = f'{server} got {most} in 4 s, says {per_s} a second'
             yield Breach('LIMIT', first_at, text)
@@ -170,13 +170,13 @@
     )
 
 
-def _most_in_window(arrivals: Sequence[Arrival]) -> int:
-    """Return the greatest number of arrivals in some window."""
-    times = sorted(arrival.at for arrival in arrivals)
+def most_in_window(moments: Iterable[float], window_s: float) -> int:
+    """Return the greatest number of moments in some window."""
+    times = sorted(moments)
     most = 0
     first = 0
     for last, at in enumerate(times):
-        while at - times[first] > LIMIT_WINDOW_S:
+        while at - times[first] > window_s:
             first += 1
         most = max(most, last - first + 1)
     return most
--- a/platform_soak/placement_checks.py
+++ b/platform_soak/placement_checks.py
@@ -26,7 +26,7 @@
     """CONFIG: requests are handled as a version that is due allows."""
     runs = history.runs_by_attempt()
     for call in history.calls:
-        due = _due_versions(history, call)
+        due = due_versions(history, call)
         if not due or call.path.startswith(SEARCH_PREFIX):
             continue
         problem = handling_problem(call, runs.get(call.attempt, ()), due)
@@ -88,7 +88,7 @@
     return ''
 
 
-def _due_versions(history: History, call: Call) -> list[Version]:
+def due_versions(history: History, call: Call) -> list[Version]:
     """Return the version that is due for a request and all newer ones.
 
     There is none for hosts that are not in touch.
--- a/platform_soak/plan.py
+++ b/platform_soak/plan.py
@@ -194,6 +194,8 @@
     #: Commit of the build that each host runs until it is started again; empty
     #: for the build at hand.
     production: Annotated[str, msgspec.Meta(pattern='^[0-9a-f]*$')] = ''
+    #: Whether the configuration has accounts, with keys and a limit.
+    accounts: bool = False
 
 
 def write_plan(plan: Plan, path: Path) -> None:
--- a/platform_soak/runner.py
+++ b/platform_soak/runner.py
@@ -7,6 +7,13 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from platform_soak.accounts import (
+    HOT_KEY,
+    NO_KEY,
+    STEADY_KEY,
+    UNKNOWN_KEY,
+    rotating_key,
+)
 from platform_soak.breaches import Breach
 from platform_soak.callers import Habit, KeepingCaller
 from platform_soak.checks import check_all
@@ -51,6 +58,10 @@
 #: longest time for which they wait, in seconds.
 LEAVERS_PER_ZONE = 1
 PATIENCE_S = 0.8
+#: Callers of each data centre that try valid and other keys, and those of the
+#: account that sends several times its limit.
+KEY_PROBERS_PER_ZONE = 3
+HOT_CALLERS_PER_ZONE = 3
 #: Interval of looking for processes that have ended, in seconds.
 WATCH_INTERVAL_S = 0.1
 KB_PER_MB = 1024
@@ -59,11 +70,15 @@
 SHARD_ZONES = ZONES[:2]
 BOOKING = Shape('POST', HOST_NAME, '/book/1', DEADLINE_MS, b'{"visit": 1}')
 LONG = Shape('GET', HOST_NAME, '/lookup/1/long', DEADLINE_MS, repeatable=True)
+LOOKUP = Shape('GET', HOST_NAME, '/lookup/1', DEADLINE_MS, repeatable=True)
+SEARCH = Shape(
+    'GET', HOST_NAME, '/search/1', SEARCH_DEADLINE_MS, repeatable=True
+)
 SHAPES = (
-    Shape('GET', HOST_NAME, '/lookup/1', DEADLINE_MS, repeatable=True),
+    LOOKUP,
     BOOKING,
     Shape('GET', HOST_NAME, f'{MOVED_PREFIX}1', DEADLINE_MS, repeatable=True),
-    Shape('GET', HOST_NAME, '/search/1', SEARCH_DEADLINE_MS, repeatable=True),
+    SEARCH,
 )
 #: Versions whose added routes are probed.
 PROBED_VERSIONS = 12
@@ -116,7 +131,9 @@
         {BOOKING_SERVICE: BOOKING_SLOTS},
         plan.production,
     )
-    configurations = Configurations(deployment.store, deployment.record)
+    configurations = Configurations(
+        deployment.store, deployment.record, has_accounts=plan.accounts
+    )
     disruptions = Disruptions()
     ends: dict[str, list[float]] = {}
     watcher = asyncio.create_task(_watch_processes(deployment, ends))
@@ -206,12 +223,13 @@
 ) -> None:
     """Let all callers send their requests until a time of the record."""
     clients = deployment.clients
+    booking = _with_key(BOOKING, plan)
     work = [
-        clients.send_steadily(BOOKING, zone, plan.bookings_per_s, plan.length_s)
+        clients.send_steadily(booking, zone, plan.bookings_per_s, plan.length_s)
         for zone in ZONES
     ]
     for zone in ZONES:
-        for number, habit in enumerate(_habits()):
+        for number, habit in enumerate(_habits(plan)):
             caller = KeepingCaller(
                 deployment.balancer,
                 deployment.record,
@@ -240,16 +258,43 @@
     return over_s
 
 
-def _habits() -> Iterator[Habit]:
+def _with_key(shape: Shape, plan: Plan) -> Shape:
+    """Return a request with a key that is always valid, if keys matter."""
+    return dataclasses.replace(shape, key=STEADY_KEY if plan.accounts else '')
+
+
+def _habits(plan: Plan) -> Iterator[Habit]:
     """Yield what each caller of a data centre does."""
+    booking, long = _with_key(BOOKING, plan), _with_key(LONG, plan)
+    mixed = tuple(_with_key(shape, plan) for shape in (*SHAPES, *_probes()))
     for _ in range(CALLERS_PER_ZONE):
-        yield Habit((*SHAPES, *_probes()), MIXED_PAUSE_S)
+        yield Habit(mixed, MIXED_PAUSE_S)
     for _ in range(BOOKERS_PER_ZONE):
-        yield Habit((BOOKING,), 0)
+        yield Habit((booking,), 0)
     for _ in range(LEAVERS_PER_ZONE):
-        yield Habit((LONG,), MIXED_PAUSE_S, PATIENCE_S)
+        yield Habit((long,), MIXED_PAUSE_S, PATIENCE_S)
     for _ in range(IDLE_BOOKERS_PER_ZONE):
-        yield Habit((BOOKING,), IDLE_S)
+        yield Habit((booking,), IDLE_S)
+    if not plan.accounts:
+        return
+    for _ in range(KEY_PROBERS_PER_ZONE):
+        yield Habit(_key_probes(), MIXED_PAUSE_S)
+    for _ in range(HOT_CALLERS_PER_ZONE):
+        yield Habit((dataclasses.replace(LOOKUP, key=HOT_KEY),), 0)
+
+
+def _key_probes() -> tuple[Shape, ...]:
+    """Return requests with keys that versions add and remove, and others."""
+    keys = (
+        *map(rotating_key, range(1, PROBED_VERSIONS)),
+        UNKNOWN_KEY,
+        NO_KEY,
+    )
+    return tuple(
+        dataclasses.replace(shape, key=key)
+        for shape in (LOOKUP, SEARCH)
+        for key in keys
+    )
 
 
 def _probes() -> tuple[Shape, ...]:
--- a/platform_soak/servers.py
+++ b/platform_soak/servers.py
@@ -7,6 +7,7 @@
 import uuid
 from collections.abc import Mapping
 
+from platform_soak.accounts import has_key
 from platform_soak.answers import answer_body, break_answer, stamp_of
 from platform_soak.messages import Message, encode, read_message, wait_closed
 from platform_soak.record import Record
@@ -184,7 +185,13 @@
             return encode(
                 'HTTP/1.1 421 Misdirected Request', {'Instance-Id': identity}
             )
-        self._record.add('reached', attempt=attempt, server=identity)
+        self._record.add(
+            'reached',
+            attempt=attempt,
+            server=identity,
+            account=request.headers.get('tenant', ''),
+            has_key=has_key(request.headers),
+        )
         rest_s = self.troubles.retry_after_s
         if rest_s:
             self._record.add(
--- a/platform_soak/tests/histories.py
+++ b/platform_soak/tests/histories.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+from platform_soak.accounts import STEADY_KEY, Account
 from platform_soak.answers import SEARCH_PREFIX, answer_body, part_records
 from platform_soak.clients import Call
 from platform_soak.configurations import (
@@ -26,6 +27,8 @@
 #: Time of the record at which calls are sent unless told otherwise.
 SENT_AT = 100.0
 LENGTH_S = 200.0
+#: Account of served calls in versions with accounts.
+STEADY = Account('steady', (STEADY_KEY,))
 CALM_FROM = 190.0
 BOOKING = '/book/1'
 LOOKUP = '/lookup/1'
@@ -63,8 +66,11 @@
         default_factory=lambda: {HOST: HostStops(), OTHER_HOST: HostStops()}
     )
 
-    def add_version(self, number: int, at: float) -> None:
-        """Add a version as `Configurations` builds it."""
+    def add_version(self, number: int, at: float, *accounts: Account) -> None:
+        """Add a version as `Configurations` builds it.
+
+        If it has accounts, `STEADY` is one of them.
+        """
         services = {
             '/lookup/': LOOKUP_SERVICE,
             '/book/': BOOKING_SERVICE,
@@ -72,7 +78,8 @@
             f'/added-{number}/': LOOKUP_SERVICE,
             f'/added-{number - 1}/': LOOKUP_SERVICE,
         }
-        self.versions.append(Version(number, at, services))
+        known = (STEADY, *accounts) if accounts else ()
+        self.versions.append(Version(number, at, services, known))
 
     def add_event(self, kind: str, at: float, **fields: object) -> None:
         """Add an event."""
@@ -90,6 +97,7 @@
         host: str = HOST,
         kept: bool = False,
         problem: str = '',
+        key: str = '',
     ) -> Call:
         """Add a call; it has no answer if the status is 0."""
         call = Call(
@@ -102,6 +110,7 @@
             repeatable=path != BOOKING,
             kept=kept,
             started_at=sent_at,
+            key=key,
         )
         if status:
             start = ['HTTP/1.1', str(status), '']
@@ -110,7 +119,13 @@
         return call
 
     def reach(
-        self, call: Call, server: str = DESK, *, after_s: float = 0.01
+        self,
+        call: Call,
+        server: str = DESK,
+        *,
+        after_s: float = 0.01,
+        account: str = '',
+        has_key: bool = False,
     ) -> None:
         """Let a call reach a target."""
         self.add_event(
@@ -118,6 +133,8 @@
             call.last_sent_at + after_s,
             attempt=call.attempt,
             server=server,
+            account=account,
+            has_key=has_key,
         )
 
     def run(
@@ -127,9 +144,10 @@
         *,
         after_s: float = 0.01,
         path: str = '',
+        account: str = '',
     ) -> None:
         """Let a target begin to work on a call."""
-        self.reach(call, server, after_s=after_s)
+        self.reach(call, server, after_s=after_s, account=account)
         self.add_event(
             'run',
             call.last_sent_at + after_s,
@@ -162,8 +180,14 @@
         host: str = HOST,
     ) -> Call:
         """Add a call that a target runs and answers as it should."""
-        call = self.add_call(path, sent_at=sent_at, host=host)
-        self.run(call, server)
+        has_accounts = any(version.accounts for version in self.versions)
+        call = self.add_call(
+            path,
+            sent_at=sent_at,
+            host=host,
+            key=STEADY_KEY if has_accounts else '',
+        )
+        self.run(call, server, account=STEADY.name if has_accounts else '')
         self.answer(
             call,
             {'server-stamp': self.finish(call, server)},
--- a/platform_soak/version_checks.py
+++ b/platform_soak/version_checks.py
@@ -148,7 +148,7 @@
 
 
 def _is_allowed(history: History, call: Call) -> bool:
-    """Return whether each version that may be in force has the route."""
+    """Return whether each version that may be in force allows a call."""
     due = [
         version.number
         for version in history.versions
@@ -156,17 +156,19 @@
     ]
     oldest = max(due, default=0)
     return all(
-        _has_route(version, call)
+        _allows(version, call)
         for version in history.versions
         if version.number >= oldest and version.acknowledged_at < call.ended_at
     )
 
 
 def _is_always_allowed(history: History, call: Call) -> bool:
-    return all(_has_route(version, call) for version in history.versions)
+    return all(_allows(version, call) for version in history.versions)
 
 
-def _has_route(version: Version, call: Call) -> bool:
+def _allows(version: Version, call: Call) -> bool:
+    if not version.allows_key(call.key):
+        return False
     if call.path.startswith(SEARCH_PREFIX):
         return True
     return bool(service_of(version, call.path))
