Soak: roll-outs

The soak had one version of targets, so that no run showed whether a bad version is held back.

Stand-ins join the values of a repeated header: a second account header was hidden by the last one. What callers send moves to `habits`.

--- a/platform_soak/accounts.py
+++ b/platform_soak/accounts.py
@@ -67,8 +67,9 @@
     return headers
 
 
-def has_key(headers: Mapping[str, str]) -> bool:
-    """Return whether the headers of a request, by lower-case name, have a key."""
-    if 'authorization' in headers:
-        return True
-    return any(KEY_PREFIX in text for text in headers.values())
+def account_fields(headers: Mapping[str, str]) -> dict[str, object]:
+    """Return what a request, by lower-case header name, says of accounts."""
+    has_key = 'authorization' in headers or any(
+        KEY_PREFIX in text for text in headers.values()
+    )
+    return {'account': headers.get('tenant', ''), 'has_key': has_key}
--- a/platform_soak/answers.py
+++ b/platform_soak/answers.py
@@ -1,6 +1,7 @@
 """What targets answer: bodies that the checks compute again, and broken ones."""
 
 import hashlib
+import random
 
 from platform_soak.messages import encode
 
@@ -10,6 +11,11 @@
 PART_RECORDS = 8
 #: Path of queries over all shards.
 SEARCH_PREFIX = '/search/'
+#: Ending of the paths of requests that take long, and how long, in seconds.
+LONG_SUFFIX = '/long'
+LONG_WORK_S = 1.5
+#: Ways of breaking an answer after which a target closes the connection.
+CLOSING_WAYS = frozenset(('head', 'body', 'garbage'))
 
 
 def answer_body(path: str, attempt: str, service: str) -> bytes:
@@ -58,3 +64,13 @@
                 b'failed',
             )
     return b''
+
+
+def draw_work_s(path: str, usual_s: float, longest_s: float) -> float:
+    """Return the time that a request takes.
+
+    ``longest_s`` is 0 if all requests take the usual time.
+    """
+    if path.endswith(LONG_SUFFIX):
+        return LONG_WORK_S
+    return random.uniform(usual_s, longest_s) if longest_s else usual_s
--- a/platform_soak/checks.py
+++ b/platform_soak/checks.py
@@ -11,6 +11,7 @@
     host_checks,
     load_checks,
     placement_checks,
+    rollout_checks,
     run_checks,
     version_checks,
 )
@@ -34,6 +35,9 @@
     account_checks.check_accounts,
     account_checks.check_keys,
     account_checks.check_quotas,
+    rollout_checks.check_exposure,
+    rollout_checks.check_decisions,
+    rollout_checks.check_unordered,
     cut_checks.check_planned_work,
     cut_checks.check_reconfigurations,
     cut_checks.check_kept_connections,
--- a/platform_soak/deployment.py
+++ b/platform_soak/deployment.py
@@ -59,6 +59,8 @@
         self.record = Record()
         self.store = Store(self.record)
         self.servers: list[Server] = []
+        #: Rules that the settings of all hosts list.
+        self.policies: tuple[str, ...] = ()
         self.hosts: list[EntryHost] = []
         self._folder = tempfile.TemporaryDirectory()
         # Processes of an earlier build have another working folder.
@@ -107,6 +109,7 @@
                 self._logs,
                 first_build,
             )
+            host.policies = self.policies
             self.hosts.append(host)
             await host.start()
         self.balancer.start()
--- a/platform_soak/drawing.py
+++ b/platform_soak/drawing.py
@@ -9,6 +9,7 @@
     BROKEN_ANSWERS,
     HOST_COUNT,
     ODD_ENTRIES,
+    ROLLOUTS,
     STORE_WAYS,
     ZONES,
     BreakAnswers,
@@ -28,6 +29,7 @@
     Plan,
     ReloadHost,
     RestoreStore,
+    RollOut,
     SlowTarget,
     StopHost,
     TurnAway,
@@ -52,6 +54,10 @@
 MAX_DOWN_S = 4.0
 #: Share of the runs that have accounts.
 ACCOUNT_SHARE = 0.5
+#: Share of the runs that have a roll-out, and the time that it takes until
+#: the targets of a bad version have ended, in seconds.
+ROLLOUT_SHARE = 0.4
+ROLLOUT_S = 25.0
 
 _Maker = Callable[[random.Random, float, int], Fault]
 
@@ -68,11 +74,23 @@
             accounts = (
                 random.Random(f'{seed}/accounts').random() < ACCOUNT_SHARE
             )
+            faults.extend(_draw_rollout(seed, length_s))
+            faults.sort(key=lambda fault: fault.at_s)
             return Plan(seed, length_s, tuple(faults), accounts=accounts)
         make = draw.choice(makers)
         faults.append(make(draw, round(at_s, 2), target_count))
 
 
+def _draw_rollout(seed: int, length_s: float) -> list[Fault]:
+    """Return the roll-out of a run, if it has one that is over in time."""
+    draw = random.Random(f'{seed}/rollout')
+    latest_s = length_s - CALM_END_S - ROLLOUT_S
+    if latest_s < CALM_START_S or draw.random() >= ROLLOUT_SHARE:
+        return []
+    at_s = _seconds(draw, CALM_START_S, latest_s)
+    return [RollOut(at_s=at_s, kind=draw.choice(ROLLOUTS))]
+
+
 def _draw_kinds(draw: random.Random) -> list[_Maker]:
     """Return the kinds of faults of a run, those drawn most often repeated.
 
--- a/platform_soak/faults.py
+++ b/platform_soak/faults.py
@@ -9,6 +9,7 @@
 from platform_soak.deployment import Deployment
 from platform_soak.disruptions import Cause, Disruptions
 from platform_soak.hosts import EntryHost
+from platform_soak.rollouts import Rollouts
 from platform_soak.servers import Server
 from platform_soak.store_faults import StoreFaults
 
@@ -33,6 +34,7 @@
         self._disruptions = disruptions
         self._record = deployment.record
         self._store_faults = StoreFaults(deployment, disruptions)
+        self._rollouts = Rollouts(deployment, disruptions)
         self._tasks: set[asyncio.Task[None]] = set()
         #: Hosts that are being stopped or restarted.
         self._restarting: set[str] = set()
@@ -85,6 +87,8 @@
                 await self._configurations.change()
             case plan.CloseDataCentre(zone=zone, for_s=for_s):
                 await self._configurations.close_zone(zone, for_s)
+            case plan.RollOut():
+                await self._rollouts.play(fault)
             case _:
                 await self._store_faults.inject(fault)
 
--- a/platform_soak/host_checks.py
+++ b/platform_soak/host_checks.py
@@ -4,10 +4,10 @@
 from http import HTTPStatus
 
 from platform_soak.accounts import STEADY_KEY
+from platform_soak.answers import LONG_SUFFIX
 from platform_soak.breaches import Breach
 from platform_soak.clients import LEFT, Call
 from platform_soak.history import History
-from platform_soak.servers import LONG_SUFFIX
 
 #: Share of the requests in the calm at the end that have to be answered.
 SERVED_SHARE = 0.98
--- a/platform_soak/hosts.py
+++ b/platform_soak/hosts.py
@@ -81,6 +81,8 @@
         self.reloads: list[float] = []
         #: Whether its process was sent a signal that ends it.
         self.ending = False
+        #: Rules that its settings list (``policies``).
+        self.policies: tuple[str, ...] = ()
         self._peak_kb = 0
         self.process: asyncio.subprocess.Process | None = None
         self._settings = folder / f'{name}.yaml'
@@ -187,6 +189,7 @@
             'discovery': 'platform',
             'entry': 'vip',
             'heartbeatMs': 1200,
+            'policies': list(self.policies),
             'bounds': dict(BOUNDS),
             'platform': {
                 'address': self._store,
--- a/platform_soak/messages.py
+++ b/platform_soak/messages.py
@@ -54,10 +54,12 @@
     """
     head = await reader.readuntil(b'\r\n\r\n')
     first, *lines = head.decode('latin-1').strip().split('\r\n')
-    headers = {}
+    headers: dict[str, str] = {}
     for line in lines:
         name, _, text = line.partition(':')
-        headers[name.strip().lower()] = text.strip()
+        name, text = name.strip().lower(), text.strip()
+        # Readers differ in which one of several they use.
+        headers[name] = f'{headers[name]}, {text}' if name in headers else text
     length = int(headers.get('content-length', 0))
     body = await reader.readexactly(length)
     return Message(first.split(' ', 2), headers, body)
--- a/platform_soak/plan.py
+++ b/platform_soak/plan.py
@@ -13,10 +13,12 @@
 StoreWay = Literal['busy', 'silent', 'reset']
 OddKind = Literal['nested', 'number', 'port', 'bytes', 'types', 'large']
 BrokenWay = Literal['head', 'body', 'reset', 'extra', 'garbage', 'status_500']
+RolloutKind = Literal['good', 'failing', 'slow']
 ZoneName = Literal['marmara-a', 'ege-a', 'ic-anadolu-a']
 STORE_WAYS: tuple[StoreWay, ...] = get_args(StoreWay)
 ODD_ENTRIES: tuple[OddKind, ...] = get_args(OddKind)
 BROKEN_ANSWERS: tuple[BrokenWay, ...] = get_args(BrokenWay)
+ROLLOUTS: tuple[RolloutKind, ...] = get_args(RolloutKind)
 ZONES: tuple[ZoneName, ...] = get_args(ZoneName)
 
 #: A number of a host or a target, and a time in seconds.
@@ -160,6 +162,12 @@
     for_s: Seconds
 
 
+class RollOut(_Fault, frozen=True, tag=True):
+    """The operator moves the service of lookups to another version."""
+
+    kind: RolloutKind = 'good'
+
+
 Fault = (
     StopHost
     | KillHost
@@ -179,6 +187,7 @@
     | SlowTarget
     | ChangeConfiguration
     | CloseDataCentre
+    | RollOut
 )
 
 
--- a/platform_soak/registration.py
+++ b/platform_soak/registration.py
@@ -1,6 +1,7 @@
 """The entry of a target in the store."""
 
 import asyncio
+import time
 from collections.abc import Mapping
 
 from platform_soak.store import Store
@@ -9,6 +10,8 @@
 BEAT_S = 1.2
 #: Intervals of silence after which its entry is removed.
 BEATS_TO_REMOVAL = 3
+#: Version of targets that no roll-out has started.
+USUAL_VERSION = 'v1'
 
 
 class Registration:
@@ -62,3 +65,19 @@
     async def _remove_later(self) -> None:
         await asyncio.sleep(BEAT_S * BEATS_TO_REMOVAL)
         await self._store.remove(self._key)
+
+
+def describe_target(
+    service: str, address: str, zone: str, version: str, slots: int
+) -> dict[str, object]:
+    """Return the entry of a target that has just started."""
+    return {
+        'service': service,
+        'address': address,
+        'zone': zone,
+        'version': version,
+        'concurrencyLimit': slots,
+        'state': 'ready',
+        'warmupLeftMs': 0,
+        'born': int(time.time() * 1000),
+    }
--- a/platform_soak/runner.py
+++ b/platform_soak/runner.py
@@ -4,43 +4,36 @@
 import dataclasses
 import random
 import time
-from collections.abc import Iterator
 from pathlib import Path
 
-from platform_soak.accounts import (
-    HOT_KEY,
-    NO_KEY,
-    STEADY_KEY,
-    UNKNOWN_KEY,
-    rotating_key,
-)
 from platform_soak.breaches import Breach
-from platform_soak.callers import Habit, KeepingCaller
+from platform_soak.callers import KeepingCaller
 from platform_soak.checks import check_all
-from platform_soak.clients import Shape
 from platform_soak.configurations import (
     BOOKING_SERVICE,
     LOOKUP_SERVICE,
-    MOVED_PREFIX,
     SHARDS,
     Configurations,
 )
 from platform_soak.deployment import Deployment
 from platform_soak.disruptions import CONTACT_S, Cause, Disruptions
 from platform_soak.faults import GRACE_S, START_S, FaultInjector
+from platform_soak.habits import BOOKING, habits_of, with_key
 from platform_soak.history import History, HostStops
 from platform_soak.hosts import EntryHost
-from platform_soak.plan import ZONES, Fault, KillHost, Plan, PlanError, StopHost
+from platform_soak.plan import (
+    ZONES,
+    Fault,
+    KillHost,
+    Plan,
+    PlanError,
+    RollOut,
+    StopHost,
+)
 from platform_soak.record import RECORD_NAME
+from platform_soak.rollouts import FOLLOWED_S, REGISTERED_S
+from platform_soak.servers import DRAIN_EXTRA_S, DRAIN_S
 
-HOST_NAME = 'bakici.example'
-#: Deadlines of requests to one service and over all shards, in milliseconds.
-DEADLINE_MS = 3000
-SEARCH_DEADLINE_MS = 1500
-#: Callers of each data centre.
-CALLERS_PER_ZONE = 4
-#: Longest pause between two requests of these, in seconds.
-MIXED_PAUSE_S = 0.25
 #: Time for which targets work on a request, in seconds.
 WORK_S = 0.08
 SHARD_WORK_S = 0.02
@@ -48,40 +41,12 @@
 BOOKING_WORK_S = 2.2
 #: Bookings that a target runs at a time.
 BOOKING_SLOTS = 30
-#: Callers of each data centre that send one booking after the other.
-BOOKERS_PER_ZONE = 2
-#: Callers of each data centre that send bookings on connections that were idle
-#: for a while, and the longest such time, in seconds.
-IDLE_BOOKERS_PER_ZONE = 8
-IDLE_S = 5.0
-#: Callers of each data centre that leave before they have an answer, and the
-#: longest time for which they wait, in seconds.
-LEAVERS_PER_ZONE = 1
-PATIENCE_S = 0.8
-#: Callers of each data centre that try valid and other keys, and those of the
-#: account that sends several times its limit.
-KEY_PROBERS_PER_ZONE = 3
-HOT_CALLERS_PER_ZONE = 3
 #: Interval of looking for processes that have ended, in seconds.
 WATCH_INTERVAL_S = 0.1
 KB_PER_MB = 1024
 #: Zones of the targets of a service: two in each, so that one may be lost.
 SERVICE_ZONES = (*ZONES, *ZONES)
 SHARD_ZONES = ZONES[:2]
-BOOKING = Shape('POST', HOST_NAME, '/book/1', DEADLINE_MS, b'{"visit": 1}')
-LONG = Shape('GET', HOST_NAME, '/lookup/1/long', DEADLINE_MS, repeatable=True)
-LOOKUP = Shape('GET', HOST_NAME, '/lookup/1', DEADLINE_MS, repeatable=True)
-SEARCH = Shape(
-    'GET', HOST_NAME, '/search/1', SEARCH_DEADLINE_MS, repeatable=True
-)
-SHAPES = (
-    LOOKUP,
-    BOOKING,
-    Shape('GET', HOST_NAME, f'{MOVED_PREFIX}1', DEADLINE_MS, repeatable=True),
-    SEARCH,
-)
-#: Versions whose added routes are probed.
-PROBED_VERSIONS = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,6 +96,8 @@
         {BOOKING_SERVICE: BOOKING_SLOTS},
         plan.production,
     )
+    if any(isinstance(fault, RollOut) for fault in plan.faults):
+        deployment.policies = ('rollout',)
     configurations = Configurations(
         deployment.store, deployment.record, has_accounts=plan.accounts
     )
@@ -223,13 +190,13 @@
 ) -> None:
     """Let all callers send their requests until a time of the record."""
     clients = deployment.clients
-    booking = _with_key(BOOKING, plan)
+    booking = with_key(BOOKING, plan)
     work = [
         clients.send_steadily(booking, zone, plan.bookings_per_s, plan.length_s)
         for zone in ZONES
     ]
     for zone in ZONES:
-        for number, habit in enumerate(_habits(plan)):
+        for number, habit in enumerate(habits_of(plan)):
             caller = KeepingCaller(
                 deployment.balancer,
                 deployment.record,
@@ -253,60 +220,13 @@
     over_s = fault.at_s + getattr(fault, 'for_s', 0)
     if isinstance(fault, (StopHost, KillHost)):
         over_s += fault.down_s + START_S
+    if isinstance(fault, RollOut):
+        over_s += REGISTERED_S + FOLLOWED_S + DRAIN_S + DRAIN_EXTRA_S
     if isinstance(fault, StopHost):
         over_s += GRACE_S
     return over_s
 
 
-def _with_key(shape: Shape, plan: Plan) -> Shape:
-    """Return a request with a key that is always valid, if keys matter."""
-    return dataclasses.replace(shape, key=STEADY_KEY if plan.accounts else '')
-
-
-def _habits(plan: Plan) -> Iterator[Habit]:
-    """Yield what each caller of a data centre does."""
-    booking, long = _with_key(BOOKING, plan), _with_key(LONG, plan)
-    mixed = tuple(_with_key(shape, plan) for shape in (*SHAPES, *_probes()))
-    for _ in range(CALLERS_PER_ZONE):
-        yield Habit(mixed, MIXED_PAUSE_S)
-    for _ in range(BOOKERS_PER_ZONE):
-        yield Habit((booking,), 0)
-    for _ in range(LEAVERS_PER_ZONE):
-        yield Habit((long,), MIXED_PAUSE_S, PATIENCE_S)
-    for _ in range(IDLE_BOOKERS_PER_ZONE):
-        yield Habit((booking,), IDLE_S)
-    if not plan.accounts:
-        return
-    for _ in range(KEY_PROBERS_PER_ZONE):
-        yield Habit(_key_probes(), MIXED_PAUSE_S)
-    for _ in range(HOT_CALLERS_PER_ZONE):
-        yield Habit((dataclasses.replace(LOOKUP, key=HOT_KEY),), 0)
-
-
-def _key_probes() -> tuple[Shape, ...]:
-    """Return requests with keys that versions add and remove, and others."""
-    keys = (
-        *map(rotating_key, range(1, PROBED_VERSIONS)),
-        UNKNOWN_KEY,
-        NO_KEY,
-    )
-    return tuple(
-        dataclasses.replace(shape, key=key)
-        for shape in (LOOKUP, SEARCH)
-        for key in keys
-    )
-
-
-def _probes() -> tuple[Shape, ...]:
-    """Return requests of routes that versions add and remove."""
-    return tuple(
-        Shape(
-            'GET', HOST_NAME, f'/added-{number}/1', DEADLINE_MS, repeatable=True
-        )
-        for number in range(2, PROBED_VERSIONS, 2)
-    )
-
-
 def _describe(host: EntryHost, ended_at: list[float]) -> HostStops:
     return HostStops(
         stopped_at=tuple(host.stops),
--- a/platform_soak/servers.py
+++ b/platform_soak/servers.py
@@ -1,17 +1,25 @@
 """Stand-in for a replica (server) of a service."""
 
 import asyncio
-import random
-import time
 import types
 import uuid
 from collections.abc import Mapping
 
-from platform_soak.accounts import has_key
-from platform_soak.answers import answer_body, break_answer, stamp_of
+from platform_soak.accounts import account_fields
+from platform_soak.answers import (
+    CLOSING_WAYS,
+    answer_body,
+    break_answer,
+    draw_work_s,
+    stamp_of,
+)
 from platform_soak.messages import Message, encode, read_message, wait_closed
 from platform_soak.record import Record
-from platform_soak.registration import Registration
+from platform_soak.registration import (
+    USUAL_VERSION,
+    Registration,
+    describe_target,
+)
 from platform_soak.store import Store
 from platform_soak.troubles import Troubles
 
@@ -21,11 +29,6 @@
 #: little longer, in seconds.
 DRAIN_S = 4.0
 DRAIN_EXTRA_S = 1.5
-#: Ways of breaking an answer after which a server closes the connection.
-CLOSING_WAYS = frozenset(('head', 'body', 'garbage'))
-#: Ending of the paths of requests that take long, and how long, in seconds.
-LONG_SUFFIX = '/long'
-LONG_WORK_S = 1.5
 NO_HEADERS: Mapping[str, str] = types.MappingProxyType({})
 
 
@@ -52,6 +55,7 @@
         #: take ``work_s``.
         self.longest_work_s: float = 0
         self.troubles = Troubles()
+        self.version = USUAL_VERSION
         self._record = record
         self._store = store
         self._ip = ip
@@ -92,6 +96,7 @@
             server=self.identity,
             service=self.service,
             zone=self.zone,
+            version=self.version,
         )
         self._registration = self._register()
         self._registration.start()
@@ -146,16 +151,13 @@
         return Registration(
             self._store,
             self.identity,
-            {
-                'service': self.service,
-                'address': self.address,
-                'zone': self.zone,
-                'version': 'v1',
-                'concurrencyLimit': self._slots,
-                'state': 'ready',
-                'warmupLeftMs': 0,
-                'born': int(time.time() * 1000),
-            },
+            describe_target(
+                self.service,
+                self.address,
+                self.zone,
+                self.version,
+                self._slots,
+            ),
         )
 
     async def _serve(
@@ -189,8 +191,7 @@
             'reached',
             attempt=attempt,
             server=identity,
-            account=request.headers.get('tenant', ''),
-            has_key=has_key(request.headers),
+            **account_fields(request.headers),
         )
         rest_s = self.troubles.retry_after_s
         if rest_s:
@@ -202,7 +203,7 @@
             return self._reject(attempt, identity)
         if not await self._wait_for_slot(request):
             return self._reject(attempt, identity)
-        work_s = self._draw_work_s(request.start[1])
+        work_s = draw_work_s(request.start[1], self.work_s, self.longest_work_s)
         self._record.add(
             'run',
             attempt=attempt,
@@ -231,7 +232,7 @@
             },
             answer_body(request.start[1], attempt, self.service),
         )
-        way = self.troubles.broken_way
+        way = self.troubles.draw_way()
         if not way:
             return answer
         self._record.add('broken', attempt=attempt, server=identity, way=way)
@@ -276,13 +277,6 @@
             },
         )
 
-    def _draw_work_s(self, path: str) -> float:
-        if path.endswith(LONG_SUFFIX):
-            return LONG_WORK_S
-        if not self.longest_work_s:
-            return self.work_s
-        return random.uniform(self.work_s, self.longest_work_s)
-
     async def _work(
         self,
         request: Message,
--- a/platform_soak/store.py
+++ b/platform_soak/store.py
@@ -135,6 +135,12 @@
         """Return the revision of an item; 0 if there is none."""
         return self._content.listed.get(key, {'revision': 0})['revision']
 
+    def value_of(self, key: str) -> bytes:
+        """Return the bytes of an item; empty if there is none."""
+        return base64.b64decode(
+            self._content.listed.get(key, {}).get('value', '')
+        )
+
     async def remove(self, key: str) -> None:
         """Remove a key."""
         if self._content.remove(key):
--- a/platform_soak/tests/test_host_checks.py
+++ b/platform_soak/tests/test_host_checks.py
@@ -3,7 +3,7 @@
 from unittest import TestCase
 
 from platform_soak.history import HostStops
-from platform_soak.servers import LONG_SUFFIX
+from platform_soak.answers import LONG_SUFFIX
 from platform_soak.tests.cases import Case, assert_verdicts
 from platform_soak.tests.histories import CALM_FROM, HOST, LOG, HistoryBuilder
 
--- a/platform_soak/troubles.py
+++ b/platform_soak/troubles.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 import time
 
 from platform_soak.record import Record
@@ -24,6 +25,14 @@
     #: turns nobody away.
     retry_after_s: int = 0
     is_pausing: bool = False
+    #: Share of its answers that are failures, beside `broken_way`.
+    failing_share: float = 0
+
+    def draw_way(self) -> str:
+        """Return how the next answer is broken; empty if it is not."""
+        if random.random() < self.failing_share:
+            return 'status_500'
+        return self.broken_way
 
     def say(
         self, record: Record, attempt: str, identity: str, *, leaving: bool
