--- a/platform_soak/plan.py
+++ b/platform_soak/plan.py
@@ -13,10 +13,12 @@
 StoreWay = Literal['busy', 'silent', 'reset']
 OddKind = Literal['nested', 'number', 'port', 'bytes', 'types', 'large']
 BrokenWay = Literal['head', 'body', 'reset', 'extra', 'garbage', 'status_500']
+RolloutKind = Literal['good', 'failing', 'slow']
 ZoneName = Literal['marmara-a', 'ege-a', 'ic-anadolu-a']
 STORE_WAYS: tuple[StoreWay, ...] = get_args(StoreWay)
 ODD_ENTRIES: tuple[OddKind, ...] = get_args(OddKind)
 BROKEN_ANSWERS: tuple[BrokenWay, ...] = get_args(BrokenWay)
+ROLLOUTS: tuple[RolloutKind, ...] = get_args(RolloutKind)
 ZONES: tuple[ZoneName, ...] = get_args(ZoneName)
 
 #: A number of a host or a target, and a time in seconds.
@@ -160,6 +162,12 @@
     for_s: Seconds
 
 
+class RollOut(_Fault, frozen=True, tag=True):
+    """The operator moves the service of lookups to another version."""
+
+    kind: RolloutKind = 'good'
+
+
 Fault = (
     StopHost
     | KillHost
@@ -179,6 +187,7 @@
     | SlowTarget
     | ChangeConfiguration
     | CloseDataCentre
+    | RollOut
 )
 
 
@@ -194,6 +203,8 @@
     #: Commit of the build that each host runs until it is started again; empty
     #: for the build at hand.
     production: Annotated[str, msgspec.Meta(pattern='^[0-9a-f]*$')] = ''
+    #: Whether the configuration has accounts, with keys and a limit.
+    accounts: bool = False
 
 
 def write_plan(plan: Plan, path: Path) -> None:
