Fair throttle: do not count refusals by the host's own limits as answers

Cause: a request that the line of its host refused was recorded like one that was answered, so the throttle took the targets to have more room than they had.

Change: such a request is not recorded.

Result: the test fails without the change and passes with it.

--- a/oriolestage/entry/_request_admission.py
+++ b/oriolestage/entry/_request_admission.py
@@ -35,10 +35,15 @@
         self._throttle = throttle
 
     def record_result(self, result: RequestResult, run: RequestRun) -> None:
-        """Record whether the targets had room for the request."""
-        self._throttle.record_result(
-            turned_away=_lacks_room(result) and run.turned_away
-        )
+        """Record whether the targets had room for the request.
+
+        A request that this host's own limits left without a target says
+        nothing about that.
+        """
+        lacks_room = _lacks_room(result)
+        if lacks_room and not run.turned_away:
+            return
+        self._throttle.record_result(turned_away=lacks_room)
 
     def close(self) -> None:
         """Leave the line."""
