Roll-outs: cost nothing for services without orders

Change: a service without an order and without unknown versions is not restricted; only services with an order or a status are decided on, and twice a second while no order is active.

--- a/oriolestage/entry/_rollout_controller.py
+++ b/oriolestage/entry/_rollout_controller.py
@@ -18,6 +18,8 @@
 
 #: Interval at which decisions are made, in seconds.
 DECISION_INTERVAL_S = 0.2
+#: The same while there is no order, in seconds.
+IDLE_INTERVAL_S = 0.5
 #: Interval at which counters are written, in seconds, and how many at once.
 REPORT_INTERVAL_S = 0.5
 REPORTS_LIMIT = 32
@@ -72,7 +74,9 @@
 
     async def _run_decisions(self) -> None:
         while True:
-            await asyncio.sleep(DECISION_INTERVAL_S)
+            await asyncio.sleep(
+                DECISION_INTERVAL_S if self._book.busy else IDLE_INTERVAL_S
+            )
             now = self._clock()
             changes = self._book.remove_unconfirmed(now)
             changes += self._book.changes_of_shares(now)
--- a/oriolestage/rollouts/_book.py
+++ b/oriolestage/rollouts/_book.py
@@ -75,6 +75,11 @@
             if rollout.status is not None
         )
 
+    @property
+    def busy(self) -> bool:
+        """Whether there is an order that has not ended."""
+        return any(rollout.active for rollout in self._services.values())
+
     def shares(self, now: float) -> dict[str, float]:
         """Return the share of each active roll-out by its service."""
         age_s = self._copy_age_s()
@@ -84,6 +89,12 @@
             if rollout.active
         }
 
+    def undecided(self) -> Iterator[ServiceRollout]:
+        """Yield the services with an order or a status."""
+        for rollout in self._services.values():
+            if rollout.order is not None or rollout.stored is not None:
+                yield rollout
+
     def rollouts(self) -> Iterator[ServiceRollout]:
         """Yield the services of which anything is known."""
         yield from self._services.values()
@@ -99,7 +110,7 @@
     def split(self, service: str, now: float) -> VersionSplit | None:
         """Return the versions of a service to use; None if all may be."""
         rollout = self._services.get(service)
-        if rollout is None:
+        if rollout is None or rollout.unrestricted:
             return None
         return rollout.split(now, self._copy_age_s())
 
--- a/oriolestage/rollouts/_decisions.py
+++ b/oriolestage/rollouts/_decisions.py
@@ -55,7 +55,7 @@
         Their revisions are those on which the writes are conditional.
         """
         due: list[RolloutStatus] = []
-        for rollout in self._book.rollouts():
+        for rollout in self._book.undecided():
             status = self._due_status(rollout, now)
             if status is not None:
                 due.append(status)
--- a/oriolestage/rollouts/_service_rollout.py
+++ b/oriolestage/rollouts/_service_rollout.py
@@ -66,6 +66,8 @@
         self._revisions: set[int] = set()
         #: Versions that were logged as unknown.
         self._logged_unknown: set[str] = set()
+        #: Whether there was a version that only an order allows.
+        self._restricted = False
         #: Monotonic time of the order, as far as it is known.
         self._started_at: float = 0
         #: Time by which it may have been earlier, in seconds.
@@ -87,6 +89,15 @@
             return None
         return self.stored
 
+    @property
+    def unrestricted(self) -> bool:
+        """Whether all of the service's targets may be used alike.
+
+        This is asked for each part of each query, and is so unless there was
+        an order or a version that no order has named.
+        """
+        return not self._restricted
+
     @property
     def active(self) -> bool:
         """Whether there is an order that has not ended."""
@@ -105,6 +116,7 @@
 
         It was written ``late_s`` seconds before ``now`` at the earliest.
         """
+        self._restricted = True
         self.order = order
         self.final = None
         self.evidence = FleetEvidence()
@@ -146,6 +158,7 @@
         if version in self._logged_unknown:
             return []
         self._logged_unknown.add(version)
+        self._restricted = True
         named = {
             'service': self.service,
             'version': version,
@@ -180,6 +193,7 @@
 
     def apply_status(self, status: RolloutStatus, now: float) -> bool:
         """Apply a status of the store; return whether it is new."""
+        self._restricted = True
         before = self.stored
         self.stored = status
         self.quiet_until = float('-inf')
--- a/oriolestage/rollouts/tests/test_shares.py
+++ b/oriolestage/rollouts/tests/test_shares.py
@@ -209,6 +209,9 @@
         """The version of a new service is known without an order."""
         record = make_record('t-n', 'new', version='v7')
         self._host.book.record_target(record)
+        self.assertIsNone(self._host.book.split('new', 1))
+        other = make_record('t-o', 'new', version='v8')
+        self._host.book.record_target(other)
         split = self._host.book.split('new', 1)
         assert split is not None
         self.assertEqual(split.known, {'v7'})
