Roll-outs: count one of eight attempts where there is no order

Change: attempts at services without an order are sampled; they only show the typical processing time before an order.

--- a/oriolestage/entry/_rollout_counting.py
+++ b/oriolestage/entry/_rollout_counting.py
@@ -1,6 +1,7 @@
 """Counts the outcomes of attempts for roll-outs."""
 
 import asyncio
+import itertools
 import time
 from collections.abc import Callable
 
@@ -17,6 +18,9 @@
 from oriolestage.routing._placement import Placement
 from oriolestage.routing._targets import KnownTarget
 
+#: Attempts at services without an order of which one is counted: they only
+#: show the typical processing time, and a query has an attempt for each shard.
+SAMPLED_ONE_OF = 8
 #: Step of an attempt that ended at the deadline of its request.
 DEADLINE_STEP = 'target.deadline'
 
@@ -39,6 +43,8 @@
         self._own = own
         self._placement = placement
         self._clock = clock
+        #: Attempts at services without an order.
+        self._uncounted = itertools.count()
 
     async def send(self, call: TargetCall) -> AttemptOutcome:
         """Send an attempt, count it and return its outcome."""
@@ -47,6 +53,10 @@
             return await self._sender.send(call)
         # An update of the registration replaces the record.
         record = target.record
+        if not self._own.counts_for(record.service) and (
+            next(self._uncounted) % SAMPLED_ONE_OF
+        ):
+            return await self._sender.send(call)
         self._own.record_sent(record.service, record.version)
         try:
             outcome = await self._sender.send(call)
--- a/oriolestage/rollouts/_evidence.py
+++ b/oriolestage/rollouts/_evidence.py
@@ -115,6 +115,10 @@
             counts.order = order
             counts.changed = True
 
+    def counts_for(self, service: str) -> bool:
+        """Return whether there is an order for a service."""
+        return service in self._counts
+
     def start_ramp(self, service: str) -> None:
         """Count the responses of the new version as those of its ramp."""
         counts = self._counts.get(service)
