Limit refusals in time only where there are accounts

Change: RunTimes.limits_refusals, set while there are accounts; without them the wait for a free target alone is limited, as before.

Measured: the tests of refusals, of the line and of request runs pass; a new one shows the earlier wait without accounts.

--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -218,7 +218,9 @@
         rule: RouteRule,
     ) -> RequestResult:
         parts = self._build_parts(rule, table)
-        times = self._run_times(rule, request, len(parts))
+        times = self._run_times(
+            rule, request, len(parts), limits_refusals=len(table.accounts) > 0
+        )
         admitted: AdmittedRequest | Refused | None = None
         if self._waiting_line is not None and len(table.accounts):
             admitted = admit_request(
@@ -288,7 +290,12 @@
             )
 
     def _run_times(
-        self, rule: RouteRule, request: CallerRequest, parts: int
+        self,
+        rule: RouteRule,
+        request: CallerRequest,
+        parts: int,
+        *,
+        limits_refusals: bool,
     ) -> RunTimes:
         timeout_s = rule.timeout_s
         if request.metadata.time_left_s is not None:
@@ -306,6 +313,7 @@
             refusal_margin_s=self._refusal_margin.margin_s(
                 parts, rule.objective_s * REFUSAL_MARGIN_SHARE
             ),
+            limits_refusals=limits_refusals,
         )
         return times.ended_by_stop(self._runs.ends_at)
 
--- a/oriolestage/entry/tests/test_refusals.py
+++ b/oriolestage/entry/tests/test_refusals.py
@@ -4,6 +4,11 @@
 import time
 from unittest import TestCase
 
+from oriolestage.admission._accounts import (
+    NO_ACCOUNTS,
+    Account,
+    AccountDirectory,
+)
 from oriolestage.entry._caller_request import CallerRequest
 from oriolestage.entry._metrics import EntryMetrics
 from oriolestage.entry._peer_client import PeerClient
@@ -12,7 +17,7 @@
 from oriolestage.entry._request_router import RequestRouter
 from oriolestage.entry._target_client import TargetCall
 from oriolestage.entry.tests.account_checks import (
-    make_unused_checker,
+    KnownAccounts,
     make_unused_quotas,
 )
 from oriolestage.entry.tests.virtual_time import (
@@ -33,6 +38,8 @@
     make_rule,
 )
 
+#: Refusals are limited in time while there are accounts.
+ACCOUNTS = AccountDirectory({Account('kiosks'): ('key',)})
 OBJECTIVE_S = 0.4
 QUARTER_S = OBJECTIVE_S / 4
 NETWORK_DELAY_S = 0.01
@@ -48,7 +55,7 @@
         raise AssertionError(call.target)
 
 
-def _make_router() -> RequestRouter:
+def _make_router(accounts: AccountDirectory = ACCOUNTS) -> RequestRouter:
     """Return a router whose only target is full."""
     placement, directory = make_placement(records=(make_record(),))
     for target in directory.all_targets():
@@ -58,7 +65,7 @@
     detector = make_crash_detector()
     state = ClusterState(directory, placement, peers, detector)
     rule = make_rule(objective_s=OBJECTIVE_S)
-    table = build_table(1, (rule,), (), CallerLimits())
+    table = build_table(1, (rule,), (), CallerLimits(), accounts)
     state.apply(ConfigurationStored(table), 0)
     return RequestRouter(
         state,
@@ -69,17 +76,19 @@
         PeerClient(lambda _: None),
         BudgetBounds(),
         RequestLog(EntryMetrics(), float),
-        make_unused_checker(),
+        KnownAccounts(),
         make_unused_quotas(),
     )
 
 
-async def _refuse_on_busy_host(loop: VirtualTimeLoop) -> list[float]:
+async def _refuse_on_busy_host(
+    loop: VirtualTimeLoop, accounts: AccountDirectory = ACCOUNTS
+) -> list[float]:
     """Return the times after which three refusals have left.
 
     Each time the host is busy from just before the refusal is due.
     """
-    router = _make_router()
+    router = _make_router(accounts)
     left: list[float] = []
     due_s = QUARTER_S - NETWORK_DELAY_S
     for _ in range(3):
@@ -116,3 +125,17 @@
         self.assertGreater(first_s, latest_s)
         for left_s in others:
             self.assertLessEqual(left_s, latest_s)
+
+    def test_without_accounts(self) -> None:
+        """Guards against other refusals where there are no accounts.
+
+        Only the wait for a free target is limited there, as before: to a
+        quarter of the rest of the objective.
+        """
+        loop = VirtualTimeLoop()
+        waits = run_in_virtual_time(
+            loop, _refuse_on_busy_host(loop, NO_ACCOUNTS)
+        )
+        wait_s = (OBJECTIVE_S - NETWORK_DELAY_S) / 4
+        for waited_s in waits:
+            self.assertGreaterEqual(waited_s, wait_s)
--- a/oriolestage/routing/_run_types.py
+++ b/oriolestage/routing/_run_types.py
@@ -37,6 +37,9 @@
     network_delay_s: float = 0
     #: Time from the decision on a refusal until it has left, in seconds.
     refusal_margin_s: float = 0
+    #: Whether a refusal has to reach the caller within `REFUSAL_SHARE`; else
+    #: only the wait for a free target is limited.
+    limits_refusals: bool = True
 
     @property
     def wait_s(self) -> float:
@@ -48,8 +51,11 @@
         """Monotonic time by which a refusal has to be decided to be in time.
 
         It reaches the caller within `REFUSAL_SHARE` of the latency objective,
-        counted from when the caller sent the request.
+        counted from when the caller sent the request. There is no such time,
+        negative infinity, if refusals are not limited.
         """
+        if not self.limits_refusals:
+            return float('-inf')
         network_delay_s = self.network_delay_s
         objective_s = self.objective + network_delay_s - self.started
         spent_s = network_delay_s + self.refusal_margin_s
