--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,4 +6,4 @@
 cd "$(dirname "$0")/.."
 export PYTHONPATH="$PWD:$PWD/target/deps" PYTHONDONTWRITEBYTECODE=1
 test -d target/deps
-python3 -c 'import platform_soak.deployment, review.lab_2.case'
+python3 -c 'import platform_soak.deployment, review.lab_2.cut_off'
--- a/review/lab_2/cut_off.py
+++ b/review/lab_2/cut_off.py
@@ -100,7 +100,6 @@
         call
         for call in deployment.clients.calls
         if CONTACT_S <= call.started_at - begun_at < CUT_FOR_S
-        and call.ended_at - begun_at <= CUT_FOR_S
     ]
     away = [call for call in counted if call.host.name in CUT_OFF]
     others = [call for call in counted if call.host.name not in CUT_OFF]
@@ -115,7 +114,7 @@
     usual = share_served(others)
     if served >= MIN_RATIO * usual:
         return []
-    if failed <= MAX_FAILED + len(counted) / ONE_IN:
+    if failed <= MAX_FAILED + len(deployment.clients.calls) / ONE_IN:
         return []
     return [
         f'{served:.3f} served there, {usual:.3f} at others, {failed} failed'
