Entry host: count connections that break as no path to targets

Cause: a host believes that it is cut off from all targets by attempts that could not connect or were abandoned. An attempt whose connection broke was counted in neither way, nor did it start the back-off of its target, so no request was sent through another host. How a cut shows depends on what is on the way: the same cut that refuses connections or leaves them silent was noticed.

Change: every attempt that ends without a complete response counts, whatever the failure looks like (refused, reset, closed, silent until its deadline, a head that breaks off), for the belief of the host and for the back-off of the target. A complete response that is no valid answer shows a path.

--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -414,8 +414,10 @@
                     target, attempt, now
                 )
                 target.replaced |= reason == NotRunReason.OTHER_TARGET
-            case AttemptLost(step=step):
-                self._placement.observations.record_lost(target, attempt, now)
+            case AttemptLost(step=step, responded=responded):
+                self._placement.observations.record_lost(
+                    target, attempt, now, responded=responded
+                )
                 log_event(
                     'attempt_failed',
                     {'step': step, 'peer': target.record.address},
--- a/oriolestage/entry/_relay_serving.py
+++ b/oriolestage/entry/_relay_serving.py
@@ -185,8 +185,10 @@
             case AttemptNotRun(reason=reason):
                 observations.record_not_reached(target, attempt, now)
                 target.replaced |= reason == NotRunReason.OTHER_TARGET
-            case AttemptLost():
-                observations.record_lost(target, attempt, now)
+            case AttemptLost(responded=responded):
+                observations.record_lost(
+                    target, attempt, now, responded=responded
+                )
 
 
 def outcome_of_reply(reply: RelayReply) -> AttemptOutcome:
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -190,10 +190,13 @@
         outcome = self._wire_protocol.outcome(
             call.request_id, self._build_answer(response)
         )
-        if 'Content-Encoding' not in response.headers:
-            return outcome
-        if isinstance(outcome, AttemptAnswered) and outcome.answer.success:
-            return AttemptLost('answer.encoded')
+        match outcome:
+            case AttemptLost():
+                return dataclasses.replace(outcome, responded=True)
+            case AttemptAnswered(answer=answer) if (
+                answer.success and 'Content-Encoding' in response.headers
+            ):
+                return AttemptLost('answer.encoded', responded=True)
         return outcome
 
     def _report_notices(
--- a/oriolestage/routing/_answers.py
+++ b/oriolestage/routing/_answers.py
@@ -58,6 +58,8 @@
     step: str
     #: True if the connection broke, as it does when the target crashes.
     broken: bool = False
+    #: True if a complete response was received that is no valid answer.
+    responded: bool = False
 
 
 AttemptOutcome = AttemptAnswered | AttemptNotRun | AttemptLost
--- a/oriolestage/routing/_observations.py
+++ b/oriolestage/routing/_observations.py
@@ -181,12 +181,31 @@
         self._report_new_backoff(target, earlier_until, 'silent', now)
 
     def record_lost(
-        self, target: KnownTarget, attempt: int, now: float
+        self,
+        target: KnownTarget,
+        attempt: int,
+        now: float,
+        *,
+        responded: bool,
     ) -> None:
-        """Record an attempt that ended without a complete answer."""
-        self.load_of(target).record_lost(attempt, now)
+        """Record an attempt that ended without a valid answer.
+
+        ``responded`` tells whether a complete response was received. Without
+        one, nothing shows that the target is reached.
+        """
+        load = self.load_of(target)
+        earlier_until = load.backoff_until
+        sent_at = load.sent_at(attempt, now)
+        if responded:
+            self.reach.record_response(now)
+        else:
+            self.reach.record_unreached(target.process, sent_at, now)
+        load.record_lost(
+            attempt, now, self._spread_s(target), responded=responded
+        )
         if self._paces is not None:
             self._paces.record_failed(target)
+        self._report_new_backoff(target, earlier_until, 'lost', now)
 
     def record_not_reached(
         self,
--- a/oriolestage/routing/_request_run.py
+++ b/oriolestage/routing/_request_run.py
@@ -222,8 +222,10 @@
                 return self._on_answer(part, target, attempt, answer, now)
             case AttemptNotRun(reason=reason):
                 self._on_not_run(part, target, attempt, reason, now)
-            case AttemptLost():
-                self._placement.observations.record_lost(target, attempt, now)
+            case AttemptLost(responded=responded):
+                self._placement.observations.record_lost(
+                    target, attempt, now, responded=responded
+                )
                 part.may_have_run += 1
                 part.reason = GiveUpReason.LOST
         self._policy.retry(part, now)
--- a/oriolestage/routing/_target_load.py
+++ b/oriolestage/routing/_target_load.py
@@ -210,17 +210,25 @@
         if now - sent_at < late_s:
             return
         self.record_late(now)
-        if not self._unanswered:
-            self._silent_since = sent_at
-        self._unanswered += 1
-        silent_s = now - self._silent_since
-        if self._unanswered >= MIN_UNANSWERED and silent_s >= MIN_SILENCE_S:
-            self._start_backoff(sent_at, now, spread_s)
+        self._record_unanswered(sent_at, now, spread_s)
 
-    def record_lost(self, attempt: int, now: float) -> None:
-        """Record a broken connection or a damaged answer."""
-        self._outstanding.pop(attempt, None)
+    def record_lost(
+        self,
+        attempt: int,
+        now: float,
+        spread_s: float = 0,
+        *,
+        responded: bool = False,
+    ) -> None:
+        """Record an attempt without a valid answer.
+
+        Unless the target ``responded``, it counts as unanswered, like an
+        abandoned one.
+        """
+        sent_at = self._outstanding.pop(attempt, now)
         self._update_failure_rate(now, failed=True)
+        if not responded:
+            self._record_unanswered(sent_at, now, spread_s)
 
     def record_not_reached(
         self, attempt: int, now: float, spread_s: float = 0
@@ -233,6 +241,17 @@
         self._update_failure_rate(now, failed=True)
         self._start_backoff(sent_at, now, spread_s)
 
+    def _record_unanswered(
+        self, sent_at: float, now: float, spread_s: float
+    ) -> None:
+        """Count an attempt without an answer; start a back-off if due."""
+        if not self._unanswered:
+            self._silent_since = sent_at
+        self._unanswered += 1
+        silent_s = now - self._silent_since
+        if self._unanswered >= MIN_UNANSWERED and silent_s >= MIN_SILENCE_S:
+            self._start_backoff(sent_at, now, spread_s)
+
     def _start_backoff(
         self, sent_at: float, now: float, spread_s: float
     ) -> None:
