Entry host: end a cut from targets by a response, not by a connection

Cause: the probe that looks for a path while the host is cut off took a connection that could be opened for one. Something on the way may accept connections and pass nothing on. The connection was also kept for the next attempt, which then hung on it.

Change: the probe sends the health check of the target's service and takes only a complete response, of any status, for a path. Its connection is kept only then. Services without a health check are not probed.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -238,7 +238,7 @@
             else state.rollouts.controller(store, placement)
         ),
         client=client,
-        reach_probe=ReachProbe(placement, client.try_connect),
+        reach_probe=ReachProbe(placement, cluster_state, client.probe),
         peers=state.peers,
         peer_client=peer_client,
         peer_server=PeerServer(
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -4,7 +4,7 @@
 import dataclasses
 import functools
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol, TypeVar
 
 import aiohttp
@@ -36,6 +36,14 @@
 METHODS_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'OPTIONS', 'TRACE', 'DELETE'))
 #: Characters that would end a header line or a request line early.
 LINE_BREAKS = frozenset('\r\n\0')
+#: Time within which a probed target has to respond, in seconds. A health
+#: check waits for a slot like any other request.
+PROBE_TIMEOUT_S = 1.0
+#: Largest body of a response to a probe, in bytes.
+PROBE_BODY_BYTES = 65_536
+#: Errors that mean that a probed target did not respond; a time-out is an
+#: ``OSError``.
+PROBE_ERRORS = (NotConnectedError, aiohttp.ClientError, OSError, ValueError)
 
 _Notice = TypeVar('_Notice')
 
@@ -121,17 +129,34 @@
         """Close all idle connections."""
         self._pool.close()
 
-    async def try_connect(self, address: str) -> bool:
-        """Return whether a connection to an address can be opened.
+    async def probe(self, address: str, path: str) -> bool:
+        """Return whether a target responds to ``GET`` of a path.
 
-        It is kept for the next attempt there.
+        Any complete response shows that it is reached, whatever its status.
+        A connection is opened for it and kept for the next attempt there.
         """
+        connection: TargetConnection | None = None
+        completed = False
         try:
-            connection = await connect(address, self._held)
-        except NotConnectedError:
-            return False
-        self._pool.put(address, connection)
-        return True
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                connection = await connect(address, self._held)
+                await connection.exchange(
+                    _encode_head('GET', path, (('Host', address),)),
+                    without_body=False,
+                    max_body_bytes=PROBE_BODY_BYTES,
+                )
+            completed = True
+        except PROBE_ERRORS as error:
+            log_event(
+                'probe_failed',
+                {'step': 'probe', 'peer': address, 'error': repr(error)},
+            )
+        finally:
+            if connection is not None and not completed:
+                connection.abort()
+        if connection is not None and completed:
+            self._pool.put(address, connection)
+        return completed
 
     async def send(self, call: TargetCall) -> AttemptOutcome:
         """Send an attempt and return its outcome.
@@ -253,13 +278,22 @@
             headers.insert(0, ('Host', call.address))
         if call.body or call.method not in METHODS_WITHOUT_BODY:
             headers.append(('Content-Length', str(len(call.body))))
-        lines = [f'{call.method} {call.path} HTTP/1.1']
-        lines.extend(f'{name}: {text}' for name, text in headers)
-        for line in lines:
-            if not LINE_BREAKS.isdisjoint(line):
-                raise ValueError('line break in a request line or header')
-        head = '\r\n'.join(lines).encode('utf-8', 'surrogateescape')
-        return b''.join((head, b'\r\n\r\n', call.body))
+        return _encode_head(call.method, call.path, headers) + call.body
+
+
+def _encode_head(
+    method: str, path: str, headers: Iterable[tuple[str, str]]
+) -> bytes:
+    """Return the head of a request.
+
+    Raises ``ValueError`` if a line would end early.
+    """
+    lines = [f'{method} {path} HTTP/1.1']
+    lines.extend(f'{name}: {text}' for name, text in headers)
+    for line in lines:
+        if not LINE_BREAKS.isdisjoint(line):
+            raise ValueError('line break in a request line or header')
+    return '\r\n'.join((*lines, '', '')).encode('utf-8', 'surrogateescape')
 
 
 def _is_broken(error: Exception) -> bool:
--- a/oriolestage/platform/_configuration.py
+++ b/oriolestage/platform/_configuration.py
@@ -75,6 +75,8 @@
 
 class _Service(msgspec.Struct, frozen=True, rename='camel'):
     name: str
+    # Path of the health check; empty if there is none.
+    health_path: str = ''
     # Connections that one target accepts from all hosts together; zero means
     # no limit.
     max_connections: _Count = 0
@@ -129,6 +131,7 @@
         services=tuple(
             ServiceRule(
                 name=service.name,
+                health_path=service.health_path,
                 connection_limit=service.max_connections,
                 warm_up_rate=service.warmup_per_s,
             )
--- a/oriolestage/routing/_rules.py
+++ b/oriolestage/routing/_rules.py
@@ -85,6 +85,8 @@
     connection_limit: int
     #: Requests per second that a cold target can serve; 0 means no limit.
     warm_up_rate: float = 0
+    #: Path of the health check; empty if there is none.
+    health_path: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/oriolestage/routing/_target_reach.py
+++ b/oriolestage/routing/_target_reach.py
@@ -3,7 +3,8 @@
 A host can lose its links to all targets while callers, the store and the
 other hosts still reach it. Single targets that fail are told from such a
 partition by their number: several targets give no response, one after the
-other, and none gives one.
+other, and none gives one. It does not matter how an attempt fails: its
+connection may be refused, reset at any point or silent.
 """
 
 from collections.abc import Callable
@@ -41,7 +42,11 @@
         return self._cut_off_at is not None
 
     def record_response(self, now: float) -> None:
-        """Record that a target responded or accepted a connection."""
+        """Record that a target gave a complete response.
+
+        A connection that is accepted is none: a proxy on the way may accept
+        it and pass nothing on.
+        """
         self._responded_at = now
         if self._unreached:
             self._unreached.clear()
