Replays of crowded hosts: do not depend on how long the machine has run

On a machine that has run for less, the hosts had run for minutes when the replay began and had their whole retry budget; on others they had just started.

The other state is a test of its own, test_priorities_long_running, with the same bounds.

--- a/oriolestage/entry/tests/crowded_fleet.py
+++ b/oriolestage/entry/tests/crowded_fleet.py
@@ -63,8 +63,12 @@
     *,
     hosts: int,
     with_line: bool = True,
+    up_s: float = 0,
 ) -> list[Served]:
-    """Return what became of requests, each of which goes to any host."""
+    """Return what became of requests, each of which goes to any host.
+
+    When the replay begins, all hosts have run for ``up_s`` seconds.
+    """
     listed = tuple(arrivals)
     accounts: tuple[Account, ...] = tuple({one.account for one in listed})
     sender = QueueTargets(seed)
@@ -78,6 +82,7 @@
             sender=sender,
             connections=CONNECTIONS,
             hosts=hosts,
+            up_s=up_s,
         )
         for number in range(hosts)
     ]
--- a/oriolestage/entry/tests/crowded_host.py
+++ b/oriolestage/entry/tests/crowded_host.py
@@ -26,6 +26,7 @@
     make_unused_quotas,
 )
 from oriolestage.entry.tests.virtual_time import (
+    LOOP_START,
     VirtualTimeLoop,
     run_in_virtual_time,
 )
@@ -118,11 +119,13 @@
         sender: AttemptSender | None = None,
         connections: int = SLOTS,
         hosts: int = 1,
+        up_s: float = 0,
     ) -> None:
         """Create the host; ``with_line`` is False to turn the line off.
 
         It is one of ``hosts``, which share the targets behind ``sender`` and
-        the connections that each target accepts.
+        the connections that each target accepts. When the replay begins, it
+        has run for ``up_s`` seconds.
         """
         placement, directory = make_placement(
             records=tuple(
@@ -146,19 +149,22 @@
         #: Log events of the line.
         self.events: list[StateChange] = []
         self.line = WaitingLine(random.Random(seed), self.events.append)
-        self._router = RequestRouter(
-            state,
-            placement,
-            peers,
-            sender or SlotTargets(seed),
-            detector,
-            PeerClient(lambda _: None),
-            BudgetBounds(),
-            RequestLog(EntryMetrics(), float),
-            KnownAccounts(),
-            make_unused_quotas(),
-            self.line if with_line else None,
-        )
+        # The clock of the machine would make the result depend on how long
+        # the machine has run.
+        with mock.patch('time.monotonic', lambda: LOOP_START - up_s):
+            self._router = RequestRouter(
+                state,
+                placement,
+                peers,
+                sender or SlotTargets(seed),
+                detector,
+                PeerClient(lambda _: None),
+                BudgetBounds(),
+                RequestLog(EntryMetrics(), float),
+                KnownAccounts(),
+                make_unused_quotas(),
+                self.line if with_line else None,
+            )
 
     def replay(self, arrivals: Iterable[Arrival]) -> list[Served]:
         """Return what became of each request."""
--- a/oriolestage/entry/tests/test_crowded_fleet.py
+++ b/oriolestage/entry/tests/test_crowded_fleet.py
@@ -24,6 +24,8 @@
 RATE = TARGETS * 100.0
 HOST_COUNTS = (6, 75)
 DURATION_S = 4.0
+#: Time for which long-running hosts have run, in seconds.
+LONG_UP_S = 600.0
 
 
 def _share(served: Collection[Served], account_part: str = '') -> float:
@@ -80,16 +82,24 @@
         self.assertGreaterEqual(_share(served, 'first'), 0.8)
         self.assertGreaterEqual(_share(served, 'second'), _share(served) / 4)
 
+    def test_priorities_long_running(self) -> None:
+        """The same with hosts that have their whole retry budget."""
+        served = self._replay(with_line=True, up_s=LONG_UP_S)
+        self.assertGreaterEqual(_share(served, 'first'), 0.8)
+        self.assertGreaterEqual(_share(served, 'second'), _share(served) / 4)
+
     def test_without_throttle(self) -> None:
         """Without it, the higher priority is not answered more often."""
         served = self._replay(with_line=False)
         self.assertLess(_share(served, 'first'), 0.75)
 
-    def _replay(self, *, with_line: bool) -> list[Served]:
+    def _replay(self, *, with_line: bool, up_s: float = 0) -> list[Served]:
         rates = {
             Account(f'{name}-{number}', priority=priority): 0.075 * RATE
             for number in range(10)
             for priority, name in enumerate(('first', 'second'))
         }
         arrivals = _arrivals(rates, 1)
-        return replay_fleet(RULE, arrivals, 1, hosts=20, with_line=with_line)
+        return replay_fleet(
+            RULE, arrivals, 1, hosts=20, with_line=with_line, up_s=up_s
+        )
--- a/oriolestage/entry/tests/virtual_time.py
+++ b/oriolestage/entry/tests/virtual_time.py
@@ -10,6 +10,8 @@
 from unittest import mock
 
 _Result = TypeVar('_Result')
+#: Time at which each loop starts, in seconds.
+LOOP_START: float = 1000
 
 
 class _VirtualSelector(selectors.SelectSelector):
@@ -18,7 +20,7 @@
     def __init__(self) -> None:
         super().__init__()
         #: Time of the loop, in seconds.
-        self.now: float = 1000
+        self.now = LOOP_START
 
     def select(
         self, timeout: float | None = None
