Crash detector: count crashes of a target that keeps its identity

Cause: crashes were counted by the identities of targets, so that the second crash of one identity did not count. A host knows that it is another process: registrations state its start.

Change: losses, crashes and reports name the process. A restart that a host learns from a full listing of the store confirms a crash as well, as the event of the change does; a listing of a restored store does not, since it may show an earlier process. Reports of older builds name the identity and count as one more target.

--- a/oriolestage/entry/_crash_tracking.py
+++ b/oriolestage/entry/_crash_tracking.py
@@ -78,6 +78,7 @@
         """Send an attempt, report its outcome and return it."""
         outcome = await self._sender.send(call)
         now = time.monotonic()
+        process = call.process or call.target
         match outcome:
             case AttemptAnswered(answer=answer):
                 self._responded_at = now
@@ -86,11 +87,11 @@
                     self._detector.record_answered(call.fingerprint)
             case AttemptLost(broken=True):
                 self._detector.record_connection_loss(
-                    call.fingerprint, call.target, now
+                    call.fingerprint, process, now
                 )
             case AttemptNotRun(reason=NotRunReason.NOT_REACHED):
                 self._detector.record_target_down(
-                    call.target, now, lost_before=self._responded_at
+                    process, now, lost_before=self._responded_at
                 )
         return outcome
 
--- a/oriolestage/entry/_peer_server.py
+++ b/oriolestage/entry/_peer_server.py
@@ -363,6 +363,7 @@
                     time_left_s=request.time_left_s,
                     fingerprint=fingerprint,
                     route=request.route,
+                    process=target.process,
                 ),
             )
         except asyncio.CancelledError:
--- a/oriolestage/entry/_relay_serving.py
+++ b/oriolestage/entry/_relay_serving.py
@@ -163,6 +163,7 @@
                         request.body,
                     ),
                     route=request.route,
+                    process=target.process,
                 ),
             )
         finally:
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -377,6 +377,7 @@
                 ),
                 fingerprint=request.fingerprint,
                 route=rule.name,
+                process=action.target.process,
             ),
         )
         self._log.record_attempt(request, action, outcome, sent_at)
--- a/oriolestage/entry/_target_client.py
+++ b/oriolestage/entry/_target_client.py
@@ -96,6 +96,8 @@
     #: Hash of the request's content and account, equal for repeated requests.
     fingerprint: int
     route: str = ''
+    #: Name of the target's process, as far as it is known.
+    process: str = ''
     timer: ExchangeTimer = dataclasses.field(
         default_factory=ExchangeTimer, compare=False
     )
--- a/oriolestage/routing/_cluster_state.py
+++ b/oriolestage/routing/_cluster_state.py
@@ -180,7 +180,7 @@
                 known = self._directory.find(record.identity)
                 added = self._directory.register(record, now)
                 if added and known is not None:
-                    self._crashes.record_target_down(record.identity, now)
+                    self._crashes.record_target_down(known.process, now)
                 return [
                     _change(
                         'target_registered',
@@ -197,7 +197,7 @@
                 known = self._directory.find(identity)
                 at_once = self._directory.remove(identity, now)
                 if known is not None and not known.record.draining:
-                    self._crashes.record_target_down(identity, now)
+                    self._crashes.record_target_down(known.process, now)
                 self._placement.forget_removed_targets()
                 return [
                     _change('target_removed', target=identity, now=at_once),
@@ -327,10 +327,18 @@
     def _register_listed(
         self, fact: TargetStored, names: set[str], now: float, *, restored: bool
     ) -> list[StateChange]:
-        """Register a listed target and add its identity to ``names``."""
-        names.add(fact.record.identity)
-        self._unreadable.forget(fact.record.identity)
+        """Register a listed target and add its identity to ``names``.
+
+        A restored store may list an earlier process, which is no restart.
+        """
+        identity = fact.record.identity
+        names.add(identity)
+        self._unreadable.forget(identity)
+        known = self._directory.find(identity)
         self._directory.register_listed(fact.record, now, restored=restored)
+        replaced = known is not self._directory.find(identity)
+        if known is not None and replaced and not restored:
+            self._crashes.record_target_down(known.process, now)
         return []
 
     def _publish_closed_data_centres(self) -> StateChange:
--- a/oriolestage/routing/_crash_detector.py
+++ b/oriolestage/routing/_crash_detector.py
@@ -65,7 +65,8 @@
 
     #: Fingerprint of the request, see `fingerprint_of`.
     fingerprint: int
-    #: Identity of the target; `ANSWERED` if one has answered the request.
+    #: Name of the target's process, or its identity if the report is that of
+    #: an older build; `ANSWERED` if a target has answered the request.
     target: str
 
 
@@ -156,7 +157,11 @@
     def record_connection_loss(
         self, fingerprint: int, target: str, now: float
     ) -> None:
-        """Record a connection that broke before the target had answered."""
+        """Record a connection that broke before the target had answered.
+
+        ``target`` names its process: one that starts again under its identity
+        can crash again.
+        """
         self._losses.append(
             _ConnectionLoss(CrashReport(fingerprint, target), now)
         )
@@ -167,7 +172,7 @@
         now: float,
         lost_before: float = math.inf,
     ) -> None:
-        """Record that a target is down or has restarted.
+        """Record that the process ``target`` is down or was replaced.
 
         This confirms a crash for each request whose connection to the target
         broke in the last `CONFIRMATION_WINDOW_S`, and before ``lost_before``.
