Crash detector: try quarantined requests again while they still come

Cause: two crashes under a request quarantine it, and only 60 s without a repetition ended that. A request that was in flight by chance cannot be told from one that crashes targets at that moment, and a page that is always asked for has no such quiet.

Change: 5, 15 and 300 s after the latest known crash or trial, one request that comes is run as a trial, at one target. The host that gets it claims the trial in the store, which takes each claim once; without the claim it is refused. An answer ends the quarantine at all hosts. After three trials only an hour without a repetition does.

--- a/oriolestage/entry/_composition.py
+++ b/oriolestage/entry/_composition.py
@@ -185,8 +185,8 @@
         placement.directory,
         settings.propagation_limit_s,
     )
-    registration = build_registration(settings, store, cluster_state)
     quotas = build_quotas(settings, cluster_state)
+    crash_reporter = CrashReporter(store, state.crash_detector)
     router = RequestRouter(
         cluster_state,
         placement,
@@ -199,6 +199,7 @@
         AccountChecker(wire_protocol),
         quotas,
         build_waiting_line(metrics),
+        crash_reporter.claim_trial,
     )
     metrics.add_gauge('in_flight', lambda: router.in_flight)
     metrics.add_gauge('held_response_bytes', lambda: client.held_bytes)
@@ -230,8 +231,8 @@
             guards.control,
         ),
         follower=follower,
-        registration=registration,
-        crash_reporter=CrashReporter(store, state.crash_detector),
+        registration=build_registration(settings, store, cluster_state),
+        crash_reporter=crash_reporter,
         rollouts=(
             None
             if state.rollouts is None
--- a/oriolestage/entry/_crash_tracking.py
+++ b/oriolestage/entry/_crash_tracking.py
@@ -10,6 +10,7 @@
 
 from oriolestage._logging import log_event
 from oriolestage.entry._ports import (
+    AnswerRejectedError,
     Lease,
     LeaseEndedError,
     Store,
@@ -24,12 +25,13 @@
     NotRunReason,
 )
 from oriolestage.routing._crash_detector import (
-    QUARANTINE_S,
+    REPORT_LIFETIME_S,
     REPORTS_LIMIT,
     CrashDetector,
-    CrashReport,
+    QuarantineReport,
     fingerprint_of,
 )
+from oriolestage.routing._trials import TrialReport
 
 #: Interval at which detected crashes are written to the store, in seconds. It
 #: is short against the propagation limit, which is a few seconds.
@@ -41,6 +43,11 @@
 #: Time for which reports are repeated, in seconds. A request that still comes
 #: is reported again after that.
 REPORT_TIMEOUT_S = 30.0
+#: Time within which the store has to answer the claim of a trial, in seconds.
+#: The request waits for it.
+CLAIM_TIMEOUT_S = 1.0
+#: Claims that may wait for the store at once.
+CLAIMS_LIMIT = 8
 #: Reports that may wait for the store.
 WAITING_LIMIT = 300
 #: Time for which reports are written under one lease, in seconds.
@@ -49,7 +56,7 @@
 #: seconds.
 LATEST_WRITE_S = 8.0
 #: Time to live of these leases, in seconds.
-LEASE_TTL_S = QUARANTINE_S + LEASE_USE_S + LATEST_WRITE_S
+LEASE_TTL_S = REPORT_LIFETIME_S + LEASE_USE_S + LATEST_WRITE_S
 
 
 class AttemptSender(Protocol):
@@ -111,10 +118,46 @@
         self._store = store
         self._detector = detector
         #: Monotonic time since which each report waits.
-        self._waiting: dict[CrashReport, float] = {}
+        self._waiting: dict[QuarantineReport, float] = {}
         self._retry_at = float('-inf')
         self._lease: Lease | None = None
         self._lease_opened_at = float('-inf')
+        self._claims = 0
+
+    async def claim_trial(self, trial: TrialReport) -> bool:
+        """Return whether this host alone may run a request as a trial.
+
+        It may not if the store does not answer in time: another host may have
+        claimed the trial.
+        """
+        if self._claims >= CLAIMS_LIMIT:
+            return False
+        self._claims += 1
+        problem: Exception | None = None
+        try:
+            async with asyncio.timeout(CLAIM_TIMEOUT_S):
+                lease = await self._usable_lease(time.monotonic())
+                await self._store.claim_trial(trial, lease)
+        except LeaseEndedError as error:
+            self._lease = None
+            problem = error
+        except AnswerRejectedError as error:
+            # Another host has claimed it.
+            self._detector.record_report(trial, time.monotonic())
+            problem = error
+        except (StoreError, TimeoutError) as error:
+            problem = error
+        finally:
+            self._claims -= 1
+        log_event(
+            'trial_claimed' if problem is None else 'trial_not_claimed',
+            {
+                'fingerprint': f'{trial.fingerprint:016x}',
+                'number': trial.number,
+                'error': 'none' if problem is None else repr(problem),
+            },
+        )
+        return problem is None
 
     async def run(self) -> None:
         """Report crashes until cancelled.
@@ -151,7 +194,9 @@
             self._lease_opened_at = now
         return self._lease
 
-    def _delay(self, batch: Sequence[CrashReport], error: StoreError) -> None:
+    def _delay(
+        self, batch: Sequence[QuarantineReport], error: StoreError
+    ) -> None:
         self._retry_at = time.monotonic() + (
             RETRY_INTERVAL_S * random.uniform(*RETRY_JITTER)
         )
--- a/oriolestage/entry/_ports.py
+++ b/oriolestage/entry/_ports.py
@@ -14,8 +14,9 @@
     RequestResult,
     TargetAnswer,
 )
-from oriolestage.routing._crash_detector import CrashReport
+from oriolestage.routing._crash_detector import QuarantineReport
 from oriolestage.routing._facts import HostRecord, StoredFact
+from oriolestage.routing._trials import TrialReport
 
 
 class StoreError(Exception):
@@ -146,10 +147,16 @@
 
     async def report_crashes(
         self,
-        reports: Sequence[CrashReport],
+        reports: Sequence[QuarantineReport],
         lease: Lease,
     ) -> None:
-        """Store at most 32 crash reports under a lease."""
+        """Store at most 32 reports on quarantines under a lease."""
+
+    async def claim_trial(self, trial: TrialReport, lease: Lease) -> None:
+        """Store that this host runs a trial, under a lease.
+
+        Raises :class:`StoreError` if another host has stored it.
+        """
 
 
 class RolloutStore(Store, Protocol):
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -7,9 +7,10 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
 import time
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Awaitable, Callable
 
 from oriolestage.admission._quota_states import Admission, OverQuota
 from oriolestage.admission._waiting_line import WaitingLine
@@ -57,6 +58,7 @@
     SendAttempt,
     SendBatch,
 )
+from oriolestage.routing._trials import TrialReport
 from oriolestage.routing._weights import WeightedRoundRobin
 
 #: Retry-After for callers while the host has no configuration, in seconds.
@@ -73,6 +75,10 @@
 MIN_ATTEMPT_TIMEOUT_S = 0.001
 
 
+#: Returns whether this host alone may run a trial.
+TrialClaimer = Callable[[TrialReport], Awaitable[bool]]
+
+
 class RequestRouter:
     """Routes callers' requests to targets and returns the final results."""
 
@@ -89,11 +95,15 @@
         account_checker: AccountChecker,
         quotas: QuotaExchange,
         waiting_line: WaitingLine | None = None,
+        claim_trial: TrialClaimer | None = None,
     ) -> None:
         """Create a router without requests in flight.
 
         Requests wait in ``waiting_line`` while the configuration has accounts.
+        ``claim_trial`` tells whether this host may run a trial of a
+        quarantined request; without it there are none.
         """
+        self._claim_trial = claim_trial
         self._log = log
         self._account_checker = account_checker
         self._quotas = quotas
@@ -156,15 +166,18 @@
         rule: RouteRule,
         table: RoutingTable,
     ) -> RequestResult:
-        refused_for_s = self._crash_detector.refuse_for_s(
-            request.fingerprint,
-            request.arrived_at,
-            Fleet(self._placement.location.name, self._placement.hosts),
-        )
-        if refused_for_s > 0:
-            return self._refuse(
-                request, GiveUpReason.QUARANTINED, refused_for_s
+        fleet = Fleet(self._placement.location.name, self._placement.hosts)
+        if await self._may_be_trial(request, fleet):
+            # Only one target is put at risk.
+            rule = dataclasses.replace(rule, max_attempts=1)
+        else:
+            refused_for_s = self._crash_detector.refuse_for_s(
+                request.fingerprint, request.arrived_at, fleet
             )
+            if refused_for_s > 0:
+                return self._refuse(
+                    request, GiveUpReason.QUARANTINED, refused_for_s
+                )
         if not self._runs.can_take(rule, request):
             return self.refuse_stopping(request)
         self._in_flight += 1
@@ -173,6 +186,18 @@
         finally:
             self._in_flight -= 1
 
+    async def _may_be_trial(self, request: CallerRequest, fleet: Fleet) -> bool:
+        """Return whether a request runs as a trial, claimed by this host."""
+        if self._claim_trial is None:
+            return False
+        trial = self._crash_detector.take_due_trial(
+            request.fingerprint, request.arrived_at, fleet
+        )
+        if trial is None or not await self._claim_trial(trial):
+            return False
+        self._crash_detector.record_trial(trial, time.monotonic())
+        return True
+
     def refuse_unrouted(self, request: CallerRequest) -> RequestResult | None:
         """Refuse a request without a route; return None if it has one.
 
--- a/oriolestage/platform/_documents.py
+++ b/oriolestage/platform/_documents.py
@@ -18,7 +18,11 @@
     decode_rollout_item,
     decode_rollout_removal,
 )
-from oriolestage.routing._crash_detector import ANSWERED, CrashReport
+from oriolestage.routing._crash_detector import (
+    ANSWERED,
+    CrashReport,
+    QuarantineReport,
+)
 from oriolestage.routing._facts import (
     ConfigurationStored,
     CrashStored,
@@ -33,6 +37,7 @@
     UnreadableItem,
 )
 from oriolestage.routing._targets import TargetRecord
+from oriolestage.routing._trials import TrialReport
 
 MS_PER_S = 1000
 #: Values of ``state`` in the registration of a target.
@@ -47,6 +52,9 @@
 #: Part of the key of a report that a request was answered. Builds that know no
 #: such reports do not take it for a fingerprint.
 ANSWERED_KEY = 'answered'
+#: The same of a claim of a trial, and the most digits of a trial's number.
+TRIAL_KEY = 'trial'
+TRIAL_DIGITS = 4
 #: Base of the fingerprints in the keys of crash reports, and the most digits
 #: of one: a fingerprint is a 64-bit number.
 FINGERPRINT_BASE = 16
@@ -145,12 +153,17 @@
     )
 
 
-def crash_key(report: CrashReport) -> str:
-    """Return the key under which a crash report is stored."""
+def crash_key(report: QuarantineReport) -> str:
+    """Return the key under which a report on a quarantine is stored."""
     fingerprint = f'{report.fingerprint:016x}'
-    if report.target == ANSWERED:
-        return f'{_names.CRASH_PREFIX}{ANSWERED_KEY}/{fingerprint}'
-    return f'{_names.CRASH_PREFIX}{fingerprint}/{report.target}'
+    match report:
+        case TrialReport(number=number):
+            key = f'{TRIAL_KEY}/{fingerprint}/{number}'
+        case CrashReport(target=target) if target == ANSWERED:
+            key = f'{ANSWERED_KEY}/{fingerprint}'
+        case CrashReport(target=target):
+            key = f'{fingerprint}/{target}'
+    return f'{_names.CRASH_PREFIX}{key}'
 
 
 def _decode_by_key(key: str, content: bytes) -> StoredFact | None:
@@ -207,11 +220,16 @@
     return text
 
 
-def _read_crash_report(key: str) -> CrashReport:
-    """Return the crash report that a key holds, without its prefix."""
+def _read_crash_report(key: str) -> QuarantineReport:
+    """Return the report that a key holds, without its prefix."""
     first, _, second = key.partition('/')
     if first == ANSWERED_KEY:
         return CrashReport(_read_fingerprint(second), ANSWERED)
+    if first == TRIAL_KEY:
+        digits, _, number = second.partition('/')
+        return TrialReport(
+            _read_fingerprint(digits), _read_trial_number(number)
+        )
     return CrashReport(_read_fingerprint(first), _read_identity(second))
 
 
@@ -227,6 +245,17 @@
     return int(digits, FINGERPRINT_BASE)
 
 
+def _read_trial_number(digits: str) -> int:
+    """Return the number of a trial, which is positive.
+
+    Raises ``ValueError`` if it is none.
+    """
+    decimal = digits.isascii() and digits.isdigit()
+    if not decimal or len(digits) > TRIAL_DIGITS or not int(digits):
+        raise ValueError(f'trial {digits!r} in the key')
+    return int(digits)
+
+
 def _read_address(field: str, text: str) -> str:
     """Return the one form of an address to connect to.
 
--- a/oriolestage/platform/_leased_items.py
+++ b/oriolestage/platform/_leased_items.py
@@ -124,6 +124,14 @@
         self._check_lease(lease, self._calls.eras.era)
         await self._write(documents, lease, ())
 
+    async def create(self, key: str, lease: Lease) -> None:
+        """Write an empty item under a lease if the key has none.
+
+        Raises :class:`StoreError` if it has one.
+        """
+        self._check_lease(lease, self._calls.eras.era)
+        await self._write({key: b''}, lease, ((key, 0),))
+
     async def replace(self, key: str, content: bytes, revision: int) -> None:
         """Write an item without a lease if it still has a revision.
 
--- a/oriolestage/platform/_store.py
+++ b/oriolestage/platform/_store.py
@@ -37,8 +37,9 @@
     read_facts,
 )
 from oriolestage.rollouts._orders import HostEvidence, RolloutStatus
-from oriolestage.routing._crash_detector import CrashReport
+from oriolestage.routing._crash_detector import QuarantineReport
 from oriolestage.routing._facts import HostRecord, StoredFact
+from oriolestage.routing._trials import TrialReport
 
 #: Longest key of an item that the store accepts, in bytes.
 MAX_KEY_BYTES = 200
@@ -196,10 +197,10 @@
 
     async def report_crashes(
         self,
-        reports: Sequence[CrashReport],
+        reports: Sequence[QuarantineReport],
         lease: Lease,
     ) -> None:
-        """Store at most 32 crash reports, which the other hosts read.
+        """Store at most 32 reports on quarantines, which the other hosts read.
 
         A report whose key the store would refuse is logged and left out: it
         would keep the others from being stored.
@@ -212,6 +213,13 @@
         if storable:
             await self._leased.write(dict.fromkeys(storable, b''), lease)
 
+    async def claim_trial(self, trial: TrialReport, lease: Lease) -> None:
+        """Store that this host runs a trial, unless another one does.
+
+        Raises :class:`StoreError` if another host has stored it.
+        """
+        await self._leased.create(crash_key(trial), lease)
+
     async def write_evidence(
         self, reports: Sequence[HostEvidence], lease: Lease
     ) -> None:
--- a/oriolestage/platform/tests/test_odd_fields.py
+++ b/oriolestage/platform/tests/test_odd_fields.py
@@ -22,7 +22,7 @@
     TargetStored,
     UnreadableItem,
 )
-
+from oriolestage.routing._trials import TrialReport
 
 #: Parts of keys that name no target or host.
 ODD_IDENTITIES = (
@@ -145,6 +145,25 @@
                     decode_item(crash_key(report), b''), CrashStored(report)
                 )
 
+    def test_trials(self) -> None:
+        """A claim names a 64-bit fingerprint and a positive number."""
+        for key in (
+            'trial/00000000000000ff',
+            'trial/00000000000000ff/',
+            'trial/00000000000000ff/0',
+            'trial/00000000000000ff/-1',
+            'trial/00000000000000ff/1/1',
+            'trial/00000000000000ff/99999',
+            'trial/00000000000000ff/\u0661',
+            'trial/xyz/1',
+        ):
+            with self.subTest(key=key):
+                self.assert_unreadable(f'crashes/{key}', b'', 'in the key')
+        report = TrialReport(2**64 - 1, 9999)
+        self.assertEqual(
+            decode_item(crash_key(report), b''), CrashStored(report)
+        )
+
     def test_hosts(self) -> None:
         """The record of a host has a data centre and an address."""
         for field, odd in (
--- a/oriolestage/platform/tests/test_store.py
+++ b/oriolestage/platform/tests/test_store.py
@@ -27,6 +27,7 @@
     TargetRemoved,
     UnreadableItem,
 )
+from oriolestage.routing._trials import TrialReport
 
 #: Levels of lists; the JSON decoders recurse for each.
 NESTING_LEVELS = 3000
@@ -284,6 +285,33 @@
         known = [{'key': 'hosts/h', 'revision': 8}]
         self.assertEqual(transaction['expectedRev'], known)
 
+    async def test_claimed_trial(self) -> None:
+        """A trial is claimed on the condition that no host has done so.
+
+        The claim is read back by the other hosts.
+        """
+        trial = TrialReport(0x1F, 2)
+        self._answers = [(200, {'revision': 8})]
+        await self._client.claim_trial(trial, Lease(None, 7))
+        transaction = json.loads(self._requests[-1][2])
+        written = transaction['writes'][0]
+        self.assertEqual(
+            transaction['expectedRev'], [{'key': written['key'], 'revision': 0}]
+        )
+        self.assertEqual(written['lease'], 7)
+        item = {'key': written['key'], 'value': written['value']}
+        self._answers = [(200, {'items': [item], 'storeRevision': 8})]
+        stored = await self._client.read_all()
+        self.assertEqual(stored.facts, (CrashStored(trial),))
+        for status, expected in (
+            (412, AnswerRejectedError),
+            (404, LeaseEndedError),
+            (503, StoreError),
+        ):
+            self._answers = [(status, {})]
+            with self.subTest(status=status), self.assertRaises(expected):
+                await self._client.claim_trial(trial, Lease(None, 7))
+
     async def test_crash_reports(self) -> None:
         """Reports of crashes and of an answer are read back unchanged."""
         for target in ('i-1', ANSWERED):
--- a/oriolestage/routing/_crash_detector.py
+++ b/oriolestage/routing/_crash_detector.py
@@ -7,8 +7,8 @@
 
 A request that still comes stays refused: each repetition prolongs the
 quarantine, and the host that refuses it tells the others by repeating two of
-the reports, at a bounded rate. After the quiet one host of all, the same for
-everyone, lets it through once. If a target answers, that is reported as well.
+the reports, at a bounded rate. A few times one host of all lets it through, see
+`TrialSchedule`. If a target answers, that is reported as well.
 """
 
 import dataclasses
@@ -22,21 +22,23 @@
 from oriolestage._quarantine import QuarantineBounds, QuarantineTracker
 from oriolestage._rendezvous import rendezvous_position
 from oriolestage.routing._state_changes import StateChange
+from oriolestage.routing._trials import TrialReport, TrialSchedule
 
 #: Crashed targets after which a request is refused. An idempotent request can
 #: reach two targets within one attempt of the caller.
 QUARANTINE_THRESHOLD = 2
-#: Quiet after which a request is let through once, in seconds.
-QUARANTINE_S = 60.0
+#: Time for which the store keeps reports beyond their use, in seconds. They are
+#: repeated more often while the request comes.
+REPORT_LIFETIME_S = 60.0
 #: Time for which crashes are remembered after the last repetition, in seconds:
 #: a caller may repeat a request slowly.
 RETENTION_S = 3600.0
 #: Longest time between two reports of repetitions, in seconds. Hosts wait for
 #: different parts of its second half, so that one of them tells the others.
 REPETITION_REPORT_S = 20.0
-#: Time after which a request that needs no more quiet may be tried at another
-#: host, in seconds.
-OTHER_HOST_AFTER_S = 1.0
+#: Shortest time for which a request is refused, in seconds: a trial that is
+#: under way takes that long.
+MIN_REFUSAL_S = 1.0
 #: Requests with crashes that are remembered.
 CRASHED_LIMIT = 10_000
 #: Time after a broken connection within which the target must be found down
@@ -70,6 +72,10 @@
     target: str
 
 
+#: What a host tells the others about a request.
+QuarantineReport = CrashReport | TrialReport
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fleet:
     """The hosts that share the quarantines."""
@@ -129,15 +135,16 @@
         self._quarantine = QuarantineTracker(
             QuarantineBounds(
                 QUARANTINE_THRESHOLD,
-                QUARANTINE_S,
+                RETENTION_S,
                 RETENTION_S,
                 ANSWERED_LIMIT,
                 CRASHED_LIMIT,
             ),
         )
+        self._trials = TrialSchedule(CRASHED_LIMIT)
         self._losses: deque[_ConnectionLoss] = deque(maxlen=LOSSES_LIMIT)
         #: Reports to send, in order, each once.
-        self._reports: dict[CrashReport, None] = {}
+        self._reports: dict[QuarantineReport, None] = {}
         #: Time at which a host last told that a refused request still comes.
         self._told_at: OrderedDict[int, float] = OrderedDict()
 
@@ -151,6 +158,7 @@
         If it was quarantined, the other hosts are told that it is no longer.
         """
         if self._quarantine.record_answered(fingerprint):
+            self._trials.forget(fingerprint)
             self._queue(CrashReport(fingerprint, ANSWERED))
             self._log_end(fingerprint, 'answered')
 
@@ -186,55 +194,80 @@
             if loss.report.target == target and loss.lost_at < lost_before:
                 self._confirm(loss.report, now)
 
-    def record_report(self, report: CrashReport, now: float) -> None:
+    def record_report(self, report: QuarantineReport, now: float) -> None:
         """Record what another host, or this one, has reported."""
-        if report.target == ANSWERED:
-            if self._quarantine.record_answered(report.fingerprint):
-                self._log_end(report.fingerprint, 'answered_elsewhere')
-            return
-        self._record_told(report.fingerprint, now)
-        if not self._record_crash(report, now):
-            self._quarantine.record_repetition(report.fingerprint, now)
-
-    def take_reports(self) -> tuple[CrashReport, ...]:
+        match report:
+            case TrialReport():
+                self._trials.record_trial(report, now)
+            case CrashReport(fingerprint=fingerprint, target=target) if (
+                target == ANSWERED
+            ):
+                self._trials.forget(fingerprint)
+                if self._quarantine.record_answered(fingerprint):
+                    self._log_end(fingerprint, 'answered_elsewhere')
+            case CrashReport(fingerprint=fingerprint):
+                self._record_told(fingerprint, now)
+                if not self._record_crash(report, now):
+                    self._quarantine.record_repetition(fingerprint, now)
+
+    def take_reports(self) -> tuple[QuarantineReport, ...]:
         """Return the reports to send to the other hosts; clear the queue."""
         reports = tuple(self._reports)
         self._reports.clear()
         return reports
 
     def quarantine_left_s(self, fingerprint: int, now: float) -> float:
-        """Return the quiet that a request still needs, in seconds."""
+        """Return the quiet that a request still needs, in seconds.
+
+        Trials may end the quarantine earlier.
+        """
         return self._quarantine.quarantine_left_s(fingerprint, now)
 
     def refuse_for_s(self, fingerprint: int, now: float, fleet: Fleet) -> float:
         """Return for how long a request that came is refused, in seconds.
 
-        0 if it may run. A refusal prolongs the quarantine: the time is the
-        quiet that is needed from now on. After the quiet only one host of the
-        ``fleet`` lets the request through, once; a refusal by another does
-        not count as a repetition, so that the request can reach that host.
+        0 if it may run. The time is that until the next trial, or if none is
+        left, the quiet that is needed from now on: a refusal prolongs the
+        quarantine.
         """
         if not self._quarantine.is_quarantined(fingerprint):
             return 0
-        if self._quarantine.quarantine_left_s(fingerprint, now) > 0:
-            self._quarantine.record_repetition(fingerprint, now)
-            self._tell_repetition(fingerprint, now, fleet)
-            return self._quarantine.quarantine_left_s(fingerprint, now)
-        if fleet.position(fingerprint) > 0:
-            return OTHER_HOST_AFTER_S
-        self._quarantine.start_probe(fingerprint, now)
-        self._log(
-            'quarantine_probed',
-            fingerprint,
-            otherwise_refused_for_s=self.quarantine_left_s(fingerprint, now),
+        self._quarantine.record_repetition(fingerprint, now)
+        self._tell_repetition(fingerprint, now, fleet)
+        return self._refused_for_s(fingerprint, now, fleet)
+
+    def take_due_trial(
+        self, fingerprint: int, now: float, fleet: Fleet
+    ) -> TrialReport | None:
+        """Return the trial that a request that came may be, None if none is.
+
+        It may run if this host alone claims the trial, and at one target.
+        """
+        if not self._quarantine.is_quarantined(fingerprint):
+            return None
+        return self._trials.take_due(
+            fingerprint, fleet.position(fingerprint), now
         )
-        return 0
+
+    def record_trial(self, trial: TrialReport, now: float) -> None:
+        """Record that this host has claimed a trial and runs the request."""
+        self._trials.record_trial(trial, now)
+        self._log('quarantine_trial', trial.fingerprint, number=trial.number)
 
     def log_quiet(self, now: float) -> None:
         """Log the quarantines that have become quiet since the last call."""
         for fingerprint in self._quarantine.take_quiet(now):
+            self._trials.forget(fingerprint)
             self._log_end(fingerprint, 'quiet')
 
+    def _refused_for_s(
+        self, fingerprint: int, now: float, fleet: Fleet
+    ) -> float:
+        position = fleet.position(fingerprint)
+        due_in_s = self._trials.due_in_s(fingerprint, position, now)
+        quiet_s = self.quarantine_left_s(fingerprint, now)
+        return max(MIN_REFUSAL_S, min(due_in_s, quiet_s))
+
     def _tell_repetition(
         self, fingerprint: int, now: float, fleet: Fleet
     ) -> None:
@@ -250,16 +283,22 @@
         if waited_s < REPETITION_REPORT_S * (1 + turn) / 2:
             return
         targets = sorted(self._quarantine.crashed_targets(fingerprint))
-        told = targets[:QUARANTINE_THRESHOLD]
+        told: list[QuarantineReport] = [
+            CrashReport(fingerprint, target)
+            for target in targets[:QUARANTINE_THRESHOLD]
+        ]
+        trial = self._trials.latest(fingerprint)
+        if trial is not None:
+            told.append(trial)
         if len(self._reports) + len(told) > REPORTS_LIMIT:
             return
-        for target in told:
-            self._queue(CrashReport(fingerprint, target))
+        for report in told:
+            self._queue(report)
         self._record_told(fingerprint, now)
         self._log(
             'quarantine_prolonged',
             fingerprint,
-            refused_for_s=self.quarantine_left_s(fingerprint, now),
+            refused_for_s=self._refused_for_s(fingerprint, now, fleet),
         )
 
     def _record_told(self, fingerprint: int, now: float) -> None:
@@ -282,24 +321,21 @@
         ):
             return False
         targets = self._quarantine.crash_count(fingerprint)
-        left_s = self._quarantine.quarantine_left_s(fingerprint, now)
+        refused = self._quarantine.is_quarantined(fingerprint)
         self._log(
             'request_crashed_target',
             fingerprint,
             target=report.target,
             targets=targets,
-            refused_for_s=left_s,
+            refused=refused,
         )
-        if left_s > 0 and not known:
-            self._log(
-                'quarantine_started',
-                fingerprint,
-                targets=targets,
-                refused_for_s=left_s,
-            )
+        if refused:
+            self._trials.record_crash(fingerprint, now)
+        if refused and not known:
+            self._log('quarantine_started', fingerprint, targets=targets)
         return True
 
-    def _queue(self, report: CrashReport) -> None:
+    def _queue(self, report: QuarantineReport) -> None:
         if len(self._reports) < REPORTS_LIMIT:
             self._reports[report] = None
 
--- a/oriolestage/routing/_facts.py
+++ b/oriolestage/routing/_facts.py
@@ -7,7 +7,7 @@
     RolloutOrder,
     RolloutStatus,
 )
-from oriolestage.routing._crash_detector import CrashReport
+from oriolestage.routing._crash_detector import QuarantineReport
 from oriolestage.routing._rules import RoutingTable
 from oriolestage.routing._targets import TargetRecord
 
@@ -73,9 +73,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashStored:
-    """A crash report, stored by an entry host for all others."""
+    """A report on a quarantine, stored by an entry host for all others."""
 
-    report: CrashReport
+    report: QuarantineReport
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
