Daemon: bound the bodies of all answers together

Reported by operators of similar systems: a faulty replica sends bytes without end, and the machine that called it keeps them all and runs out of memory.

Their sum had no bound: a query over 40 shards whose targets all stop below 8 MB held 40 times as much.

Change: bodies that one client receives are counted; while they are over 50 MB together, those over 64 KB fail, as at the entry host.

test_many_long_bodies failed before: see its bound of 60.5 MB.

--- a/oriolestage/daemon/_store_client.py
+++ b/oriolestage/daemon/_store_client.py
@@ -19,7 +19,7 @@
     StoreWritten,
     parse_count,
 )
-from oriolestage.daemon._bodies import read_body
+from oriolestage.daemon._bodies import BodyReader
 from oriolestage.daemon._events import Inbox, StoreCallEnded
 from oriolestage.daemon._failure_log import FailureLog
 
@@ -59,6 +59,7 @@
         self._inbox = inbox
         self._failures = failures
         self._session: aiohttp.ClientSession | None = None
+        self._bodies = BodyReader()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def call(self, effect: StoreEffect) -> None:
@@ -129,7 +130,7 @@
         timeout = aiohttp.ClientTimeout(total=self._timeout_s + wait_s)
         request = self._session.get(url, params=query, timeout=timeout)
         async with request as response:
-            content = await read_body(response)
+            content = await self._bodies.read(response)
             match response.status:
                 case HTTPStatus.OK:
                     return StoreFound(content, _parse_version(response))
@@ -143,7 +144,7 @@
         timeout = aiohttp.ClientTimeout(total=self._timeout_s)
         request = self._session.get(self._hosts_url, timeout=timeout)
         async with request as response:
-            content = await read_body(response)
+            content = await self._bodies.read(response)
             if response.status == HTTPStatus.OK:
                 return StoreFound(content, 0)
             return StoreUnreachable(sent=True)
@@ -158,7 +159,7 @@
             timeout=aiohttp.ClientTimeout(total=self._timeout_s),
         )
         async with request as response:
-            await read_body(response)
+            await self._bodies.read(response)
             match response.status:
                 case HTTPStatus.OK:
                     return StoreWritten(_parse_version(response))
--- a/oriolestage/daemon/_target_client.py
+++ b/oriolestage/daemon/_target_client.py
@@ -20,7 +20,7 @@
     TargetStatus,
     TargetTimedOut,
 )
-from oriolestage.daemon._bodies import read_body
+from oriolestage.daemon._bodies import BodyReader
 from oriolestage.daemon._events import Inbox, TargetCallEnded, TargetProbed
 from oriolestage.daemon._target_answers import (
     check_rows,
@@ -67,9 +67,15 @@
         self._source_ip = source_ip
         self._inbox = inbox
         self._session: aiohttp.ClientSession | None = None
+        self._bodies = BodyReader()
         self._calls: dict[int, CallTarget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes received so far of the bodies that are not complete."""
+        return self._bodies.held_bytes
+
     def call(self, effect: CallTarget) -> None:
         """Send a shard request; its result goes to the inbox."""
         self._calls[effect.call] = effect
@@ -151,7 +157,7 @@
             timeout=aiohttp.ClientTimeout(total=effect.call_timeout_ms / 1000),
         )
         async with request as response:
-            body = await read_body(response)
+            body = await self._bodies.read(response)
             return _parse_response(effect, response, body)
 
     async def _cancel(self, effect: CallTarget) -> None:
@@ -161,7 +167,7 @@
                 headers={REQUEST_ID_HEADER: effect.request_id},
                 timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
             ) as response:
-                await read_body(response)
+                await self._bodies.read(response)
         except Exception as error:
             _log_failure('target_cancel_failed', effect.target, error)
 
@@ -171,7 +177,7 @@
                 f'http://{target.address}/v1/status',
                 timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
             ) as response:
-                await read_body(response)
+                await self._bodies.read(response)
                 target_status = _parse_status(response)
         except Exception as error:
             _log_failure('target_probe_failed', target, error)
--- a/oriolestage/daemon/tests/test_target_client.py
+++ b/oriolestage/daemon/tests/test_target_client.py
@@ -1,6 +1,7 @@
 """Tests of calls to targets that respond wrongly or not at all."""
 
 import asyncio
+import math
 import unittest
 from collections.abc import Callable
 
@@ -14,6 +15,11 @@
     TargetRefused,
     TargetTimedOut,
 )
+from oriolestage.daemon._bodies import (
+    ALWAYS_ACCEPTED_BYTES,
+    MAX_BODY_BYTES,
+    MAX_HELD_BYTES,
+)
 from oriolestage.daemon._events import Event, TargetCallEnded
 from oriolestage.daemon._target_client import TargetClient
 
@@ -22,6 +28,8 @@
 #: Time that a call has, and that a call to an endless target has, in ms.
 TIMEOUT_MS = 200
 LONG_TIMEOUT_MS = 20_000
+#: Calls of a query over many shards.
+MANY_CALLS = 40
 #: Time within which an endless target has to be cut off, in seconds.
 CUT_OFF_S = 5.0
 
@@ -101,6 +109,30 @@
         self.assertIsInstance(event.outcome, TargetFailed)
         await asyncio.wait_for(sent.cut_off.wait(), CUT_OFF_S)
 
+    async def test_many_long_bodies(self) -> None:
+        """Guards against bodies that are short enough and many.
+
+        Targets that stop just below the longest body, or go on, took eight
+        megabytes for each shard of a query.
+        """
+        sent = _EndlessBody(MAX_BODY_BYTES - ALWAYS_ACCEPTED_BYTES)
+        server = await asyncio.start_server(sent.answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        inbox: asyncio.Queue[Event] = asyncio.Queue()
+        client = TargetClient('127.0.0.1', inbox)
+        for call in range(MANY_CALLS):
+            client.call(_make_call(f'127.0.0.1:{port}', TIMEOUT_MS * 10, call))
+        largest = 0
+        while inbox.qsize() < MANY_CALLS:
+            largest = max(largest, client.held_bytes)
+            await asyncio.sleep(0)
+        await client.close()
+        server.close()
+        # One chunk of each body may arrive before its check.
+        slack = MANY_CALLS * ALWAYS_ACCEPTED_BYTES * 4
+        self.assertLessEqual(largest, MAX_HELD_BYTES + slack)
+        self.assertEqual(client.held_bytes, 0)
+
     async def test_connection_refused(self) -> None:
         """A refused connection is reported as not reached."""
         event = await self._call_address('127.0.0.1:1')
@@ -123,25 +155,27 @@
     ) -> TargetCallEnded:
         inbox: asyncio.Queue[Event] = asyncio.Queue()
         client = TargetClient('127.0.0.1', inbox)
-        target = Target('t-1', 's-1', 'ege-a', address, 2, 25)
-        client.call(
-            CallTarget(
-                1,
-                target,
-                REQUEST_ID,
-                'search',
-                b'{}',
-                0,
-                timeout_ms,
-                timeout_ms + 100,
-            ),
-        )
+        client.call(_make_call(address, timeout_ms))
         event = await inbox.get()
         await client.close()
         assert isinstance(event, TargetCallEnded)
         return event
 
 
+def _make_call(address: str, timeout_ms: int, number: int = 1) -> CallTarget:
+    target = Target('t-1', 's-1', 'ege-a', address, 2, 25)
+    return CallTarget(
+        number,
+        target,
+        REQUEST_ID,
+        'search',
+        b'{}',
+        0,
+        timeout_ms,
+        timeout_ms + 100,
+    )
+
+
 def _respond_with(content: bytes | None) -> Callable:
     async def answer(
         reader: asyncio.StreamReader,
@@ -158,10 +192,14 @@
 
 
 class _EndlessBody:
-    """A target that sends a body until the caller closes the connection."""
+    """A target that sends a body until the caller closes the connection.
+
+    It stops for good after ``pause_after`` bytes.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, pause_after: float = math.inf) -> None:
         self.cut_off = asyncio.Event()
+        self._pause_after = pause_after
 
     async def answer(
         self,
@@ -172,8 +210,11 @@
         await reader.readuntil(b'\r\n\r\n')
         writer.write(response(claimed_length=10**12))
         try:
-            while True:
+            sent = 0
+            while sent < self._pause_after:
                 writer.write(ROWS * 5000)
                 await writer.drain()
+                sent += len(ROWS) * 5000
+            await reader.read()
         except OSError:
             self.cut_off.set()
