--- a/oriolestage/platform/tests/test_endless_responses.py
+++ b/oriolestage/platform/tests/test_endless_responses.py
@@ -9,7 +9,13 @@
 import uvloop
 
 from oriolestage.entry._held_bytes import MAX_HELD_BYTES
+from oriolestage.entry._ports import StoreError
 from oriolestage.entry._target_client import TargetClient
+from oriolestage.platform._store import StoreClient
+from oriolestage.platform._store_calls import (
+    MAX_PAGE_BYTES,
+    RESPONSE_TIMEOUT_S,
+)
 from oriolestage.platform._wire_protocol import PlatformWireProtocol
 from oriolestage.platform.tests.target_calls import (
     COMPLETE_ANSWER,
@@ -83,6 +89,15 @@
                 self.cut_off.set()
 
 
+async def _read_store(address: str) -> None:
+    """Read the whole store once."""
+    client = StoreClient(address)
+    try:
+        await client.read_all()
+    finally:
+        await client.close()
+
+
 async def _largest_held_bytes(targets: list[EndlessTarget]) -> int:
     """Call all targets at once; return the largest number of held bytes."""
     client = TargetClient(PlatformWireProtocol(), RecordingObserver())
@@ -130,3 +145,22 @@
         for target in targets:
             target.close()
         self.assertLessEqual(peak, MAX_HELD_BYTES + BLOCK_BYTES * len(targets))
+
+
+class EndlessStoreTest(unittest.TestCase):
+    """The same for the store, whose answers are read in the same way."""
+
+    def test_cut_off(self) -> None:
+        """Guards against a host that keeps all that a faulty store sends."""
+        for place, prefix, pattern in ENDLESS_RESPONSES:
+            with self.subTest(place=place):
+                store = EndlessTarget(prefix, pattern)
+                started = time.monotonic()
+                with self.assertRaises(StoreError):
+                    uvloop.run(_read_store(store.address))
+                store.close()
+                self.assertTrue(store.cut_off.wait(CUT_OFF_S))
+                took_s = time.monotonic() - started
+                self.assertLess(took_s, RESPONSE_TIMEOUT_S + CUT_OFF_S)
+                # Tiny chunks take six bytes for each byte of the body.
+                self.assertLess(store.sent, 4 * MAX_PAGE_BYTES)
