--- a/oriolestage/entry/_crash_tracking.py
+++ b/oriolestage/entry/_crash_tracking.py
@@ -83,6 +83,8 @@
 
     async def send(self, call: TargetCall) -> AttemptOutcome:
         """Send an attempt, report its outcome and return it."""
+        # A call that is cancelled may have been delivered.
+        self._detector.record_sent(call.fingerprint)
         outcome = await self._sender.send(call)
         now = time.monotonic()
         process = call.process or call.target
@@ -97,6 +99,7 @@
                     call.fingerprint, process, now
                 )
             case AttemptNotRun(reason=NotRunReason.NOT_REACHED):
+                self._detector.record_not_sent(call.fingerprint)
                 self._detector.record_target_down(
                     process, now, lost_before=self._responded_at
                 )
--- a/oriolestage/entry/_request_router.py
+++ b/oriolestage/entry/_request_router.py
@@ -167,17 +167,40 @@
         table: RoutingTable,
     ) -> RequestResult:
         fleet = Fleet(self._placement.location.name, self._placement.hosts)
-        if await self._may_be_trial(request, fleet):
-            # Only one target is put at risk.
-            rule = dataclasses.replace(rule, max_attempts=1)
-        else:
-            refused_for_s = self._crash_detector.refuse_for_s(
-                request.fingerprint, request.arrived_at, fleet
+        trial = await self._claim_due_trial(request, fleet)
+        if trial is not None:
+            return await self._run_trial(request, rule, table, trial)
+        refused_for_s = self._crash_detector.refuse_for_s(
+            request.fingerprint, request.arrived_at, fleet
+        )
+        if refused_for_s > 0:
+            return self._refuse(
+                request, GiveUpReason.QUARANTINED, refused_for_s
             )
-            if refused_for_s > 0:
-                return self._refuse(
-                    request, GiveUpReason.QUARANTINED, refused_for_s
-                )
+        return await self._run_admitted(request, rule, table)
+
+    async def _run_trial(
+        self,
+        request: CallerRequest,
+        rule: RouteRule,
+        table: RoutingTable,
+        trial: TrialReport,
+    ) -> RequestResult:
+        """Run a quarantined request at a single target."""
+        self._crash_detector.start_trial(trial, time.monotonic())
+        try:
+            return await self._run_admitted(
+                request, dataclasses.replace(rule, max_attempts=1), table
+            )
+        finally:
+            self._crash_detector.end_trial(trial, time.monotonic())
+
+    async def _run_admitted(
+        self,
+        request: CallerRequest,
+        rule: RouteRule,
+        table: RoutingTable,
+    ) -> RequestResult:
         if not self._runs.can_take(rule, request):
             return self.refuse_stopping(request)
         self._in_flight += 1
@@ -186,17 +209,22 @@
         finally:
             self._in_flight -= 1
 
-    async def _may_be_trial(self, request: CallerRequest, fleet: Fleet) -> bool:
-        """Return whether a request runs as a trial, claimed by this host."""
+    async def _claim_due_trial(
+        self, request: CallerRequest, fleet: Fleet
+    ) -> TrialReport | None:
+        """Return the trial as which a request runs, None if it is none."""
         if self._claim_trial is None:
-            return False
-        trial = self._crash_detector.take_due_trial(
+            return None
+        detector = self._crash_detector
+        trial = detector.take_due_trial(
             request.fingerprint, request.arrived_at, fleet
         )
-        if trial is None or not await self._claim_trial(trial):
-            return False
-        self._crash_detector.record_trial(trial, time.monotonic())
-        return True
+        if trial is None:
+            return None
+        claimed = detector.take_unused_trial(trial, request.arrived_at)
+        if claimed or await self._claim_trial(trial):
+            return trial
+        return None
 
     def refuse_unrouted(self, request: CallerRequest) -> RequestResult | None:
         """Refuse a request without a route; return None if it has one.
@@ -416,6 +444,7 @@
         relay: HostRecord,
     ) -> AttemptOutcome:
         sent_at = time.monotonic()
+        self._crash_detector.record_sent(request.fingerprint)
         outcome = await self._peer_client.relay(
             relay.peer_address,
             RelayRequest(
@@ -465,6 +494,7 @@
             repeat=action.repeat,
             fingerprint=request.fingerprint,
         )
+        self._crash_detector.record_sent(request.fingerprint)
         address = action.peer.peer_address
         reply_stream = self._peer_client.gather(address, gather_request)
         async with contextlib.aclosing(reply_stream) as replies:
--- a/oriolestage/entry/tests/test_crash_tracking.py
+++ b/oriolestage/entry/tests/test_crash_tracking.py
@@ -1,5 +1,6 @@
 """Tests of the quarantine of requests that crash targets."""
 
+import asyncio
 import time
 import unittest
 from collections.abc import Sequence
@@ -33,7 +34,11 @@
     CrashDetector,
     fingerprint_of,
 )
-from oriolestage.routing._facts import ConfigurationStored, TargetRemoved
+from oriolestage.routing._facts import (
+    ConfigurationStored,
+    TargetRemoved,
+    TargetStored,
+)
 from oriolestage.routing._peers import PeerDirectory
 from oriolestage.routing._retry_budget import BudgetBounds
 from oriolestage.routing._rules import CallerLimits, build_table
@@ -59,10 +64,18 @@
     def __init__(self) -> None:
         """Create targets without attempts."""
         self.crashed: list[str] = []
+        #: Whether connections are refused instead.
+        self.away = False
+        #: Whether attempts have no outcome.
+        self.silent = False
 
     async def send(self, call: TargetCall) -> AttemptOutcome:
         """Return the outcome of a broken connection."""
+        if self.away:
+            return NOT_REACHED
         self.crashed.append(call.target)
+        if self.silent:
+            await asyncio.Event().wait()
         return AttemptLost('target.ClientOSError', broken=True)
 
 
@@ -197,8 +210,10 @@
             claim_trial=self._claim_trial,
         )
         self._may_claim = True
+        self._claims = 0
 
     async def _claim_trial(self, _: TrialReport) -> bool:
+        self._claims += 1
         return self._may_claim
 
     async def _serve(
@@ -254,6 +269,46 @@
         # The sum and difference of monotonic times is not exact.
         self.assertAlmostEqual(result.retry_after_s, RETENTION_S)
 
+    async def _quarantine(self) -> None:
+        """Crash two targets with the request."""
+        for _ in range(2):
+            await self._serve('/rota/poison')
+            crashed = self._targets.crashed[-1]
+            self._cluster_state.apply(TargetRemoved(crashed), time.monotonic())
+
+    async def test_unused_trial(self) -> None:
+        """Guards against trials that are used up while targets are away.
+
+        After an outage as long as the first two trials, a page that crashes
+        no target was refused for five minutes.
+        """
+        await self._quarantine()
+        self._targets.away = True
+        arrived_at = time.monotonic()
+        for repetition in range(1, 100):
+            await self._serve('/rota/poison', arrived_at + repetition)
+        self.assertEqual(len(self._targets.crashed), 2)
+        self.assertEqual(self._claims, 1)
+        self._targets.away = False
+        # The known ones are in back-off.
+        self._cluster_state.apply(TargetStored(make_record('t-9')), arrived_at)
+        await self._serve('/rota/poison', arrived_at + 102)
+        self.assertEqual(len(self._targets.crashed), 3)
+
+    async def test_cancelled_trial(self) -> None:
+        """Guards against a caller that leaves and so renews the trial."""
+        await self._quarantine()
+        self._targets.silent = True
+        arrived_at = time.monotonic()
+        for repetition in range(1, 20):
+            serving = asyncio.create_task(
+                self._serve('/rota/poison', arrived_at + repetition * 30.0)
+            )
+            await asyncio.sleep(0.01)
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+        self.assertEqual(len(self._targets.crashed), 2 + len(TRIAL_DELAYS_S))
+
     async def test_trial_not_claimed(self) -> None:
         """A request is refused if another host, or none, may try it."""
         self._may_claim = False
--- a/oriolestage/routing/_crash_detector.py
+++ b/oriolestage/routing/_crash_detector.py
@@ -142,6 +142,10 @@
             ),
         )
         self._trials = TrialSchedule(CRASHED_LIMIT)
+        #: Requests on trial at this host, and those of them that may have
+        #: reached a target.
+        self._on_trial: set[int] = set()
+        self._sent_on_trial: set[int] = set()
         self._losses: deque[_ConnectionLoss] = deque(maxlen=LOSSES_LIMIT)
         #: Reports to send, in order, each once.
         self._reports: dict[QuarantineReport, None] = {}
@@ -249,11 +253,34 @@
             fingerprint, fleet.position(fingerprint), now
         )
 
-    def record_trial(self, trial: TrialReport, now: float) -> None:
+    def take_unused_trial(self, trial: TrialReport, now: float) -> bool:
+        """Return whether this host has claimed a trial and not used it yet."""
+        return self._trials.take_unused(trial, now)
+
+    def start_trial(self, trial: TrialReport, now: float) -> None:
         """Record that this host has claimed a trial and runs the request."""
         self._trials.record_trial(trial, now)
+        self._on_trial.add(trial.fingerprint)
         self._log('quarantine_trial', trial.fingerprint, number=trial.number)
 
+    def record_sent(self, fingerprint: int) -> None:
+        """Record that a request is sent, and may reach a target."""
+        if fingerprint in self._on_trial:
+            self._sent_on_trial.add(fingerprint)
+
+    def record_not_sent(self, fingerprint: int) -> None:
+        """Record that a request was not sent after all."""
+        self._sent_on_trial.discard(fingerprint)
+
+    def end_trial(self, trial: TrialReport, now: float) -> None:
+        """Record that a trial has ended, which counts if it was sent."""
+        fingerprint = trial.fingerprint
+        self._on_trial.discard(fingerprint)
+        if fingerprint in self._sent_on_trial:
+            self._sent_on_trial.discard(fingerprint)
+        else:
+            self._trials.record_unused(trial, now)
+
     def log_quiet(self, now: float) -> None:
         """Log the quarantines that have become quiet since the last call."""
         for fingerprint in self._quarantine.take_quiet(now):
--- a/oriolestage/routing/_trials.py
+++ b/oriolestage/routing/_trials.py
@@ -20,6 +20,8 @@
 TRIAL_TURN_S = 0.05
 #: Time after which a host claims a trial again, in seconds.
 CLAIM_RETRY_S = 5.0
+#: Time after which a trial that reached no target may run, in seconds.
+UNUSED_RETRY_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +40,8 @@
     number: int = 0
     #: Monotonic time from which the next one may be claimed.
     due_at: float = float('-inf')
+    #: Whether this host has claimed the latest one, and it reached no target.
+    unused: bool = False
 
 
 class TrialSchedule:
@@ -64,6 +68,27 @@
         if report.number > trials.number:
             trials.number = report.number
             trials.due_at = now + _delay_s(trials.number)
+            trials.unused = False
+
+    def record_unused(self, trial: TrialReport, now: float) -> None:
+        """Record that a trial that this host has claimed reached no target.
+
+        No other host can claim it, so this one may run it later.
+        """
+        trials = self._trials.get(trial.fingerprint)
+        if trials is not None and trials.number == trial.number:
+            trials.due_at = now + UNUSED_RETRY_S
+            trials.unused = True
+
+    def take_unused(self, trial: TrialReport, now: float) -> bool:
+        """Return whether a trial was claimed before; it is used from now on."""
+        trials = self._trials.get(trial.fingerprint)
+        if trials is None or trials.number != trial.number:
+            return False
+        was_unused = trials.unused
+        trials.unused = False
+        trials.due_at = now + _delay_s(trials.number)
+        return was_unused
 
     def forget(self, fingerprint: int) -> None:
         """Forget the trials of a request."""
@@ -98,6 +123,8 @@
             return None
         trials = self._trials[fingerprint]
         trials.due_at = now + CLAIM_RETRY_S
+        if trials.unused:
+            return TrialReport(fingerprint, trials.number)
         return TrialReport(fingerprint, trials.number + 1)
 
     def _keep(self, fingerprint: int) -> _Trials:
--- a/oriolestage/routing/tests/quarantine_fleet.py
+++ b/oriolestage/routing/tests/quarantine_fleet.py
@@ -67,7 +67,8 @@
         fleet = Fleet(name, self._names)
         trial = detector.take_due_trial(REQUEST, self.now, fleet)
         if trial is not None and self._claim(trial):
-            detector.record_trial(trial, self.now)
+            detector.start_trial(trial, self.now)
+            detector.record_sent(REQUEST)
             self.trials_at.append(self.now)
         else:
             left_s = detector.refuse_for_s(REQUEST, self.now, fleet)
