Quarantine: remove the quiet that grows after each probe

Both users of the tracker remember crashes for as long as the quiet takes, so that it could not grow any more; nothing changes in what they do.

--- a/oriolestage/_quarantine.py
+++ b/oriolestage/_quarantine.py
@@ -3,15 +3,12 @@
 The load pattern that this answers: a caller repeats a request that crashes
 each target that runs it, at any pace, for as long as it likes. Waiting a fixed
 time and trying again would crash the targets again each time. So a request
-stays refused while it still comes; only quiet lets it run again, once and at
-one host, and after each further crash the quiet has to be longer.
+stays refused while it still comes; only quiet or an answer ends that.
 """
 
 import dataclasses
 from collections import OrderedDict
 
-#: Factor by which the quiet grows that is needed after each further crash.
-QUIET_GROWTH = 10
 #: Most recently crashed targets that are remembered for each fingerprint.
 TARGETS_LIMIT = 16
 
@@ -25,7 +22,7 @@
     #: Quiet after which it may run again, in seconds.
     quiet_s: float
     #: Time for which crashes are remembered after the last repetition, in
-    #: seconds. It is also the longest quiet that is needed.
+    #: seconds.
     retention_s: float
     #: Most recently answered fingerprints that are remembered.
     answered_limit: int
@@ -43,10 +40,6 @@
     #: Time of the latest crash or repetition.
     touched_at: float = float('-inf')
     refused_until: float = float('-inf')
-    #: Quiet that is needed, in seconds.
-    quiet_s: float = 0
-    #: Time at which that was last raised, or the fingerprint first refused.
-    raised_at: float = float('-inf')
     #: Whether the end of the quiet was noticed.
     quiet_noticed: bool = False
 
@@ -99,7 +92,6 @@
         record = self._record(fingerprint)
         if target in record.crashed_at:
             return False
-        self._raise_quiet(record, now)
         record.crashed_at[target] = crashed_at
         if len(record.crashed_at) > TARGETS_LIMIT:
             record.crashed_at.popitem(last=False)
@@ -112,16 +104,6 @@
         if record is not None:
             self._touch(fingerprint, record, now)
 
-    def start_probe(self, fingerprint: int, now: float) -> None:
-        """Record that a request is let through after the quiet.
-
-        Until a target has answered it, it is refused for longer than before.
-        """
-        record = self._quarantined.get(fingerprint)
-        if record is not None:
-            self._raise_quiet(record, now)
-            self._touch(fingerprint, record, now)
-
     def was_answered(self, fingerprint: int) -> bool:
         """Return whether a target is known to have answered a fingerprint."""
         return fingerprint in self._answered
@@ -174,17 +156,6 @@
             )
         return record
 
-    def _raise_quiet(self, record: _FingerprintRecord, now: float) -> None:
-        """Raise the quiet for a crash after the quiet, or a probe.
-
-        The crashes of one outbreak are found within some seconds.
-        """
-        if record.quiet_s and now - record.raised_at > self._bounds.quiet_s / 2:
-            record.quiet_s = min(
-                record.quiet_s * QUIET_GROWTH, self._bounds.retention_s
-            )
-            record.raised_at = now
-
     def _touch(
         self, fingerprint: int, record: _FingerprintRecord, now: float
     ) -> None:
@@ -193,10 +164,7 @@
         if len(record.crashed_at) < self._bounds.threshold:
             self._keep(self._suspected, fingerprint, record)
             return
-        if not record.quiet_s:
-            record.quiet_s = self._bounds.quiet_s
-            record.raised_at = now
-        record.refused_until = record.touched_at + record.quiet_s
+        record.refused_until = record.touched_at + self._bounds.quiet_s
         record.quiet_noticed = False
         self._suspected.pop(fingerprint, None)
         self._keep(self._quarantined, fingerprint, record)
