--- a/oriolestage/entry/tests/test_crash_reporter.py
+++ b/oriolestage/entry/tests/test_crash_reporter.py
@@ -44,7 +44,7 @@
 #: Time in which a repeated report is written, in seconds.
 REPEATED_S = REPORT_INTERVAL_S * 2 + RETRY_INTERVAL_S * max(RETRY_JITTER)
 REFUSED = StoreError('store.write', 'store:1', 'status 503')
-TAKEN = AnswerRejectedError('store.kv-txn', 'store:1', 'status 412')
+TAKEN = AnswerRejectedError('store.write', 'store:1', 'status 412')
 ENDED = LeaseEndedError('store.write', 'store:1', 'not found')
 
 
