Tests: build attempts that are never sent in one place

Cause: test_crashed_processes repeated the builder of test_crash_tracking. Change: both use a module of builders; no check is changed, no test removed.

--- a/oriolestage/entry/tests/test_crash_tracking.py
+++ b/oriolestage/entry/tests/test_crash_tracking.py
@@ -17,6 +17,7 @@
     make_unused_checker,
     make_unused_quotas,
 )
+from oriolestage.entry.tests.target_calls import make_call
 from oriolestage.routing._answers import (
     AttemptAnswered,
     AttemptLost,
@@ -91,21 +92,6 @@
         return self._outcomes.pop(0)
 
 
-def _make_call(target: str, fingerprint: int) -> TargetCall:
-    return TargetCall(
-        request_id='a',
-        method='GET',
-        path='/x',
-        headers=(),
-        body=b'',
-        repeatable=True,
-        target=target,
-        address='10.0.0.1:1',
-        time_left_s=1,
-        fingerprint=fingerprint,
-    )
-
-
 class RefusedConnectionTest(unittest.IsolatedAsyncioTestCase):
     """A refused connection shows a crash only if other targets are reached.
 
@@ -125,7 +111,7 @@
             fingerprint = OTHER_FINGERPRINT
             if isinstance(outcome, AttemptLost | AttemptNotRun):
                 fingerprint = FINGERPRINT
-            await sender.send(_make_call(target, fingerprint))
+            await sender.send(make_call(target, fingerprint))
         return detector
 
     async def test_lost_links(self) -> None:
@@ -169,7 +155,7 @@
                 ScriptedOutcomes([BROKEN, BROKEN, answered]), detector
             )
             for target in ('t-1', 't-2', 't-3'):
-                await sender.send(_make_call(target, FINGERPRINT))
+                await sender.send(make_call(target, FINGERPRINT))
             now = time.monotonic()
             for target in ('t-1', 't-2'):
                 detector.record_target_down(target, now)
--- a/oriolestage/entry/tests/test_crashed_processes.py
+++ b/oriolestage/entry/tests/test_crashed_processes.py
@@ -6,6 +6,7 @@
 
 from oriolestage.entry._crash_tracking import CrashTrackingSender
 from oriolestage.entry._target_client import TargetCall
+from oriolestage.entry.tests.target_calls import make_call
 from oriolestage.routing._answers import AttemptLost, AttemptOutcome
 from oriolestage.routing._cluster_state import ClusterState
 from oriolestage.routing._facts import TargetRemoved, TargetStored
@@ -73,21 +74,7 @@
         for crash in range(CRASHES):
             target = directory.find(IDENTITY)
             assert target is not None
-            await sender.send(
-                TargetCall(
-                    request_id='a',
-                    method='GET',
-                    path='/x',
-                    headers=(),
-                    body=b'',
-                    repeatable=True,
-                    target=IDENTITY,
-                    address=target.record.address,
-                    time_left_s=1,
-                    fingerprint=FINGERPRINT,
-                    process=target.process,
-                )
-            )
+            await sender.send(make_call(IDENTITY, FINGERPRINT, target.process))
             record = make_record(IDENTITY, started_ms=2 + crash)
             restart(state, record, time.monotonic())
         return detector.quarantine_left_s(FINGERPRINT, time.monotonic())
